--- /dev/null
+++ b/include/mustardplank/base/hash.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace mustardplank {
+
+/// SHA-256 in lower-case hexadecimal, for caller keys and body digests.
+std::string
+sha256Hex(std::string_view aText);
+
+/// HMAC-SHA256 in lower-case hexadecimal.
+std::string
+hmacSha256Hex(std::string_view aSecret, std::string_view aText);
+
+/// Compares in time that does not depend on where the strings differ.
+bool
+equalConstantTime(std::string_view aLeft, std::string_view aRight);
+
+/// Fast 64-bit FNV-1a hash, equal on all instances; for rendezvous hashing and prefix hashes, not
+/// for secrets.
+std::uint64_t
+stableHash(std::string_view aText);
+
+/// aBytes bytes from the operating system's random source, in lower-case hexadecimal.
+std::string
+randomHex(std::size_t aBytes);
+
+}
--- /dev/null
+++ b/include/mustardplank/platform/platform.hpp
@@ -0,0 +1,197 @@
+#pragma once
+
+#include "mustardplank/base/ids.hpp"
+#include "mustardplank/base/name_table.hpp"
+#include "mustardplank/base/time.hpp"
+#include "mustardplank/config/model.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mustardplank::platform {
+
+using Offset = std::uint64_t;
+
+struct LogEntry
+{
+  Offset offset = 0;
+  std::int64_t wallMillis = 0;
+  std::shared_ptr<const nlohmann::json> record;
+};
+
+/// A part of the log: entries from the offset asked for, and which offsets the log holds.
+struct LogChunk
+{
+  Offset first = 0;
+  /// Offset that the next append gets.
+  Offset end = 0;
+  std::vector<LogEntry> entries;
+};
+
+enum class FailureKind
+{
+  /// Certain to have had no effect: refused or not connected.
+  NoEffect,
+  /// No effect now; over the rate. Try again later.
+  RateLimited,
+  /// The call may have taken effect; only reading tells.
+  Unknown,
+  /// Read below the first retained offset.
+  Forgotten,
+  /// A fencing token that is not the newest.
+  StaleFence,
+  /// The platform has no such backend server to give.
+  NotAvailable,
+};
+
+inline constexpr NameTable<FailureKind, 6> kFailureKindNames{ { {
+  { FailureKind::NoEffect, "no_effect" },
+  { FailureKind::RateLimited, "rate_limited" },
+  { FailureKind::Unknown, "unknown" },
+  { FailureKind::Forgotten, "forgotten" },
+  { FailureKind::StaleFence, "stale_fence" },
+  { FailureKind::NotAvailable, "not_available" },
+} } };
+
+struct Failure
+{
+  FailureKind kind = FailureKind::Unknown;
+  std::string message;
+  /// With Forgotten: the first retained offset.
+  Offset first = 0;
+};
+
+struct Appended
+{
+  Offset first = 0;
+};
+
+enum class InstanceState
+{
+  Live,
+  Leaving,
+};
+
+inline constexpr NameTable<InstanceState, 2> kInstanceStateNames{ { {
+  { InstanceState::Live, "live" },
+  { InstanceState::Leaving, "leaving" },
+} } };
+
+struct Instance
+{
+  InstanceId id;
+  FailureDomainId failureDomain;
+  /// "ip:port".
+  std::string peerAddress;
+  InstanceState state = InstanceState::Live;
+};
+
+enum class PlatformServerState
+{
+  Starting,
+  Running,
+  /// A cheap server that will be taken away.
+  Reclaiming,
+  Stopped,
+};
+
+inline constexpr NameTable<PlatformServerState, 4> kPlatformServerStateNames{ { {
+  { PlatformServerState::Starting, "starting" },
+  { PlatformServerState::Running, "running" },
+  { PlatformServerState::Reclaiming, "reclaiming" },
+  { PlatformServerState::Stopped, "stopped" },
+} } };
+
+/// A backend server as the platform lists it.
+struct PlatformServer
+{
+  BackendServerId id;
+  FailureDomainId failureDomain;
+  PoolId pool;
+  config::ServerKind kind = config::ServerKind::Regular;
+  std::string address;
+  PlatformServerState state = PlatformServerState::Running;
+  Duration reclaimIn{};
+};
+
+enum class ServerAction
+{
+  Start,
+  Stop,
+};
+
+inline constexpr NameTable<ServerAction, 2> kServerActionNames{ { {
+  { ServerAction::Start, "start" },
+  { ServerAction::Stop, "stop" },
+} } };
+
+struct ServerOrder
+{
+  OperationId operation;
+  /// Offset of the lease claim under which the order is given.
+  Offset fence = 0;
+  ServerAction action = ServerAction::Start;
+  FailureDomainId failureDomain;
+  PoolId pool;
+  config::ServerKind kind = config::ServerKind::Regular;
+  /// For Stop.
+  BackendServerId server;
+};
+
+struct Ordered
+{
+  BackendServerId server;
+};
+
+struct UsageLine
+{
+  OrganisationId organisation;
+  std::uint64_t requests = 0;
+  std::uint64_t promptTokens = 0;
+  std::uint64_t completionTokens = 0;
+  bool operator==(const UsageLine&) const = default;
+};
+
+struct UsageReport
+{
+  std::string windowId;
+  OperationId operation;
+  Offset fence = 0;
+  std::vector<UsageLine> organisations;
+};
+
+struct Done
+{};
+
+template<typename T>
+using Result = std::variant<T, Failure>;
+template<typename T>
+using Callback = std::function<void(Result<T>)>;
+
+/// The platform's services. Callbacks run on the platform thread, each exactly once, within the
+/// call's timeout.
+class Platform
+{
+public:
+  virtual ~Platform() = default;
+
+  /// Appends the records, which get consecutive offsets, or none of them.
+  virtual void append(std::vector<std::string> aJsonRecords, Callback<Appended> aDone) = 0;
+  /// Waits up to aWait for an entry at or after aFrom.
+  virtual void readLog(Offset aFrom,
+                       std::size_t aLimit,
+                       Duration aWait,
+                       Callback<LogChunk> aDone) = 0;
+  virtual void instances(Callback<std::vector<Instance>> aDone) = 0;
+  virtual void servers(Callback<std::vector<PlatformServer>> aDone) = 0;
+  virtual void orderServer(ServerOrder aOrder, Callback<Ordered> aDone) = 0;
+  virtual void reportUsage(UsageReport aReport, Callback<Done> aDone) = 0;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/base/base_test.cpp
@@ -0,0 +1,63 @@
+#include "mustardplank/base/findings.hpp"
+#include "mustardplank/base/hash.hpp"
+#include "mustardplank/base/log_event.hpp"
+#include "mustardplank/base/ring.hpp"
+#include "mustardplank/base/state_chart.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+
+BOOST_AUTO_TEST_SUITE(base)
+
+// Guards against a log line that a value with spaces or line breaks splits in two.
+BOOST_AUTO_TEST_CASE(logEventQuotesValues)
+{
+  LogEvent event(LogLevel::Info, "a.b");
+  event.field("plain", "x").field("text", "two words\n\"q\"").field("n", 3);
+  BOOST_TEST(event.line() == "event=a.b plain=x text=\"two words\\x0a\\\"q\\\"\" n=3");
+}
+
+// Guards against a chart with a misspelt target being accepted.
+BOOST_AUTO_TEST_CASE(stateChartReportsAllFindings)
+{
+  Findings findings;
+  StateChart::parse(R"({"initial":"a","states":{"a":{"go":"b"},"c":{}}})", findings);
+  BOOST_TEST(findings.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(stateChartFollowsTransitions)
+{
+  Findings findings;
+  const auto chart =
+    StateChart::parse(R"({"initial":"a","states":{"a":{"go":"b"},"b":{}}})", findings);
+  BOOST_TEST(findings.empty());
+  BOOST_TEST(chart.next("a", "go").value() == "b");
+  BOOST_TEST(!chart.next("b", "go").has_value());
+}
+
+// Guards against a ring that grows or that loses the wake-up of its consumer.
+BOOST_AUTO_TEST_CASE(ringRefusesWhenFullAndWakesOnce)
+{
+  int wakes = 0;
+  Ring<int> ring(2, [&] { ++wakes; });
+  BOOST_TEST(ring.push(1));
+  BOOST_TEST(ring.push(2));
+  BOOST_TEST(!ring.push(3));
+  BOOST_TEST(wakes == 1);
+  int sum = 0;
+  ring.drain([&](int aItem) { sum += aItem; });
+  BOOST_TEST(sum == 3);
+  BOOST_TEST(ring.push(4));
+  BOOST_TEST(wakes == 2);
+}
+
+BOOST_AUTO_TEST_CASE(hashesMatchPublishedVectors)
+{
+  BOOST_TEST(sha256Hex("abc") ==
+             "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  BOOST_TEST(hmacSha256Hex("key", "The quick brown fox jumps over the lazy dog") ==
+             "f7bc83f430538424b13298e6aa6fb143ef4d59a14946175997479dbc2d1a3cd8");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
