Add the pool owner and pool client

Cause: the first end-to-end path needs slots granted by one owner for each (failure domain, pool); a single instance works as its own owner, with messages to itself looped back by the caller.

Interface changes, for the daemon, the peer codec and the traffic module: - messages: new `Unregister` (after `Register` in the variant); new fields `PermitRequest.spilledFrom`, `Handover.successor`; `Registered.epoch` 0 means "register again"; new `SlotOutcome::NotConnected` (refused or timed out connection, nothing sent), which unlike `ServerLost` makes no crash suspect. `LoadReport` gains optional `cachedBlocks` and `models`. - `Handover`, and in general any message, may be given to both PoolOwner and PoolClient; each ignores what is not for it. - `PoolClient::linkRestored` after a peer link was set up again. - `OwnerOptions` and `ClientOptions` gain switches for single mechanisms.

Ruled out: telling an unregistration apart by `Handover`, since the same instance can be a former owner and a registrant.

--- a/include/mustardplank/pool/client.hpp
+++ b/include/mustardplank/pool/client.hpp
@@ -37,6 +37,8 @@
   Duration slotLease = Seconds(2);
   /// For TwoChoices.
   std::uint64_t seed = 1;
+  /// False switches the check of grants' epochs off, to show in tests what it prevents.
+  bool epochs = true;
 };
 
 /// The waiting and running requests of one pool on the instance that their callers are connected
@@ -64,6 +66,9 @@
   /// The stream of an attempt ended in any way.
   void released(SlotRelease aRelease, TimePoint aNow, Effects& aEffects);
   void receive(const InstanceId& aFrom, const Message& aMessage, TimePoint aNow, Effects& aEffects);
+  /// The link to an instance was set up again; messages may have been lost with the former one.
+  void linkRestored(const InstanceId& aPeer, TimePoint aNow, Effects& aEffects);
+  /// At least every 100 ms: a longer gap counts as a pause of this process.
   void tick(TimePoint aNow, Effects& aEffects);
 
   std::size_t waiting() const;
--- a/include/mustardplank/pool/messages.hpp
+++ b/include/mustardplank/pool/messages.hpp
@@ -50,19 +50,23 @@
   Preempted,
   /// The backend server answered with an error but lives.
   Failed,
-  /// The connection was refused or broke.
+  /// The connection broke after the request was sent.
   ServerLost,
   /// The grant came too late or the entry instance no longer wanted it; nothing was sent.
   Unused,
+  /// The connection was refused or timed out; nothing was sent, so the request cannot have been the
+  /// cause.
+  NotConnected,
 };
 
-inline constexpr NameTable<SlotOutcome, 6> kSlotOutcomeNames{ { {
+inline constexpr NameTable<SlotOutcome, 7> kSlotOutcomeNames{ { {
   { SlotOutcome::Finished, "finished" },
   { SlotOutcome::CallerLeft, "caller_left" },
   { SlotOutcome::Preempted, "preempted" },
   { SlotOutcome::Failed, "failed" },
   { SlotOutcome::ServerLost, "server_lost" },
   { SlotOutcome::Unused, "unused" },
+  { SlotOutcome::NotConnected, "not_connected" },
 } } };
 
 // Entry instance to owner.
@@ -70,6 +74,8 @@
 struct PermitRequest
 {
   RequestInfo request;
+  /// Set when the sender belongs to another failure domain, which has no room for the request.
+  std::optional<FailureDomainId> spilledFrom;
 };
 
 struct PermitCancel
@@ -111,11 +117,19 @@
   std::vector<RunningSlot> running;
 };
 
+/// To the former owner, when an entry instance registers with another one. The former owner would
+/// go on counting the sender's share of the slots, since it still hears its heartbeat.
+struct Unregister
+{
+  PoolId pool;
+};
+
 // Owner to entry instance.
 
 struct Registered
 {
   PoolId pool;
+  /// 0 means that the sender does not know the receiver (any more), which has to register again.
   Epoch epoch = 0;
 };
 
@@ -154,11 +168,13 @@
 
 // Owner to owner.
 
-/// From an owner in a planned shutdown to its successor.
+/// From an owner in a planned shutdown to its successor and to its registrants, which register with
+/// the successor.
 struct Handover
 {
   PoolId pool;
   Epoch epoch = 0;
+  InstanceId successor;
 };
 
 /// From an owner to the owners of the same pool in other failure domains.
@@ -184,6 +200,7 @@
                              PermitCancel,
                              SlotRelease,
                              Register,
+                             Unregister,
                              Registered,
                              PermitGrant,
                              PermitRefuse,
@@ -202,6 +219,10 @@
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
   double tokensPerSecond = 0.0;
+  /// Blocks in the prefix cache, when reported.
+  std::optional<std::uint64_t> cachedBlocks;
+  /// Models that are loaded; empty when not reported.
+  std::vector<ModelId> models;
   /// How old the figures are.
   Duration age{};
 };
--- a/include/mustardplank/pool/owner.hpp
+++ b/include/mustardplank/pool/owner.hpp
@@ -16,6 +16,12 @@
   PoolId pool;
   Duration heartbeatTimeout = Seconds(1);
   Duration slotLease = Seconds(2);
+  // Each false switches one mechanism off, to show in tests what it prevents.
+  bool epochs = true;
+  bool coldLimits = true;
+  bool crashIsolation = true;
+  bool tiers = true;
+  bool minShare = true;
 };
 
 /// What the owner needs of the configuration; replaced as a whole at each change.
--- /dev/null
+++ b/src/mustardplank/pool/crash_table.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "mustardplank/base/ids.hpp"
+#include "mustardplank/base/time.hpp"
+
+#include <unordered_map>
+
+namespace mustardplank::pool {
+
+/// Requests that were running on servers that were lost, by digest of organisation and body.
+class CrashTable
+{
+public:
+  enum class Verdict
+  {
+    Clear,
+    /// Runs only alone on a server.
+    Alone,
+    Refused,
+  };
+
+  /// Returns whether the crash is new. All reports about one server within a few seconds are one
+  /// crash.
+  bool record(std::uint64_t aDigest, const BackendServerId& aServer, TimePoint aNow);
+  /// The request ran alone to its end: it was not the cause.
+  void clear(std::uint64_t aDigest) { mSuspects.erase(aDigest); }
+  Verdict verdict(std::uint64_t aDigest, TimePoint aNow) const;
+  /// Until a refused request may be tried again.
+  Duration remaining(std::uint64_t aDigest, TimePoint aNow) const;
+  void tick(TimePoint aNow);
+  std::size_t size() const { return mSuspects.size(); }
+
+private:
+  struct Suspect
+  {
+    int crashes = 0;
+    TimePoint last;
+    BackendServerId server;
+  };
+  std::unordered_map<std::uint64_t, Suspect> mSuspects;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/local_queue.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "mustardplank/pool/client_policy.hpp"
+
+#include <deque>
+#include <random>
+#include <unordered_map>
+
+namespace mustardplank::pool {
+
+/// The baselines: a queue on each entry instance, in order of arrival, and a server chosen by load
+/// reports that lag. Knows nothing of other instances' requests, tiers or cold starts.
+class LocalQueue : public ClientPolicy
+{
+public:
+  explicit LocalQueue(ClientOptions aOptions);
+
+  void setOwner(std::optional<InstanceId>, TimePoint, Effects&) override {}
+  void setOtherOwners(std::vector<std::pair<FailureDomainId, InstanceId>>) override {}
+  void setView(PoolView aView, TimePoint aNow, Effects& aEffects) override;
+  void loadReport(const LoadReport& aReport, TimePoint aNow, Effects& aEffects) override;
+  void submit(RequestInfo aRequest, TimePoint aNow, Effects& aEffects) override;
+  void cancel(const RequestId& aId, TimePoint aNow, Effects& aEffects) override;
+  void released(SlotRelease aRelease, TimePoint aNow, Effects& aEffects) override;
+  void receive(const InstanceId&, const Message&, TimePoint, Effects&) override {}
+  void linkRestored(const InstanceId&, TimePoint, Effects&) override {}
+  void tick(TimePoint aNow, Effects& aEffects) override;
+  std::size_t waiting() const override { return mQueue.size(); }
+  std::size_t running() const override { return mRunning.size(); }
+
+private:
+  struct Server
+  {
+    config::BackendServer config;
+    std::uint32_t reported = 0;
+    /// Started here since the last report.
+    std::uint32_t startedSince = 0;
+  };
+  struct Waiting
+  {
+    RequestInfo info;
+    TimePoint since;
+  };
+
+  Server* choose(const RequestInfo& aRequest);
+  Server* pick(const std::vector<Server*>& aUsable);
+  void dispatch(Effects& aEffects);
+
+  ClientOptions mOptions;
+  std::mt19937_64 mRandom;
+  std::vector<Server> mServers;
+  bool mOut = false;
+  std::deque<Waiting> mQueue;
+  std::unordered_map<RequestId, BackendServerId> mRunning;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/min_share.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "mustardplank/base/time.hpp"
+
+#include <vector>
+
+namespace mustardplank::pool {
+
+/// Accounts for the slot time that each class is owed by its minimum share. In a pool with few
+/// slots a share can be less than one slot; the class then gets a slot from time to time.
+class MinShare
+{
+public:
+  void setShare(int aClass, double aShare);
+  void started(int aClass) { ++entry(aClass).running; }
+  void ended(int aClass) { --entry(aClass).running; }
+  /// aQueued: whether the class has waiting requests.
+  void advance(int aClass, bool aQueued, double aSlots, TimePoint aNow);
+  /// Whether the class may take the next slot ahead of higher tiers for a request that holds a slot
+  /// for aSlotTime.
+  bool entitled(int aClass, double aSlots, Duration aSlotTime) const;
+  double share(int aClass) const;
+  int running(int aClass) const;
+  std::size_t classes() const { return mEntries.size(); }
+
+private:
+  struct Entry
+  {
+    double share = 0.0;
+    int running = 0;
+    /// Slot seconds owed.
+    double credit = 0.0;
+    TimePoint at;
+    bool queued = false;
+  };
+  Entry& entry(int aClass);
+
+  std::vector<Entry> mEntries;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/permit_client.cpp
@@ -0,0 +1,364 @@
+#include "mustardplank/pool/permit_client.hpp"
+
+#include <algorithm>
+
+namespace mustardplank::pool {
+
+namespace {
+
+/// A registration without an answer is sent again after this time; a lost message must not leave
+/// the instance without an owner.
+constexpr Duration kRegisterRetry = Millis(500);
+/// A request that waits so long without an answer makes the instance register again, in case the
+/// permit request or its answer was lost.
+constexpr Duration kSilentWait = Seconds(10);
+/// How long the owner in another failure domain may take to answer.
+constexpr Duration kSpillTimeout = Seconds(1);
+constexpr Duration kNoOwnerRetryAfter = Seconds(2);
+
+Duration
+remaining(TimePoint aDeadline, TimePoint aNow)
+{
+  return aDeadline - aNow;
+}
+
+}
+
+PermitClient::PermitClient(ClientOptions aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void
+PermitClient::observe(TimePoint aNow, Effects& aEffects)
+{
+  const bool paused = mLastSeen && aNow - *mLastSeen > mOptions.slotLease;
+  mLastSeen = aNow;
+  if (paused && mOwner) {
+    aEffects.push_back(WriteLog{ "pool.client_paused", { { "pool", mOptions.pool.str() } } });
+    registerAgain(aNow, aEffects);
+  }
+}
+
+void
+PermitClient::setOwner(std::optional<InstanceId> aOwner, TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  if (aOwner == mAssigned) {
+    return;
+  }
+  mAssigned = aOwner;
+  changeOwner(std::move(aOwner), aNow, aEffects);
+}
+
+void
+PermitClient::changeOwner(std::optional<InstanceId> aOwner, TimePoint aNow, Effects& aEffects)
+{
+  if (aOwner == mOwner) {
+    return;
+  }
+  if (mOwner) {
+    aEffects.push_back(SendTo{ *mOwner, Unregister{ mOptions.pool } });
+  }
+  mOwner = std::move(aOwner);
+  mRegistered = false;
+  if (mOwner) {
+    registerAgain(aNow, aEffects);
+  }
+}
+
+void
+PermitClient::setOtherOwners(std::vector<std::pair<FailureDomainId, InstanceId>> aOwners)
+{
+  mOtherOwners = std::move(aOwners);
+}
+
+void
+PermitClient::registerAgain(TimePoint aNow, Effects& aEffects)
+{
+  mRegistered = false;
+  mRegisterSent = aNow;
+  for (auto& [id, request] : mRequests) {
+    if (!request.running && !request.spilledTo) {
+      request.askedAt = aNow;
+    }
+  }
+  aEffects.push_back(SendTo{ *mOwner, registration(aNow) });
+}
+
+Register
+PermitClient::registration(TimePoint aNow) const
+{
+  Register message{ mOptions.pool, mOptions.incarnation, mHighestEpoch, {}, {} };
+  for (const auto& [id, request] : mRequests) {
+    if (request.spilledTo) {
+      continue;
+    }
+    RequestInfo info = request.info;
+    info.untilDeadline = remaining(request.deadline, aNow);
+    if (request.running) {
+      message.running.push_back({ std::move(info), request.server, request.epoch });
+    } else {
+      message.waiting.push_back(std::move(info));
+    }
+  }
+  return message;
+}
+
+void
+PermitClient::submit(RequestInfo aRequest, TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  const RequestId id = aRequest.id;
+  const auto former = mRequests.find(id);
+  if (former != mRequests.end()) {
+    erase(former);
+  }
+  Request request;
+  request.info = std::move(aRequest);
+  request.deadline = aNow + request.info.untilDeadline;
+  request.askedAt = aNow;
+  if (mOwner) {
+    aEffects.push_back(SendTo{ *mOwner, PermitRequest{ request.info, std::nullopt } });
+  }
+  mRequests.emplace(id, std::move(request));
+}
+
+void
+PermitClient::cancel(const RequestId& aId, TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  const auto it = mRequests.find(aId);
+  // The end of a running stream is reported by released().
+  if (it == mRequests.end() || it->second.running) {
+    return;
+  }
+  const auto to = it->second.spilledTo ? it->second.spilledTo : mOwner;
+  if (to) {
+    aEffects.push_back(SendTo{ *to, PermitCancel{ mOptions.pool, aId } });
+  }
+  erase(it);
+}
+
+void
+PermitClient::released(SlotRelease aRelease, TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  const auto it = mRequests.find(aRelease.id);
+  if (it == mRequests.end() || !it->second.running || it->second.info.attempt != aRelease.attempt) {
+    return;
+  }
+  aRelease.pool = mOptions.pool;
+  const auto to = it->second.spilledTo ? it->second.spilledTo : mOwner;
+  if (to) {
+    sendRelease(*to, aRelease, aEffects);
+  }
+  erase(it);
+}
+
+void
+PermitClient::sendRelease(const InstanceId& aTo,
+                          const SlotRelease& aRelease,
+                          Effects& aEffects) const
+{
+  aEffects.push_back(SendTo{ aTo, aRelease });
+}
+
+void
+PermitClient::erase(Requests::iterator aRequest)
+{
+  if (aRequest->second.running) {
+    --mRunning;
+  }
+  mRequests.erase(aRequest);
+}
+
+void
+PermitClient::refuse(Requests::iterator aRequest,
+                     ErrorCode aCode,
+                     Duration aRetryAfter,
+                     Effects& aEffects)
+{
+  aEffects.push_back(RefuseRequest{ aRequest->first, aCode, aRetryAfter });
+  erase(aRequest);
+}
+
+void
+PermitClient::receive(const InstanceId& aFrom,
+                      const Message& aMessage,
+                      TimePoint aNow,
+                      Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  std::visit([&](const auto& aContent) { handle(aFrom, aContent, aNow, aEffects); }, aMessage);
+}
+
+void
+PermitClient::handle(const InstanceId& aFrom,
+                     const Registered& aMessage,
+                     TimePoint aNow,
+                     Effects& aEffects)
+{
+  if (!mOwner || aFrom != *mOwner) {
+    return;
+  }
+  if (aMessage.epoch == 0) {
+    registerAgain(aNow, aEffects);
+    return;
+  }
+  if (aMessage.epoch < mHighestEpoch) {
+    // The owner answered before it learnt of the newer epoch: tell it again.
+    registerAgain(aNow, aEffects);
+    return;
+  }
+  mRegistered = true;
+  mEpoch = aMessage.epoch;
+  mHighestEpoch = std::max(mHighestEpoch, mEpoch);
+}
+
+bool
+PermitClient::accepts(const InstanceId& aFrom,
+                      const PermitGrant& aGrant,
+                      const Request& aRequest) const
+{
+  if (aRequest.running || aRequest.info.attempt != aGrant.attempt) {
+    return false;
+  }
+  if (aRequest.spilledTo) {
+    return aFrom == *aRequest.spilledTo;
+  }
+  if (!mOptions.epochs) {
+    return true;
+  }
+  return mOwner && aFrom == *mOwner && mRegistered && aGrant.epoch == mEpoch;
+}
+
+void
+PermitClient::handle(const InstanceId& aFrom,
+                     const PermitGrant& aMessage,
+                     TimePoint,
+                     Effects& aEffects)
+{
+  const auto it = mRequests.find(aMessage.id);
+  if (it == mRequests.end() || !accepts(aFrom, aMessage, it->second)) {
+    SlotRelease unused;
+    unused.pool = mOptions.pool;
+    unused.id = aMessage.id;
+    unused.attempt = aMessage.attempt;
+    unused.epoch = aMessage.epoch;
+    unused.server = aMessage.server;
+    unused.outcome = SlotOutcome::Unused;
+    sendRelease(aFrom, unused, aEffects);
+    return;
+  }
+  Request& request = it->second;
+  request.running = true;
+  request.server = aMessage.server;
+  request.epoch = aMessage.epoch;
+  ++mRunning;
+  aEffects.push_back(StartStream{
+    aMessage.id, aMessage.attempt, aMessage.epoch, aMessage.server, aMessage.address });
+}
+
+bool
+PermitClient::spill(Request& aRequest,
+                    const FailureDomainId& aTo,
+                    TimePoint aNow,
+                    Effects& aEffects)
+{
+  const auto owner = std::find_if(mOtherOwners.begin(),
+                                  mOtherOwners.end(),
+                                  [&](const auto& aOther) { return aOther.first == aTo; });
+  if (owner == mOtherOwners.end()) {
+    return false;
+  }
+  aRequest.spilledTo = owner->second;
+  aRequest.askedAt = aNow;
+  RequestInfo info = aRequest.info;
+  info.untilDeadline = remaining(aRequest.deadline, aNow);
+  aEffects.push_back(
+    SendTo{ owner->second, PermitRequest{ std::move(info), mOptions.failureDomain } });
+  return true;
+}
+
+void
+PermitClient::handle(const InstanceId& aFrom,
+                     const PermitRefuse& aMessage,
+                     TimePoint aNow,
+                     Effects& aEffects)
+{
+  const auto it = mRequests.find(aMessage.id);
+  if (it == mRequests.end() || it->second.running || it->second.info.attempt != aMessage.attempt) {
+    return;
+  }
+  Request& request = it->second;
+  const auto& asked = request.spilledTo ? request.spilledTo : mOwner;
+  if (!asked || *asked != aFrom) {
+    return;
+  }
+  if (aMessage.spillTo && !request.spilledTo && spill(request, *aMessage.spillTo, aNow, aEffects)) {
+    return;
+  }
+  refuse(it, aMessage.code, aMessage.retryAfter, aEffects);
+}
+
+void
+PermitClient::handle(const InstanceId&, const Preempt& aMessage, TimePoint, Effects& aEffects)
+{
+  const auto it = mRequests.find(aMessage.id);
+  if (it != mRequests.end() && it->second.running && it->second.info.attempt == aMessage.attempt) {
+    aEffects.push_back(StopStream{ aMessage.id, aMessage.attempt });
+  }
+}
+
+void
+PermitClient::handle(const InstanceId& aFrom,
+                     const Handover& aMessage,
+                     TimePoint aNow,
+                     Effects& aEffects)
+{
+  if (mOwner && aFrom == *mOwner && !aMessage.successor.empty()) {
+    mHighestEpoch = std::max(mHighestEpoch, aMessage.epoch);
+    changeOwner(aMessage.successor, aNow, aEffects);
+  }
+}
+
+void
+PermitClient::linkRestored(const InstanceId& aPeer, TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  if (mOwner && *mOwner == aPeer) {
+    registerAgain(aNow, aEffects);
+  }
+}
+
+void
+PermitClient::tick(TimePoint aNow, Effects& aEffects)
+{
+  observe(aNow, aEffects);
+  bool silent = false;
+  for (auto it = mRequests.begin(); it != mRequests.end();) {
+    const auto current = it++;
+    const Request& request = current->second;
+    if (request.running) {
+      continue;
+    }
+    if (request.spilledTo && aNow - request.askedAt > kSpillTimeout) {
+      aEffects.push_back(
+        SendTo{ *request.spilledTo, PermitCancel{ mOptions.pool, current->first } });
+      refuse(current, ErrorCode::Overloaded, kNoOwnerRetryAfter, aEffects);
+    } else if (!mOwner && aNow > request.deadline) {
+      refuse(current, ErrorCode::NoBackendServer, kNoOwnerRetryAfter, aEffects);
+    } else if (aNow - request.askedAt > kSilentWait) {
+      silent = true;
+    }
+  }
+  if (!mOwner) {
+    return;
+  }
+  if (silent || (!mRegistered && aNow - mRegisterSent >= kRegisterRetry)) {
+    registerAgain(aNow, aEffects);
+  }
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/prefix_index.cpp
@@ -0,0 +1,80 @@
+#include "mustardplank/pool/prefix_index.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace mustardplank::pool {
+
+namespace {
+
+/// Blocks of one prompt that are looked up; longer matches count as this long.
+constexpr std::size_t kMostBlocks = 64;
+
+}
+
+PrefixIndex::PrefixIndex(std::size_t aBlocks)
+  : mMask(std::bit_ceil(std::max<std::size_t>(aBlocks / kWays, 1)) - 1)
+  , mEntries((mMask + 1) * kWays)
+{
+}
+
+void
+PrefixIndex::stored(std::uint64_t aHash, std::uint32_t aServer)
+{
+  Entry* const first = bucket(aHash);
+  Entry* victim = first;
+  for (Entry* it = first; it != first + kWays; ++it) {
+    if (it->age != 0 && it->hash == aHash && it->server == aServer) {
+      victim = it;
+      break;
+    }
+    if (it->age < victim->age) {
+      victim = it;
+    }
+  }
+  *victim = { aHash, aServer, ++mClock };
+}
+
+void
+PrefixIndex::evicted(std::uint64_t aHash, std::uint32_t aServer)
+{
+  Entry* const first = bucket(aHash);
+  for (Entry* it = first; it != first + kWays; ++it) {
+    if (it->hash == aHash && it->server == aServer) {
+      it->age = 0;
+    }
+  }
+}
+
+void
+PrefixIndex::forgetServer(std::uint32_t aServer)
+{
+  for (auto& it : mEntries) {
+    if (it.server == aServer) {
+      it.age = 0;
+    }
+  }
+}
+
+void
+PrefixIndex::match(const std::vector<std::uint64_t>& aHashes,
+                   std::vector<std::uint32_t>& aMatched) const
+{
+  const std::size_t n = std::min(aHashes.size(), kMostBlocks);
+  for (std::size_t i = 0; i < n; ++i) {
+    const Entry* const first = bucket(aHashes[i]);
+    bool found = false;
+    for (const Entry* it = first; it != first + kWays; ++it) {
+      // A gap in the cache events must not end the match, so later blocks count on their own.
+      if (it->age != 0 && it->hash == aHashes[i] && it->server < aMatched.size()) {
+        aMatched[it->server] = static_cast<std::uint32_t>(i + 1);
+        found = true;
+      }
+    }
+    if (!found && i > 8) {
+      return;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/servers.hpp
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "mustardplank/pool/owner.hpp"
+#include "mustardplank/pool/queue_entry.hpp"
+#include "mustardplank/pool/server_life.hpp"
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace mustardplank::pool {
+
+/// A granted slot.
+struct Running
+{
+  RequestInfo info;
+  InstanceId from;
+  int server = 0;
+  Epoch epoch = 0;
+  TimePoint grantedAt;
+  int organisation = 0;
+  int requestClass = 0;
+  std::uint32_t tier = 0;
+  /// Tokens charged to the organisation.
+  double work = 0.0;
+  /// Granted under the minimum share of its class; never preempted.
+  bool protectedShare = false;
+  bool preempting = false;
+  bool foreign = false;
+  bool alone = false;
+  /// For foreign slots, which have no registrant.
+  TimePoint foreignLeaseEnd;
+};
+
+/// A slot whose entry instance is silent or gone; its stream may still run.
+struct Orphan
+{
+  RequestId id;
+  TimePoint leaseEnd;
+};
+
+/// One backend server as its owner sees it.
+struct Server
+{
+  config::BackendServer config;
+  ServerLife life;
+  std::uint64_t hash = 0;
+  /// Draining, withdrawn, reclaimed or no longer in the configuration.
+  bool leaving = false;
+  bool gone = false;
+  /// When the platform takes a cheap server away.
+  std::optional<TimePoint> reclaimAt;
+  /// Slots that this owner granted and that were not released.
+  std::vector<Running*> running;
+  std::vector<Orphan> orphans;
+  /// Streams that the last report shows but this owner does not know of.
+  std::uint32_t unknown = 0;
+  /// Times of releases since the last report was made.
+  std::vector<TimePoint> releases;
+  /// A crash suspect runs here alone.
+  bool alone = false;
+  /// Kept empty for a crash suspect that waits.
+  bool reserved = false;
+  int failuresInARow = 0;
+  int unreachableInARow = 0;
+  /// Seconds for each output token relative to the pool's average; 1 while unknown.
+  double slowness = 1.0;
+  /// Bits of the loaded models; all while not reported.
+  std::uint64_t models = ~0ULL;
+
+  Server(config::BackendServer aConfig, config::PoolKind aKind, TimePoint aNow);
+  std::uint32_t used() const
+  {
+    return static_cast<std::uint32_t>(running.size() + orphans.size()) + unknown;
+  }
+};
+
+/// What an owner may use of the servers now.
+struct Gate
+{
+  TimePoint now;
+  /// Every live instance of the failure domain has been registered long enough.
+  bool settled = false;
+  /// Every live instance is registered: all slots are this owner's.
+  bool complete = false;
+  /// A former owner may have granted slots that nobody registered.
+  bool tookOver = false;
+  /// Start of this run as owner.
+  TimePoint since;
+  bool coldLimits = true;
+  bool reportsExpected = true;
+};
+
+/// The backend servers of the pool and who uses their slots. Indexes stay valid while a server has
+/// slots in use.
+class Servers
+{
+public:
+  /// Returns the indexes that now stand for another server.
+  std::vector<int> configure(const PoolView& aView, TimePoint aNow);
+  int find(const BackendServerId& aId) const;
+  std::size_t size() const { return mServers.size(); }
+  Server& operator[](int aIndex) { return mServers[static_cast<std::size_t>(aIndex)]; }
+  const Server& operator[](int aIndex) const { return mServers[static_cast<std::size_t>(aIndex)]; }
+  std::deque<Server>& all() { return mServers; }
+  const std::deque<Server>& all() const { return mServers; }
+
+  void occupy(Running& aSlot);
+  void release(Running& aSlot, TimePoint aNow);
+  /// The entry instance of the slot is silent or gone. On a server that can be overloaded the slot
+  /// stays in use until a report shows it free.
+  void orphan(Running& aSlot, TimePoint aLeaseEnd, TimePoint aNow);
+  /// The orphan's entry instance is back.
+  void adopt(const RequestId& aId, int aServer);
+  void report(int aServer, const LoadReport& aReport, Duration aSlotLease, TimePoint aNow);
+  /// Recomputes the shares of a pool that is split among owners.
+  template<typename Share>
+  void setShares(const Share& aShare)
+  {
+    mShares.resize(mServers.size());
+    for (std::size_t i = 0; i < mServers.size(); ++i) {
+      mShares[i] = aShare(mServers[i]);
+    }
+  }
+
+  /// Slots of a server that may be granted now.
+  std::uint32_t free(int aServer, const Gate& aGate) const;
+  /// Slots of a server that may be in use under aGate.
+  std::uint32_t open(int aServer, const Gate& aGate) const;
+
+private:
+  int slotFor(const config::BackendServer& aServer, config::PoolKind aKind, TimePoint aNow);
+
+  std::deque<Server> mServers;
+  std::unordered_map<BackendServerId, int> mIndex;
+  std::vector<std::uint32_t> mShares;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/test_support.hpp
@@ -0,0 +1,312 @@
+#pragma once
+
+#include "mustardplank/pool/client.hpp"
+#include "mustardplank/pool/owner.hpp"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace mustardplank::pool::test {
+
+inline const PoolId kPool{ "chat" };
+inline const FailureDomainId kDomain{ "fd1" };
+
+inline config::BackendServer
+backendServer(const std::string& aName, std::uint32_t aSlots, std::uint32_t aColdSlots = 1)
+{
+  config::BackendServer server;
+  server.id = BackendServerId(aName);
+  server.failureDomain = kDomain;
+  server.pool = kPool;
+  server.address = "127.0.0.1:9";
+  server.slots = aSlots;
+  server.coldSlots = aColdSlots;
+  return server;
+}
+
+inline config::RequestClass
+requestClass(const std::string& aName, std::uint32_t aTier, double aMinShare = 0.0)
+{
+  config::RequestClass value;
+  value.id = ClassId(aName);
+  value.tier = aTier;
+  value.minShare = aMinShare;
+  return value;
+}
+
+inline PoolView
+view(std::vector<config::BackendServer> aServers,
+     std::vector<config::RequestClass> aClasses = { requestClass("c0", 0),
+                                                    requestClass("c1", 1),
+                                                    requestClass("c2", 2) })
+{
+  PoolView view;
+  view.pool.id = kPool;
+  view.classes = std::move(aClasses);
+  view.servers = std::move(aServers);
+  return view;
+}
+
+inline RequestInfo
+request(const std::string& aId, std::uint32_t aTier = 0, const std::string& aOrganisation = "o")
+{
+  RequestInfo info;
+  info.id = RequestId(aId);
+  info.pool = kPool;
+  info.organisation = OrganisationId(aOrganisation);
+  info.requestClass = ClassId("c" + std::to_string(aTier));
+  info.tier = aTier;
+  info.untilDeadline = Seconds(60);
+  info.promptTokens = 100;
+  return info;
+}
+
+inline LoadReport
+warmReport(const std::string& aServer, std::uint32_t aSlots, std::uint32_t aRunning = 0)
+{
+  LoadReport report;
+  report.server = BackendServerId(aServer);
+  report.incarnation = 1;
+  report.slots = aSlots;
+  report.running = aRunning;
+  return report;
+}
+
+/// A few instances of one failure domain whose messages arrive at once and in order, unless their
+/// receiver is paused (they wait) or dead (they are lost).
+class Domain
+{
+public:
+  struct Instance
+  {
+    PoolOwner owner;
+    PoolClient client;
+    std::vector<StartStream> started;
+    std::vector<RefuseRequest> refused;
+    std::vector<StopStream> stopped;
+    std::vector<CrashReport> crashes;
+    std::vector<OwnerLoad> loads;
+    bool paused = false;
+    bool dead = false;
+  };
+
+  explicit Domain(int aInstances,
+                  const OwnerOptions& aOwner = {},
+                  const ClientOptions& aClient = {})
+  {
+    for (int i = 0; i < aInstances; ++i) {
+      const InstanceId id("i" + std::to_string(i));
+      OwnerOptions owner = aOwner;
+      owner.self = id;
+      owner.failureDomain = kDomain;
+      owner.pool = kPool;
+      ClientOptions client = aClient;
+      client.self = id;
+      client.incarnation = 1;
+      client.failureDomain = kDomain;
+      client.pool = kPool;
+      mInstances.emplace(id, Instance{ PoolOwner(owner), PoolClient(client), {}, {}, {}, {}, {} });
+      live.push_back(id);
+    }
+  }
+
+  Instance& at(const std::string& aId) { return mInstances.at(InstanceId(aId)); }
+
+  void setView(const PoolView& aView)
+  {
+    for (auto& [id, instance] : mInstances) {
+      Effects effects;
+      instance.owner.setView(aView, now, effects);
+      instance.client.setView(aView, now, effects);
+      apply(id, effects);
+    }
+  }
+
+  /// Tells the instances which are live and who owns the pool.
+  void agree(const std::string& aOwner)
+  {
+    for (auto& [id, instance] : mInstances) {
+      if (instance.dead || instance.paused) {
+        continue;
+      }
+      Effects effects;
+      instance.owner.setInstances(live, now, effects);
+      instance.client.setOwner(InstanceId(aOwner), now, effects);
+      apply(id, effects);
+    }
+  }
+
+  /// Lets time pass in ticks of 100 ms with heartbeats.
+  void pass(Duration aTime)
+  {
+    for (const TimePoint end = now + aTime; now < end;) {
+      now += Millis(100);
+      for (auto& [id, instance] : mInstances) {
+        if (!instance.dead && !instance.paused) {
+          tick(id, instance);
+        }
+      }
+    }
+  }
+
+  void report(const LoadReport& aReport)
+  {
+    for (auto& [id, instance] : mInstances) {
+      if (!instance.dead && !instance.paused) {
+        Effects effects;
+        instance.owner.loadReport(aReport, now, effects);
+        apply(id, effects);
+      }
+    }
+  }
+
+  void submit(const std::string& aAt, RequestInfo aRequest)
+  {
+    Effects effects;
+    at(aAt).client.submit(std::move(aRequest), now, effects);
+    apply(InstanceId(aAt), effects);
+  }
+
+  /// Ends the stream that was started last for a request.
+  void end(const std::string& aAt,
+           const std::string& aId,
+           SlotOutcome aOutcome = SlotOutcome::Finished,
+           std::uint64_t aDigest = 0)
+  {
+    SlotRelease release;
+    release.id = RequestId(aId);
+    release.outcome = aOutcome;
+    release.outputTokens = 10;
+    release.timeToFirstToken = Millis(20);
+    release.duration = Millis(200);
+    release.digest = aDigest;
+    for (const auto& it : at(aAt).started) {
+      if (it.id == release.id) {
+        release.attempt = it.attempt;
+        release.epoch = it.epoch;
+        release.server = it.server;
+      }
+    }
+    Effects effects;
+    at(aAt).client.released(release, now, effects);
+    apply(InstanceId(aAt), effects);
+  }
+
+  void handOver(const std::string& aFrom, const std::string& aTo)
+  {
+    Effects effects;
+    at(aFrom).owner.handOver(InstanceId(aTo), now, effects);
+    apply(InstanceId(aFrom), effects);
+  }
+
+  /// What was sent to a paused instance arrives now.
+  void resume(const std::string& aId)
+  {
+    at(aId).paused = false;
+    deliver();
+  }
+
+  void send(const std::string& aFrom, const std::string& aTo, Message aMessage)
+  {
+    mMessages.push_back({ InstanceId(aFrom), InstanceId(aTo), std::move(aMessage) });
+    deliver();
+  }
+
+  std::size_t startedCount(const std::string& aAt) { return at(aAt).started.size(); }
+
+  TimePoint now{ Seconds(1000) };
+  std::vector<InstanceId> live;
+
+private:
+  struct Sent
+  {
+    InstanceId from;
+    InstanceId to;
+    Message message;
+  };
+
+  void tick(const InstanceId& aId, Instance& aInstance)
+  {
+    for (auto& [id, other] : mInstances) {
+      if (!other.dead && !other.paused) {
+        other.owner.heartbeat(aId, now);
+      }
+    }
+    Effects effects;
+    aInstance.owner.tick(now, effects);
+    aInstance.client.tick(now, effects);
+    apply(aId, effects);
+  }
+
+  void apply(const InstanceId& aId, const Effects& aEffects)
+  {
+    for (const auto& it : aEffects) {
+      std::visit([&](const auto& aEffect) { take(aId, aEffect); }, it);
+    }
+    deliver();
+  }
+
+  void take(const InstanceId& aId, const SendTo& aEffect)
+  {
+    mMessages.push_back({ aId, aEffect.to, aEffect.message });
+  }
+  void take(const InstanceId& aId, const StartStream& aEffect)
+  {
+    mInstances.at(aId).started.push_back(aEffect);
+  }
+  void take(const InstanceId& aId, const RefuseRequest& aEffect)
+  {
+    mInstances.at(aId).refused.push_back(aEffect);
+  }
+  void take(const InstanceId& aId, const StopStream& aEffect)
+  {
+    mInstances.at(aId).stopped.push_back(aEffect);
+  }
+  void take(const InstanceId& aId, const Broadcast& aEffect)
+  {
+    if (const auto* crash = std::get_if<CrashReport>(&aEffect.message)) {
+      mInstances.at(aId).crashes.push_back(*crash);
+    }
+  }
+  void take(const InstanceId& aId, const SendToOtherOwners& aEffect)
+  {
+    if (const auto* load = std::get_if<OwnerLoad>(&aEffect.message)) {
+      mInstances.at(aId).loads.push_back(*load);
+    }
+  }
+  void take(const InstanceId&, const WriteLog&) {}
+
+  void deliver()
+  {
+    if (mDelivering) {
+      return;
+    }
+    mDelivering = true;
+    std::deque<Sent> held;
+    while (!mMessages.empty()) {
+      const Sent sent = std::move(mMessages.front());
+      mMessages.pop_front();
+      const auto to = mInstances.find(sent.to);
+      if (to == mInstances.end() || to->second.dead) {
+        continue;
+      }
+      if (to->second.paused) {
+        held.push_back(sent);
+        continue;
+      }
+      Effects effects;
+      to->second.owner.receive(sent.from, sent.message, now, effects);
+      to->second.client.receive(sent.from, sent.message, now, effects);
+      apply(sent.to, effects);
+    }
+    mMessages = std::move(held);
+    mDelivering = false;
+  }
+
+  std::map<InstanceId, Instance> mInstances;
+  std::deque<Sent> mMessages;
+  bool mDelivering = false;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/pool/token_bucket.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "mustardplank/base/time.hpp"
+
+#include <algorithm>
+
+namespace mustardplank::pool {
+
+/// Allows a rate with a burst. Holds up to aBurst units and gains aRate units a second.
+class TokenBucket
+{
+public:
+  TokenBucket() = default;
+  TokenBucket(double aRate, double aBurst, TimePoint aNow)
+    : mRate(aRate)
+    , mBurst(aBurst)
+    , mLevel(aBurst)
+    , mFilledAt(aNow)
+  {
+  }
+
+  bool take(TimePoint aNow)
+  {
+    fill(aNow);
+    if (mLevel < 1.0) {
+      return false;
+    }
+    mLevel -= 1.0;
+    return true;
+  }
+  void add(double aUnits) { mLevel = std::min(mLevel + aUnits, mBurst); }
+  void setRate(double aRate, double aBurst)
+  {
+    mRate = aRate;
+    mBurst = aBurst;
+    mLevel = std::min(mLevel, aBurst);
+  }
+  double rate() const { return mRate; }
+  /// Until one unit is there.
+  Duration wait() const
+  {
+    const double missing = std::max(1.0 - mLevel, 0.0);
+    return mRate > 0.0 ? Duration(static_cast<Duration::rep>(missing / mRate * 1e6)) : Seconds(60);
+  }
+
+private:
+  void fill(TimePoint aNow)
+  {
+    const double seconds = static_cast<double>((aNow - mFilledAt).count()) / 1e6;
+    mFilledAt = aNow;
+    mLevel = std::min(mLevel + std::max(seconds, 0.0) * mRate, mBurst);
+  }
+
+  double mRate = 0.0;
+  double mBurst = 0.0;
+  double mLevel = 0.0;
+  TimePoint mFilledAt;
+};
+
+}
