Test the pool owner's mechanisms and correct what the tests found

Found and corrected: free slots were stale after the last release of an empty queue, so that a lone request was refused; preemption never found a waiting request; a new owner granted slots that a not yet registered instance was using (it now waits a quarter of the heartbeat timeout for registrations, and counts reported streams while not all are registered); settled() accepted the exact moment at which an instance counts as silent.

Ruled out: granting the share at once during a takeover; with one slot and two instances it put two streams on one slot.

--- a/include/mustardplank/pool/messages.hpp
+++ b/include/mustardplank/pool/messages.hpp
@@ -69,6 +69,9 @@
   { SlotOutcome::NotConnected, "not_connected" },
 } } };
 
+// Every message may be given to both the PoolOwner and the PoolClient of the receiving instance;
+// each ignores what is not for it. Messages between two instances must arrive in the order sent.
+
 // Entry instance to owner.
 
 struct PermitRequest
--- /dev/null
+++ b/src/mustardplank/pool/client_test.cpp
@@ -0,0 +1,101 @@
+#include "mustardplank/pool/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::pool;
+using namespace mustardplank::pool::test;
+
+namespace {
+
+struct Baseline
+{
+  explicit Baseline(Policy aPolicy)
+    : client(options(aPolicy))
+  {
+    client.setView(view({ backendServer("b1", 2), backendServer("b2", 2) }), now, effects);
+  }
+
+  static ClientOptions options(Policy aPolicy)
+  {
+    ClientOptions options;
+    options.self = InstanceId("i0");
+    options.pool = kPool;
+    options.policy = aPolicy;
+    return options;
+  }
+
+  std::vector<StartStream> started() const
+  {
+    std::vector<StartStream> found;
+    for (const auto& it : effects) {
+      if (const auto* start = std::get_if<StartStream>(&it)) {
+        found.push_back(*start);
+      }
+    }
+    return found;
+  }
+
+  void submit(const std::string& aId) { client.submit(request(aId), now, effects); }
+
+  TimePoint now{ Seconds(100) };
+  Effects effects;
+  PoolClient client;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(client)
+
+// Guards against a baseline that does not follow the load reports it is compared by.
+BOOST_AUTO_TEST_CASE(leastLoadFollowsReports)
+{
+  Baseline baseline(Policy::LeastLoad);
+  baseline.client.loadReport(warmReport("b1", 2, 1), baseline.now, baseline.effects);
+  baseline.submit("r1");
+  BOOST_REQUIRE(baseline.started().size() == 1U);
+  BOOST_TEST(baseline.started()[0].server.str() == "b2");
+}
+
+// Guards against baselines that lose requests when all servers seem full.
+BOOST_AUTO_TEST_CASE(baselinesQueueLocally)
+{
+  for (const auto policy : { Policy::TwoChoices, Policy::LeastLoad }) {
+    Baseline baseline(policy);
+    for (int i = 0; i < 10; ++i) {
+      baseline.submit("r" + std::to_string(i));
+    }
+    for (int i = 0; i < 100; ++i) {
+      baseline.client.tick(baseline.now, baseline.effects);
+    }
+    BOOST_TEST(baseline.started().size() == 4U);
+    BOOST_TEST(baseline.client.waiting() == 6U);
+    SlotRelease end;
+    end.id = RequestId("r0");
+    end.attempt = 1;
+    baseline.client.released(end, baseline.now, baseline.effects);
+    for (int i = 0; i < 100; ++i) {
+      baseline.client.tick(baseline.now, baseline.effects);
+    }
+    BOOST_TEST(baseline.started().size() == 5U);
+  }
+}
+
+// Guards against a stream for a caller that left while its grant was on the way.
+BOOST_AUTO_TEST_CASE(cancelledRequestReturnsItsGrant)
+{
+  Domain domain(2);
+  domain.setView(view({ backendServer("b1", 1) }));
+  domain.agree("i0");
+  domain.report(warmReport("b1", 1));
+  domain.pass(Seconds(3));
+  domain.at("i0").paused = true;
+  domain.submit("i1", request("r1"));
+  Effects effects;
+  domain.at("i1").client.cancel(RequestId("r1"), domain.now, effects);
+  domain.resume("i0");
+  BOOST_TEST(domain.startedCount("i1") == 0U);
+  BOOST_TEST(domain.at("i0").owner.status(domain.now).running == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mustardplank/pool/crash_test.cpp
@@ -0,0 +1,139 @@
+#include "mustardplank/pool/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::pool;
+using namespace mustardplank::pool::test;
+
+namespace {
+
+constexpr std::uint64_t kDigest = 42;
+
+Domain
+servingDomain(int aServers, const OwnerOptions& aOwner = {})
+{
+  std::vector<config::BackendServer> servers;
+  for (int i = 1; i <= aServers; ++i) {
+    servers.push_back(backendServer("b" + std::to_string(i), 4, 4));
+  }
+  Domain domain(1, aOwner);
+  domain.setView(view(servers));
+  domain.agree("i0");
+  for (const auto& it : servers) {
+    domain.report(warmReport(it.id.str(), it.slots));
+  }
+  domain.pass(Seconds(6));
+  return domain;
+}
+
+RequestInfo
+suspect(const std::string& aId)
+{
+  RequestInfo info = request(aId);
+  info.digest = kDigest;
+  return info;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(crash)
+
+// Guards against one request that crashes every server: after one crash it runs alone, after two it
+// is refused.
+BOOST_AUTO_TEST_CASE(suspectRunsAloneAndIsThenRefused)
+{
+  Domain domain = servingDomain(3);
+  domain.submit("i0", suspect("r1"));
+  domain.end("i0", "r1", SlotOutcome::ServerLost, kDigest);
+  BOOST_REQUIRE(domain.at("i0").crashes.size() == 1U);
+  BOOST_TEST(domain.at("i0").crashes[0].digest == kDigest);
+
+  // Its caller sends it again: no other request may share its server.
+  domain.submit("i0", suspect("r2"));
+  const auto alone = domain.at("i0").started.back();
+  BOOST_TEST(alone.id.str() == "r2");
+  for (int i = 0; i < 8; ++i) {
+    domain.submit("i0", request("other" + std::to_string(i)));
+  }
+  for (const auto& it : domain.at("i0").started) {
+    BOOST_TEST((it.id.str() == "r1" || it.id == alone.id || it.server != alone.server));
+  }
+  domain.end("i0", "r2", SlotOutcome::ServerLost, kDigest);
+  domain.submit("i0", suspect("r3"));
+  BOOST_REQUIRE(domain.at("i0").refused.size() == 1U);
+  BOOST_TEST((domain.at("i0").refused[0].code == ErrorCode::CrashSuspect));
+  BOOST_TEST((domain.at("i0").refused[0].retryAfter > Seconds(590)));
+}
+
+// Guards against a test above that passes without the mechanism.
+BOOST_AUTO_TEST_CASE(nothingIsRefusedWithoutIsolation)
+{
+  OwnerOptions options;
+  options.crashIsolation = false;
+  Domain domain = servingDomain(3, options);
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    domain.submit("i0", suspect(id));
+    domain.end("i0", id, SlotOutcome::ServerLost, kDigest);
+  }
+  BOOST_TEST(domain.at("i0").refused.empty());
+  BOOST_TEST(domain.startedCount("i0") == 3U);
+}
+
+// Guards against a suspect that waits for ever because no server becomes empty by itself.
+BOOST_AUTO_TEST_CASE(serverIsEmptiedForSuspect)
+{
+  Domain domain = servingDomain(2);
+  domain.submit("i0", suspect("r1"));
+  domain.end("i0", "r1", SlotOutcome::NotConnected, kDigest);
+  BOOST_TEST(domain.at("i0").crashes.empty());
+  domain.pass(Seconds(3));
+  domain.report(warmReport("b1", 4));
+  domain.report(warmReport("b2", 4));
+  domain.pass(Seconds(5));
+  for (int i = 0; i < 8; ++i) {
+    domain.submit("i0", request("busy" + std::to_string(i)));
+  }
+  domain.send("i0", "i0", CrashReport{ kDigest, BackendServerId("elsewhere"), RequestId("x") });
+  domain.submit("i0", suspect("r2"));
+  for (int i = 0; i < 20; ++i) {
+    domain.submit("i0", request("more" + std::to_string(i)));
+  }
+  for (int i = 0; i < 20 && domain.at("i0").started.back().id.str() != "r2"; ++i) {
+    const auto started = domain.at("i0").started;
+    domain.end("i0", started[static_cast<std::size_t>(i) + 1].id.str());
+  }
+  BOOST_TEST(domain.at("i0").started.back().id.str() == "r2");
+}
+
+// Guards against a harmless request that stays under suspicion after it ran alone to its end.
+BOOST_AUTO_TEST_CASE(finishedSuspectIsCleared)
+{
+  Domain domain = servingDomain(2);
+  domain.submit("i0", suspect("r1"));
+  domain.end("i0", "r1", SlotOutcome::ServerLost, kDigest);
+  domain.submit("i0", suspect("r2"));
+  domain.end("i0", "r2");
+  domain.submit("i0", suspect("r3"));
+  domain.submit("i0", request("other"));
+  BOOST_TEST(domain.startedCount("i0") == 4U);
+  BOOST_TEST(domain.at("i0").started[3].server.str() == domain.at("i0").started[2].server.str());
+}
+
+// Guards against suspecting every request when a network fault breaks all connections at once.
+BOOST_AUTO_TEST_CASE(networkFaultMakesNoSuspects)
+{
+  Domain domain = servingDomain(4);
+  for (int i = 0; i < 4; ++i) {
+    RequestInfo info = request("r" + std::to_string(i));
+    info.digest = 100 + static_cast<std::uint64_t>(i);
+    domain.submit("i0", info);
+  }
+  for (int i = 0; i < 4; ++i) {
+    domain.end("i0", "r" + std::to_string(i), SlotOutcome::ServerLost);
+  }
+  BOOST_TEST(domain.at("i0").crashes.size() <= 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mustardplank/pool/order_test.cpp
@@ -0,0 +1,307 @@
+#include "mustardplank/pool/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::pool;
+using namespace mustardplank::pool::test;
+
+namespace {
+
+/// One instance with one warm server.
+Domain
+warmDomain(std::uint32_t aSlots, const PoolView& aView, const OwnerOptions& aOwner = {})
+{
+  Domain domain(1, aOwner);
+  domain.setView(aView);
+  domain.agree("i0");
+  domain.report(warmReport("b1", aSlots));
+  domain.pass(Seconds(6));
+  return domain;
+}
+
+PoolView
+oneServer(std::uint32_t aSlots)
+{
+  return view({ backendServer("b1", aSlots, 1) });
+}
+
+std::string
+lastStarted(Domain& aDomain)
+{
+  return aDomain.at("i0").started.back().id.str();
+}
+
+/// A request whose slot must be granted within aTime.
+RequestInfo
+urgent(const std::string& aId, std::uint32_t aTier, Duration aTime)
+{
+  RequestInfo info = request(aId, aTier);
+  info.untilDeadline = aTime;
+  return info;
+}
+
+/// Lets requests of one organisation finish until the estimates are settled at 200 ms and 10
+/// tokens.
+void
+settle(Domain& aDomain, std::uint32_t aTier = 0)
+{
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "settle" + std::to_string(i);
+    aDomain.submit("i0", request(id, aTier));
+    aDomain.end("i0", id);
+  }
+  aDomain.at("i0").started.clear();
+}
+
+std::size_t
+startedOf(Domain& aDomain, const std::string& aPrefix)
+{
+  std::size_t n = 0;
+  for (const auto& it : aDomain.at("i0").started) {
+    n += it.id.str().starts_with(aPrefix) ? 1 : 0;
+  }
+  return n;
+}
+
+bool
+isRefused(Domain& aDomain, const std::string& aId)
+{
+  for (const auto& it : aDomain.at("i0").refused) {
+    if (it.id.str() == aId) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(order)
+
+// Guards against low tiers that are served before high ones.
+BOOST_AUTO_TEST_CASE(higherTierGoesFirst)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  domain.submit("i0", request("first", 2));
+  domain.submit("i0", request("low", 2));
+  domain.submit("i0", request("high", 0));
+  domain.end("i0", "first");
+  BOOST_TEST(lastStarted(domain) == "high");
+}
+
+// Guards against a late answer because a request with more time left went first.
+BOOST_AUTO_TEST_CASE(earliestDeadlineGoesFirst)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  domain.submit("i0", request("first"));
+  domain.submit("i0", urgent("later", 0, Seconds(50)));
+  domain.submit("i0", urgent("sooner", 0, Seconds(20)));
+  domain.end("i0", "first");
+  BOOST_TEST(lastStarted(domain) == "sooner");
+}
+
+// Guards against an organisation with many requests that takes the share of one with few.
+BOOST_AUTO_TEST_CASE(organisationsShareByWeight)
+{
+  PoolView view = oneServer(1);
+  config::Organisation small;
+  small.id = OrganisationId("small");
+  config::Organisation large;
+  large.id = OrganisationId("large");
+  large.weight = 3.0;
+  view.organisations = { small, large };
+  Domain domain = warmDomain(1, view);
+  settle(domain);
+  for (int i = 0; i < 200; ++i) {
+    domain.submit("i0", request("l" + std::to_string(i), 0, "large"));
+  }
+  for (int i = 0; i < 200; ++i) {
+    domain.submit("i0", request("s" + std::to_string(i), 0, "small"));
+  }
+  for (int i = 0; i < 80; ++i) {
+    const std::string id = lastStarted(domain);
+    domain.end("i0", id);
+  }
+  const auto share =
+    static_cast<double>(startedOf(domain, "s")) / static_cast<double>(startedOf(domain, "l"));
+  BOOST_TEST(share > 0.25);
+  BOOST_TEST(share < 0.45);
+}
+
+// Guards against a class that starves under a flood of a higher tier.
+BOOST_AUTO_TEST_CASE(classKeepsItsMinimumShare)
+{
+  const auto classes = std::vector{ requestClass("c0", 0), requestClass("c2", 2, 0.1) };
+  for (const bool enabled : { true, false }) {
+    OwnerOptions options;
+    options.minShare = enabled;
+    Domain domain = warmDomain(1, view({ backendServer("b1", 1, 1) }, classes), options);
+    settle(domain);
+    domain.submit("i0", request("h", 0));
+    for (int i = 0; i < 200; ++i) {
+      RequestInfo low = request("low" + std::to_string(i), 2);
+      low.untilDeadline = Seconds(3600);
+      domain.submit("i0", low);
+    }
+    for (int i = 0; i < 100; ++i) {
+      RequestInfo high = request("h" + std::to_string(i), 0);
+      high.untilDeadline = Seconds(3600);
+      domain.submit("i0", high);
+      domain.pass(Millis(200));
+      domain.end("i0", lastStarted(domain));
+    }
+    const auto low = startedOf(domain, "low");
+    if (enabled) {
+      BOOST_TEST(low >= 5U);
+      BOOST_TEST(low <= 15U);
+    } else {
+      BOOST_TEST(low == 0U);
+    }
+  }
+}
+
+// Guards against an urgent request that waits behind long reports of a lower tier.
+BOOST_AUTO_TEST_CASE(lowerTierIsPreempted)
+{
+  Domain domain = warmDomain(2, oneServer(2));
+  domain.submit("i0", request("low1", 2));
+  domain.submit("i0", request("low2", 1));
+  domain.pass(Seconds(1));
+  domain.submit("i0", urgent("high", 0, Millis(100)));
+  BOOST_REQUIRE(domain.at("i0").stopped.size() == 1U);
+  BOOST_TEST(domain.at("i0").stopped[0].id.str() == "low1");
+  domain.end("i0", "low1", SlotOutcome::Preempted);
+  BOOST_TEST(lastStarted(domain) == "high");
+  // It resumes from its tokens.
+  RequestInfo again = request("low1", 2);
+  again.attempt = 2;
+  again.tokensSent = 10;
+  again.untilDeadline = -Seconds(1);
+  domain.submit("i0", again);
+  domain.end("i0", "high");
+  BOOST_TEST(lastStarted(domain) == "low1");
+  BOOST_TEST(!isRefused(domain, "low1"));
+}
+
+// Guards against preempting for work of the same or a lower tier, and against preempting more than
+// needed.
+BOOST_AUTO_TEST_CASE(sameTierIsNotPreempted)
+{
+  Domain domain = warmDomain(2, oneServer(2));
+  domain.submit("i0", request("a", 1));
+  domain.submit("i0", request("b", 1));
+  domain.pass(Seconds(1));
+  domain.submit("i0", urgent("c", 1, Millis(100)));
+  domain.submit("i0", urgent("d", 2, Millis(100)));
+  BOOST_TEST(domain.at("i0").stopped.empty());
+}
+
+// Guards against work that cannot be repeated being preempted.
+BOOST_AUTO_TEST_CASE(nonRepeatableIsNotPreempted)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  RequestInfo once = request("once", 2);
+  once.repeatable = false;
+  domain.submit("i0", once);
+  domain.pass(Seconds(1));
+  domain.submit("i0", urgent("high", 0, Millis(100)));
+  BOOST_TEST(domain.at("i0").stopped.empty());
+}
+
+// Guards against a caller that waits for a request that cannot be in time any more.
+BOOST_AUTO_TEST_CASE(hopelessRequestIsRefusedEarly)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  settle(domain);
+  for (int i = 0; i < 30; ++i) {
+    domain.submit("i0", urgent("r" + std::to_string(i), 0, Seconds(1)));
+  }
+  // About 200 ms each, one at a time.
+  const auto refused = domain.at("i0").refused.size();
+  BOOST_TEST(refused >= 22U);
+  BOOST_TEST(refused <= 27U);
+  BOOST_TEST((domain.at("i0").refused[0].code == ErrorCode::DeadlineUnreachable));
+  BOOST_TEST((domain.at("i0").refused[0].retryAfter >= Seconds(1)));
+}
+
+// Guards against a request that is refused because its prompt alone takes longer than the target,
+// though nothing else waits.
+BOOST_AUTO_TEST_CASE(longPromptIsServedByAnIdlePool)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  settle(domain);
+  RequestInfo longPrompt = urgent("long", 0, Millis(10));
+  longPrompt.promptTokens = 100000;
+  domain.submit("i0", longPrompt);
+  BOOST_TEST(domain.startedCount("i0") == 1U);
+}
+
+// Guards against shedding a tier while something of a lower tier waits.
+BOOST_AUTO_TEST_CASE(lowerTierIsShedFirst)
+{
+  Domain domain = warmDomain(1, oneServer(1));
+  settle(domain);
+  domain.submit("i0", request("busy", 0));
+  for (int i = 0; i < 4; ++i) {
+    domain.submit("i0", request("low" + std::to_string(i), 2));
+  }
+  for (int i = 0; i < 20; ++i) {
+    domain.submit("i0", urgent("high" + std::to_string(i), 0, Seconds(1)));
+  }
+  std::size_t lowRefused = 0;
+  for (const auto& it : domain.at("i0").refused) {
+    if (it.id.str().starts_with("low")) {
+      ++lowRefused;
+    } else {
+      // From here on nothing lower was left.
+      BOOST_TEST(lowRefused == 4U);
+    }
+  }
+  BOOST_TEST(lowRefused == 4U);
+  BOOST_TEST(domain.at("i0").refused.size() > 8U);
+}
+
+// Guards against one organisation that exceeds its limits.
+BOOST_AUTO_TEST_CASE(organisationLimits)
+{
+  PoolView view = oneServer(8);
+  config::Organisation limited;
+  limited.id = OrganisationId("limited");
+  limited.maxConcurrent = 2;
+  config::Organisation slow;
+  slow.id = OrganisationId("slow");
+  slow.requestRate = 1.0;
+  view.organisations = { limited, slow };
+  Domain domain = warmDomain(8, view);
+  for (int i = 0; i < 4; ++i) {
+    domain.submit("i0", request("l" + std::to_string(i), 0, "limited"));
+  }
+  BOOST_TEST(startedOf(domain, "l") == 2U);
+  domain.submit("i0", request("s1", 0, "slow"));
+  domain.submit("i0", request("s2", 0, "slow"));
+  BOOST_TEST(startedOf(domain, "s") == 1U);
+  BOOST_REQUIRE(isRefused(domain, "s2"));
+  BOOST_TEST((domain.at("i0").refused[0].code == ErrorCode::RateLimited));
+  domain.end("i0", "l0");
+  BOOST_TEST(startedOf(domain, "l") == 3U);
+}
+
+// Guards against endless retries on failing servers.
+BOOST_AUTO_TEST_CASE(retriesAreBounded)
+{
+  Domain domain = warmDomain(4, oneServer(4));
+  std::size_t sent = 0;
+  for (int i = 0; i < 200 && domain.at("i0").refused.empty(); ++i) {
+    RequestInfo again = request("r" + std::to_string(i));
+    again.attempt = 2;
+    again.avoid = { BackendServerId("other") };
+    domain.submit("i0", again);
+    ++sent;
+  }
+  BOOST_REQUIRE(!domain.at("i0").refused.empty());
+  BOOST_TEST((domain.at("i0").refused[0].code == ErrorCode::BackendFailed));
+  BOOST_TEST(sent > 40U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/pool/owner_core.cpp
+++ b/src/mustardplank/pool/owner_core.cpp
@@ -13,6 +13,9 @@
 constexpr int kUnreachablePolls = 2;
 /// Running work leaves a server so long before the platform takes it away.
 constexpr Duration kMoveBefore = Seconds(2);
+/// Instances notice a dead owner up to one heartbeat interval apart. A new owner waits for their
+/// registrations for this part of the heartbeat timeout, or it would grant slots in use.
+constexpr int kRegistrationDivisor = 4;
 constexpr double kLeastRetryBurst = 50.0;
 constexpr std::uint64_t kAllModels = ~0ULL;
 
@@ -61,6 +64,8 @@
   gate.settled = mRegistry.settled(aNow);
   gate.tookOver = mRegistry.epoch() > 1;
   gate.since = mRegistry.since();
+  gate.waitsForRegistrations =
+    !gate.complete && aNow - gate.since < mOptions.heartbeatTimeout / kRegistrationDivisor;
   gate.coldLimits = mOptions.coldLimits;
   gate.reportsExpected = mView.pool.kind == config::PoolKind::Model;
   return gate;
--- a/src/mustardplank/pool/owner_grant.cpp
+++ b/src/mustardplank/pool/owner_grant.cpp
@@ -93,11 +93,11 @@
 void
 OwnerCore::grantAll(TimePoint aNow, Effects& aEffects)
 {
+  const Gate gate = this->gate(aNow);
+  updateCapacity(gate);
   if (mHandedOver || mQueue.size() == 0 || mView.failureDomainOut) {
     return;
   }
-  const Gate gate = this->gate(aNow);
-  updateCapacity(gate);
   advanceShares(aNow);
   if (mAloneWaiting == 0) {
     dropReservations();
--- a/src/mustardplank/pool/owner_preempt.cpp
+++ b/src/mustardplank/pool/owner_preempt.cpp
@@ -1,6 +1,7 @@
 #include "mustardplank/pool/owner_core.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardplank::pool {
 
@@ -75,7 +76,7 @@
   const FairQueue::Filter filter = [&](const Waiting& aRequest) {
     return grantable(aRequest, aNow);
   };
-  const Waiting* head = mQueue.next(aTier, 0, filter);
+  const Waiting* head = mQueue.next(aTier, mRound, filter);
   if (head == nullptr) {
     return 0;
   }
@@ -84,7 +85,7 @@
   const double perSlot = seconds / static_cast<double>(mEstimator.meanSlotTime().count());
   const double freed = perSlot * mCapacity.open;
   const auto queued = static_cast<double>(mQueue.size(aTier));
-  return queued > freed ? static_cast<std::uint32_t>(queued - freed) : 0;
+  return queued > freed ? static_cast<std::uint32_t>(std::ceil(queued - freed)) : 0;
 }
 
 void
--- /dev/null
+++ b/src/mustardplank/pool/placement_test.cpp
@@ -0,0 +1,197 @@
+#include "mustardplank/pool/prefix_index.hpp"
+#include "mustardplank/pool/test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::pool;
+using namespace mustardplank::pool::test;
+
+namespace {
+
+Domain
+servingDomain(const PoolView& aView, const OwnerOptions& aOwner = {})
+{
+  Domain domain(1, aOwner);
+  domain.setView(aView);
+  domain.agree("i0");
+  for (const auto& it : aView.servers) {
+    domain.report(warmReport(it.id.str(), it.slots));
+  }
+  domain.pass(Seconds(6));
+  return domain;
+}
+
+std::string
+serverOf(Domain& aDomain, const std::string& aId)
+{
+  for (const auto& it : aDomain.at("i0").started) {
+    if (it.id.str() == aId) {
+      return it.server.str();
+    }
+  }
+  return "";
+}
+
+RequestInfo
+withPrefix(const std::string& aId, std::uint64_t aSeed)
+{
+  RequestInfo info = request(aId);
+  info.promptTokens = 16000;
+  for (std::uint64_t i = 0; i < 16; ++i) {
+    info.prefixHashes.push_back(aSeed * 1000 + i);
+  }
+  return info;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(placement)
+
+// Guards against a prompt computed again although a server holds its prefix.
+BOOST_AUTO_TEST_CASE(prefixGoesWhereItIsCached)
+{
+  Domain domain =
+    servingDomain(view({ backendServer("b1", 8), backendServer("b2", 8), backendServer("b3", 8) }));
+  domain.submit("i0", withPrefix("first", 7));
+  const auto server = serverOf(domain, "first");
+  domain.end("i0", "first");
+  for (int i = 0; i < 3; ++i) {
+    const std::string id = "again" + std::to_string(i);
+    domain.submit("i0", withPrefix(id, 7));
+    BOOST_TEST(serverOf(domain, id) == server);
+  }
+}
+
+// Guards against affinity that overloads one server while others are idle.
+BOOST_AUTO_TEST_CASE(loadOutweighsAffinity)
+{
+  Domain domain = servingDomain(view({ backendServer("b1", 4), backendServer("b2", 4) }));
+  for (int i = 0; i < 8; ++i) {
+    domain.submit("i0", withPrefix("r" + std::to_string(i), 7));
+  }
+  BOOST_TEST(domain.startedCount("i0") == 8U);
+}
+
+// Guards against uneven load when nothing else tells the servers apart.
+BOOST_AUTO_TEST_CASE(loadIsSpread)
+{
+  Domain domain = servingDomain(view({ backendServer("b1", 8), backendServer("b2", 8) }));
+  for (int i = 0; i < 8; ++i) {
+    domain.submit("i0", request("r" + std::to_string(i)));
+  }
+  std::map<std::string, int> counts;
+  for (const auto& it : domain.at("i0").started) {
+    ++counts[it.server.str()];
+  }
+  BOOST_TEST(counts["b1"] == 4);
+  BOOST_TEST(counts["b2"] == 4);
+}
+
+// Guards against a retry on the server that failed the request while others have room.
+BOOST_AUTO_TEST_CASE(failedServerIsAvoided)
+{
+  Domain domain = servingDomain(view({ backendServer("b1", 8), backendServer("b2", 8) }));
+  RequestInfo again = request("r");
+  again.attempt = 2;
+  again.avoid = { BackendServerId("b1") };
+  for (int i = 0; i < 8; ++i) {
+    again.id = RequestId("r" + std::to_string(i));
+    domain.submit("i0", again);
+    BOOST_TEST(serverOf(domain, again.id.str()) == "b2");
+  }
+}
+
+// Guards against work that cannot be repeated on a server that may be taken away.
+BOOST_AUTO_TEST_CASE(cheapServerTakesOnlyRepeatableWork)
+{
+  auto cheap = backendServer("b1", 4);
+  cheap.kind = config::ServerKind::Cheap;
+  Domain domain = servingDomain(view({ cheap }));
+  RequestInfo once = request("once");
+  once.repeatable = false;
+  domain.submit("i0", once);
+  BOOST_TEST(domain.startedCount("i0") == 0U);
+  domain.submit("i0", request("repeatable"));
+  BOOST_TEST(domain.startedCount("i0") == 1U);
+}
+
+// Guards against the top tier losing its regular servers to lower tiers while cheap ones are free.
+BOOST_AUTO_TEST_CASE(lowerTiersPreferCheapServers)
+{
+  auto cheap = backendServer("b1", 4);
+  cheap.kind = config::ServerKind::Cheap;
+  Domain domain = servingDomain(view({ cheap, backendServer("b2", 4) }));
+  domain.submit("i0", request("low", 1));
+  domain.submit("i0", request("top", 0));
+  BOOST_TEST(serverOf(domain, "low") == "b1");
+  BOOST_TEST(serverOf(domain, "top") == "b2");
+}
+
+// Guards against new work on servers that leave, and against running work that is lost when the
+// platform takes a cheap server away.
+BOOST_AUTO_TEST_CASE(reclaimedServerIsEmptiedInTime)
+{
+  auto cheap = backendServer("b1", 4);
+  cheap.kind = config::ServerKind::Cheap;
+  PoolView pool = view({ cheap, backendServer("b2", 4) });
+  Domain domain = servingDomain(pool);
+  domain.submit("i0", request("r1", 1));
+  BOOST_TEST(serverOf(domain, "r1") == "b1");
+  pool.reclaiming = { { cheap.id, Seconds(10) } };
+  domain.setView(pool);
+  domain.submit("i0", request("r2", 1));
+  BOOST_TEST(serverOf(domain, "r2") == "b2");
+  domain.pass(Seconds(7));
+  BOOST_TEST(domain.at("i0").stopped.empty());
+  domain.pass(Seconds(2));
+  BOOST_TEST(domain.at("i0").stopped.size() == 1U);
+}
+
+// Guards against new work on a draining or withdrawn server.
+BOOST_AUTO_TEST_CASE(leavingServerGetsNothingNew)
+{
+  PoolView pool = view({ backendServer("b1", 4), backendServer("b2", 4) });
+  Domain domain = servingDomain(pool);
+  pool.servers[0].draining = true;
+  pool.servers.pop_back();
+  domain.setView(pool);
+  domain.submit("i0", request("r1"));
+  domain.pass(Seconds(2));
+  BOOST_TEST(domain.startedCount("i0") == 0U);
+}
+
+// Guards against a request on a server that has not loaded its model.
+BOOST_AUTO_TEST_CASE(modelMustBeLoaded)
+{
+  Domain domain = servingDomain(view({ backendServer("b1", 4), backendServer("b2", 4) }));
+  LoadReport report = warmReport("b1", 4);
+  report.models = { ModelId("small") };
+  domain.report(report);
+  report.server = BackendServerId("b2");
+  report.models = { ModelId("large") };
+  domain.report(report);
+  for (int i = 0; i < 4; ++i) {
+    RequestInfo info = request("r" + std::to_string(i));
+    info.model = ModelId("large");
+    domain.submit("i0", info);
+    BOOST_TEST(serverOf(domain, info.id.str()) == "b2");
+  }
+}
+
+// Guards against memory that grows with the cache events.
+BOOST_AUTO_TEST_CASE(prefixIndexForgetsTheOldest)
+{
+  PrefixIndex index(64);
+  for (std::uint64_t i = 0; i < 10000; ++i) {
+    index.stored(i, 0);
+  }
+  std::vector<std::uint32_t> matched(1, 0);
+  index.match({ 9999 }, matched);
+  BOOST_TEST(matched[0] == 1U);
+  matched[0] = 0;
+  index.match({ 1 }, matched);
+  BOOST_TEST(matched[0] == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/pool/queue_entry.hpp
+++ b/src/mustardplank/pool/queue_entry.hpp
@@ -31,7 +31,7 @@
   bool alone = false;
   /// Bit of the model among the models of the pool.
   std::uint64_t modelBit = ~0ULL;
-  /// Grant round in which no server could take it.
+  /// Grant round in which no server could take it; rounds count from 1.
   std::uint64_t skippedIn = 0;
 };
 
--- a/src/mustardplank/pool/registry.cpp
+++ b/src/mustardplank/pool/registry.cpp
@@ -105,7 +105,7 @@
 {
   const auto it = mRegistrants.find(aInstance);
   return it != mRegistrants.end() &&
-         (aInstance == mSelf || aNow - it->second.heard <= mHeartbeatTimeout);
+         (aInstance == mSelf || aNow - it->second.heard < mHeartbeatTimeout);
 }
 
 TimePoint
@@ -147,17 +147,17 @@
 bool
 Registry::stillComplete(TimePoint aNow) const
 {
-  if (aNow > mCompleteUntil) {
+  if (aNow >= mCompleteUntil) {
     mCompleteUntil = completeUntil().value_or(TimePoint());
   }
-  return aNow <= mCompleteUntil;
+  return aNow < mCompleteUntil;
 }
 
 void
 Registry::update(TimePoint aNow)
 {
   const auto until = completeUntil();
-  if (!until || aNow > *until) {
+  if (!until || aNow >= *until) {
     mCompleteSince.reset();
     return;
   }
--- a/src/mustardplank/pool/servers.cpp
+++ b/src/mustardplank/pool/servers.cpp
@@ -152,7 +152,7 @@
 {
   const Server& server = (*this)[aServer];
   const std::uint32_t slots = server.life.openSlots();
-  if (server.leaving || slots == 0) {
+  if (server.leaving || slots == 0 || aGate.waitsForRegistrations) {
     return 0;
   }
   if (!aGate.coldLimits) {
@@ -183,7 +183,13 @@
     return 0;
   }
   const std::uint32_t slots = open(aServer, aGate);
-  const std::uint32_t used = server.used();
+  std::uint32_t used = server.used();
+  if (!aGate.complete) {
+    // Instances that are registered elsewhere use slots too.
+    const std::uint32_t whole = server.life.openSlots();
+    const std::uint32_t reported = std::min(server.life.reportedRunning(), whole);
+    used = std::max(used, reported + slots > whole ? reported + slots - whole : 0);
+  }
   return slots > used ? slots - used : 0;
 }
 
--- a/src/mustardplank/pool/servers.hpp
+++ b/src/mustardplank/pool/servers.hpp
@@ -88,6 +88,8 @@
   bool tookOver = false;
   /// Start of this run as owner.
   TimePoint since;
+  /// The owner has just started and instances are still registering; nothing is granted.
+  bool waitsForRegistrations = false;
   bool coldLimits = true;
   bool reportsExpected = true;
 };
