Add the platform's HTTP/JSON adapter

A failure before the first byte is written is reported as no_effect, one after that as unknown, so that the caller of an append knows when it must read the log. Orders and usage reports carry the end of the lease, which is checked directly before the write.

--- /dev/null
+++ b/include/mustardplank/platform/http_platform.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "mustardplank/platform/platform.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace mustardplank::platform {
+
+/// Shorter than the margin of a duty lease (2 s), so that no call outlives the right to make it.
+inline constexpr Duration kCallTimeout = Seconds(1);
+
+/// Speaks to the platform by HTTP and JSON, on a thread of its own. Methods may be called from any
+/// one thread; callbacks run on the platform thread.
+///
+///     HttpPlatform platform("127.0.0.1", 7000);
+///     platform.append({ record }, [](Result<Appended> aResult) { ... });
+class HttpPlatform : public Platform
+{
+public:
+  HttpPlatform(std::string aIp, std::uint16_t aPort);
+  ~HttpPlatform() override;
+
+  void append(std::vector<std::string> aJsonRecords, Callback<Appended> aDone) override;
+  void readLog(Offset aFrom, std::size_t aLimit, Duration aWait, Callback<LogChunk> aDone) override;
+  void instances(Callback<std::vector<Instance>> aDone) override;
+  void servers(Callback<std::vector<PlatformServer>> aDone) override;
+  void orderServer(ServerOrder aOrder, Callback<Ordered> aDone) override;
+  void reportUsage(UsageReport aReport, Callback<Done> aDone) override;
+
+  /// Ends the thread; calls under way get no callback.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
--- a/include/mustardplank/platform/platform.hpp
+++ b/include/mustardplank/platform/platform.hpp
@@ -142,6 +142,8 @@
   config::ServerKind kind = config::ServerKind::Regular;
   /// For Stop.
   BackendServerId server;
+  /// End of the right to act under the lease; checked again directly before the write.
+  TimePoint notAfter = TimePoint::max();
 };
 
 struct Ordered
@@ -163,6 +165,8 @@
   std::string windowId;
   OperationId operation;
   Offset fence = 0;
+  /// End of the right to act under the lease; checked again directly before the write.
+  TimePoint notAfter = TimePoint::max();
   std::vector<UsageLine> organisations;
 };
 
--- /dev/null
+++ b/src/mustardplank/platform/http_exchange.cpp
@@ -0,0 +1,108 @@
+#include "http_exchange.hpp"
+
+#include "mustardplank/base/clock.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace mustardplank::platform {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxIdle = 8;
+constexpr std::size_t kMaxAnswerBytes = 64 * 1024 * 1024;
+
+http::request<http::string_body>
+makeRequest(HttpCall& aCall, const std::string& aHost)
+{
+  http::request<http::string_body> request{ aCall.post ? http::verb::post : http::verb::get,
+                                            aCall.target,
+                                            11 };
+  request.set(http::field::host, aHost);
+  if (aCall.post) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(aCall.body);
+  }
+  request.prepare_payload();
+  return request;
+}
+
+/// Whether the other side closed an idle connection, as far as this side knows yet.
+bool
+isStale(beast::tcp_stream& aStream)
+{
+  boost::system::error_code ec;
+  auto& socket = aStream.socket();
+  socket.non_blocking(true, ec);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+}
+
+HttpExchange::HttpExchange(asio::ip::tcp::endpoint aEndpoint)
+  : mEndpoint(std::move(aEndpoint))
+{
+}
+
+HttpExchange::Stream
+HttpExchange::takeIdle()
+{
+  while (!mIdle.empty()) {
+    auto stream = std::move(mIdle.back());
+    mIdle.pop_back();
+    if (!isStale(*stream)) {
+      return stream;
+    }
+  }
+  return nullptr;
+}
+
+asio::awaitable<Result<HttpAnswer>>
+HttpExchange::call(HttpCall aCall)
+{
+  auto stream = takeIdle();
+  if (!stream) {
+    stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+    stream->expires_after(aCall.timeout);
+    const auto [ec] = co_await stream->async_connect(mEndpoint, kUse);
+    if (ec) {
+      co_return Failure{ FailureKind::NoEffect, "connect: " + ec.message() };
+    }
+    stream->socket().set_option(asio::ip::tcp::no_delay(true));
+  }
+  auto request = makeRequest(aCall, mEndpoint.address().to_string());
+  if (bootNow() > aCall.notAfter) {
+    co_return Failure{ FailureKind::NoEffect, "the lease ended before the call was sent" };
+  }
+  stream->expires_after(aCall.timeout);
+  const auto [writeError, written] = co_await http::async_write(*stream, request, kUse);
+  if (writeError) {
+    const auto kind = written == 0 ? FailureKind::NoEffect : FailureKind::Unknown;
+    co_return Failure{ kind, "write: " + writeError.message() };
+  }
+  beast::flat_buffer buf;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswerBytes);
+  const auto [readError, read] = co_await http::async_read(*stream, buf, parser, kUse);
+  if (readError) {
+    co_return Failure{ FailureKind::Unknown, "read: " + readError.message() };
+  }
+  auto response = parser.release();
+  if (response.keep_alive() && mIdle.size() < kMaxIdle) {
+    stream->expires_never();
+    mIdle.push_back(std::move(stream));
+  }
+  co_return HttpAnswer{ response.result_int(), std::move(response.body()) };
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/platform/http_exchange.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "mustardplank/base/time.hpp"
+#include "mustardplank/platform/platform.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mustardplank::platform {
+
+struct HttpCall
+{
+  bool post = false;
+  std::string target;
+  std::string body;
+  Duration timeout{};
+  /// Not sent after this.
+  TimePoint notAfter = TimePoint::max();
+};
+
+struct HttpAnswer
+{
+  unsigned status = 0;
+  std::string body;
+};
+
+/// Keep-alive connections to one address, used by one thread.
+class HttpExchange
+{
+public:
+  explicit HttpExchange(boost::asio::ip::tcp::endpoint aEndpoint);
+
+  /// A failure before any byte was written is NoEffect, one after that is Unknown.
+  boost::asio::awaitable<Result<HttpAnswer>> call(HttpCall aCall);
+
+private:
+  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+  Stream takeIdle();
+
+  boost::asio::ip::tcp::endpoint mEndpoint;
+  std::vector<Stream> mIdle;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/platform/json_forms.cpp
@@ -0,0 +1,206 @@
+#include "json_forms.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace mustardplank::platform {
+
+using nlohmann::json;
+
+namespace {
+
+Failure
+refusal(const HttpAnswer& aAnswer)
+{
+  const auto message =
+    "status " + std::to_string(aAnswer.status) + ": " + aAnswer.body.substr(0, 200);
+  switch (aAnswer.status) {
+    case 409:
+      return { FailureKind::NotAvailable, message };
+    case 412:
+      return { FailureKind::StaleFence, message };
+    case 429:
+      return { FailureKind::RateLimited, message };
+    case 400:
+    case 404:
+    case 503:
+      return { FailureKind::NoEffect, message };
+    default:
+      return { FailureKind::Unknown, message };
+  }
+}
+
+/// Applies aRead to the answer's JSON; throws nothing.
+template<typename T, typename Read>
+Result<T>
+readAnswer(const HttpAnswer& aAnswer, Read&& aRead)
+{
+  if (aAnswer.status != 200) {
+    return refusal(aAnswer);
+  }
+  try {
+    const auto root = json::parse(aAnswer.body);
+    return aRead(root);
+  } catch (const json::exception& aError) {
+    return Failure{ FailureKind::Unknown, std::string("answer not understood: ") + aError.what() };
+  }
+}
+
+LogEntry
+readEntry(const json& aEntry)
+{
+  LogEntry entry;
+  entry.offset = aEntry.at("offset").get<Offset>();
+  entry.wallMillis = aEntry.value("time_ms", std::int64_t{ 0 });
+  entry.record = std::make_shared<const json>(aEntry.at("record"));
+  return entry;
+}
+
+Instance
+readInstance(const json& aInstance)
+{
+  Instance instance;
+  instance.id = InstanceId(aInstance.at("id").get<std::string>());
+  instance.failureDomain = FailureDomainId(aInstance.at("failure_domain").get<std::string>());
+  instance.peerAddress = aInstance.at("peer_address").get<std::string>();
+  instance.state =
+    kInstanceStateNames.value(aInstance.value("state", "live")).value_or(InstanceState::Live);
+  return instance;
+}
+
+PlatformServer
+readServer(const json& aServer)
+{
+  PlatformServer server;
+  server.id = BackendServerId(aServer.at("id").get<std::string>());
+  server.failureDomain = FailureDomainId(aServer.at("failure_domain").get<std::string>());
+  server.pool = PoolId(aServer.at("pool").get<std::string>());
+  server.kind = config::kServerKindNames.value(aServer.value("kind", "regular"))
+                  .value_or(config::ServerKind::Regular);
+  server.address = aServer.value("address", "");
+  server.state = kPlatformServerStateNames.value(aServer.value("state", "running"))
+                   .value_or(PlatformServerState::Running);
+  const auto reclaim = aServer.find("reclaim_in_ms");
+  if (reclaim != aServer.end() && reclaim->is_number()) {
+    server.reclaimIn = Millis(reclaim->get<std::int64_t>());
+  }
+  return server;
+}
+
+}
+
+std::string
+appendBody(const std::vector<std::string>& aJsonRecords)
+{
+  std::string body = "{\"records\":[";
+  for (const auto& it : aJsonRecords) {
+    if (body.back() != '[') {
+      body += ',';
+    }
+    body += it;
+  }
+  return body + "]}";
+}
+
+std::string
+orderBody(const ServerOrder& aOrder)
+{
+  json body{ { "operation_id", aOrder.operation.str() },
+             { "fence", aOrder.fence },
+             { "action", kServerActionNames.name(aOrder.action) },
+             { "failure_domain", aOrder.failureDomain.str() },
+             { "pool", aOrder.pool.str() },
+             { "kind", config::kServerKindNames.name(aOrder.kind) } };
+  if (!aOrder.server.empty()) {
+    body["server_id"] = aOrder.server.str();
+  }
+  return body.dump();
+}
+
+std::string
+usageBody(const UsageReport& aReport)
+{
+  json lines = json::array();
+  for (const auto& it : aReport.organisations) {
+    lines.push_back({ { "organisation", it.organisation.str() },
+                      { "requests", it.requests },
+                      { "prompt_tokens", it.promptTokens },
+                      { "completion_tokens", it.completionTokens } });
+  }
+  const json body{ { "window_id", aReport.windowId },
+                   { "operation_id", aReport.operation.str() },
+                   { "fence", aReport.fence },
+                   { "organisations", std::move(lines) } };
+  return body.dump();
+}
+
+Result<Appended>
+readAppended(const HttpAnswer& aAnswer)
+{
+  return readAnswer<Appended>(aAnswer, [](const json& aRoot) -> Result<Appended> {
+    return Appended{ aRoot.at("offset").get<Offset>() };
+  });
+}
+
+Result<LogChunk>
+readLogChunk(const HttpAnswer& aAnswer)
+{
+  if (aAnswer.status == 410) {
+    const auto root = json::parse(aAnswer.body, nullptr, false);
+    const Offset first = root.is_object() ? root.value("first", Offset{ 0 }) : 0;
+    return Failure{ FailureKind::Forgotten, "the log starts at a later offset", first };
+  }
+  return readAnswer<LogChunk>(aAnswer, [](const json& aRoot) -> Result<LogChunk> {
+    LogChunk chunk;
+    chunk.first = aRoot.at("first").get<Offset>();
+    chunk.end = aRoot.at("end").get<Offset>();
+    for (const auto& it : aRoot.at("records")) {
+      chunk.entries.push_back(readEntry(it));
+    }
+    return chunk;
+  });
+}
+
+Result<std::vector<Instance>>
+readInstances(const HttpAnswer& aAnswer)
+{
+  return readAnswer<std::vector<Instance>>(aAnswer,
+                                           [](const json& aRoot) -> Result<std::vector<Instance>> {
+                                             std::vector<Instance> instances;
+                                             for (const auto& it : aRoot.at("instances")) {
+                                               instances.push_back(readInstance(it));
+                                             }
+                                             return instances;
+                                           });
+}
+
+Result<std::vector<PlatformServer>>
+readServers(const HttpAnswer& aAnswer)
+{
+  return readAnswer<std::vector<PlatformServer>>(
+    aAnswer, [](const json& aRoot) -> Result<std::vector<PlatformServer>> {
+      std::vector<PlatformServer> servers;
+      for (const auto& it : aRoot.at("servers")) {
+        servers.push_back(readServer(it));
+      }
+      return servers;
+    });
+}
+
+Result<Ordered>
+readOrdered(const HttpAnswer& aAnswer)
+{
+  return readAnswer<Ordered>(aAnswer, [](const json& aRoot) -> Result<Ordered> {
+    return Ordered{ BackendServerId(aRoot.value("server_id", "")) };
+  });
+}
+
+Result<Done>
+readDone(const HttpAnswer& aAnswer)
+{
+  if (aAnswer.status != 200) {
+    return refusal(aAnswer);
+  }
+  return Done{};
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/platform/platform_test.cpp
@@ -0,0 +1,117 @@
+#include "json_forms.hpp"
+#include "mustardplank/platform/http_platform.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace mustardplank;
+using namespace mustardplank::platform;
+
+namespace asio = boost::asio;
+
+namespace {
+
+FailureKind
+kindOf(const Result<Appended>& aResult)
+{
+  return std::get<Failure>(aResult).kind;
+}
+
+/// Accepts one connection, reads what comes first, sends aAnswer and closes.
+class OneAnswerServer
+{
+public:
+  explicit OneAnswerServer(std::string aAnswer)
+    : mAcceptor(mIo, { asio::ip::address_v4::loopback(), 0 })
+    , mThread([this, answer = std::move(aAnswer)] {
+      auto socket = mAcceptor.accept();
+      char buf[4096];
+      boost::system::error_code ec;
+      socket.read_some(asio::buffer(buf), ec);
+      asio::write(socket, asio::buffer(answer), ec);
+    })
+  {
+  }
+  ~OneAnswerServer() { mThread.join(); }
+  std::uint16_t port() const { return mAcceptor.local_endpoint().port(); }
+
+private:
+  asio::io_context mIo;
+  asio::ip::tcp::acceptor mAcceptor;
+  std::thread mThread;
+};
+
+Result<Appended>
+appendTo(std::uint16_t aPort)
+{
+  HttpPlatform platform("127.0.0.1", aPort);
+  std::promise<Result<Appended>> result;
+  platform.append({ "{}" },
+                  [&](Result<Appended> aResult) { result.set_value(std::move(aResult)); });
+  return result.get_future().get();
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(platform_adapter)
+
+// Guards against treating a lost answer as "not appended", which would append twice.
+BOOST_AUTO_TEST_CASE(closedWithoutAnswerIsUnknown)
+{
+  OneAnswerServer server("");
+  BOOST_TEST((kindOf(appendTo(server.port())) == FailureKind::Unknown));
+}
+
+// Guards against treating a refused connection as "may be appended", which would wait for nothing.
+BOOST_AUTO_TEST_CASE(refusedConnectionHasNoEffect)
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor unused(io, { asio::ip::address_v4::loopback(), 0 });
+  const auto port = unused.local_endpoint().port();
+  unused.close();
+  BOOST_TEST((kindOf(appendTo(port)) == FailureKind::NoEffect));
+}
+
+BOOST_AUTO_TEST_CASE(appendReturnsTheFirstOffset)
+{
+  OneAnswerServer server(
+    "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n{\"offset\":41,\"count\":1}");
+  BOOST_TEST(std::get<Appended>(appendTo(server.port())).first == 41U);
+}
+
+// Guards against a garbled answer being taken for success or for "no effect".
+BOOST_AUTO_TEST_CASE(garbledAnswerIsUnknown)
+{
+  BOOST_TEST((kindOf(readAppended({ 200, "{\"offset\":" })) == FailureKind::Unknown));
+  BOOST_TEST((kindOf(readAppended({ 500, "" })) == FailureKind::Unknown));
+  BOOST_TEST((kindOf(readAppended({ 429, "" })) == FailureKind::RateLimited));
+}
+
+// Guards against an order leaving the process after its lease ended.
+BOOST_AUTO_TEST_CASE(orderAfterItsLeaseIsNotSent)
+{
+  OneAnswerServer server("");
+  HttpPlatform platform("127.0.0.1", server.port());
+  std::promise<Result<Ordered>> result;
+  ServerOrder order;
+  order.notAfter = TimePoint(Duration(1));
+  platform.orderServer(order,
+                       [&](Result<Ordered> aResult) { result.set_value(std::move(aResult)); });
+  const auto answer = result.get_future().get();
+  BOOST_TEST((std::get<Failure>(answer).kind == FailureKind::NoEffect));
+}
+
+BOOST_AUTO_TEST_CASE(forgottenOffsetNamesTheFirstOne)
+{
+  const auto result = readLogChunk({ 410, "{\"first\":9}" });
+  BOOST_TEST((std::get<Failure>(result).kind == FailureKind::Forgotten));
+  BOOST_TEST(std::get<Failure>(result).first == 9U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
