--- a/include/mustardplank/config/change.hpp
+++ b/include/mustardplank/config/change.hpp
@@ -11,7 +11,11 @@
 
 namespace mustardplank::config {
 
-// Each Put creates the object or replaces all of it.
+// Each Put creates the object or replaces all of it, except for what has a change of its own:
+// CallerKey::withdrawn, BackendServer::withdrawn and FailureDomain::out stay as they are. What an
+// object refers to has to exist: failure domains and pools first, then classes, organisations,
+// keys and servers. A withdrawn key stays withdrawn for ever. A withdrawn server returns by a
+// PutServer that expects the revision which the withdrawal gave it.
 
 struct PutOrganisation
 {
@@ -86,7 +90,8 @@
   /// Name of the operator token that asked for it.
   std::string actor;
   /// Revision that the object must have for the change to take effect; 0 for "must not exist"; none
-  /// for "any".
+  /// for "any". Withdrawals ignore it: they may be in force before the log can be asked, and must
+  /// not be undone by what it then says.
   std::optional<Revision> expected;
   Change change;
 };
@@ -113,9 +118,15 @@
 bool
 isWithdrawal(const Change& aChange);
 
+/// A record of kind "config.change".
 nlohmann::json
 encodeChange(const ChangeRecord& aRecord);
 
+/// A record of kind "tombstone", for withdrawals only; goes to peers at once and to the log when it
+/// can be reached.
+nlohmann::json
+encodeTombstone(const ChangeRecord& aRecord);
+
 /// Reads a record of kind "config.change" or "tombstone". Adds what is wrong to aFindings, each
 /// with the field's path, and then returns nothing.
 std::optional<ChangeRecord>
--- a/include/mustardplank/config/model.hpp
+++ b/include/mustardplank/config/model.hpp
@@ -10,7 +10,8 @@
 
 namespace mustardplank::config {
 
-/// Offset of the log record that set the current value; only rises. 0 means "never set".
+/// Offset of the log record that set the current value, plus one; only rises. 0 means "never set",
+/// which the plus one keeps apart from a value set by the log's first record.
 using Revision = std::uint64_t;
 
 /// What a failure domain does for an organisation while it can reach neither the log nor another
