Add the metrics module

Histograms, counters and gauges over prometheus-cpp, by class and by organisation separately. Labels by both were ruled out: 500 organisations times the classes would be some 500,000 series. The first 64 organisations and 32 classes get a label of their own, the rest share "other". The handle that a request keeps holds three pointers, so recording a token searches no map.

--- /dev/null
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "mustardplank/base/error.hpp"
+#include "mustardplank/base/ids.hpp"
+#include "mustardplank/base/name_table.hpp"
+#include "mustardplank/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace mustardplank::metrics {
+
+/// Values of the whole process that rise and fall. Series "mustardplank_<name>".
+enum class Gauge
+{
+  CallerConnections,
+  RunningRequests,
+  WaitingRequests,
+  PeerLinks,
+  LogReachable,
+  SecondsSinceLogRead,
+  ConfigRevision,
+  LeasesHeld,
+  LiveInstances,
+};
+
+inline constexpr NameTable<Gauge, 9> kGaugeNames{ { {
+  { Gauge::CallerConnections, "caller_connections" },
+  { Gauge::RunningRequests, "running_requests" },
+  { Gauge::WaitingRequests, "waiting_requests" },
+  { Gauge::PeerLinks, "peer_links" },
+  { Gauge::LogReachable, "log_reachable" },
+  { Gauge::SecondsSinceLogRead, "seconds_since_log_read" },
+  { Gauge::ConfigRevision, "config_revision" },
+  { Gauge::LeasesHeld, "leases_held" },
+  { Gauge::LiveInstances, "live_instances" },
+} } };
+
+/// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
+enum class PoolGauge
+{
+  /// On this instance.
+  Waiting,
+  Running,
+  /// On the owner only.
+  Queued,
+  BacklogSeconds,
+  ServingServers,
+  ColdServers,
+};
+
+inline constexpr NameTable<PoolGauge, 6> kPoolGaugeNames{ { {
+  { PoolGauge::Waiting, "waiting" },
+  { PoolGauge::Running, "running" },
+  { PoolGauge::Queued, "queued" },
+  { PoolGauge::BacklogSeconds, "backlog_seconds" },
+  { PoolGauge::ServingServers, "serving_servers" },
+  { PoolGauge::ColdServers, "cold_servers" },
+} } };
+
+/// Events of the whole process. Series "mustardplank_<name>_total".
+enum class Event
+{
+  LogAppend,
+  LogAppendFailure,
+  LogRecordSkipped,
+  OwnerChange,
+  ServerOrder,
+  ServerCrash,
+  UsageReport,
+  TombstoneSent,
+  OperatorCall,
+  RefusedConnection,
+};
+
+inline constexpr NameTable<Event, 10> kEventNames{ { {
+  { Event::LogAppend, "log_appends" },
+  { Event::LogAppendFailure, "log_append_failures" },
+  { Event::LogRecordSkipped, "log_records_skipped" },
+  { Event::OwnerChange, "owner_changes" },
+  { Event::ServerOrder, "server_orders" },
+  { Event::ServerCrash, "server_crashes" },
+  { Event::UsageReport, "usage_reports" },
+  { Event::TombstoneSent, "tombstones_sent" },
+  { Event::OperatorCall, "operator_calls" },
+  { Event::RefusedConnection, "refused_connections" },
+} } };
+
+struct Limits
+{
+  std::size_t organisations = 64;
+  std::size_t classes = 32;
+  std::size_t pools = 64;
+};
+
+struct Series;
+
+/// Records what happens to one request under its class and under its organisation. Two pointers:
+/// copy it into the request. Valid as long as the Metrics; usable on any thread.
+class RequestRecorder
+{
+public:
+  /// The request was accepted.
+  void request() const;
+  /// From the request's last byte to the answer's last byte.
+  void requestTime(Duration aTime) const;
+  /// From the request's last byte to the first token.
+  void firstToken(Duration aTime) const;
+  /// Between two tokens of one answer.
+  void tokenGap(Duration aTime) const;
+  void tokens(std::uint64_t aPrompt, std::uint64_t aCompletion) const;
+  void retry() const;
+  void preemption() const;
+  void refusal(ErrorCode aCode) const;
+
+private:
+  friend class Metrics;
+  RequestRecorder(Series& aClass, Series& aOrganisation, Series& aAll);
+
+  Series* mClass;
+  Series* mOrganisation;
+  Series* mAll;
+};
+
+/// Counters, gauges and histograms of the process. Thread-safe.
+///
+/// Series are labelled by class and by organisation separately, never by both, and the number of
+/// series is bounded: the first Limits::organisations organisations seen since the start (64 by
+/// default) get a label of their own, all further ones share organisation="other"; the same holds
+/// for classes. An empty id, as of a request without a valid key, becomes "none". Pools beyond
+/// Limits::pools get no series, since the sum of their gauges cannot be kept. Take class and
+/// organisation from the configuration, never from what a caller wrote.
+///
+///     const auto recorder = metrics.recorder(classId, organisationId); // once for each request
+///     recorder.tokenGap(gap);                                          // for each token
+class Metrics
+{
+public:
+  explicit Metrics(Limits aLimits = {});
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /// Takes a lock and searches by name; keep the result.
+  RequestRecorder recorder(const ClassId& aClass, const OrganisationId& aOrganisation);
+  void set(Gauge aGauge, double aValue);
+  void set(PoolGauge aGauge, const PoolId& aPool, double aValue);
+  void count(Event aEvent, std::uint64_t aCount = 1);
+
+  /// Everything in the Prometheus text format.
+  std::string scrape() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> mImpl;
+};
+
+}
--- /dev/null
+++ b/src/mustardplank/metrics/metrics.cpp
@@ -0,0 +1,196 @@
+#include "mustardplank/metrics/metrics.hpp"
+
+#include "series.hpp"
+
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+#include <map>
+#include <mutex>
+#include <shared_mutex>
+
+namespace mustardplank::metrics {
+
+namespace {
+
+using PrometheusGauge = prometheus::Gauge;
+
+std::string
+fullName(std::string_view aPrefix, std::string_view aName, std::string_view aSuffix = "")
+{
+  return std::string(aPrefix) + std::string(aName) + std::string(aSuffix);
+}
+
+/// The series of each value of one label, with a bound on their number.
+class SeriesTable
+{
+public:
+  SeriesTable(prometheus::Registry& aRegistry, const std::string& aLabel, std::size_t aLimit)
+    : mFamily(aRegistry, aLabel)
+    , mLimit(aLimit)
+    , mOther(mFamily.make("other"))
+    , mNone(mFamily.make("none"))
+  {
+  }
+
+  Series& get(const std::string& aName)
+  {
+    if (aName.empty() || aName == "none") {
+      return mNone;
+    }
+    if (aName == "other") {
+      return mOther;
+    }
+    {
+      const std::shared_lock lock(mMutex);
+      const auto it = mSeries.find(aName);
+      if (it != mSeries.end()) {
+        return it->second;
+      }
+      if (mSeries.size() >= mLimit) {
+        return mOther;
+      }
+    }
+    return add(aName);
+  }
+
+private:
+  Series& add(const std::string& aName)
+  {
+    const std::unique_lock lock(mMutex);
+    const auto it = mSeries.find(aName);
+    if (it != mSeries.end()) {
+      return it->second;
+    }
+    if (mSeries.size() >= mLimit) {
+      return mOther;
+    }
+    return mSeries.emplace(aName, mFamily.make(aName)).first->second;
+  }
+
+  SeriesFamily mFamily;
+  std::size_t mLimit;
+  Series mOther;
+  Series mNone;
+  std::shared_mutex mMutex;
+  /// Elements of a std::map keep their address.
+  std::map<std::string, Series> mSeries;
+};
+
+/// The gauges of each pool.
+class PoolGauges
+{
+public:
+  PoolGauges(prometheus::Registry& aRegistry, std::size_t aLimit)
+    : mLimit(aLimit)
+  {
+    for (const auto& [gauge, name] : kPoolGaugeNames.entries) {
+      mFamilies[gauge] = &prometheus::BuildGauge()
+                            .Name(fullName("mustardplank_pool_", name))
+                            .Help("Value of one pool.")
+                            .Register(aRegistry);
+    }
+  }
+
+  void set(PoolGauge aGauge, const PoolId& aPool, double aValue)
+  {
+    const std::lock_guard lock(mMutex);
+    auto it = mPools.find(aPool);
+    if (it == mPools.end()) {
+      if (mPools.size() >= mLimit) {
+        return;
+      }
+      it = mPools.emplace(aPool, Gauges{}).first;
+    }
+    auto& gauge = it->second[aGauge];
+    if (gauge == nullptr) {
+      gauge = &mFamilies.at(aGauge)->Add({ { "pool", aPool.str() } });
+    }
+    gauge->Set(aValue);
+  }
+
+private:
+  using Gauges = std::map<PoolGauge, PrometheusGauge*>;
+
+  std::size_t mLimit;
+  std::mutex mMutex;
+  std::map<PoolGauge, prometheus::Family<PrometheusGauge>*> mFamilies;
+  std::map<PoolId, Gauges> mPools;
+};
+
+}
+
+struct Metrics::Impl
+{
+  explicit Impl(Limits aLimits)
+    : classes(registry, "class", aLimits.classes)
+    , organisations(registry, "organisation", aLimits.organisations)
+    , all(makeRefusalsByCode(registry))
+    , pools(registry, aLimits.pools)
+  {
+    for (const auto& [gauge, name] : kGaugeNames.entries) {
+      auto& family = prometheus::BuildGauge()
+                       .Name(fullName("mustardplank_", name))
+                       .Help("Value of this instance.")
+                       .Register(registry);
+      gauges[static_cast<std::size_t>(gauge)] = &family.Add({});
+    }
+    for (const auto& [event, name] : kEventNames.entries) {
+      auto& family = prometheus::BuildCounter()
+                       .Name(fullName("mustardplank_", name, "_total"))
+                       .Help("Events on this instance.")
+                       .Register(registry);
+      events[static_cast<std::size_t>(event)] = &family.Add({});
+    }
+  }
+
+  prometheus::Registry registry;
+  SeriesTable classes;
+  SeriesTable organisations;
+  Series all;
+  PoolGauges pools;
+  std::array<PrometheusGauge*, kGaugeNames.entries.size()> gauges{};
+  std::array<prometheus::Counter*, kEventNames.entries.size()> events{};
+};
+
+Metrics::Metrics(Limits aLimits)
+  : mImpl(std::make_unique<Impl>(aLimits))
+{
+}
+
+Metrics::~Metrics() = default;
+
+RequestRecorder
+Metrics::recorder(const ClassId& aClass, const OrganisationId& aOrganisation)
+{
+  return { mImpl->classes.get(aClass.str()),
+           mImpl->organisations.get(aOrganisation.str()),
+           mImpl->all };
+}
+
+void
+Metrics::set(Gauge aGauge, double aValue)
+{
+  mImpl->gauges[static_cast<std::size_t>(aGauge)]->Set(aValue);
+}
+
+void
+Metrics::set(PoolGauge aGauge, const PoolId& aPool, double aValue)
+{
+  mImpl->pools.set(aGauge, aPool, aValue);
+}
+
+void
+Metrics::count(Event aEvent, std::uint64_t aCount)
+{
+  mImpl->events[static_cast<std::size_t>(aEvent)]->Increment(static_cast<double>(aCount));
+}
+
+std::string
+Metrics::scrape() const
+{
+  return prometheus::TextSerializer().Serialize(mImpl->registry.Collect());
+}
+
+}
