--- /dev/null
+++ b/src/daemon/events.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "mustardplank/base/time.hpp"
+#include "mustardplank/operator/events.hpp"
+#include "mustardplank/peer/messages.hpp"
+#include "mustardplank/platform/platform.hpp"
+#include "mustardplank/traffic/events.hpp"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace mustardplank::daemon {
+
+// What the other threads tell the decisions thread.
+
+struct PeerMessage
+{
+  InstanceId from;
+  FailureDomainId failureDomain;
+  peer::Message message;
+};
+
+struct PeerLinkUp
+{
+  InstanceId peer;
+};
+
+using PeerEvent = std::variant<PeerMessage, PeerLinkUp>;
+
+struct LogRead
+{
+  platform::Result<platform::LogChunk> result;
+};
+
+struct AppendDone
+{
+  platform::Result<platform::Appended> result;
+};
+
+struct InstancesRead
+{
+  platform::Result<std::vector<platform::Instance>> result;
+};
+
+struct ServersRead
+{
+  platform::Result<std::vector<platform::PlatformServer>> result;
+};
+
+struct ServerOrdered
+{
+  platform::ServerOrder order;
+  platform::Result<platform::Ordered> result;
+};
+
+struct UsageReported
+{
+  platform::UsageReport report;
+  platform::Result<platform::Done> result;
+};
+
+using PlatformEvent = std::variant<LogRead, AppendDone, InstancesRead, ServersRead, ServerOrdered, UsageReported>;
+
+struct Tick
+{
+  TimePoint now;
+};
+
+/// SIGTERM: drain and end.
+struct Terminate
+{
+};
+
+using ControlEvent = std::variant<Tick, Terminate>;
+
+}
--- /dev/null
+++ b/src/daemon/log_appender.cpp
@@ -0,0 +1,66 @@
+#include "log_appender.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardplank::daemon {
+
+namespace {
+
+constexpr std::size_t kMaxBatch = 256;
+/// More than this waits only when the log is far too slow; further records are refused.
+constexpr std::size_t kMaxWaiting = 8192;
+constexpr Duration kRateLimitPause = Millis(50);
+
+}
+
+LogAppender::LogAppender(Send aSend)
+  : mSend(std::move(aSend))
+{
+}
+
+void
+LogAppender::add(std::string aRecord, Done aDone)
+{
+  if (mWaiting.size() >= kMaxWaiting) {
+    if (aDone) {
+      aDone(platform::Failure{ platform::FailureKind::NoEffect, "too many records wait for the log" });
+    }
+    return;
+  }
+  mWaiting.push_back({ std::move(aRecord), std::move(aDone) });
+}
+
+void
+LogAppender::flush(TimePoint aNow)
+{
+  if (!mUnderWay.empty() || mWaiting.empty() || aNow < mPausedUntil) {
+    return;
+  }
+  std::vector<std::string> records;
+  while (!mWaiting.empty() && records.size() < kMaxBatch) {
+    records.push_back(mWaiting.front().record);
+    mUnderWay.push_back(std::move(mWaiting.front()));
+    mWaiting.pop_front();
+  }
+  mSend(std::move(records));
+}
+
+void
+LogAppender::finished(const platform::Result<platform::Appended>& aResult, TimePoint aNow)
+{
+  auto items = std::exchange(mUnderWay, {});
+  const auto* failure = std::get_if<platform::Failure>(&aResult);
+  if (failure && failure->kind == platform::FailureKind::RateLimited) {
+    mPausedUntil = aNow + kRateLimitPause;
+    std::move(items.rbegin(), items.rend(), std::front_inserter(mWaiting));
+    return;
+  }
+  for (auto& it : items) {
+    if (it.done) {
+      it.done(aResult);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,137 @@
+#include "daemon.hpp"
+
+#include "mustardplank/base/findings.hpp"
+#include "mustardplank/base/log_event.hpp"
+#include "mustardplank/settings/parse.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <string>
+
+using namespace mustardplank;
+
+namespace {
+
+constexpr int kUsageError = 2;
+
+constexpr const char* kHelp =
+  "usage: mustardplankd --settings FILE\n"
+  "       mustardplankd --check-settings FILE\n"
+  "\n"
+  "Routes language-model traffic with service levels and priorities.\n"
+  "\n"
+  "  -s, --settings FILE        run with these settings (JSON with comments)\n"
+  "  -c, --check-settings FILE  report everything that is wrong with a settings file and end\n"
+  "  -h, --help                 this text\n"
+  "\n"
+  "SIGTERM drains: readiness fails, streams end, usage is handed over, exit status 0.\n";
+
+struct Options
+{
+  std::string file;
+  bool checkOnly = false;
+};
+
+std::optional<Options>
+parseOptions(int aCount, char** aArguments)
+{
+  static const option kOptions[] = { { "settings", required_argument, nullptr, 's' },
+                                     { "check-settings", required_argument, nullptr, 'c' },
+                                     { "help", no_argument, nullptr, 'h' },
+                                     { nullptr, 0, nullptr, 0 } };
+  Options options;
+  for (int c = 0; (c = getopt_long(aCount, aArguments, "s:c:h", kOptions, nullptr)) != -1;) {
+    switch (c) {
+      case 's':
+      case 'c':
+        options.file = optarg;
+        options.checkOnly = c == 'c';
+        break;
+      case 'h':
+        std::cout << kHelp;
+        std::exit(EXIT_SUCCESS);
+      default:
+        return std::nullopt;
+    }
+  }
+  if (options.file.empty() || optind != aCount) {
+    return std::nullopt;
+  }
+  return options;
+}
+
+std::optional<settings::Settings>
+readSettings(const std::string& aFile)
+{
+  std::ifstream in(aFile);
+  if (!in) {
+    std::cerr << aFile << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  Findings findings;
+  auto settings = settings::parseSettings(text.str(), aFile, findings);
+  if (!findings.empty()) {
+    std::cerr << findings.text();
+    return std::nullopt;
+  }
+  return settings;
+}
+
+int
+run(const settings::Settings& aSettings)
+{
+  startLogging(aSettings.logLevel, aSettings.instance.str());
+  boost::asio::io_context io;
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  daemon::Daemon daemon(aSettings, [&io] { boost::asio::post(io, [&io] { io.stop(); }); });
+  signals.async_wait([&](boost::system::error_code aError, int) {
+    if (!aError) {
+      daemon.terminate();
+    }
+  });
+  daemon.start();
+  const auto work = boost::asio::make_work_guard(io);
+  io.run();
+  daemon.stop();
+  LogEvent(LogLevel::Info, "daemon.stopped").write();
+  return EXIT_SUCCESS;
+}
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  const auto options = parseOptions(aCount, aArguments);
+  if (!options) {
+    std::cerr << kHelp;
+    return kUsageError;
+  }
+  const auto settings = readSettings(options->file);
+  if (!settings) {
+    return EXIT_FAILURE;
+  }
+  if (options->checkOnly) {
+    std::cout << options->file << ": no findings\n";
+    return EXIT_SUCCESS;
+  }
+  try {
+    return run(*settings);
+  } catch (const std::exception& aError) {
+    std::cerr << "mustardplankd: " << aError.what() << "\n";
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/daemon/status.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "log_follower.hpp"
+#include "mustardplank/config/store.hpp"
+#include "mustardplank/operator/events.hpp"
+#include "mustardplank/peer/membership.hpp"
+#include "mustardplank/settings/settings.hpp"
+#include "pool_directory.hpp"
+
+namespace mustardplank::daemon {
+
+struct StatusSources
+{
+  const settings::Settings& settings;
+  const config::Store& store;
+  const LogFollower& follower;
+  const peer::Membership& membership;
+  const PoolDirectory& pools;
+};
+
+/// What this instance knows of itself, its pools and its peers.
+operators::StatusReport makeStatus(const StatusSources& aSources, TimePoint aNow);
+
+}
--- a/src/mustardplank/peer/membership.cpp
+++ b/src/mustardplank/peer/membership.cpp
@@ -155,7 +155,13 @@
 std::optional<InstanceId>
 Membership::owner(const PoolId& aPool, TimePoint aNow) const
 {
-  return highestHash(aPool.str(), liveInDomain(aNow));
+  return responsible(aPool.str(), aNow);
+}
+
+std::optional<InstanceId>
+Membership::responsible(const std::string& aKey, TimePoint aNow) const
+{
+  return highestHash(aKey, liveInDomain(aNow));
 }
 
 std::optional<InstanceId>
