--- a/include/mustardplank/operator/events.hpp
+++ b/include/mustardplank/operator/events.hpp
@@ -23,6 +23,9 @@
   /// The log could not be reached and the change is no withdrawal: nothing was changed, or that is
   /// not known.
   bool unavailable = false;
+  /// After Duplicate: what the operation led to when it was first in the log, which is then the
+  /// answer to the repeat.
+  config::ChangeOutcome first = config::ChangeOutcome::Accepted;
 };
 
 struct ChangeRequest
@@ -86,6 +89,7 @@
   platform::Offset fence = 0;
 };
 
+/// What one instance knows.
 struct StatusReport
 {
   InstanceId instance;
@@ -94,6 +98,8 @@
   bool logReachable = false;
   Duration sinceLogRead{};
   std::uint64_t skippedRecords = 0;
+  /// Only those that the other fields do not show; findProblems() in problems.hpp adds the others,
+  /// which OperatorServer does for status calls.
   std::vector<Problem> problems;
   std::vector<InstanceStatus> instances;
   std::vector<PoolStatus> pools;
