--- a/include/mustardplank/peer/membership.hpp
+++ b/include/mustardplank/peer/membership.hpp
@@ -78,7 +78,8 @@
   /// The instance of this failure domain that owns a pool: the one with the highest rendezvous hash
   /// among the live ones.
   std::optional<InstanceId> owner(const PoolId& aPool, TimePoint aNow) const;
-  /// The live instance of this failure domain that does a task named by aKey, so that one of them does it and not all.
+  /// The live instance of this failure domain that does a task named by aKey, so that one of them
+  /// does it and not all.
   std::optional<InstanceId> responsible(const std::string& aKey, TimePoint aNow) const;
   /// The same without one instance: who takes over when it leaves.
   std::optional<InstanceId> successor(const PoolId& aPool,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -27,7 +27,8 @@
 
 namespace {
 
-// Ring capacities in items. The rings that carry ends of streams hold several for each of the 4,096 connections.
+// Ring capacities in items. The rings that carry ends of streams hold several for each of the 4,096
+// connections.
 constexpr std::size_t kTrafficRing = 16384;
 constexpr std::size_t kPeerRing = 16384;
 constexpr std::size_t kPlatformRing = 1024;
@@ -80,18 +81,26 @@
 
   void sendWaiting()
   {
-    outgoing.drain([this](OutgoingMessage aItem) { transport->send(aItem.to.str(), peer::encode(aItem.message)); });
+    outgoing.drain([this](OutgoingMessage aItem) {
+      transport->send(aItem.to.str(), peer::encode(aItem.message));
+    });
   }
 
-  void receiveFromPeer(const std::string& aFrom, const std::string& aDomain, const peer::Transport::Bytes& aBytes)
+  void receiveFromPeer(const std::string& aFrom,
+                       const std::string& aDomain,
+                       const peer::Transport::Bytes& aBytes)
   {
     std::string error;
     auto message = peer::decode(aBytes, error);
     if (!message) {
-      LogEvent(LogLevel::Warning, "peer.bad_message").field("peer", aFrom).field("detail", error).write();
+      LogEvent(LogLevel::Warning, "peer.bad_message")
+        .field("peer", aFrom)
+        .field("detail", error)
+        .write();
       return;
     }
-    PeerEvent event(PeerMessage{ InstanceId(aFrom), FailureDomainId(aDomain), std::move(*message) });
+    PeerEvent event(
+      PeerMessage{ InstanceId(aFrom), FailureDomainId(aDomain), std::move(*message) });
     if (!peers.push(std::move(event))) {
       LogEvent(LogLevel::Error, "peer.ring_full").field("peer", aFrom).write();
     }
@@ -108,11 +117,15 @@
   Outputs makeOutputs()
   {
     Outputs outputs;
-    outputs.toTraffic = [this](traffic::Command aCommand) { commands.push_back(std::move(aCommand)); };
+    outputs.toTraffic = [this](traffic::Command aCommand) {
+      commands.push_back(std::move(aCommand));
+    };
     outputs.toPeer = [this](InstanceId aTo, peer::Message aMessage) {
       sendToPeer(std::move(aTo), std::move(aMessage));
     };
-    outputs.setPeers = [this](std::vector<peer::PeerAddress> aPeers) { transport->setPeers(std::move(aPeers)); };
+    outputs.setPeers = [this](std::vector<peer::PeerAddress> aPeers) {
+      transport->setPeers(std::move(aPeers));
+    };
     outputs.fromPlatform = [this](PlatformEvent aEvent) {
       if (!platformEvents.push(std::move(aEvent))) {
         LogEvent(LogLevel::Error, "platform.ring_full").write();
@@ -146,21 +159,27 @@
     options.address = settings.operators;
     options.tokens = settings.operatorTokens;
     operators = std::make_unique<operators::OperatorServer>(
-      std::move(options), [this](operators::Request aRequest) { return requests.push(std::move(aRequest)); });
+      std::move(options),
+      [this](operators::Request aRequest) { return requests.push(std::move(aRequest)); });
     operators->start();
   }
 
   void start()
   {
-    traffic = std::make_unique<traffic::TrafficServer>(
-      settings, &metrics, [this](traffic::Event aEvent) { return trafficEvents.push(std::move(aEvent)); });
+    traffic =
+      std::make_unique<traffic::TrafficServer>(settings, &metrics, [this](traffic::Event aEvent) {
+        return trafficEvents.push(std::move(aEvent));
+      });
     traffic->start();
     startTransport();
-    platform = std::make_unique<platform::HttpPlatform>(settings.platform.ip, settings.platform.port);
-    decisions = std::make_unique<Decisions>(settings, incarnation, *platform, makeOutputs(), bootNow());
+    platform =
+      std::make_unique<platform::HttpPlatform>(settings.platform.ip, settings.platform.port);
+    decisions =
+      std::make_unique<Decisions>(settings, incarnation, *platform, makeOutputs(), bootNow());
     thread = std::thread([this] { io.run(); });
     startOperators();
-    timers.subscribe("decisions", kTickInterval, [this](TimePoint aNow) { control.push(Tick{ aNow }); });
+    timers.subscribe(
+      "decisions", kTickInterval, [this](TimePoint aNow) { control.push(Tick{ aNow }); });
     timers.start();
     LogEvent(LogLevel::Info, "daemon.started")
       .field("failure_domain", settings.failureDomain.str())
@@ -203,8 +222,10 @@
   Ring<ControlEvent> control{ kControlRing, wakeFor([this] { drain(control); }) };
   /// From the main thread, which the ring of the timer thread must not be shared with.
   Ring<ControlEvent> signals{ kControlRing, wakeFor([this] { drain(signals); }) };
-  Ring<OutgoingMessage> outgoing{ kPeerRing, [this] { transport->post([this] { sendWaiting(); }); } };
-  /// Commands that the traffic thread has no room for yet; bounded by what the requests of its connections cause.
+  Ring<OutgoingMessage> outgoing{ kPeerRing,
+                                  [this] { transport->post([this] { sendWaiting(); }); } };
+  /// Commands that the traffic thread has no room for yet; bounded by what the requests of its
+  /// connections cause.
   std::deque<traffic::Command> commands;
 
   std::unique_ptr<traffic::TrafficServer> traffic;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -7,7 +7,8 @@
 
 namespace mustardplank::daemon {
 
-/// Starts a thread for each task (traffic, decisions, peers, platform, operators, timers) and the rings between them.
+/// Starts a thread for each task (traffic, decisions, peers, platform, operators, timers) and the
+/// rings between them.
 class Daemon
 {
 public:
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr std::size_t kReadLimit = 1024;
-/// A log read waits so long for a new entry; shorter than the time after which the log counts as unreachable.
+/// A log read waits so long for a new entry; shorter than the time after which the log counts as
+/// unreachable.
 constexpr Duration kReadWait = Millis(500);
 constexpr Duration kPlatformPollInterval = Millis(500);
 /// A gap between two ticks above this is a pause of the process: half the heartbeat timeout.
@@ -23,7 +24,8 @@
 constexpr Duration kTombstoneInterval = Seconds(1);
 constexpr Duration kSnapshotRequestInterval = Seconds(1);
 constexpr std::size_t kRelayLimit = 256;
-/// Time that readiness fails before the listener stops taking requests, so that the load balancer notices first.
+/// Time that readiness fails before the listener stops taking requests, so that the load balancer
+/// notices first.
 constexpr Duration kReadinessLead = Millis(500);
 
 void
@@ -43,12 +45,14 @@
   , mIncarnation(aIncarnation)
   , mPlatform(aPlatform)
   , mOutputs(std::move(aOutputs))
-  , mStore(config::StoreOptions{ aSettings.mechanisms.expectedRevisions, aSettings.mechanisms.tombstones })
+  , mStore(config::StoreOptions{ aSettings.mechanisms.expectedRevisions,
+                                 aSettings.mechanisms.tombstones })
   , mFollower(
       [this](platform::Offset aFrom) {
-        mPlatform.readLog(aFrom, kReadLimit, kReadWait, [this](platform::Result<platform::LogChunk> aResult) {
-          mOutputs.fromPlatform(LogRead{ std::move(aResult) });
-        });
+        mPlatform.readLog(
+          aFrom, kReadLimit, kReadWait, [this](platform::Result<platform::LogChunk> aResult) {
+            mOutputs.fromPlatform(LogRead{ std::move(aResult) });
+          });
       },
       aNow)
   , mAppender([this](std::vector<std::string> aRecords) {
@@ -257,7 +261,10 @@
     }
     return;
   }
-  LogEvent(LogLevel::Info, "config.snapshot_adopted").field("peer", aFrom.from.str()).field("next", mStore.next()).write();
+  LogEvent(LogLevel::Info, "config.snapshot_adopted")
+    .field("peer", aFrom.from.str())
+    .field("next", mStore.next())
+    .write();
   mFollower.moveTo(mStore.next());
   publishConfig(aNow);
 }
@@ -352,9 +359,12 @@
   const auto key = [](const platform::PlatformServer& aServer) {
     return std::tie(aServer.id, aServer.pool, aServer.address, aServer.state);
   };
-  const bool same = std::equal(list->begin(), list->end(), mPlatformServers.begin(), mPlatformServers.end(), [&](const auto& aLeft, const auto& aRight) {
-    return key(aLeft) == key(aRight);
-  });
+  const bool same =
+    std::equal(list->begin(),
+               list->end(),
+               mPlatformServers.begin(),
+               mPlatformServers.end(),
+               [&](const auto& aLeft, const auto& aRight) { return key(aLeft) == key(aRight); });
   mPlatformServers = std::move(*list);
   if (!same || hasNotice) {
     pool::Effects effects;
@@ -492,7 +502,8 @@
 void
 Decisions::updateIsolation(TimePoint aNow)
 {
-  const bool isolated = mFollower.sinceRead(aNow) > kIsolatedAfter && mMembership.knowsOtherDomain() &&
+  const bool isolated = mFollower.sinceRead(aNow) > kIsolatedAfter &&
+                        mMembership.knowsOtherDomain() &&
                         !mMembership.hearsOtherDomain(kIsolatedAfter, aNow);
   if (isolated != mIsolated) {
     mIsolated = isolated;
@@ -524,7 +535,8 @@
   mNextSnapshotRequest = aNow + kSnapshotRequestInterval;
   const peer::Peer* newest = nullptr;
   for (const auto& [id, peer] : mMembership.peers()) {
-    const bool ahead = peer.configRevision > mStore.next() && (!newest || peer.configRevision > newest->configRevision);
+    const bool ahead = peer.configRevision > mStore.next() &&
+                       (!newest || peer.configRevision > newest->configRevision);
     if (ahead && peer.lastHeard && aNow - *peer.lastHeard < Seconds(1)) {
       newest = &peer;
     }
@@ -608,7 +620,9 @@
     return;
   }
   mDrainReported = true;
-  LogEvent(LogLevel::Info, "drain.finished").field("complete", mTrafficDrained ? "yes" : "no").write();
+  LogEvent(LogLevel::Info, "drain.finished")
+    .field("complete", mTrafficDrained ? "yes" : "no")
+    .write();
   mOutputs.drained();
 }
 
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -31,8 +31,9 @@
   std::function<void()> drained;
 };
 
-/// All decisions of one instance, on one thread: follows the log, keeps the configuration and the membership, runs the
-/// pools' clients and owners, and answers operators. It opens no socket itself.
+/// All decisions of one instance, on one thread: follows the log, keeps the configuration and the
+/// membership, runs the pools' clients and owners, and answers operators. It opens no socket
+/// itself.
 class Decisions
 {
 public:
--- a/src/daemon/events.hpp
+++ b/src/daemon/events.hpp
@@ -60,7 +60,8 @@
   platform::Result<platform::Done> result;
 };
 
-using PlatformEvent = std::variant<LogRead, AppendDone, InstancesRead, ServersRead, ServerOrdered, UsageReported>;
+using PlatformEvent =
+  std::variant<LogRead, AppendDone, InstancesRead, ServersRead, ServerOrdered, UsageReported>;
 
 struct Tick
 {
@@ -69,8 +70,7 @@
 
 /// SIGTERM: drain and end.
 struct Terminate
-{
-};
+{};
 
 using ControlEvent = std::variant<Tick, Terminate>;
 
--- a/src/daemon/log_appender.cpp
+++ b/src/daemon/log_appender.cpp
@@ -24,7 +24,8 @@
 {
   if (mWaiting.size() >= kMaxWaiting) {
     if (aDone) {
-      aDone(platform::Failure{ platform::FailureKind::NoEffect, "too many records wait for the log" });
+      aDone(
+        platform::Failure{ platform::FailureKind::NoEffect, "too many records wait for the log" });
     }
     return;
   }
--- a/src/daemon/log_appender.hpp
+++ b/src/daemon/log_appender.hpp
@@ -10,9 +10,9 @@
 
 namespace mustardplank::daemon {
 
-/// Collects log records into few appends, as the log takes some hundred appends a second from all instances together.
-/// One append is under way at a time. Nothing is repeated but after "rate limited": whether a record is in the log is
-/// for its sender to read.
+/// Collects log records into few appends, as the log takes some hundred appends a second from all
+/// instances together. One append is under way at a time. Nothing is repeated but after "rate
+/// limited": whether a record is in the log is for its sender to read.
 class LogAppender
 {
 public:
--- a/src/daemon/log_follower.cpp
+++ b/src/daemon/log_follower.cpp
@@ -8,7 +8,8 @@
 
 constexpr Duration kRetryPause = Millis(100);
 constexpr Duration kReachableFor = Seconds(2);
-/// About one and a half hours of the 3,200 configuration changes a day together with our own records.
+/// About one and a half hours of the 3,200 configuration changes a day together with our own
+/// records.
 constexpr std::size_t kRecentEntries = 2048;
 
 }
--- a/src/daemon/log_follower.hpp
+++ b/src/daemon/log_follower.hpp
@@ -10,7 +10,8 @@
 
 namespace mustardplank::daemon {
 
-/// Reads the log from an offset on, one read at a time, and keeps the latest entries for peers that cannot reach it.
+/// Reads the log from an offset on, one read at a time, and keeps the latest entries for peers that
+/// cannot reach it.
 class LogFollower
 {
 public:
@@ -21,7 +22,8 @@
   /// Starts the next read when none is under way and no pause after a failure is left.
   void step(TimePoint aNow);
   /// The end of the read under way. Returns its entries, none after a failure.
-  std::vector<platform::LogEntry> finished(platform::Result<platform::LogChunk> aResult, TimePoint aNow);
+  std::vector<platform::LogEntry> finished(platform::Result<platform::LogChunk> aResult,
+                                           TimePoint aNow);
   /// Continue at another offset: after a snapshot, or after entries that came from a peer.
   void moveTo(platform::Offset aNext) { mNext = aNext; }
   void remember(const platform::LogEntry& aEntry);
@@ -36,7 +38,8 @@
   /// When the last read that reached the end was answered.
   TimePoint lastRead() const { return mLastRead; }
   /// Entries from aFrom on, if all of them are kept; at most aLimit.
-  std::optional<std::vector<platform::LogEntry>> recent(platform::Offset aFrom, std::size_t aLimit) const;
+  std::optional<std::vector<platform::LogEntry>> recent(platform::Offset aFrom,
+                                                        std::size_t aLimit) const;
 
 private:
   Read mRead;
--- a/src/daemon/operator_changes.cpp
+++ b/src/daemon/operator_changes.cpp
@@ -9,9 +9,11 @@
 
 namespace {
 
-/// "In force within seconds" is 5 s, of which an operator's call may use this much to reach the log.
+/// "In force within seconds" is 5 s, of which an operator's call may use this much to reach the
+/// log.
 constexpr Duration kDeadline = Seconds(4);
-/// A withdrawal is in force as a tombstone already; its caller waits only to learn whether it is in the log too.
+/// A withdrawal is in force as a tombstone already; its caller waits only to learn whether it is in
+/// the log too.
 constexpr Duration kWithdrawalDeadline = Seconds(2);
 constexpr Duration kAppendAgain = Millis(500);
 
@@ -84,7 +86,8 @@
   reply.inLog = false;
   reply.unavailable = !aPending.withdrawal;
   if (aPending.withdrawal) {
-    reply.message = "in force on all instances that can be reached; it is written to the log when the log returns";
+    reply.message = "in force on all instances that can be reached; it is written to the log when "
+                    "the log returns";
   } else if (aPending.mayBeInLog || aPending.underWay) {
     reply.message = "the log did not confirm the change in time; it may still take effect";
   } else {
--- a/src/daemon/operator_changes.hpp
+++ b/src/daemon/operator_changes.hpp
@@ -9,8 +9,8 @@
 
 namespace mustardplank::daemon {
 
-/// Operators' changes on their way into the log. A change is answered when it is read back from the log. Appending it
-/// again after a lost answer is safe, as an operation takes effect once.
+/// Operators' changes on their way into the log. A change is answered when it is read back from the
+/// log. Appending it again after a lost answer is safe, as an operation takes effect once.
 class OperatorChanges
 {
 public:
--- a/src/daemon/pool_directory.cpp
+++ b/src/daemon/pool_directory.cpp
@@ -39,9 +39,12 @@
 bool
 isForOwner(const pool::Message& aMessage)
 {
-  return std::holds_alternative<pool::PermitRequest>(aMessage) || std::holds_alternative<pool::PermitCancel>(aMessage) ||
-         std::holds_alternative<pool::SlotRelease>(aMessage) || std::holds_alternative<pool::Register>(aMessage) ||
-         std::holds_alternative<pool::Unregister>(aMessage) || std::holds_alternative<pool::OwnerLoad>(aMessage);
+  return std::holds_alternative<pool::PermitRequest>(aMessage) ||
+         std::holds_alternative<pool::PermitCancel>(aMessage) ||
+         std::holds_alternative<pool::SlotRelease>(aMessage) ||
+         std::holds_alternative<pool::Register>(aMessage) ||
+         std::holds_alternative<pool::Unregister>(aMessage) ||
+         std::holds_alternative<pool::OwnerLoad>(aMessage);
 }
 
 }
@@ -78,14 +81,16 @@
 }
 
 pool::PoolView
-PoolDirectory::makeView(const config::Pool& aPool, const std::vector<platform::PlatformServer>& aListed) const
+PoolDirectory::makeView(const config::Pool& aPool,
+                        const std::vector<platform::PlatformServer>& aListed) const
 {
   pool::PoolView view;
   view.pool = aPool;
   view.classes = valuesOf(mState->classes());
   view.organisations = valuesOf(mState->organisations());
   for (const auto& [id, server] : mState->servers()) {
-    if (server.pool == aPool.id && server.failureDomain == mSettings.failureDomain && !server.withdrawn) {
+    if (server.pool == aPool.id && server.failureDomain == mSettings.failureDomain &&
+        !server.withdrawn) {
       view.servers.push_back(server);
     }
   }
@@ -96,7 +101,8 @@
 }
 
 void
-PoolDirectory::addListedServers(pool::PoolView& aView, const std::vector<platform::PlatformServer>& aListed) const
+PoolDirectory::addListedServers(pool::PoolView& aView,
+                                const std::vector<platform::PlatformServer>& aListed) const
 {
   std::uint32_t usualSlots = 1;
   for (const auto& it : aView.servers) {
@@ -198,7 +204,9 @@
 }
 
 void
-PoolDirectory::handOver(const peer::Membership& aMembership, TimePoint aNow, pool::Effects& aEffects)
+PoolDirectory::handOver(const peer::Membership& aMembership,
+                        TimePoint aNow,
+                        pool::Effects& aEffects)
 {
   for (auto& [id, pool] : mPools) {
     const auto successor = aMembership.successor(id, mSettings.instance, aNow);
@@ -216,7 +224,10 @@
 }
 
 void
-PoolDirectory::cancel(const PoolId& aPool, const RequestId& aId, TimePoint aNow, pool::Effects& aEffects)
+PoolDirectory::cancel(const PoolId& aPool,
+                      const RequestId& aId,
+                      TimePoint aNow,
+                      pool::Effects& aEffects)
 {
   entry(aPool).client.cancel(aId, aNow, aEffects);
 }
@@ -229,7 +240,10 @@
 }
 
 void
-PoolDirectory::receive(const InstanceId& aFrom, const pool::Message& aMessage, TimePoint aNow, pool::Effects& aEffects)
+PoolDirectory::receive(const InstanceId& aFrom,
+                       const pool::Message& aMessage,
+                       TimePoint aNow,
+                       pool::Effects& aEffects)
 {
   if (std::holds_alternative<pool::CrashReport>(aMessage)) {
     for (auto& [id, pool] : mPools) {
@@ -341,7 +355,8 @@
 PoolDirectory::otherOwners(const PoolId& aPool) const
 {
   const auto found = mPools.find(aPool);
-  return found == mPools.end() ? std::vector<std::pair<FailureDomainId, InstanceId>>{} : found->second.otherOwners;
+  return found == mPools.end() ? std::vector<std::pair<FailureDomainId, InstanceId>>{}
+                               : found->second.otherOwners;
 }
 
 std::vector<PoolDirectory::PoolInfo>
--- a/src/daemon/pool_directory.hpp
+++ b/src/daemon/pool_directory.hpp
@@ -15,7 +15,8 @@
 
 namespace mustardplank::daemon {
 
-/// The pools of this instance's failure domain: a client for each, and the owner for those that this instance owns.
+/// The pools of this instance's failure domain: a client for each, and the owner for those that
+/// this instance owns.
 class PoolDirectory
 {
 public:
@@ -34,7 +35,10 @@
   void submit(pool::RequestInfo aRequest, TimePoint aNow, pool::Effects& aEffects);
   void cancel(const PoolId& aPool, const RequestId& aId, TimePoint aNow, pool::Effects& aEffects);
   void released(pool::SlotRelease aRelease, TimePoint aNow, pool::Effects& aEffects);
-  void receive(const InstanceId& aFrom, const pool::Message& aMessage, TimePoint aNow, pool::Effects& aEffects);
+  void receive(const InstanceId& aFrom,
+               const pool::Message& aMessage,
+               TimePoint aNow,
+               pool::Effects& aEffects);
   void heartbeat(const InstanceId& aFrom, TimePoint aNow);
   void linkRestored(const InstanceId& aPeer, TimePoint aNow, pool::Effects& aEffects);
   void loadReport(const pool::LoadReport& aReport, TimePoint aNow, pool::Effects& aEffects);
@@ -77,8 +81,10 @@
 
   Entry& entry(const PoolId& aPool);
   Entry* entryOfServer(const BackendServerId& aServer);
-  pool::PoolView makeView(const config::Pool& aPool, const std::vector<platform::PlatformServer>& aListed) const;
-  void addListedServers(pool::PoolView& aView, const std::vector<platform::PlatformServer>& aListed) const;
+  pool::PoolView makeView(const config::Pool& aPool,
+                          const std::vector<platform::PlatformServer>& aListed) const;
+  void addListedServers(pool::PoolView& aView,
+                        const std::vector<platform::PlatformServer>& aListed) const;
   void takeOver(Entry& aEntry, const PoolId& aPool, TimePoint aNow, pool::Effects& aEffects);
 
   const settings::Settings& mSettings;
--- a/src/daemon/status.hpp
+++ b/src/daemon/status.hpp
@@ -19,6 +19,7 @@
 };
 
 /// What this instance knows of itself, its pools and its peers.
-operators::StatusReport makeStatus(const StatusSources& aSources, TimePoint aNow);
+operators::StatusReport
+makeStatus(const StatusSources& aSources, TimePoint aNow);
 
 }
--- a/src/mustardplank/peer/codec.cpp
+++ b/src/mustardplank/peer/codec.cpp
@@ -19,9 +19,9 @@
 constexpr std::array<std::string_view, 6> kPeerNames{
   "heartbeat", "tombstone", "records", "snapshot_request", "snapshot", "usage_copy"
 };
-constexpr std::array<std::string_view, 11> kPoolNames{
-  "permit_request", "permit_cancel", "slot_release", "register",   "registered",  "permit_grant",
-  "permit_refuse",  "preempt",       "handover",     "owner_load", "crash_report"
+constexpr std::array<std::string_view, 12> kPoolNames{
+  "permit_request", "permit_cancel", "slot_release", "register", "unregister", "registered",
+  "permit_grant",   "permit_refuse", "preempt",      "handover", "owner_load", "crash_report"
 };
 static_assert(kPeerNames.size() + 1 == std::variant_size_v<Message>);
 static_assert(kPoolNames.size() == std::variant_size_v<pool::Message>);
--- a/src/mustardplank/peer/codec_test.cpp
+++ b/src/mustardplank/peer/codec_test.cpp
@@ -45,7 +45,7 @@
 // default.
 BOOST_AUTO_TEST_CASE(requestKeepsEveryMember)
 {
-  const auto info = roundTrip(pool::PermitRequest{ someRequest() }).request;
+  const auto info = roundTrip(pool::PermitRequest{ someRequest(), std::nullopt }).request;
   BOOST_TEST(info.id.str() == "r1");
   BOOST_TEST(info.untilDeadline.count() == -5000);
   BOOST_TEST(info.prefixHashes == someRequest().prefixHashes);
@@ -94,7 +94,7 @@
 BOOST_AUTO_TEST_CASE(mutatedInputNeverCrashes)
 {
   std::mt19937_64 random(20261204);
-  const auto original = encode(pool::Message(pool::PermitRequest{ someRequest() }));
+  const auto original = encode(pool::Message(pool::PermitRequest{ someRequest(), std::nullopt }));
   std::size_t accepted = 0;
   for (int i = 0; i < 20000; ++i) {
     auto bytes = original;
--- a/src/mustardplank/peer/message_fields.hpp
+++ b/src/mustardplank/peer/message_fields.hpp
@@ -18,7 +18,7 @@
 constexpr SlotOutcome
 lastEnumerator(SlotOutcome)
 {
-  return SlotOutcome::Unused;
+  return SlotOutcome::NotConnected;
 }
 
 template<typename A>
@@ -47,6 +47,7 @@
 fields(A& aArchive, PermitRequest& aMessage)
 {
   aArchive("r", aMessage.request);
+  aArchive("sf", aMessage.spilledFrom);
 }
 
 template<typename A>
@@ -93,6 +94,13 @@
   aArchive("r", aMessage.running);
 }
 
+template<typename A>
+void
+fields(A& aArchive, Unregister& aMessage)
+{
+  aArchive("p", aMessage.pool);
+}
+
 template<typename A>
 void
 fields(A& aArchive, Registered& aMessage)
@@ -142,6 +150,7 @@
 {
   aArchive("p", aMessage.pool);
   aArchive("e", aMessage.epoch);
+  aArchive("su", aMessage.successor);
 }
 
 template<typename A>
