Add the callers' server and the relay of streams

Cause: the daemon needs its traffic path: callers' HTTP, admission by key and class, permits from the decisions thread, streams to backend servers with resume, at-most-once requests, usage, draining.

Interfaces: traffic/events.hpp: OnceOutcome gets the field 'ran'. False means that nothing was sent to a backend server, so that the at-most-once module may let the idempotency key be used again; with 'known' alone a refusal would have had to be stored as the outcome.

--- a/include/mustardplank/traffic/events.hpp
+++ b/include/mustardplank/traffic/events.hpp
@@ -51,6 +51,9 @@
   RequestId id;
   OrganisationId organisation;
   std::string idempotencyKey;
+  /// False when nothing was sent to a backend server, so that the idempotency key may be used
+  /// again.
+  bool ran = true;
   /// False when it may have run but no answer came.
   bool known = true;
   std::uint32_t httpStatus = 0;
--- /dev/null
+++ b/src/mustardplank/traffic/backend_exchange.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "asio_types.hpp"
+#include "backend_client.hpp"
+#include "sink_body.hpp"
+
+#include <boost/beast/http/parser.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace mustardplank::traffic {
+
+struct Request;
+
+/// One request on a connection to a backend server, and its answer.
+class BackendExchange
+{
+public:
+  enum class Result
+  {
+    /// More may follow.
+    Ok,
+    /// The answer is complete.
+    Done,
+    /// The connection broke or the backend server was silent for too long.
+    Lost,
+    /// The backend server sent something that is no HTTP, or the body's sink stopped.
+    Malformed,
+  };
+
+  /// aOnBody takes the pieces of the answer's body and returns whether to go on.
+  BackendExchange(std::shared_ptr<BackendConnection> aConnection,
+                  std::function<bool(std::string_view)> aOnBody);
+
+  /// Writes the request. aBody must live until then.
+  Task<Result> send(const Request& aRequest, std::string_view aBody);
+  /// Reads until the header of the answer is complete. aTimeout is for the first byte.
+  Task<Result> readHeader(Duration aTimeout);
+  /// Reads at least once and hands on what came.
+  Task<Result> readSome(Duration aTimeout);
+
+  unsigned status() const { return mParser.get().result_int(); }
+  std::string contentType() const;
+  bool receivedAnything() const { return mReceivedAnything; }
+  /// Whether the connection can carry another request.
+  bool isReusable() const;
+
+private:
+  Result consume();
+  Task<Result> receive(Duration aTimeout);
+
+  std::shared_ptr<BackendConnection> mConnection;
+  boost::beast::http::response_parser<SinkBody> mParser;
+  bool mReceivedAnything = false;
+};
+
+}
