--- a/test/standins/platform_standin.cpp
+++ b/test/standins/platform_standin.cpp
@@ -53,9 +53,6 @@
   TimePoint mLast = bootNow();
 };
 
-/// Offsets start at 1, as 0 means "never set" in revisions. Reading from 0 is reading from 1.
-constexpr std::uint64_t kFirstOffset = 1;
-
 struct Answer
 {
   unsigned status = 200;
@@ -207,7 +204,7 @@
 
   Answer readLog(const Request& aRequest)
   {
-    const auto from = std::max(queryNumber(aRequest, "from", 0), kFirstOffset);
+    const auto from = queryNumber(aRequest, "from", 0);
     const auto limit = queryNumber(aRequest, "limit", 1000);
     if (from < mFirst) {
       return { 410, { { "first", mFirst } } };
@@ -399,7 +396,7 @@
   std::size_t mRetention;
   bool mCheckFence;
   /// Offset of the first record kept.
-  std::uint64_t mFirst = kFirstOffset;
+  std::uint64_t mFirst = 0;
   std::deque<json> mRecords;
   std::deque<std::pair<std::int64_t, json>> mInstanceHistory;
   json mServers = json::array();
--- a/test/support/caller.cpp
+++ b/test/support/caller.cpp
@@ -195,8 +195,7 @@
 json
 postJson(const std::string& aAddress, const std::string& aTarget, const json& aBody)
 {
-  return jsonOf(
-    { .address = aAddress, .method = "POST", .target = aTarget, .body = aBody.dump() });
+  return jsonOf({ .address = aAddress, .method = "POST", .target = aTarget, .body = aBody.dump() });
 }
 
 bool
@@ -213,8 +212,8 @@
 {
   constexpr std::size_t kShown = 80;
   return "status=" + std::to_string(http.status) + " code=" + errorCode + " run_state=" + runState +
-         " done=" + std::to_string(done) + " ms=" +
-         std::to_string(http.endMillis - http.startMillis) + " prompt=\"" +
+         " done=" + std::to_string(done) +
+         " ms=" + std::to_string(http.endMillis - http.startMillis) + " prompt=\"" +
          chat.prompt.substr(0, kShown) + "\" text_bytes=" + std::to_string(text.size()) +
          " body=\"" + (text.empty() ? http.body.substr(0, kShown) : "") + "\"";
 }
--- a/test/support/caller.hpp
+++ b/test/support/caller.hpp
@@ -22,8 +22,8 @@
   std::string address;
   std::string method = "GET";
   std::string target = "/";
-  std::map<std::string, std::string> headers;
-  std::string body;
+  std::map<std::string, std::string> headers = {};
+  std::string body = {};
   Duration timeout = Seconds(30);
 };
 
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -13,6 +13,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <random>
 #include <sstream>
 #include <stdexcept>
@@ -49,7 +50,8 @@
 {
   mImpl->log = std::move(aLog);
   // A test that ends in any way leaves no process behind.
-  const auto endWithParent = bp::extend::on_exec_setup([](auto&) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  const auto endWithParent =
+    bp::extend::on_exec_setup([](auto&) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
   mImpl->child = bp::child(aProgram,
                            bp::args(aArguments),
                            bp::std_in<bp::null, bp::std_out> mImpl->log + ".out",
