--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -13,6 +13,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <random>
 #include <sstream>
 #include <stdexcept>
