--- a/src/mustardplank/pool/owner_admission.cpp
+++ b/src/mustardplank/pool/owner_admission.cpp
@@ -17,6 +17,11 @@
 constexpr Duration kMostRetryAfter = Seconds(60);
 /// A prompt too long for its target may still wait for this part of the target.
 constexpr int kLeastWaitDivisor = 4;
+/// Part of the time left that is kept as a reserve, since times to first token vary: under overload
+/// every slot is granted at the last moment.
+constexpr int kMarginDivisor = 10;
+constexpr Duration kLeastMargin = Millis(5);
+constexpr Duration kMostMargin = Seconds(1);
 /// Requests shed in one tick, so that a tick stays short.
 constexpr int kMostShedPerTick = 256;
 
@@ -54,7 +59,8 @@
 OwnerCore::setLatestStart(Waiting& aRequest, TimePoint aNow) const
 {
   const Duration until = aRequest.info.untilDeadline;
-  const Duration wait = until - mEstimator.firstToken(aRequest.info);
+  const Duration margin = std::clamp<Duration>(until / kMarginDivisor, kLeastMargin, kMostMargin);
+  const Duration wait = until - margin - mEstimator.firstToken(aRequest.info);
   aRequest.latestStart =
     aNow + (until > Duration::zero() ? std::max(wait, until / kLeastWaitDivisor) : wait);
 }
@@ -288,6 +294,20 @@
   (void)aNow;
 }
 
+bool
+OwnerCore::giveUpIfOverdue(Waiting& aRequest, TimePoint aNow, Effects& aEffects)
+{
+  if (aRequest.keep || aRequest.late || aRequest.latestStart >= aNow || rebuilding(aNow)) {
+    return false;
+  }
+  if (shed(aRequest, expectedWait(aRequest), aNow, aEffects)) {
+    dequeue(aRequest);
+  } else {
+    mQueue.markLate(aRequest);
+  }
+  return true;
+}
+
 void
 OwnerCore::shedOverdue(TimePoint aNow, Effects& aEffects)
 {
@@ -300,11 +320,7 @@
          overdue = mQueue.overdue(tier, aNow)) {
       for (Waiting* it : overdue) {
         --budget;
-        if (shed(*it, expectedWait(*it), aNow, aEffects)) {
-          dequeue(*it);
-        } else {
-          mQueue.markLate(*it);
-        }
+        giveUpIfOverdue(*it, aNow, aEffects);
       }
     }
     for (Waiting* it : mQueue.lateOnes(tier)) {
--- a/src/mustardplank/pool/owner_core.hpp
+++ b/src/mustardplank/pool/owner_core.hpp
@@ -98,6 +98,9 @@
   bool shed(const Waiting& aRequest, Duration aWait, TimePoint aNow, Effects& aEffects);
   bool shedLower(std::uint32_t aTier, TimePoint aNow, Effects& aEffects);
   bool isProtected(const Waiting& aRequest) const;
+  /// Sheds a request that missed its latest start, or puts it behind those that can still be in
+  /// time. Returns whether it had missed it; the reference is then no longer valid.
+  bool giveUpIfOverdue(Waiting& aRequest, TimePoint aNow, Effects& aEffects);
   void shedOverdue(TimePoint aNow, Effects& aEffects);
   void sendAwayAll(TimePoint aNow, Effects& aEffects);
   bool rebuilding(TimePoint aNow) const;
--- a/src/mustardplank/pool/owner_grant.cpp
+++ b/src/mustardplank/pool/owner_grant.cpp
@@ -113,6 +113,9 @@
     if (request == nullptr) {
       return;
     }
+    if (giveUpIfOverdue(*request, aNow, aEffects)) {
+      continue;
+    }
     if (!tryGrant(*request, isProtected, gate, aEffects)) {
       request->skippedIn = mRound;
       ++skips;
