--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -24,9 +24,7 @@
 constexpr Duration kTombstoneInterval = Seconds(1);
 constexpr Duration kSnapshotRequestInterval = Seconds(1);
 constexpr std::size_t kRelayLimit = 256;
-/// Time that readiness fails before the listener stops taking requests, so that the load balancer
 /// notices first.
-constexpr Duration kReadinessLead = Millis(500);
 
 void
 logDropped(const char* aWhat, const std::string& aDetail)
