--- a/include/mustardplank/lease/lease_table.hpp
+++ b/include/mustardplank/lease/lease_table.hpp
@@ -33,7 +33,8 @@
 {
   Duty duty = Duty::OrderServers;
   FailureDomainId failureDomain;
-  auto operator<=>(const LeaseKey&) const = default;
+  auto operator<=>(const LeaseKey&) const =
+    default; // NOLINT(modernize-use-nullptr): a false finding
 };
 
 struct Lease
--- a/src/mustardplank/config/store.cpp
+++ b/src/mustardplank/config/store.cpp
@@ -257,8 +257,8 @@
 {
   auto& pending = mImpl->pending;
   const bool known = mImpl->operations.find(aRecord.operation) != nullptr ||
-                     std::any_of(pending.begin(), pending.end(), [&](const ChangeRecord& it) {
-                       return it.operation == aRecord.operation;
+                     std::any_of(pending.begin(), pending.end(), [&](const ChangeRecord& aPending) {
+                       return aPending.operation == aRecord.operation;
                      });
   if (known || !isWithdrawal(aRecord.change)) {
     return false;
--- a/src/mustardplank/config/validate.cpp
+++ b/src/mustardplank/config/validate.cpp
@@ -225,7 +225,7 @@
 std::string
 whyInvalid(const Change& aChange, const Objects& aObjects)
 {
-  return std::visit([&](const auto& it) { return why(it, aObjects); }, aChange);
+  return std::visit([&](const auto& aOne) { return why(aOne, aObjects); }, aChange);
 }
 
 }
