Add usage counters, windows and reports

Counters are cumulative by source (instance, incarnation, part). A window's figures are a function of the log up to its close record, which counts only if it names the close before it; so a late close record of a paused holder changes nothing, and closes need no check of the lease.

A reader that cannot see the log's beginning starts from a close record with bases (totals at the close before). When nobody knows a failure domain's state any more, a restart record begins anew: what was logged but not yet closed is then lost, nothing is billed twice.

Ruled out: bases with every close (1.2 MB a minute for each failure domain at full size, calculated); a meter that judges by itself whether it was retired (it may see fewer closes than the ledger, and would then count twice).

LeaseHolder: setWilling() for instances that do not know a failure domain's usage yet, actUntil() for the platform's notAfter.

--- a/include/mustardplank/lease/lease.hpp
+++ b/include/mustardplank/lease/lease.hpp
@@ -68,6 +68,9 @@
   /// Replaces the list of candidates; own instance included unless it is leaving.
   void setCandidates(std::vector<Candidate> aCandidates, TimePoint aNow);
 
+  /// An unwilling instance claims the duty no more; one that it holds it keeps. Willing at first.
+  void setWilling(const LeaseKey& aKey, bool aWilling);
+
   std::vector<AppendRecord> tick(TimePoint aNow);
   /// Before a planned stop: acts no more, takes no more duties and returns records that let others
   /// take over at once. tick() repeats those that got lost.
@@ -78,6 +81,9 @@
   /// The fencing token if this instance holds the duty and may act now. Has to be asked again
   /// directly before each write, with the time of that moment.
   std::optional<Offset> mayAct(const LeaseKey& aKey, TimePoint aNow) const;
+  /// End of the right to act, for calls that check it again at their write; zero for duties not
+  /// held.
+  TimePoint actUntil(const LeaseKey& aKey) const;
   const LeaseTable& table() const { return mTable; }
 
 private:
@@ -91,6 +97,7 @@
     /// When each record of ours was sent, by sequence.
     std::map<std::uint64_t, TimePoint> sent;
     TimePoint actUntil{};
+    bool willing = true;
   };
 
   bool isOwn(const Lease& aLease) const;
--- a/src/mustardplank/lease/lease.cpp
+++ b/src/mustardplank/lease/lease.cpp
@@ -85,6 +85,14 @@
   mCandidates = std::move(aCandidates);
 }
 
+void
+LeaseHolder::setWilling(const LeaseKey& aKey, bool aWilling)
+{
+  if (const auto it = mLocal.find(aKey); it != mLocal.end()) {
+    it->second.willing = aWilling;
+  }
+}
+
 std::optional<std::size_t>
 LeaseHolder::rank(const LeaseKey& aKey) const
 {
@@ -114,7 +122,7 @@
 LeaseHolder::mayClaim(const LeaseKey& aKey, const Local& aLocal, TimePoint aNow) const
 {
   const auto order = rank(aKey);
-  if (!order || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
+  if (!order || !aLocal.willing || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
     return false;
   }
   if (mOptions.failureDomain != aKey.failureDomain &&
@@ -223,4 +231,14 @@
   return lease->fence;
 }
 
+TimePoint
+LeaseHolder::actUntil(const LeaseKey& aKey) const
+{
+  if (!mOptions.leases || !mOptions.expiry) {
+    return TimePoint::max();
+  }
+  const auto local = mLocal.find(aKey);
+  return local == mLocal.end() ? TimePoint{} : local->second.actUntil;
+}
+
 }
--- /dev/null
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -0,0 +1,372 @@
+#include "mustardplank/usage/usage.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::usage;
+using platform::UsageLine;
+
+namespace mustardplank::platform {
+std::ostream&
+operator<<(std::ostream& aStream, const UsageLine& aLine)
+{
+  return aStream << aLine.organisation.str() << " " << aLine.requests << " " << aLine.promptTokens
+                 << " " << aLine.completionTokens;
+}
+}
+
+namespace {
+
+const FailureDomainId kDomain("a");
+const OrganisationId kPort("port");
+const OrganisationId kLab("lab");
+
+TimePoint
+at(double aSeconds)
+{
+  return TimePoint(Duration(static_cast<std::int64_t>(aSeconds * 1e6)));
+}
+
+struct Log
+{
+  std::vector<LogEntry> entries;
+  void append(const std::string& aRecord)
+  {
+    auto record = std::make_shared<const nlohmann::json>(nlohmann::json::parse(aRecord));
+    entries.push_back({ entries.size(), 0, std::move(record) });
+  }
+  void appendAll(const std::vector<MeterEffect>& aEffects)
+  {
+    for (const auto& it : aEffects) {
+      if (const auto* append = std::get_if<AppendRecord>(&it)) {
+        this->append(append->record);
+      }
+    }
+  }
+};
+
+/// An instance with a meter that reads the log.
+struct Instance
+{
+  UsageLedger ledger;
+  UsageMeter meter;
+  UsageBackup backup;
+
+  explicit Instance(const std::string& aName,
+                    std::uint64_t aIncarnation = 1,
+                    LedgerOptions aOptions = {})
+    : ledger(aOptions)
+    , meter(options(aName, aIncarnation))
+  {
+  }
+  static MeterOptions options(const std::string& aName, std::uint64_t aIncarnation)
+  {
+    MeterOptions options;
+    options.instance = InstanceId(aName);
+    options.incarnation = aIncarnation;
+    options.failureDomain = kDomain;
+    return options;
+  }
+  void read(const Log& aLog, Offset aFrom = 0)
+  {
+    for (Offset i = aFrom; i < aLog.entries.size(); ++i) {
+      ledger.apply(aLog.entries[i]);
+      meter.apply(aLog.entries[i], ledger);
+      backup.apply(aLog.entries[i]);
+    }
+  }
+};
+
+struct Two
+{
+  Log log;
+  Instance x;
+  Instance y;
+  double now = 0;
+
+  explicit Two(LedgerOptions aOptions = {})
+    : x("x", 1, aOptions)
+    , y("y", 1, aOptions)
+  {
+    log.append("{}");
+    read();
+  }
+  void read()
+  {
+    x.read(log);
+    y.read(log);
+  }
+  void count(Instance& aInstance, std::uint64_t aTokens)
+  {
+    aInstance.meter.add(kPort, { 1, aTokens, 2 * aTokens });
+    log.appendAll(aInstance.meter.flush(at(now += 20), aInstance.ledger));
+    read();
+  }
+  void close(bool aWithBases = false)
+  {
+    log.append(encode(x.ledger.nextClose(kDomain, 0, aWithBases)));
+    read();
+  }
+};
+
+std::vector<UsageLine>
+lines(std::uint64_t aRequests, std::uint64_t aTokens)
+{
+  return { { kPort, aRequests, aTokens, 2 * aTokens } };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(usage_windows)
+
+// Guards against two instances that would report different figures for one window.
+BOOST_FIXTURE_TEST_CASE(figuresAreEqualOnAllInstances, Two)
+{
+  count(x, 10);
+  count(y, 5);
+  close();
+  for (const auto* it : { &x, &y }) {
+    const auto windows = it->ledger.unreported(kDomain);
+    BOOST_REQUIRE(windows.size() == 1U);
+    BOOST_TEST(windows[0].id == "a/1");
+    BOOST_TEST(windows[0].lines == lines(2, 15));
+  }
+}
+
+// Guards against usage that is counted twice because an append was repeated after a lost answer.
+BOOST_FIXTURE_TEST_CASE(repeatedCountersCountOnce, Two)
+{
+  count(x, 10);
+  log.append(log.entries.back().record->dump());
+  close();
+  BOOST_TEST(x.ledger.unreported(kDomain)[0].lines == lines(1, 10));
+}
+
+// Guards against usage that arrives after the close being lost or changing the closed window.
+BOOST_FIXTURE_TEST_CASE(lateCountersGoIntoNextWindow, Two)
+{
+  count(x, 10);
+  close();
+  count(x, 7);
+  close();
+  BOOST_TEST(y.ledger.unreported(kDomain)[0].lines == lines(1, 10));
+  BOOST_TEST(y.ledger.unreported(kDomain)[1].lines == lines(1, 7));
+}
+
+// Guards against two close records that end one window at two places.
+BOOST_FIXTURE_TEST_CASE(firstCloseRecordWins, Two)
+{
+  count(x, 10);
+  const auto late = encode(y.ledger.nextClose(kDomain, 0, false));
+  close();
+  count(x, 1);
+  log.append(late);
+  read();
+  BOOST_TEST(x.ledger.window(kDomain) == 1U);
+  close();
+  BOOST_TEST(x.ledger.unreported(kDomain)[1].lines == lines(1, 1));
+}
+
+// Guards against usage of a killed instance going unbilled, and against billing it twice.
+BOOST_FIXTURE_TEST_CASE(backupAppendsForVanishedInstance, Two)
+{
+  count(x, 10);
+  x.meter.add(kPort, { 1, 3, 6 });
+  for (const auto& it : x.meter.tick(at(21), x.ledger)) {
+    if (const auto* copy = std::get_if<CopyToBackup>(&it)) {
+      y.backup.keep(nlohmann::json::parse(copy->record));
+    }
+  }
+  BOOST_TEST(y.backup.tick(at(30)).empty());
+  y.backup.gone(InstanceId("x"), 1);
+  for (const auto& it : y.backup.tick(at(30))) {
+    log.append(it.record);
+    log.append(it.record);
+  }
+  read();
+  BOOST_TEST(y.backup.kept() == 0U);
+  close();
+  BOOST_TEST(y.ledger.unreported(kDomain)[0].lines == lines(2, 13));
+}
+
+// Guards against a new instance, which cannot see the log's beginning, computing other figures.
+BOOST_FIXTURE_TEST_CASE(basesMakeLateReaderReady, Two)
+{
+  count(x, 10);
+  count(y, 4);
+  close();
+  count(x, 3);
+  const Offset start = log.entries.size();
+  close();
+  count(y, 6);
+  close(true);
+  Instance late("z");
+  late.read(log, start - 1);
+  BOOST_TEST(late.ledger.isReady(kDomain));
+  count(x, 1);
+  close();
+  late.read(log, start - 1);
+  BOOST_TEST(x.ledger.baseMismatches() == 0U);
+  const auto windows = late.ledger.unreported(kDomain);
+  BOOST_REQUIRE(windows.size() == 2U);
+  BOOST_TEST(windows[0].lines == lines(1, 6));
+  BOOST_TEST(windows[1].lines == lines(1, 1));
+  BOOST_TEST(windows[1].id == x.ledger.unreported(kDomain).back().id);
+}
+
+// Guards against a late reader that takes bases although it missed entries after them.
+BOOST_FIXTURE_TEST_CASE(basesAreNotTakenAfterMissedEntries, Two)
+{
+  count(x, 10);
+  close();
+  count(x, 3);
+  const Offset start = log.entries.size();
+  close(true);
+  Instance late("z");
+  late.read(log, start);
+  BOOST_TEST(!late.ledger.isReady(kDomain));
+}
+
+// Guards against usage lost or billed twice when a source was retired while its process was frozen.
+BOOST_AUTO_TEST_CASE(retiredSourceBeginsNewPart)
+{
+  Two two(LedgerOptions{ 2, 100 });
+  two.count(two.x, 10);
+  two.close();
+  two.x.meter.add(kPort, { 1, 5, 10 });
+  for (int i = 0; i < 2; ++i) {
+    two.count(two.y, 1);
+    two.close();
+  }
+  two.count(two.x, 2);
+  two.close();
+  BOOST_TEST(two.x.meter.isLogged());
+  UsageLine sum{ kPort, 0, 0, 0 };
+  for (const auto& it : two.y.ledger.unreported(kDomain)) {
+    sum.requests += it.lines[0].requests;
+    sum.promptTokens += it.lines[0].promptTokens;
+  }
+  BOOST_TEST(sum.promptTokens == 10U + 5 + 1 + 1 + 2);
+  BOOST_TEST(sum.requests == 5U);
+}
+
+// Guards against a failure domain that is never billed again because nobody knows its state, and
+// against billing twice what was counted before.
+BOOST_FIXTURE_TEST_CASE(restartBeginsAnew, Two)
+{
+  count(x, 10);
+  const Offset start = log.entries.size();
+  count(x, 3);
+  Instance late("z");
+  late.read(log, start);
+  BOOST_TEST(!late.ledger.isReady(kDomain));
+  x.meter.add(kPort, { 1, 6, 12 });
+  log.append(encode(late.ledger.restart(kDomain, 0)));
+  read();
+  late.read(log, start);
+  BOOST_TEST(late.ledger.isReady(kDomain));
+  count(x, 1);
+  close();
+  late.read(log, start);
+  for (const auto* it : { &x, &y, &late }) {
+    BOOST_TEST(it->ledger.unreported(kDomain).back().lines == lines(2, 7));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+struct Closing : Two
+{
+  CloserOptions options;
+  UsageCloser closer;
+
+  Closing()
+    : options{ kDomain }
+    , closer(options, at(0))
+  {
+    count(x, 10);
+  }
+  template<typename T>
+  std::vector<T> tick(double aSeconds, std::optional<Offset> aFence = 7)
+  {
+    std::vector<T> found;
+    for (const auto& it : closer.tick(at(aSeconds), x.ledger, aFence)) {
+      if (const auto* effect = std::get_if<T>(&it)) {
+        found.push_back(*effect);
+      }
+    }
+    return found;
+  }
+  void closeAt(double aSeconds)
+  {
+    for (const auto& it : tick<AppendRecord>(aSeconds)) {
+      log.append(it.record);
+    }
+    read();
+  }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(usage_closer)
+
+// Guards against an instance that closes or reports without holding the duty.
+BOOST_FIXTURE_TEST_CASE(actsOnlyWithFence, Closing)
+{
+  BOOST_TEST(tick<AppendRecord>(100, std::nullopt).empty());
+  closeAt(100);
+  BOOST_TEST(tick<Report>(101, std::nullopt).empty());
+  const auto report = tick<Report>(101).at(0);
+  BOOST_TEST(UsageCloser::mayReport(report, 7));
+  BOOST_TEST(!UsageCloser::mayReport(report, 9));
+  BOOST_TEST(!UsageCloser::mayReport(report, std::nullopt));
+}
+
+// Guards against a report whose answer was lost being sent again with other figures or not at all.
+BOOST_FIXTURE_TEST_CASE(lostReportIsSentAgainUnchanged, Closing)
+{
+  closeAt(100);
+  const auto first = tick<Report>(101).at(0);
+  BOOST_TEST(tick<Report>(120).empty());
+  closer.reported(first, platform::Failure{});
+  count(x, 50);
+  const auto second = tick<Report>(121).at(0);
+  BOOST_TEST(second.report.windowId == first.report.windowId);
+  BOOST_TEST(second.report.operation.str() == first.report.operation.str());
+  BOOST_TEST(second.report.organisations == first.report.organisations);
+}
+
+// Guards against a window being reported for ever.
+BOOST_FIXTURE_TEST_CASE(acceptedReportIsRecorded, Closing)
+{
+  closeAt(100);
+  closer.reported(tick<Report>(101).at(0), platform::Done{});
+  const auto record = tick<AppendRecord>(102);
+  BOOST_REQUIRE(record.size() == 1U);
+  log.append(record[0].record);
+  read();
+  BOOST_TEST(x.ledger.unreportedCount(kDomain) == 0U);
+  BOOST_TEST(tick<Report>(110).empty());
+}
+
+// Guards against records for windows without usage.
+BOOST_FIXTURE_TEST_CASE(emptyWindowIsNotClosed, Closing)
+{
+  closeAt(100);
+  BOOST_TEST(tick<AppendRecord>(300).empty());
+}
+
+// Guards against memory that grows while the interface for reports is down.
+BOOST_FIXTURE_TEST_CASE(unreportedWindowsAreBounded, Closing)
+{
+  options.maxUnreported = 1;
+  closer = UsageCloser(options, at(0));
+  closeAt(100);
+  count(x, 1);
+  BOOST_TEST(tick<AppendRecord>(300).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
