--- a/src/mustardplank/operator/operator_server.cpp
+++ b/src/mustardplank/operator/operator_server.cpp
@@ -7,6 +7,7 @@
 
 #include "mustardplank/base/log_event.hpp"
 
+#include <google/protobuf/stubs/logging.h>
 #include <grpcpp/resource_quota.h>
 #include <grpcpp/server_builder.h>
 
@@ -23,6 +24,14 @@
 /// How long stop() lets calls end before it cancels them.
 constexpr Millis kStopGrace(500);
 
+/// Protobuf writes a line to standard error for each string that is not UTF-8, also when the call
+/// has no valid token.
+void
+logProtobuf(google::protobuf::LogLevel, const char*, int, const std::string& aMessage)
+{
+  LogEvent(LogLevel::Debug, "protobuf.message").field("text", aMessage).write();
+}
+
 }
 
 struct OperatorServer::Impl
@@ -42,6 +51,7 @@
 
   void start()
   {
+    google::protobuf::SetLogHandler(logProtobuf);
     grpc::ServerBuilder builder;
     grpc::ResourceQuota quota("operators");
     quota.SetMaxThreads(options.maxThreads);
