--- a/test/integration/answers_test.cpp
+++ b/test/integration/answers_test.cpp
@@ -133,15 +133,15 @@
     if (round % 2 == 1) {
       deployment.controlPlatform({ { "lose_answers", 1 } });
     }
-    auto first = std::async(
-      std::launch::async, [&] { return callPermits(deployment, victim, body, key, 400); });
+    auto first = std::async(std::launch::async,
+                            [&] { return callPermits(deployment, victim, body, key, 400); });
     pause(Millis(random()() % 300));
     const bool kill = round % 3 != 2;
     if (kill) {
       deployment.instance(victim).process->kill();
     }
-    auto again = std::async(
-      std::launch::async, [&] { return callPermits(deployment, second, body, key, 400); });
+    auto again = std::async(std::launch::async,
+                            [&] { return callPermits(deployment, second, body, key, 400); });
     const auto other = callPermits(deployment, third, body, key, 400);
     const auto repeat = again.get();
     first.get();
@@ -196,8 +196,7 @@
   Plan plan = proof::plan(2, 2);
   for (const char* id : { "e1", "e2", "e3", "e4" }) {
     const bool first = id[1] < '3';
-    plan.backends.push_back(
-      engine(id, first ? "fd-a" : "fd-b", { "--tokens-per-second", "100" }));
+    plan.backends.push_back(engine(id, first ? "fd-a" : "fd-b", { "--tokens-per-second", "100" }));
   }
   Deployment deployment(plan);
   deployment.startInstances();
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -102,6 +102,7 @@
     throw std::runtime_error("cannot make " + folder);
   }
   mFolder = folder;
+  std::ofstream(mFolder / "operator-token") << kOperatorToken << '\n';
   planInstances();
   startPlatform();
   startProxy();
@@ -522,7 +523,6 @@
 Deployment::ctl(const std::string& aInstance, const std::vector<std::string>& aArguments)
 {
   const auto tokenFile = mFolder / "operator-token";
-  std::ofstream(tokenFile) << kOperatorToken << '\n';
   std::vector<std::string> arguments{
     "--server", instance(aInstance).operators, "--token-file", tokenFile.string()
   };
--- a/test/support/deployment.hpp
+++ b/test/support/deployment.hpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -162,7 +163,8 @@
   /// Address of each peer as each instance sees it, by (observer, peer).
   std::map<std::pair<std::string, std::string>, std::string> mPeerRoutes;
   unsigned mOperations = 0;
-  unsigned mCtlCalls = 0;
+  /// Operators may race.
+  std::atomic<unsigned> mCtlCalls{ 0 };
 };
 
 }
