Let a new owner use busy servers at once and know crash suspects

Cause: the daemon creates a PoolOwner when its instance becomes owner and only the owner polls the servers, so a new owner knows neither servers nor suspects. It put servers at full load through a warm-up (coldSlots, doubling each second), and a request that had crashed two servers was accepted again.

Change: a server that is warm when an owner first hears of it starts with half of its slots, or all when its report shows half of them in use, without waiting for all registrations. Every PoolClient keeps the crash reports of the last 600 s and sends them to a new owner. The end of a reclaim notice no longer moves back when the same notice is handed over again.

For the daemon: deliver every pool message, at least CrashReport and Handover, to both the PoolClient and the PoolOwner of the pool.

--- a/include/mustardplank/pool/server_life.hpp
+++ b/include/mustardplank/pool/server_life.hpp
@@ -78,7 +78,7 @@
   ServerState state() const { return mState; }
   /// Slots that may be in use now; 0 while draining or lost.
   std::uint32_t openSlots() const { return mOpen; }
-  /// Ordered, cold or warming: a surplus request harms it.
+  /// Cold, warming up after that, or not known yet: a surplus request harms it.
   bool fragile() const;
   /// Time at which the newest report was made.
   std::optional<TimePoint> reportTaken() const { return mReportTaken; }
@@ -97,6 +97,8 @@
   TimePoint mSince;
   std::uint32_t mOpen = 0;
   TimePoint mStepAt;
+  /// Was warm when this owner first heard of it, so another owner has used it before.
+  bool mFoundWarm = false;
   std::optional<TimePoint> mReportTaken;
   std::optional<std::uint64_t> mIncarnation;
   std::uint32_t mReportedRunning = 0;
--- a/src/mustardplank/pool/crash_test.cpp
+++ b/src/mustardplank/pool/crash_test.cpp
@@ -107,6 +107,36 @@
   BOOST_TEST(domain.at("i0").started.back().id.str() == "r2");
 }
 
+// Guards against a new owner that lets a request crash further servers.
+BOOST_AUTO_TEST_CASE(newOwnerKnowsTheSuspects)
+{
+  Domain domain(3);
+  const auto pool = view({ backendServer("b1", 4, 4), backendServer("b2", 4, 4) });
+  domain.setView(pool);
+  domain.agree("i0");
+  domain.report(warmReport("b1", 4));
+  domain.report(warmReport("b2", 4));
+  domain.pass(Seconds(6));
+  for (const auto* id : { "r1", "r2" }) {
+    domain.submit("i1", suspect(id));
+    domain.end("i1", id, SlotOutcome::ServerLost, kDigest);
+  }
+  domain.at("i0").dead = true;
+  std::erase(domain.live, InstanceId("i0"));
+  // The next owner starts with nothing, as in a daemon that did not own the pool before.
+  OwnerOptions fresh;
+  fresh.self = InstanceId("i2");
+  fresh.failureDomain = kDomain;
+  fresh.pool = kPool;
+  domain.at("i2").owner = PoolOwner(fresh);
+  domain.setView(pool);
+  domain.agree("i2");
+  domain.pass(Millis(500));
+  domain.submit("i1", suspect("r3"));
+  BOOST_REQUIRE(domain.at("i1").refused.size() == 1U);
+  BOOST_TEST((domain.at("i1").refused[0].code == ErrorCode::CrashSuspect));
+}
+
 // Guards against a harmless request that stays under suspicion after it ran alone to its end.
 BOOST_AUTO_TEST_CASE(finishedSuspectIsCleared)
 {
--- a/src/mustardplank/pool/permit_client.cpp
+++ b/src/mustardplank/pool/permit_client.cpp
@@ -8,12 +8,15 @@
 
 /// A registration without an answer is sent again after this time; a lost message must not leave
 /// the instance without an owner.
-constexpr Duration kRegisterRetry = Millis(500);
+constexpr Duration kRegisterRetry = Millis(250);
 /// A request that waits so long without an answer makes the instance register again, in case the
 /// permit request or its answer was lost.
 constexpr Duration kSilentWait = Seconds(10);
 /// How long the owner in another failure domain may take to answer.
 constexpr Duration kSpillTimeout = Seconds(1);
+/// Crash reports kept for the next owner.
+constexpr Duration kCrashTime = Seconds(600);
+constexpr std::size_t kMostCrashes = 256;
 constexpr Duration kNoOwnerRetryAfter = Seconds(2);
 
 Duration
@@ -62,8 +65,14 @@
   }
   mOwner = std::move(aOwner);
   mRegistered = false;
-  if (mOwner) {
-    registerAgain(aNow, aEffects);
+  if (!mOwner) {
+    return;
+  }
+  registerAgain(aNow, aEffects);
+  for (const auto& [report, time] : mCrashes) {
+    if (aNow - time < kCrashTime) {
+      aEffects.push_back(SendTo{ *mOwner, report });
+    }
   }
 }
 
@@ -323,6 +332,21 @@
   }
 }
 
+void
+PermitClient::handle(const InstanceId&, const CrashReport& aMessage, TimePoint aNow, Effects&)
+{
+  const bool known = std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aItem) {
+    return aItem.first.request == aMessage.request && aItem.first.server == aMessage.server;
+  });
+  if (known) {
+    return;
+  }
+  mCrashes.emplace_back(aMessage, aNow);
+  if (mCrashes.size() > kMostCrashes) {
+    mCrashes.pop_front();
+  }
+}
+
 void
 PermitClient::linkRestored(const InstanceId& aPeer, TimePoint aNow, Effects& aEffects)
 {
--- a/src/mustardplank/pool/permit_client.hpp
+++ b/src/mustardplank/pool/permit_client.hpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/pool/client_policy.hpp"
 
+#include <deque>
 #include <unordered_map>
 
 namespace mustardplank::pool {
@@ -63,6 +64,8 @@
   void handle(const InstanceId& aFrom, const PermitRefuse& aMessage, TimePoint, Effects& aEffects);
   void handle(const InstanceId& aFrom, const Preempt& aMessage, TimePoint, Effects& aEffects);
   void handle(const InstanceId& aFrom, const Handover& aMessage, TimePoint, Effects& aEffects);
+  /// Kept for the next owner, which starts without knowledge of earlier crashes.
+  void handle(const InstanceId& aFrom, const CrashReport& aMessage, TimePoint aNow, Effects&);
   /// All other messages are for owners.
   template<typename T>
   void handle(const InstanceId&, const T&, TimePoint, Effects&)
@@ -81,6 +84,7 @@
   TimePoint mRegisterSent;
   Requests mRequests;
   std::size_t mRunning = 0;
+  std::deque<std::pair<CrashReport, TimePoint>> mCrashes;
 };
 
 }
--- a/src/mustardplank/pool/server_life.cpp
+++ b/src/mustardplank/pool/server_life.cpp
@@ -95,7 +95,7 @@
 ServerLife::fragile() const
 {
   return mState == ServerState::Ordered || mState == ServerState::Cold ||
-         mState == ServerState::Warming;
+         (mState == ServerState::Warming && !mFoundWarm);
 }
 
 void
@@ -111,6 +111,7 @@
 void
 ServerLife::enter(ServerState aState, TimePoint aNow)
 {
+  mFoundWarm = mState == ServerState::Ordered && aState == ServerState::Warming;
   mState = aState;
   mSince = aNow;
   mStepAt = aNow;
@@ -120,6 +121,11 @@
     case ServerState::Cold:
     case ServerState::Warming:
       mOpen = std::min(std::max(mServer.coldSlots, 1U), limit());
+      if (mFoundWarm) {
+        // A new owner must not put a busy pool through a warm-up again.
+        const bool busy = 2 * mReportedRunning >= limit();
+        mOpen = busy ? limit() : std::max(mOpen, limit() / 2);
+      }
       break;
     case ServerState::Serving:
       mOpen = limit();
--- a/src/mustardplank/pool/servers.cpp
+++ b/src/mustardplank/pool/servers.cpp
@@ -59,9 +59,12 @@
     const auto notice = std::find_if(aView.reclaiming.begin(),
                                      aView.reclaiming.end(),
                                      [&](const auto& aItem) { return aItem.first == it.id; });
-    server.reclaimAt.reset();
-    if (notice != aView.reclaiming.end()) {
-      server.reclaimAt = aNow + notice->second;
+    if (notice == aView.reclaiming.end()) {
+      server.reclaimAt.reset();
+    } else {
+      // The same notice may be handed over again later with a time left that is out of date.
+      const TimePoint at = aNow + notice->second;
+      server.reclaimAt = std::min(server.reclaimAt.value_or(at), at);
     }
     server.leaving = it.draining || it.withdrawn || server.reclaimAt.has_value();
     server.life.configure(it, server.leaving, aNow);
--- a/src/mustardplank/pool/takeover_test.cpp
+++ b/src/mustardplank/pool/takeover_test.cpp
@@ -67,6 +67,29 @@
   BOOST_TEST(domain.at("i2").refused.empty());
 }
 
+// Guards against a busy pool that is put through a warm-up again by each new owner, which starts
+// without knowledge of the servers.
+BOOST_AUTO_TEST_CASE(newOwnerUsesBusyServersAtOnce)
+{
+  Domain domain = warmDomain(4);
+  for (int i = 0; i < 5; ++i) {
+    domain.submit("i1", request("r" + std::to_string(i)));
+  }
+  kill(domain, "i0");
+  OwnerOptions fresh;
+  fresh.self = InstanceId("i2");
+  fresh.failureDomain = kDomain;
+  fresh.pool = kPool;
+  domain.at("i2").owner = PoolOwner(fresh);
+  domain.setView(view({ backendServer("b1", 4, 1) }));
+  domain.agree("i2");
+  domain.end("i1", "r0");
+  BOOST_TEST(domain.startedCount("i1") == 4U);
+  domain.report(warmReport("b1", 4, 3));
+  domain.pass(Millis(100));
+  BOOST_TEST(domain.startedCount("i1") == 5U);
+}
+
 // Guards against a request that is lost because it was sent to an owner that had died.
 BOOST_AUTO_TEST_CASE(requestSentToDeadOwnerIsServedByTheNext)
 {
--- a/src/mustardplank/pool/test_support.hpp
+++ b/src/mustardplank/pool/test_support.hpp
@@ -267,6 +267,9 @@
   {
     if (const auto* crash = std::get_if<CrashReport>(&aEffect.message)) {
       mInstances.at(aId).crashes.push_back(*crash);
+      for (const auto& [id, instance] : mInstances) {
+        mMessages.push_back({ aId, id, aEffect.message });
+      }
     }
   }
   void take(const InstanceId& aId, const SendToOtherOwners& aEffect)
