--- a/include/mustardplank/pool/fair_queue.hpp
+++ b/include/mustardplank/pool/fair_queue.hpp
@@ -77,6 +77,8 @@
     Duration queued{};
     /// Work done divided by weight.
     double served = 0.0;
+    /// Counted in activeWeight; the configured weight may have changed since.
+    double weight = 0.0;
   };
   struct ClassSum
   {
@@ -89,6 +91,7 @@
     std::vector<ClassSum> classes;
     /// Organisations with waiting requests.
     std::vector<int> active;
+    double activeWeight = 0.0;
     std::size_t count = 0;
     std::size_t late = 0;
     Duration queued{};
--- a/src/mustardplank/pool/fair_queue.cpp
+++ b/src/mustardplank/pool/fair_queue.cpp
@@ -108,6 +108,8 @@
     // An organisation that was idle must not have saved up a claim to all slots.
     organisation.served = std::max(organisation.served, tier.clock);
     tier.active.push_back(aRequest.organisation);
+    organisation.weight = weight(aRequest.organisation);
+    tier.activeWeight += organisation.weight;
   }
   (aRequest.late ? queue.late : queue.inTime).insert(&aRequest);
   tier.usualWork += kWorkSmoothing * (aRequest.work - tier.usualWork);
@@ -121,8 +123,10 @@
   ClassQueue& queue = classQueue(tier, aRequest);
   (aRequest.late ? queue.late : queue.inTime).erase(&aRequest);
   count(tier, aRequest, -1);
-  if (tier.organisations[static_cast<std::size_t>(aRequest.organisation)].count == 0) {
+  auto& organisation = tier.organisations[static_cast<std::size_t>(aRequest.organisation)];
+  if (organisation.count == 0) {
     std::erase(tier.active, aRequest.organisation);
+    tier.activeWeight = tier.active.empty() ? 0.0 : tier.activeWeight - organisation.weight;
   }
 }
 
@@ -340,13 +344,7 @@
 FairQueue::activeWeight(std::uint32_t aTier) const
 {
   const Tier* tier = find(aTier);
-  double sum = 0.0;
-  if (tier != nullptr) {
-    for (const int organisation : tier->active) {
-      sum += weight(organisation);
-    }
-  }
-  return sum;
+  return tier != nullptr ? tier->activeWeight : 0.0;
 }
 
 }
--- a/src/mustardplank/pool/owner_admission.cpp
+++ b/src/mustardplank/pool/owner_admission.cpp
@@ -141,10 +141,10 @@
 Duration
 OwnerCore::expectedWait(const Waiting& aRequest) const
 {
-  if (mCapacity.open == 0) {
+  if (mServers.totalOpen() == 0) {
     return Duration::zero();
   }
-  const auto slots = static_cast<double>(mCapacity.open);
+  const auto slots = static_cast<double>(mServers.totalOpen());
   double higher = 0.0;
   for (std::uint32_t tier = 0; tier < aRequest.tier; ++tier) {
     higher += static_cast<double>(mQueue.queued(tier).count());
@@ -167,7 +167,8 @@
   const double active = std::max(mQueue.activeWeight(aRequest.tier), weight);
   const double fair = ownQueue * active / weight;
   const auto mean = static_cast<double>(mEstimator.meanSlotTime().count());
-  const double atOnce = mean * (mCapacity.free + preemptibleBelow(aRequest.tier, aRequest.arrived));
+  const double atOnce =
+    mean * (mServers.totalFree() + preemptibleBelow(aRequest.tier, aRequest.arrived));
   double wait = (higher + std::min(before, fair) + mean - atOnce) / slots;
   const double reserved = mMinShare.share(aRequest.requestClass) * slots;
   if (reserved > 0.0) {
@@ -184,7 +185,7 @@
   if (aRequest.keep) {
     return true;
   }
-  const double share = mMinShare.share(aRequest.requestClass) * mCapacity.open;
+  const double share = mMinShare.share(aRequest.requestClass) * mServers.totalOpen();
   return share > 0.0 && mQueue.classSize(aRequest.tier, aRequest.requestClass) <=
                           static_cast<std::size_t>(std::max(1.0, std::ceil(share)));
 }
@@ -221,7 +222,7 @@
     return false;
   }
   const ErrorCode code =
-    mCapacity.open == 0 ? ErrorCode::NoBackendServer : ErrorCode::DeadlineUnreachable;
+    mServers.totalOpen() == 0 ? ErrorCode::NoBackendServer : ErrorCode::DeadlineUnreachable;
   refuse(aRequest, code, retryAfter(aWait), std::nullopt, aEffects);
   return true;
 }
@@ -277,7 +278,12 @@
   enqueue(std::move(request));
   grantAll(aNow, aEffects);
   const auto waiting = mWaiting.find(id);
-  if (foreign && waiting != mWaiting.end()) {
+  if (waiting == mWaiting.end()) {
+    return;
+  }
+  if (!foreign) {
+    preemptFor(waiting->second, aNow, aEffects);
+  } else {
     // The other failure domain counts on an answer at once.
     refuse(waiting->second, ErrorCode::Overloaded, kLeastRetryAfter, std::nullopt, aEffects);
     dequeue(waiting->second);
--- a/src/mustardplank/pool/owner_core.cpp
+++ b/src/mustardplank/pool/owner_core.cpp
@@ -72,13 +72,14 @@
 }
 
 void
-OwnerCore::updateShares(TimePoint aNow)
+OwnerCore::refreshServers(TimePoint aNow)
 {
   if (!mRegistry.complete(aNow)) {
     mServers.setShares([&](const Server& aServer) {
       return mRegistry.share(aServer.life.openSlots(), aServer.hash, aNow);
     });
   }
+  mServers.refreshAll(gate(aNow));
 }
 
 const config::RequestClass*
@@ -134,9 +135,8 @@
   }
   applyOrganisations(aNow);
   applyClasses();
-  updateShares(aNow);
-  updateCapacity(gate(aNow));
-  mRetries.setRate(0.0, std::max(kLeastRetryBurst, 2.0 * mCapacity.open));
+  refreshServers(aNow);
+  mRetries.setRate(0.0, std::max(kLeastRetryBurst, 2.0 * mServers.totalOpen()));
   mRetries.add(kLeastRetryBurst);
   if (mView.failureDomainOut) {
     sendAwayAll(aNow, aEffects);
@@ -151,7 +151,7 @@
 {
   observe(aNow, aEffects);
   mRegistry.setInstances(aInstances, aNow);
-  updateShares(aNow);
+  refreshServers(aNow);
   grantAll(aNow, aEffects);
 }
 
@@ -187,10 +187,11 @@
     models |= 1ULL << (static_cast<unsigned>(mModelIds.index(it)) & 63U);
   }
   mServers[index].models = aReport.models.empty() ? kAllModels : models;
-  if (mServers[index].life.openSlots() != before) {
-    updateShares(aNow);
+  if (mServers[index].life.openSlots() != before && !mRegistry.complete(aNow)) {
+    refreshServers(aNow);
   }
-  if (mQueue.size() > 0) {
+  mServers.refresh(index, gate(aNow));
+  if (mServers.hadFree(index)) {
     grantAll(aNow, aEffects);
   }
 }
@@ -205,6 +206,7 @@
   }
   if (++mServers[index].unreachableInARow >= kUnreachablePolls) {
     mServers[index].life.connectionLost(aNow);
+    mServers.refresh(index, gate(aNow));
   }
 }
 
@@ -234,13 +236,13 @@
     it.life.tick(aNow);
   }
   mCrashes.tick(aNow);
-  updateShares(aNow);
-  updateCapacity(gate(aNow));
+  refreshServers(aNow);
   moveFromReclaimed(aNow, aEffects);
   if (mView.failureDomainOut) {
     sendAwayAll(aNow, aEffects);
   }
   grantAll(aNow, aEffects);
+  preemptForAll(aNow, aEffects);
   shedOverdue(aNow, aEffects);
   sendLoad(aNow, aEffects);
 }
@@ -273,8 +275,8 @@
   load.epoch = mRegistry.epoch();
   load.queued = static_cast<std::uint32_t>(mQueue.size());
   if (!mView.failureDomainOut) {
-    load.slots = mCapacity.open;
-    load.freeSlots = mCapacity.free > load.queued ? mCapacity.free - load.queued : 0;
+    load.slots = mServers.totalOpen();
+    load.freeSlots = mServers.totalFree() > load.queued ? mServers.totalFree() - load.queued : 0;
   }
   aEffects.push_back(SendToOtherOwners{ mOptions.pool, load });
 }
@@ -291,7 +293,7 @@
   for (std::uint32_t tier = 0; tier < mQueue.tiers(); ++tier) {
     queued += mQueue.queued(tier);
   }
-  status.backlog = queued / std::max<Duration::rep>(mCapacity.open, 1);
+  status.backlog = queued / std::max<Duration::rep>(mServers.totalOpen(), 1);
   for (const auto& it : mServers.all()) {
     if (!it.gone) {
       status.servers.push_back({ it.config.id,
--- a/src/mustardplank/pool/owner_core.hpp
+++ b/src/mustardplank/pool/owner_core.hpp
@@ -44,12 +44,6 @@
     std::uint32_t maxConcurrent = 0;
     std::optional<TokenBucket> rate;
   };
-  /// Slots of all servers.
-  struct Capacity
-  {
-    std::uint32_t open = 0;
-    std::uint32_t free = 0;
-  };
   using WaitingMap = std::unordered_map<RequestId, Waiting>;
   using RunningMap = std::unordered_map<RequestId, Running>;
 
@@ -58,7 +52,8 @@
   void observe(TimePoint aNow, Effects& aEffects);
   void dropRole(TimePoint aNow, Effects& aEffects);
   Gate gate(TimePoint aNow) const;
-  void updateShares(TimePoint aNow);
+  /// Brings shares and sums up to date after a change that concerns all servers.
+  void refreshServers(TimePoint aNow);
   void applyOrganisations(TimePoint aNow);
   void applyClasses();
   void sendLoad(TimePoint aNow, Effects& aEffects);
@@ -113,18 +108,21 @@
   bool grantable(const Waiting& aRequest, TimePoint aNow) const;
   bool tryGrant(Waiting& aRequest, bool aProtected, const Gate& aGate, Effects& aEffects);
   void grant(Waiting& aRequest, int aServer, bool aProtected, TimePoint aNow, Effects& aEffects);
-  void updateCapacity(const Gate& aGate);
   void advanceShares(TimePoint aNow);
   void addRunning(Running aSlot);
   void dropReservations();
 
   // owner_preempt.cpp
-  void preemptFor(TimePoint aNow, Effects& aEffects);
+  /// Preempts lower tiers for a request that waits.
+  void preemptFor(const Waiting& aRequest, TimePoint aNow, Effects& aEffects);
+  /// The same for the first request of each tier.
+  void preemptForAll(TimePoint aNow, Effects& aEffects);
   Running* findVictim(std::uint32_t aAboveTier, TimePoint aNow) const;
   bool preemptible(const Running& aSlot, TimePoint aNow) const;
   std::size_t preemptibleBelow(std::uint32_t aTier, TimePoint aNow) const;
   void preempt(Running& aSlot, Effects& aEffects);
-  std::uint32_t wanted(std::uint32_t aTier, TimePoint aNow) const;
+  /// Slots that must be freed for the requests of its tier if aRequest is the first of them.
+  std::uint32_t wanted(const Waiting& aRequest, TimePoint aNow) const;
 
   // owner_release.cpp
   void handle(const InstanceId& aFrom, const SlotRelease& aMessage, TimePoint aNow, Effects&);
@@ -180,9 +178,9 @@
   std::vector<std::set<Running*, Newest>> mByTier;
   std::size_t mPreempting = 0;
   std::size_t mAloneWaiting = 0;
+  std::size_t mForeignRunning = 0;
   std::uint64_t mSequence = 0;
   std::uint64_t mRound = 0;
-  Capacity mCapacity;
   TimePoint mLoadSent;
   std::vector<TimePoint> mLosses;
 };
--- a/src/mustardplank/pool/owner_grant.cpp
+++ b/src/mustardplank/pool/owner_grant.cpp
@@ -14,16 +14,6 @@
 
 }
 
-void
-OwnerCore::updateCapacity(const Gate& aGate)
-{
-  mCapacity = {};
-  for (int i = 0; i < static_cast<int>(mServers.size()); ++i) {
-    mCapacity.open += mServers.open(i, aGate);
-    mCapacity.free += mServers.free(i, aGate);
-  }
-}
-
 void
 OwnerCore::advanceShares(TimePoint aNow)
 {
@@ -32,7 +22,7 @@
     for (std::uint32_t tier = 0; tier < mQueue.tiers(); ++tier) {
       queued = queued || mQueue.classSize(tier, i) > 0;
     }
-    mMinShare.advance(i, queued, mCapacity.open, aNow);
+    mMinShare.advance(i, queued, mServers.totalOpen(), aNow);
   }
 }
 
@@ -62,11 +52,12 @@
       continue;
     }
     for (int i = 0; i < static_cast<int>(mMinShare.classes()); ++i) {
-      if (mQueue.classSize(tier, i) == 0 || mMinShare.share(i) <= 0.0) {
+      if (mQueue.classSize(tier, i) == 0 ||
+          !mMinShare.entitled(i, mServers.totalOpen(), Duration::zero())) {
         continue;
       }
       Waiting* request = mQueue.nextOfClass(tier, i, mRound, aFilter);
-      if (request != nullptr && mMinShare.entitled(i, mCapacity.open, request->slotTime)) {
+      if (request != nullptr && mMinShare.entitled(i, mServers.totalOpen(), request->slotTime)) {
         return request;
       }
     }
@@ -93,11 +84,10 @@
 void
 OwnerCore::grantAll(TimePoint aNow, Effects& aEffects)
 {
-  const Gate gate = this->gate(aNow);
-  updateCapacity(gate);
   if (mHandedOver || mQueue.size() == 0 || mView.failureDomainOut) {
     return;
   }
+  const Gate gate = this->gate(aNow);
   advanceShares(aNow);
   if (mAloneWaiting == 0) {
     dropReservations();
@@ -107,7 +97,7 @@
     return grantable(aRequest, aNow);
   };
   int skips = 0;
-  while (mCapacity.free > 0 && skips < kMostSkips) {
+  while (mServers.totalFree() > 0 && skips < kMostSkips) {
     bool isProtected = false;
     Waiting* request = pickNext(filter, isProtected);
     if (request == nullptr) {
@@ -121,9 +111,6 @@
       ++skips;
     }
   }
-  if (mCapacity.free == 0) {
-    preemptFor(aNow, aEffects);
-  }
 }
 
 bool
@@ -135,10 +122,7 @@
   if (server < 0) {
     return false;
   }
-  const auto before = mServers.free(server, aGate);
   grant(aRequest, server, aProtected, aGate.now, aEffects);
-  const auto after = mServers.free(server, aGate);
-  mCapacity.free -= std::min(mCapacity.free, before - after);
   return true;
 }
 
@@ -152,6 +136,10 @@
   }
   Running& slot = mRunning.emplace(id, std::move(aSlot)).first->second;
   mServers.occupy(slot);
+  if (slot.server >= 0) {
+    mServers.refresh(slot.server, gate(slot.grantedAt));
+  }
+  mForeignRunning += slot.foreign ? 1 : 0;
   ++mOrganisations[static_cast<std::size_t>(slot.organisation)].running;
   mMinShare.started(slot.requestClass);
   if (slot.tier >= mByTier.size()) {
--- a/src/mustardplank/pool/owner_preempt.cpp
+++ b/src/mustardplank/pool/owner_preempt.cpp
@@ -24,7 +24,7 @@
       aSlot.alone || aSlot.protectedShare || aNow - aSlot.grantedAt < kLeastRun) {
     return false;
   }
-  const double share = mMinShare.share(aSlot.requestClass) * mCapacity.open;
+  const double share = mMinShare.share(aSlot.requestClass) * mServers.totalOpen();
   if (mMinShare.running(aSlot.requestClass) <= share) {
     return false;
   }
@@ -71,38 +71,51 @@
 }
 
 std::uint32_t
-OwnerCore::wanted(std::uint32_t aTier, TimePoint aNow) const
+OwnerCore::wanted(const Waiting& aRequest, TimePoint aNow) const
 {
-  const FairQueue::Filter filter = [&](const Waiting& aRequest) {
-    return grantable(aRequest, aNow);
-  };
-  const Waiting* head = mQueue.next(aTier, mRound, filter);
-  if (head == nullptr) {
-    return 0;
-  }
-  const Duration slack = head->latestStart - aNow - kPreemptTime;
+  const Duration slack = aRequest.latestStart - aNow - kPreemptTime;
   const auto seconds = static_cast<double>(std::max(slack, Duration::zero()).count());
   const double perSlot = seconds / static_cast<double>(mEstimator.meanSlotTime().count());
-  const double freed = perSlot * mCapacity.open;
-  const auto queued = static_cast<double>(mQueue.size(aTier));
+  const double freed = perSlot * mServers.totalOpen();
+  const auto queued = static_cast<double>(mQueue.size(aRequest.tier));
   return queued > freed ? static_cast<std::uint32_t>(std::ceil(queued - freed)) : 0;
 }
 
 void
-OwnerCore::preemptFor(TimePoint aNow, Effects& aEffects)
+OwnerCore::preemptFor(const Waiting& aRequest, TimePoint aNow, Effects& aEffects)
 {
-  std::size_t need = 0;
+  if (mServers.totalFree() > 0 || !grantable(aRequest, aNow)) {
+    return;
+  }
+  // Slots that are being freed for higher tiers are not for this one.
+  std::size_t need = wanted(aRequest, aNow);
+  for (std::uint32_t tier = 0; need > 0 && tier < aRequest.tier; ++tier) {
+    need += mQueue.size(tier);
+  }
+  while (mPreempting < need) {
+    Running* victim = findVictim(aRequest.tier, aNow);
+    if (victim == nullptr) {
+      return;
+    }
+    preempt(*victim, aEffects);
+  }
+}
+
+void
+OwnerCore::preemptForAll(TimePoint aNow, Effects& aEffects)
+{
+  if (mHandedOver || mServers.totalFree() > 0) {
+    return;
+  }
+  const FairQueue::Filter filter = [&](const Waiting& aRequest) {
+    return grantable(aRequest, aNow);
+  };
   for (std::uint32_t tier = 0; tier + 1 < mByTier.size() && tier < mQueue.tiers(); ++tier) {
-    if (mQueue.size(tier) == 0) {
+    if (mQueue.size(tier) == 0 || findVictim(tier, aNow) == nullptr) {
       continue;
     }
-    need += wanted(tier, aNow);
-    while (mPreempting < need) {
-      Running* victim = findVictim(tier, aNow);
-      if (victim == nullptr) {
-        break;
-      }
-      preempt(*victim, aEffects);
+    if (const Waiting* first = mQueue.next(tier, mRound, filter)) {
+      preemptFor(*first, aNow, aEffects);
     }
   }
 }
--- a/src/mustardplank/pool/owner_registration.cpp
+++ b/src/mustardplank/pool/owner_registration.cpp
@@ -38,7 +38,7 @@
       "pool.owner_started",
       { { "pool", mOptions.pool.str() }, { "epoch", std::to_string(mRegistry.epoch()) } } });
   }
-  updateShares(aNow);
+  refreshServers(aNow);
   grantAll(aNow, aEffects);
 }
 
@@ -47,7 +47,7 @@
 {
   forgetInstance(aFrom, true, aNow);
   mRegistry.remove(aFrom, aNow);
-  updateShares(aNow);
+  refreshServers(aNow);
   grantAll(aNow, aEffects);
 }
 
@@ -110,6 +110,9 @@
   for (const auto& it : mRegistry.takeReturned()) {
     send(it, Registered{ mOptions.pool, 0 }, aEffects);
   }
+  if (mForeignRunning == 0) {
+    return;
+  }
   for (auto it = mRunning.begin(); it != mRunning.end();) {
     const auto current = it++;
     if (current->second.foreign && aNow > current->second.foreignLeaseEnd) {
--- a/src/mustardplank/pool/owner_release.cpp
+++ b/src/mustardplank/pool/owner_release.cpp
@@ -28,6 +28,10 @@
   } else {
     mServers.release(slot, aNow);
   }
+  if (slot.server >= 0) {
+    mServers.refresh(slot.server, gate(aNow));
+  }
+  mForeignRunning -= slot.foreign ? 1 : 0;
   --mOrganisations[static_cast<std::size_t>(slot.organisation)].running;
   mMinShare.ended(slot.requestClass);
   mByTier[slot.tier].erase(&slot);
--- a/src/mustardplank/pool/placement.cpp
+++ b/src/mustardplank/pool/placement.cpp
@@ -80,7 +80,7 @@
   int best = -1;
   double bestCost = 0.0;
   for (int i = 0; i < static_cast<int>(mServers.size()); ++i) {
-    if (!usable(i, aRequest, aGate)) {
+    if (!mServers.hadFree(i) || !usable(i, aRequest, aGate)) {
       continue;
     }
     const double value = cost(i, aRequest, aOutputTokens, aGate);
--- a/src/mustardplank/pool/servers.cpp
+++ b/src/mustardplank/pool/servers.cpp
@@ -150,6 +150,26 @@
   server.unknown = reported > known ? reported - known : 0;
 }
 
+void
+Servers::refresh(int aServer, const Gate& aGate)
+{
+  mSums.resize(mServers.size());
+  Sum& sum = mSums[static_cast<std::size_t>(aServer)];
+  mTotalOpen -= sum.open;
+  mTotalFree -= sum.free;
+  sum = { open(aServer, aGate), free(aServer, aGate) };
+  mTotalOpen += sum.open;
+  mTotalFree += sum.free;
+}
+
+void
+Servers::refreshAll(const Gate& aGate)
+{
+  for (int i = 0; i < static_cast<int>(mServers.size()); ++i) {
+    refresh(i, aGate);
+  }
+}
+
 std::uint32_t
 Servers::open(int aServer, const Gate& aGate) const
 {
--- a/src/mustardplank/pool/servers.hpp
+++ b/src/mustardplank/pool/servers.hpp
@@ -126,6 +126,15 @@
     }
   }
 
+  /// Brings the sums below up to date after a change to one server, or to the gate.
+  void refresh(int aServer, const Gate& aGate);
+  void refreshAll(const Gate& aGate);
+  /// Sums over all servers, as of the last refresh.
+  std::uint32_t totalOpen() const { return mTotalOpen; }
+  std::uint32_t totalFree() const { return mTotalFree; }
+  /// Whether a server had a free slot at its last refresh; a quick look before free().
+  bool hadFree(int aServer) const { return mSums[static_cast<std::size_t>(aServer)].free > 0; }
+
   /// Slots of a server that may be granted now.
   std::uint32_t free(int aServer, const Gate& aGate) const;
   /// Slots of a server that may be in use under aGate.
@@ -137,6 +146,15 @@
   std::deque<Server> mServers;
   std::unordered_map<BackendServerId, int> mIndex;
   std::vector<std::uint32_t> mShares;
+  struct Sum
+  {
+    std::uint32_t open = 0;
+    std::uint32_t free = 0;
+  };
+  /// What each server contributes to the totals.
+  std::vector<Sum> mSums;
+  std::uint32_t mTotalOpen = 0;
+  std::uint32_t mTotalFree = 0;
 };
 
 }
