--- a/src/mustardplank/pool/test_support.hpp
+++ b/src/mustardplank/pool/test_support.hpp
@@ -217,6 +217,8 @@
 
   TimePoint now{ Seconds(1000) };
   std::vector<InstanceId> live;
+  /// Messages between different instances.
+  std::uint64_t messages = 0;
 
 private:
   struct Sent
@@ -249,6 +251,7 @@
 
   void take(const InstanceId& aId, const SendTo& aEffect)
   {
+    messages += aId == aEffect.to ? 0 : 1;
     mMessages.push_back({ aId, aEffect.to, aEffect.message });
   }
   void take(const InstanceId& aId, const StartStream& aEffect)
