--- a/include/mustardplank/lease/lease.hpp
+++ b/include/mustardplank/lease/lease.hpp
@@ -61,6 +61,8 @@
 public:
   LeaseHolder(HolderOptions aOptions, TimePoint aNow);
 
+  /// Adds duties that this instance may take, as failure domains become known.
+  void addKeys(const std::vector<LeaseKey>& aKeys, TimePoint aNow);
   /// Takes in one log entry; aNow is when it was read, or later.
   void apply(const LogEntry& aEntry, TimePoint aNow);
   /// The log has been read to its end at aNow.
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -1,5 +1,6 @@
 #include "decisions.hpp"
 
+#include "mustardplank/base/clock.hpp"
 #include "mustardplank/base/log_event.hpp"
 #include "status.hpp"
 
@@ -26,6 +27,71 @@
 constexpr std::size_t kRelayLimit = 256;
 /// notices first.
 
+once::Options
+onceOptions(const settings::Settings& aSettings, std::uint64_t aIncarnation)
+{
+  once::Options options;
+  options.instance = aSettings.instance;
+  options.incarnation = aIncarnation;
+  options.intents = aSettings.mechanisms.intents;
+  return options;
+}
+
+once::Execution
+executionOf(const traffic::OnceOutcome& aOutcome)
+{
+  if (!aOutcome.ran) {
+    return once::Execution::NotRun;
+  }
+  return aOutcome.known ? once::Execution::Known : once::Execution::Unknown;
+}
+
+traffic::OnceAnswer
+answerFor(once::Answer aAnswer)
+{
+  switch (aAnswer) {
+    case once::Answer::Run:
+      return traffic::OnceAnswer::Run;
+    case once::Answer::Replay:
+      return traffic::OnceAnswer::Replay;
+    case once::Answer::Conflict:
+      return traffic::OnceAnswer::Conflict;
+    case once::Answer::Unknown:
+      return traffic::OnceAnswer::Unknown;
+    case once::Answer::LogUnavailable:
+      break;
+  }
+  return traffic::OnceAnswer::LogUnavailable;
+}
+
+/// The form in which crash reports go through the log.
+std::string
+crashRecord(const pool::CrashReport& aReport)
+{
+  return nlohmann::json{
+    { "v", 1 },
+    { "kind", "crash.report" },
+    { "digest", aReport.digest },
+    { "server", aReport.server.str() },
+    { "request", aReport.request.str() }
+  }.dump();
+}
+
+std::optional<pool::CrashReport>
+readCrashRecord(const nlohmann::json& aRecord)
+{
+  const auto digest = aRecord.find("digest");
+  if (!aRecord.is_object() || aRecord.value("kind", "") != "crash.report" ||
+      digest == aRecord.end() || !digest->is_number_unsigned()) {
+    return std::nullopt;
+  }
+  pool::CrashReport report;
+  report.digest = digest->get<std::uint64_t>();
+  report.server = BackendServerId(aRecord.value("server", ""));
+  report.request = RequestId(aRecord.value("request", ""));
+  return report;
+}
+
 void
 logDropped(const char* aWhat, const std::string& aDetail)
 {
@@ -61,10 +127,36 @@
   , mChanges(mStore, mAppender)
   , mMembership({ aSettings.instance, aIncarnation, aSettings.failureDomain }, aNow)
   , mPools(aSettings, aIncarnation)
+  , mDuties(aSettings, aIncarnation, mAppender, makeDutyOutputs(), aNow)
+  , mOnce(onceOptions(aSettings, aIncarnation))
   , mLastTick(aNow)
 {
 }
 
+DutyOutputs
+Decisions::makeDutyOutputs()
+{
+  DutyOutputs outputs;
+  outputs.reportUsage = [this](platform::UsageReport aReport, usage::Report aEffect) {
+    mPlatform.reportUsage(std::move(aReport),
+                          [this, aEffect](platform::Result<platform::Done> aResult) {
+                            mOutputs.fromPlatform(UsageReported{ aEffect, std::move(aResult) });
+                          });
+  };
+  outputs.orderServer = [this](platform::ServerOrder aOrder, lease::Execute aExecute) {
+    mPlatform.orderServer(std::move(aOrder),
+                          [this, aExecute](platform::Result<platform::Ordered> aResult) {
+                            mOutputs.fromPlatform(ServerOrdered{ aExecute, std::move(aResult) });
+                          });
+  };
+  outputs.copyUsage = [this](std::string aRecord) {
+    if (const auto backup = mMembership.backup(mLastTick)) {
+      mOutputs.toPeer(*backup, peer::UsageCopy{ std::move(aRecord) });
+    }
+  };
+  return outputs;
+}
+
 Decisions::~Decisions() = default;
 
 void
@@ -110,6 +202,7 @@
 void
 Decisions::on(traffic::Cancel aEvent, TimePoint aNow)
 {
+  mOnce.cancel(aEvent.id);
   pool::Effects effects;
   mPools.cancel(aEvent.pool, aEvent.id, aNow, effects);
   run(effects, aNow);
@@ -124,22 +217,27 @@
 }
 
 void
-Decisions::on(traffic::OnceBegin aEvent, TimePoint)
+Decisions::on(traffic::OnceBegin aEvent, TimePoint aNow)
 {
-  traffic::OnceDecision decision;
-  decision.id = aEvent.id;
-  mOutputs.toTraffic(std::move(decision));
+  run(
+    mOnce.begin({ aEvent.id, aEvent.organisation, aEvent.idempotencyKey, aEvent.bodyDigest }, aNow),
+    aNow);
 }
 
 void
-Decisions::on(traffic::OnceOutcome aEvent, TimePoint)
+Decisions::on(traffic::OnceOutcome aEvent, TimePoint aNow)
 {
-  mOutputs.toTraffic(traffic::OnceStored{ aEvent.id });
+  once::Outcome outcome;
+  outcome.id = aEvent.id;
+  outcome.execution = executionOf(aEvent);
+  outcome.response = { aEvent.httpStatus, std::move(aEvent.contentType), std::move(aEvent.body) };
+  run(mOnce.outcome(std::move(outcome), aNow), aNow);
 }
 
 void
-Decisions::on(traffic::Usage, TimePoint)
+Decisions::on(traffic::Usage aEvent, TimePoint)
 {
+  mDuties.addUsage(aEvent);
 }
 
 void
@@ -235,6 +333,8 @@
     if (it.offset == mFollower.next()) {
       mFollower.moveTo(it.offset + 1);
       applyEntry(it, aNow);
+    } else if (it.offset == mStore.next()) {
+      mStore.apply(it);
     }
   }
   publishConfig(aNow);
@@ -268,8 +368,9 @@
 }
 
 void
-Decisions::receive(const PeerMessage&, const peer::UsageCopy&, TimePoint)
+Decisions::receive(const PeerMessage&, const peer::UsageCopy& aMessage, TimePoint)
 {
+  mDuties.keepCopy(aMessage.record);
 }
 
 void
@@ -286,6 +387,8 @@
 Decisions::on(LogRead aEvent, TimePoint aNow)
 {
   const bool wasReachable = mFollower.reachable(aNow);
+  const auto* chunk = std::get_if<platform::LogChunk>(&aEvent.result);
+  const auto first = chunk ? chunk->first : 0;
   const auto entries = mFollower.finished(std::move(aEvent.result), aNow);
   for (const auto& it : entries) {
     if (!applyEntry(it, aNow)) {
@@ -295,8 +398,10 @@
   if (!wasReachable && mFollower.reachable(aNow)) {
     LogEvent(LogLevel::Info, "log.reachable").field("next", mFollower.next()).write();
   }
-  if (mFollower.atEnd()) {
+  if (chunk && mFollower.atEnd()) {
     publishConfig(aNow);
+    mOnce.retained(first);
+    mDuties.caughtUp(first, aNow);
   }
   mChanges.step(aNow);
   mFollower.step(aNow);
@@ -304,7 +409,7 @@
 }
 
 bool
-Decisions::applyEntry(const platform::LogEntry& aEntry, TimePoint)
+Decisions::applyEntry(const platform::LogEntry& aEntry, TimePoint aNow)
 {
   mFollower.remember(aEntry);
   const auto result = mStore.apply(aEntry);
@@ -316,7 +421,13 @@
       .field("detail", result.operation->message)
       .write();
   }
-  mAppliedUpTo = std::max(mAppliedUpTo, aEntry.offset + 1);
+  mDuties.apply(aEntry, aNow);
+  run(mOnce.apply(aEntry, aNow), aNow);
+  if (const auto report = readCrashRecord(*aEntry.record)) {
+    pool::Effects effects;
+    mPools.receive(mSettings.instance, *report, aNow, effects);
+    run(effects, aNow);
+  }
   if (result.take == config::Take::Adopted) {
     mFollower.moveTo(mStore.next());
     return false;
@@ -372,13 +483,24 @@
 }
 
 void
-Decisions::on(ServerOrdered, TimePoint)
+Decisions::on(ServerOrdered aEvent, TimePoint)
 {
+  mDuties.serverOrdered(aEvent.execute, aEvent.result);
 }
 
 void
-Decisions::on(UsageReported, TimePoint)
+Decisions::on(UsageReported aEvent, TimePoint)
 {
+  mDuties.usageReported(aEvent.report, aEvent.result);
+}
+
+void
+Decisions::on(EntryFetched aEvent, TimePoint aNow)
+{
+  const auto* chunk = std::get_if<platform::LogChunk>(&aEvent.result);
+  const bool found =
+    chunk && !chunk->entries.empty() && chunk->entries.front().offset == aEvent.offset;
+  run(mOnce.fetched(aEvent.offset, found ? &chunk->entries.front() : nullptr), aNow);
 }
 
 // Operators.
@@ -403,7 +525,7 @@
 void
 Decisions::on(operators::StatusRequest aRequest, TimePoint aNow)
 {
-  StatusSources sources{ mSettings, mStore, mFollower, mMembership, mPools };
+  StatusSources sources{ mSettings, mStore, mFollower, mMembership, mPools, mDuties };
   aRequest.reply(makeStatus(sources, aNow));
 }
 
@@ -428,6 +550,9 @@
   }
   appendTombstones(aNow);
   requestSnapshot(aNow);
+  mDuties.follow(mMembership, aNow);
+  mDuties.tick(mStore, aNow);
+  run(mOnce.tick(aNow), aNow);
   finishDrain(aNow);
   mAppender.flush(aNow);
 }
@@ -563,6 +688,7 @@
   mPublishedChanges = mStore.changes();
   const auto state = mStore.current();
   mOutputs.toTraffic(traffic::NewConfig{ state });
+  mDuties.setFailureDomains(*state, aNow);
   pool::Effects effects;
   mPools.configure(state, mPlatformServers, aNow, effects);
   run(effects, aNow);
@@ -611,10 +737,12 @@
     return;
   }
   const bool late = aNow >= *mTerminateAt || !mSettings.mechanisms.drain;
-  if (!mTrafficDrained && !late) {
-    return;
+  if (mTrafficDrained && !mReleasing) {
+    mReleasing = true;
+    mDuties.release(aNow);
   }
-  if (mAppender.waiting() > 0 && mFollower.reachable(aNow) && !late) {
+  const bool handedOver = mTrafficDrained && (mDuties.isReleased() || !mFollower.reachable(aNow));
+  if (!handedOver && !late) {
     return;
   }
   mDrainReported = true;
@@ -624,6 +752,55 @@
   mOutputs.drained();
 }
 
+// Effects of at-most-once execution.
+
+void
+Decisions::run(once::Effects aEffects, TimePoint aNow)
+{
+  for (auto& it : aEffects) {
+    std::visit([&](auto& aInner) { run(std::move(aInner), aNow); }, it);
+  }
+}
+
+void
+Decisions::run(once::Append aEffect, TimePoint)
+{
+  const auto ticket = aEffect.ticket;
+  mAppender.addAll(std::move(aEffect.records),
+                   [this, ticket](const platform::Result<platform::Appended>& aResult) {
+                     const auto now = bootNow();
+                     run(mOnce.appended(ticket, aResult, now), now);
+                   });
+}
+
+void
+Decisions::run(once::Decision aEffect, TimePoint)
+{
+  traffic::OnceDecision decision;
+  decision.id = std::move(aEffect.id);
+  decision.answer = answerFor(aEffect.answer);
+  decision.httpStatus = aEffect.response.httpStatus;
+  decision.contentType = std::move(aEffect.response.contentType);
+  decision.body = std::move(aEffect.response.body);
+  mOutputs.toTraffic(std::move(decision));
+}
+
+void
+Decisions::run(once::Stored aEffect, TimePoint)
+{
+  mOutputs.toTraffic(traffic::OnceStored{ std::move(aEffect.id) });
+}
+
+void
+Decisions::run(once::Fetch aEffect, TimePoint)
+{
+  const auto offset = aEffect.offset;
+  mPlatform.readLog(
+    offset, 1, Duration{}, [this, offset](platform::Result<platform::LogChunk> aResult) {
+      mOutputs.fromPlatform(EntryFetched{ offset, std::move(aResult) });
+    });
+}
+
 // Effects of the pools.
 
 void
@@ -668,6 +845,9 @@
 Decisions::run(pool::Broadcast aEffect)
 {
   mToSelf.push_back(aEffect.message);
+  if (const auto* report = std::get_if<pool::CrashReport>(&aEffect.message)) {
+    mAppender.add(crashRecord(*report));
+  }
   for (const auto& [id, peer] : mMembership.peers()) {
     mOutputs.toPeer(id, aEffect.message);
   }
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "duties.hpp"
 #include "events.hpp"
 #include "log_appender.hpp"
 #include "log_follower.hpp"
 #include "mustardplank/config/store.hpp"
+#include "mustardplank/once/at_most_once.hpp"
 #include "mustardplank/peer/membership.hpp"
 #include "mustardplank/peer/transport.hpp"
 #include "mustardplank/settings/settings.hpp"
@@ -74,6 +76,7 @@
   void receive(const PeerMessage& aFrom, const peer::UsageCopy& aMessage, TimePoint aNow);
   void receive(const PeerMessage& aFrom, const pool::Message& aMessage, TimePoint aNow);
   void relayLog(const peer::Peer& aPeer);
+  DutyOutputs makeDutyOutputs();
 
   // Platform.
   void on(LogRead aEvent, TimePoint aNow);
@@ -82,6 +85,7 @@
   void on(ServersRead aEvent, TimePoint aNow);
   void on(ServerOrdered aEvent, TimePoint aNow);
   void on(UsageReported aEvent, TimePoint aNow);
+  void on(EntryFetched aEvent, TimePoint aNow);
   bool applyEntry(const platform::LogEntry& aEntry, TimePoint aNow);
 
   // Operators.
@@ -104,6 +108,13 @@
   void followPools(TimePoint aNow);
   void finishDrain(TimePoint aNow);
 
+  // Effects of at-most-once execution.
+  void run(once::Effects aEffects, TimePoint aNow);
+  void run(once::Append aEffect, TimePoint aNow);
+  void run(once::Decision aEffect, TimePoint aNow);
+  void run(once::Stored aEffect, TimePoint aNow);
+  void run(once::Fetch aEffect, TimePoint aNow);
+
   // Effects of the pools.
   void run(pool::Effects& aEffects, TimePoint aNow);
   void run(pool::SendTo aEffect);
@@ -125,6 +136,8 @@
   OperatorChanges mChanges;
   peer::Membership mMembership;
   PoolDirectory mPools;
+  Duties mDuties;
+  once::AtMostOnce mOnce;
 
   std::vector<platform::PlatformServer> mPlatformServers;
   std::vector<config::BackendServer> mWatched;
@@ -135,6 +148,7 @@
   bool mPublished = false;
   bool mIsolated = false;
   bool mTrafficDrained = false;
+  bool mReleasing = false;
   bool mDrainReported = false;
   std::optional<TimePoint> mTerminateAt;
   TimePoint mLastTick;
@@ -144,8 +158,6 @@
   TimePoint mNextSnapshotRequest{};
   bool mPollingInstances = false;
   bool mPollingServers = false;
-  /// Entries below it have been handed to all parts that read the log.
-  platform::Offset mAppliedUpTo = 0;
 };
 
 }
--- a/src/daemon/events.hpp
+++ b/src/daemon/events.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "mustardplank/base/time.hpp"
+#include "mustardplank/lease/order_journal.hpp"
 #include "mustardplank/operator/events.hpp"
 #include "mustardplank/peer/messages.hpp"
 #include "mustardplank/platform/platform.hpp"
 #include "mustardplank/traffic/events.hpp"
+#include "mustardplank/usage/usage.hpp"
 
 #include <string>
 #include <variant>
@@ -50,18 +52,30 @@
 
 struct ServerOrdered
 {
-  platform::ServerOrder order;
+  lease::Execute execute;
   platform::Result<platform::Ordered> result;
 };
 
 struct UsageReported
 {
-  platform::UsageReport report;
+  usage::Report report;
   platform::Result<platform::Done> result;
 };
 
-using PlatformEvent =
-  std::variant<LogRead, AppendDone, InstancesRead, ServersRead, ServerOrdered, UsageReported>;
+/// A single log entry that was asked for again.
+struct EntryFetched
+{
+  platform::Offset offset = 0;
+  platform::Result<platform::LogChunk> result;
+};
+
+using PlatformEvent = std::variant<LogRead,
+                                   AppendDone,
+                                   InstancesRead,
+                                   ServersRead,
+                                   ServerOrdered,
+                                   UsageReported,
+                                   EntryFetched>;
 
 struct Tick
 {
--- a/src/daemon/log_appender.cpp
+++ b/src/daemon/log_appender.cpp
@@ -1,6 +1,7 @@
 #include "log_appender.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace mustardplank::daemon {
@@ -21,6 +22,12 @@
 
 void
 LogAppender::add(std::string aRecord, Done aDone)
+{
+  addAll({ std::move(aRecord) }, std::move(aDone));
+}
+
+void
+LogAppender::addAll(std::vector<std::string> aRecords, Done aDone)
 {
   if (mWaiting.size() >= kMaxWaiting) {
     if (aDone) {
@@ -29,7 +36,7 @@
     }
     return;
   }
-  mWaiting.push_back({ std::move(aRecord), std::move(aDone) });
+  mWaiting.push_back({ std::move(aRecords), std::move(aDone) });
 }
 
 void
@@ -40,7 +47,8 @@
   }
   std::vector<std::string> records;
   while (!mWaiting.empty() && records.size() < kMaxBatch) {
-    records.push_back(mWaiting.front().record);
+    const auto& first = mWaiting.front().records;
+    records.insert(records.end(), first.begin(), first.end());
     mUnderWay.push_back(std::move(mWaiting.front()));
     mWaiting.pop_front();
   }
--- a/src/daemon/log_appender.hpp
+++ b/src/daemon/log_appender.hpp
@@ -23,6 +23,8 @@
 
   /// aDone, if given, is called once with the outcome of the append that held the record.
   void add(std::string aRecord, Done aDone = nullptr);
+  /// The same for records that go into one append.
+  void addAll(std::vector<std::string> aRecords, Done aDone);
   /// Sends what waits, unless an append is under way or the log asked for a pause.
   void flush(TimePoint aNow);
   /// The outcome of the append under way.
@@ -33,7 +35,7 @@
 private:
   struct Item
   {
-    std::string record;
+    std::vector<std::string> records;
     Done done;
   };
 
--- a/src/daemon/status.cpp
+++ b/src/daemon/status.cpp
@@ -55,6 +55,12 @@
   for (auto& it : aSources.pools.info(aNow)) {
     report.pools.push_back(statusOfPool(std::move(it)));
   }
+  for (const auto& [key, lease] : aSources.duties.leases().all()) {
+    if (!lease.released) {
+      const auto duty = std::string(lease::kDutyNames.name(key.duty));
+      report.leases.push_back({ duty, key.failureDomain, lease.holder, lease.fence });
+    }
+  }
   return report;
 }
 
--- a/src/daemon/status.hpp
+++ b/src/daemon/status.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "duties.hpp"
 #include "log_follower.hpp"
 #include "mustardplank/config/store.hpp"
 #include "mustardplank/operator/events.hpp"
@@ -16,6 +17,7 @@
   const LogFollower& follower;
   const peer::Membership& membership;
   const PoolDirectory& pools;
+  const Duties& duties;
 };
 
 /// What this instance knows of itself, its pools and its peers.
--- a/src/mustardplank/lease/lease.cpp
+++ b/src/mustardplank/lease/lease.cpp
@@ -27,10 +27,17 @@
   , mTable(mOptions.checkSeen)
   , mStarted(aNow)
 {
-  for (const auto& it : mOptions.keys) {
-    auto& local = mLocal[it];
+  addKeys(mOptions.keys, aNow);
+}
+
+void
+LeaseHolder::addKeys(const std::vector<LeaseKey>& aKeys, TimePoint aNow)
+{
+  for (const auto& it : aKeys) {
+    Local local;
     local.lastRead = aNow;
     local.domainLive = aNow;
+    mLocal.try_emplace(it, std::move(local));
   }
 }
 
