--- a/src/mustardplank/operator/operations_service.cpp
+++ b/src/mustardplank/operator/operations_service.cpp
@@ -34,6 +34,17 @@
   std::size_t mValue;
 };
 
+/// Tells the client that the watch runs, and from which revision on.
+std::vector<v1::WatchEvent>
+firstEvent(const StatusReport& aReport, const config::State& aState)
+{
+  v1::WatchEvent event;
+  event.set_state_revision(aState.revision());
+  event.set_text("instance " + aReport.instance.str() + " reports changes after revision " +
+                 std::to_string(aState.revision()));
+  return { event };
+}
+
 }
 
 OperationsService::OperationsService(Calls& aCalls)
@@ -78,8 +89,6 @@
 {
   std::shared_ptr<const config::State> before;
   std::vector<Problem> problemsBefore;
-  // The client learns from the metadata that changes from now on are seen.
-  bool started = false;
   while (!mCalls.isEnding(aContext)) {
     StatusReport report;
     std::shared_ptr<const config::State> now;
@@ -94,14 +103,7 @@
       return status;
     }
     if (status.ok()) {
-      if (!started) {
-        aWriter.SendInitialMetadata();
-        started = true;
-      }
-      std::vector<v1::WatchEvent> events;
-      if (before) {
-        events = diffStates(*before, *now);
-      }
+      auto events = before ? diffStates(*before, *now) : firstEvent(report, *now);
       for (auto& it : diffProblems(problemsBefore, report.problems)) {
         it.set_state_revision(now->revision());
         events.push_back(std::move(it));
--- a/src/mustardplank/operator/operator_test.cpp
+++ b/src/mustardplank/operator/operator_test.cpp
@@ -292,7 +292,8 @@
   prepare(context);
   auto stub = operations();
   auto reader = stub->Watch(&context, {});
-  reader->WaitForInitialMetadata();
+  v1::WatchEvent event;
+  BOOST_REQUIRE(reader->Read(&event));
   decisions.mode = FakeDecisions::Mode::Keep;
   std::thread waiting([this] {
     v1::KeyList list;
@@ -302,7 +303,6 @@
   });
   server->stop();
   waiting.join();
-  v1::WatchEvent event;
   while (reader->Read(&event)) {
   }
   BOOST_TEST(!reader->Finish().ok());
@@ -315,13 +315,15 @@
   prepare(context);
   auto stub = operations();
   auto reader = stub->Watch(&context, {});
-  reader->WaitForInitialMetadata();
+  v1::WatchEvent event;
+  BOOST_REQUIRE(reader->Read(&event));
+  BOOST_TEST(event.kind() == v1::OBJECT_KIND_UNSPECIFIED);
+  BOOST_TEST(event.state_revision() == decisions.state()->revision());
   auto request = mutation(v1::FailureDomainRequest());
   request.set_id("a");
   v1::ChangeResult result;
   auto domains = failureDomains();
   require(call(domains, &v1::FailureDomains::Stub::TakeOut, request, result));
-  v1::WatchEvent event;
   BOOST_REQUIRE(reader->Read(&event));
   BOOST_TEST(event.kind() == v1::OBJECT_KIND_FAILURE_DOMAIN);
   BOOST_TEST(event.change() == v1::WATCH_CHANGE_CHANGED);
@@ -343,13 +345,12 @@
   auto stub = operations();
   grpc::ClientContext contexts[3];
   std::vector<std::unique_ptr<grpc::ClientReader<v1::WatchEvent>>> readers;
-  for (auto& it : contexts) {
-    prepare(it);
-    readers.push_back(stub->Watch(&it, {}));
-    readers.back()->WaitForInitialMetadata();
-  }
   v1::WatchEvent event;
-  BOOST_TEST(!readers[2]->Read(&event));
+  for (int i = 0; i < 3; ++i) {
+    prepare(contexts[i]);
+    readers.push_back(stub->Watch(&contexts[i], {}));
+    BOOST_TEST(readers.back()->Read(&event) == (i < 2));
+  }
   BOOST_TEST(readers[2]->Finish().error_code() == StatusCode::RESOURCE_EXHAUSTED);
   v1::KeyList list;
   auto keyStub = keys();
