--- a/src/ctl/client.cpp
+++ b/src/ctl/client.cpp
@@ -85,17 +85,29 @@
 }
 
 CtlError
-Client::toError(const grpc::Status& aStatus)
+Client::toError(const grpc::Status& aStatus) const
 {
   switch (aStatus.error_code()) {
     case grpc::StatusCode::ABORTED:
       return { ExitCode::Conflict, aStatus.error_message() };
     case grpc::StatusCode::UNAVAILABLE:
     case grpc::StatusCode::DEADLINE_EXCEEDED:
-      return { ExitCode::Unreachable, aStatus.error_message() };
+      return { ExitCode::Unreachable, unreachable(aStatus.error_message()) };
     default:
       return { ExitCode::Refused, aStatus.error_message() };
   }
 }
 
+std::string
+Client::unreachable(const std::string& aLastAnswer) const
+{
+  std::string servers;
+  for (const auto& it : mOptions.servers) {
+    servers += (servers.empty() ? "" : ", ") + it;
+  }
+  return "no success within " + std::to_string(mOptions.timeout.count()) + " ms on " + servers +
+         "; check that an instance runs there, or give others with --server\nlast answer: " +
+         aLastAnswer;
+}
+
 }
--- a/src/ctl/client.hpp
+++ b/src/ctl/client.hpp
@@ -96,7 +96,8 @@
 
   grpc::Status repeat(const Attempt& aAttempt);
   void authorize(grpc::ClientContext& aContext) const;
-  static CtlError toError(const grpc::Status& aStatus);
+  CtlError toError(const grpc::Status& aStatus) const;
+  std::string unreachable(const std::string& aLastAnswer) const;
 
   ClientOptions mOptions;
   std::ostream& mNotes;
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -74,8 +74,7 @@
       true },
     { "token-file",
       "FILE",
-      "file with the operator token, else from MUSTARDPLANK_TOKEN_FILE, else the token itself from "
-      "MUSTARDPLANK_TOKEN" },
+      "file with the operator token, else from MUSTARDPLANK_TOKEN_FILE or MUSTARDPLANK_TOKEN" },
     { "timeout", "SECONDS", "how long to repeat a call that is not answered, default 15" },
     { "json", "", "print JSON instead of tables" },
     { "help", "", "explain the command" },
@@ -315,7 +314,8 @@
   addOptions(options, globalOptions());
   return "Usage: " + std::string(kProgram) + " COMMAND [options]\n\nCommands:\n" +
          withoutHeader(commands) + "\nOptions of all commands:\n" + withoutHeader(options) +
-         "\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no answer, 4 conflict with "
+         "\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no answer or no log, 4 conflict "
+         "with "
          "somebody else's change.\n\"mustardplankctl COMMAND --help\" explains one command. Start "
          "with \"mustardplankctl status\".\n";
 }
