Fail integration tests when an instance crashes

Cause: a daemon that aborts can look like a killed one to a test. Also fixes reading calls from a destroyed ledger in the harness.

--- a/test/integration/answers_test.cpp
+++ b/test/integration/answers_test.cpp
@@ -124,6 +124,7 @@
   plan.backends = { service("s1", "fd-a"), service("s2", "fd-a") };
   Deployment deployment(plan);
   deployment.startInstances();
+  waitForPermits(deployment);
   for (unsigned round = 0; round < 6; ++round) {
     const std::string body = "<permit-" + std::to_string(round) + ">";
     const std::string key = "idem-" + std::to_string(round);
@@ -173,6 +174,7 @@
   plan.backends = { service("s1", "fd-a"), service("s2", "fd-a") };
   Deployment deployment(plan);
   deployment.startInstances();
+  waitForPermits(deployment);
   for (const char* id : { "s1", "s2" }) {
     deployment.controlBackend(id, { { "lose_answers", 1 } });
   }
@@ -180,10 +182,12 @@
   const auto plain = callPermits(deployment, "a1", "<plain>", "");
   BOOST_TEST(!plain.done);
   BOOST_TEST(plain.runState != "not_run");
-  BOOST_TEST(deployment.calls("<plain>").size() == 1u);
+  BOOST_TEST(deployment.calls("<plain>").size() == 1u,
+             deployment.calls("<plain>").size() << " calls, " << plain.describe());
   const auto keyed = callPermits(deployment, "a1", "<keyed>", "idem-lost");
   const auto repeat = callPermits(deployment, "a2", "<keyed>", "idem-lost");
-  BOOST_TEST(deployment.calls("<keyed>").size() == 1u);
+  BOOST_TEST(deployment.calls("<keyed>").size() == 1u,
+             deployment.calls("<keyed>").size() << " calls, " << keyed.describe());
   BOOST_TEST(keyed.runState != "not_run");
   BOOST_TEST(repeat.runState != "not_run");
 }
--- a/test/integration/proof.cpp
+++ b/test/integration/proof.cpp
@@ -2,7 +2,9 @@
 
 #include "standins/common/http_server.hpp"
 
+#include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <stdexcept>
@@ -38,6 +40,20 @@
   return plan;
 }
 
+Deployment::~Deployment()
+{
+  for (const auto& id : instanceIds()) {
+    const auto& process = instance(id).process;
+    const auto code = process ? process->wait(Duration::zero()) : std::nullopt;
+    const bool crashed = code == 128 + SIGABRT || code == 128 + SIGSEGV || code == 128 + SIGBUS;
+    BOOST_TEST(
+      !crashed,
+      id << " crashed: "
+         << process->errors().substr(process->errors().size() -
+                                     std::min<std::size_t>(300, process->errors().size())));
+  }
+}
+
 config::RequestClass&
 classOf(Plan& aPlan, const std::string& aId)
 {
@@ -106,6 +122,19 @@
   return answer;
 }
 
+void
+waitForPermits(Deployment& aDeployment)
+{
+  for (const auto& id : aDeployment.instanceIds()) {
+    ChatAnswer answer;
+    const bool served = waitUntil(Seconds(10), [&] {
+      answer = callPermits(aDeployment, id, "<probe>", "");
+      return answer.done;
+    });
+    BOOST_REQUIRE_MESSAGE(served, id << ": " << answer.describe());
+  }
+}
+
 std::vector<json>
 takenRuns(Deployment& aDeployment, const std::string& aMark)
 {
--- a/test/integration/proof.hpp
+++ b/test/integration/proof.hpp
@@ -19,13 +19,20 @@
 using support::askLater;
 using support::Chat;
 using support::ChatAnswer;
-using support::Deployment;
 using support::engine;
 using support::Load;
 using support::Plan;
 using support::service;
 using support::waitUntil;
 
+/// Fails the test when an instance ended by a crash.
+class Deployment : public support::Deployment
+{
+public:
+  using support::Deployment::Deployment;
+  ~Deployment();
+};
+
 /// "Seconds" in guarantees G5, G9, G13 and G15 (docs/design.md 1.2).
 inline constexpr Millis kSeconds{ 5000 };
 
@@ -64,6 +71,10 @@
             const std::string& aIdempotencyKey,
             unsigned aDelayMillis = 0);
 
+/// Waits until every instance has the permit service called, so that its state is known.
+void
+waitForPermits(Deployment& aDeployment);
+
 /// Runs whose prompt contains aMark and that an engine took (was not out of slots for).
 std::vector<nlohmann::json>
 takenRuns(Deployment& aDeployment, const std::string& aMark);
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -463,7 +463,8 @@
     if (!backend.spec.service) {
       continue;
     }
-    for (const auto& call : ledger(id).at("calls")) {
+    const json serviceLedger = ledger(id);
+    for (const auto& call : serviceLedger.at("calls")) {
       if (call.value("body", "").find(aMark) != std::string::npos) {
         found.push_back(call);
       }
