--- a/bench/explore/config_scenario.cpp
+++ b/bench/explore/config_scenario.cpp
@@ -215,7 +215,7 @@
     for (const auto& it : node.store.pendingTombstones()) {
       log.append(host(aHost), { encodeTombstone(it).dump() }, [](const Result<Appended>&) {});
     }
-    if (simulation.random.chance(0.1)) {
+    if (inFaults() && simulation.random.chance(0.1)) {
       log.append(host(aHost), { node.store.snapshot().dump() }, [](const Result<Appended>&) {});
     }
   }
@@ -246,8 +246,13 @@
         expect(revisionIn(aState.keys(), one.id));
         return PutKey{ one };
       }
-      case 3:
-        return WithdrawKey{ KeyId("k" + std::to_string(random.below(4))) };
+      case 3: {
+        // Operators cannot withdraw a key that their instance does not know.
+        const auto known = random.below(aState.keys().size());
+        return WithdrawKey{
+          std::next(aState.keys().begin(), static_cast<std::ptrdiff_t>(known))->first
+        };
+      }
       case 4:
         return WithdrawServer{ BackendServerId("s") };
       case 5:
@@ -273,6 +278,9 @@
       return;
     }
     ChangeRecord record{ nextOperation(), "operator", {}, {} };
+    if (store(index).current()->keys().empty()) {
+      return;
+    }
     record.change = randomChange(*store(index).current(), record.expected);
     submit(index, record, 3);
     if (simulation.random.chance(0.3)) {
