--- a/test/integration/answers_test.cpp
+++ b/test/integration/answers_test.cpp
@@ -124,6 +124,7 @@
   plan.backends = { service("s1", "fd-a"), service("s2", "fd-a") };
   Deployment deployment(plan);
   deployment.startInstances();
+  waitForPermits(deployment);
   for (unsigned round = 0; round < 6; ++round) {
     const std::string body = "<permit-" + std::to_string(round) + ">";
     const std::string key = "idem-" + std::to_string(round);
@@ -133,15 +134,15 @@
     if (round % 2 == 1) {
       deployment.controlPlatform({ { "lose_answers", 1 } });
     }
-    auto first = std::async(
-      std::launch::async, [&] { return callPermits(deployment, victim, body, key, 400); });
+    auto first = std::async(std::launch::async,
+                            [&] { return callPermits(deployment, victim, body, key, 400); });
     pause(Millis(random()() % 300));
     const bool kill = round % 3 != 2;
     if (kill) {
       deployment.instance(victim).process->kill();
     }
-    auto again = std::async(
-      std::launch::async, [&] { return callPermits(deployment, second, body, key, 400); });
+    auto again = std::async(std::launch::async,
+                            [&] { return callPermits(deployment, second, body, key, 400); });
     const auto other = callPermits(deployment, third, body, key, 400);
     const auto repeat = again.get();
     first.get();
@@ -173,6 +174,7 @@
   plan.backends = { service("s1", "fd-a"), service("s2", "fd-a") };
   Deployment deployment(plan);
   deployment.startInstances();
+  waitForPermits(deployment);
   for (const char* id : { "s1", "s2" }) {
     deployment.controlBackend(id, { { "lose_answers", 1 } });
   }
@@ -180,10 +182,12 @@
   const auto plain = callPermits(deployment, "a1", "<plain>", "");
   BOOST_TEST(!plain.done);
   BOOST_TEST(plain.runState != "not_run");
-  BOOST_TEST(deployment.calls("<plain>").size() == 1u);
+  BOOST_TEST(deployment.calls("<plain>").size() == 1u,
+             deployment.calls("<plain>").size() << " calls, " << plain.describe());
   const auto keyed = callPermits(deployment, "a1", "<keyed>", "idem-lost");
   const auto repeat = callPermits(deployment, "a2", "<keyed>", "idem-lost");
-  BOOST_TEST(deployment.calls("<keyed>").size() == 1u);
+  BOOST_TEST(deployment.calls("<keyed>").size() == 1u,
+             deployment.calls("<keyed>").size() << " calls, " << keyed.describe());
   BOOST_TEST(keyed.runState != "not_run");
   BOOST_TEST(repeat.runState != "not_run");
 }
@@ -196,8 +200,7 @@
   Plan plan = proof::plan(2, 2);
   for (const char* id : { "e1", "e2", "e3", "e4" }) {
     const bool first = id[1] < '3';
-    plan.backends.push_back(
-      engine(id, first ? "fd-a" : "fd-b", { "--tokens-per-second", "100" }));
+    plan.backends.push_back(engine(id, first ? "fd-a" : "fd-b", { "--tokens-per-second", "100" }));
   }
   Deployment deployment(plan);
   deployment.startInstances();
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -102,6 +102,7 @@
     throw std::runtime_error("cannot make " + folder);
   }
   mFolder = folder;
+  std::ofstream(mFolder / "operator-token") << kOperatorToken << '\n';
   planInstances();
   startPlatform();
   startProxy();
@@ -462,7 +463,8 @@
     if (!backend.spec.service) {
       continue;
     }
-    for (const auto& call : ledger(id).at("calls")) {
+    const json serviceLedger = ledger(id);
+    for (const auto& call : serviceLedger.at("calls")) {
       if (call.value("body", "").find(aMark) != std::string::npos) {
         found.push_back(call);
       }
@@ -522,7 +524,6 @@
 Deployment::ctl(const std::string& aInstance, const std::vector<std::string>& aArguments)
 {
   const auto tokenFile = mFolder / "operator-token";
-  std::ofstream(tokenFile) << kOperatorToken << '\n';
   std::vector<std::string> arguments{
     "--server", instance(aInstance).operators, "--token-file", tokenFile.string()
   };
