Release duties only after calls under way have ended

Cause: a planned stop released the duty at once, while a call sent just before was still under way for up to its timeout of 1 s; the successor acted meanwhile. Not acting any more is not enough. LeaseHolder now appends the release one margin (2 s) after release(). Ruled out: counting open calls, which the holder does not see.

--- a/include/mustardplank/lease/lease.hpp
+++ b/include/mustardplank/lease/lease.hpp
@@ -74,8 +74,9 @@
   void setWilling(const LeaseKey& aKey, bool aWilling);
 
   std::vector<AppendRecord> tick(TimePoint aNow);
-  /// Before a planned stop: acts no more, takes no more duties and returns records that let others
-  /// take over at once. tick() repeats those that got lost.
+  /// Before a planned stop: from now on acts no more and takes no more duties. After the margin,
+  /// when calls sent before have ended, tick() returns records that let others take over at once.
+  /// This returns what tick() does.
   std::vector<AppendRecord> release(TimePoint aNow);
   /// After release(): whether no lease of this incarnation is left.
   bool isReleased() const;
@@ -118,7 +119,8 @@
   std::vector<Candidate> mCandidates;
   std::map<LeaseKey, Local> mLocal;
   std::uint64_t mSequence = 0;
-  bool mReleasing = false;
+  /// Since when this instance gives its duties up.
+  std::optional<TimePoint> mReleasing;
 };
 
 }
--- a/src/mustardplank/lease/lease.cpp
+++ b/src/mustardplank/lease/lease.cpp
@@ -174,7 +174,9 @@
   const auto* lease = mTable.find(aKey);
   const bool holds = lease != nullptr && isOwn(*lease) && !lease->released;
   if (mReleasing) {
-    return holds && maySend(aLocal, mOptions.renewInterval, aNow)
+    // A call sent before release() may still take effect, so the successor must not act yet.
+    return holds && aNow - *mReleasing >= mOptions.margin &&
+               maySend(aLocal, mOptions.renewInterval, aNow)
              ? std::optional(send("lease.release", aKey, aLocal, aNow))
              : std::nullopt;
   }
@@ -204,7 +206,7 @@
 std::vector<AppendRecord>
 LeaseHolder::release(TimePoint aNow)
 {
-  mReleasing = true;
+  mReleasing = aNow;
   for (auto& [key, local] : mLocal) {
     local.lastSent.reset();
   }
