--- a/src/mustardplank/lease/lease.cpp
+++ b/src/mustardplank/lease/lease.cpp
@@ -128,16 +128,17 @@
 bool
 LeaseHolder::mayClaim(const LeaseKey& aKey, const Local& aLocal, TimePoint aNow) const
 {
-  const auto order = rank(aKey);
-  if (!order || !aLocal.willing || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
+  const auto wait = waitBeforeClaim(aKey);
+  const bool early = aNow - aLocal.lastRead < wait;
+  if (early || !aLocal.willing || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
     return false;
   }
   if (mOptions.failureDomain != aKey.failureDomain &&
       (isDomainLive(aKey.failureDomain) || aNow - aLocal.domainLive < mOptions.lease)) {
     return false;
   }
-  const auto wait = waitBeforeClaim(aKey) + mOptions.rankDelay * *order;
-  return aNow - aLocal.lastRead >= wait;
+  const auto order = rank(aKey);
+  return order && aNow - aLocal.lastRead >= wait + mOptions.rankDelay * *order;
 }
 
 bool
--- a/src/mustardplank/usage/meter.cpp
+++ b/src/mustardplank/usage/meter.cpp
@@ -126,11 +126,8 @@
 UsageMeter::tick(TimePoint aNow, const UsageLedger& aLedger)
 {
   std::vector<MeterEffect> effects;
-  if (!mBorn) {
-    return effects;
-  }
   const auto rest = unlogged();
-  if (isAppendDue(rest, aNow, aLedger)) {
+  if (mBorn && isAppendDue(rest, aNow, aLedger)) {
     mLastAppend = aNow;
     effects.emplace_back(AppendRecord{ record(rest) });
   }
--- a/src/mustardplank/usage/usage_test.cpp
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -190,6 +190,23 @@
   BOOST_TEST(y.ledger.unreported(kDomain)[0].lines == lines(2, 13));
 }
 
+// Guards against usage of an instance that started without the log having no copy anywhere.
+BOOST_FIXTURE_TEST_CASE(usageIsCopiedBeforeLogWasRead, Two)
+{
+  Instance fresh("z");
+  fresh.meter.add(kPort, { 1, 4, 8 });
+  const auto effects = fresh.meter.tick(at(1), fresh.ledger);
+  BOOST_REQUIRE(effects.size() == 1U);
+  y.backup.keep(nlohmann::json::parse(std::get<CopyToBackup>(effects[0]).record));
+  y.backup.gone(InstanceId("z"), 1);
+  for (const auto& it : y.backup.tick(at(2))) {
+    log.append(it.record);
+  }
+  read();
+  close();
+  BOOST_TEST(x.ledger.unreported(kDomain)[0].lines == lines(1, 4));
+}
+
 // Guards against a new instance, which cannot see the log's beginning, computing other figures.
 BOOST_FIXTURE_TEST_CASE(basesMakeLateReaderReady, Two)
 {
