Let fencing tokens of leases only rise for late readers

Cause: an instance that could not see the claims, as the log had forgotten them, took a renewal that arrived 30 s late for the current lease although it had read renewals under a newer token, and so counted an intent under the old token as valid. A lease known from a renewal is now replaced only by a higher token; a claim that cannot be checked is refuted only by a holder that renews after having read it.

Ruled out: ignoring lower tokens always, which would hide a holder that goes on behind a claim that lost.

--- a/include/mustardplank/lease/lease_table.hpp
+++ b/include/mustardplank/lease/lease_table.hpp
@@ -46,6 +46,9 @@
   bool released = false;
   /// False while the claim's validity depends on log entries that were not read here.
   bool certain = true;
+  /// Whether the claim is known to have won: checked here, or renewed by its holder, who has
+  /// checked it.
+  bool proven = true;
 };
 
 /// Who holds each duty, as a function of the log.
@@ -103,7 +106,8 @@
 private:
   void startAt(Offset aOffset);
   Applied applyClaim(const Record& aRecord, Offset aOffset, Offset aSeen);
-  Applied applyRenewal(const Record& aRecord);
+  Applied applyRenewal(const Record& aRecord, Offset aSeen);
+  bool isNewerThan(const Lease& aLease, const Record& aRenewal, Offset aSeen) const;
   Applied applyRelease(const Record& aRecord);
 
   bool mCheckSeen;
--- a/src/mustardplank/lease/lease_table.cpp
+++ b/src/mustardplank/lease/lease_table.cpp
@@ -58,7 +58,7 @@
     record->fence = aEntry.offset;
     record->applied = applyClaim(*record, aEntry.offset, seen);
   } else if (kind == RecordKind::LeaseRenew) {
-    record->applied = applyRenewal(*record);
+    record->applied = applyRenewal(*record, seen);
   } else {
     record->applied = applyRelease(*record);
   }
@@ -85,25 +85,37 @@
     return Applied::Void;
   }
   const bool certain = aSeen >= mStart;
-  mLeases[aRecord.key] = { aOffset, aRecord.instance, aRecord.incarnation, false, certain };
+  mLeases[aRecord.key] = {
+    aOffset, aRecord.instance, aRecord.incarnation, false, certain, certain
+  };
   return Applied::Valid;
 }
 
+bool
+LeaseTable::isNewerThan(const Lease& aLease, const Record& aRenewal, Offset aSeen) const
+{
+  // A sender that has read an unproven claim and still renews its own lease shows that the claim
+  // lost. Otherwise fencing tokens only rise, as a renewal may arrive long after its lease ended.
+  return aLease.proven ? aRenewal.fence > aLease.fence : aSeen > aLease.fence;
+}
+
 LeaseTable::Applied
-LeaseTable::applyRenewal(const Record& aRecord)
+LeaseTable::applyRenewal(const Record& aRecord, Offset aSeen)
 {
   const auto it = mLeases.find(aRecord.key);
   if (it != mLeases.end() && it->second.fence == aRecord.fence) {
+    it->second.proven = true;
     return it->second.released ? Applied::Void : Applied::Valid;
   }
   // Only a holder that has verified its claim renews. A claim from before the entries read here is
-  // therefore taken from its renewal, unless a claim read here is newer.
+  // therefore taken from its renewal, unless a newer one is known.
   const bool unseenClaim = aRecord.fence < mStart;
-  const bool newer = it == mLeases.end() || it->second.fence < aRecord.fence || !it->second.certain;
-  if (!unseenClaim || !newer) {
+  if (!unseenClaim || (it != mLeases.end() && !isNewerThan(it->second, aRecord, aSeen))) {
     return Applied::Void;
   }
-  mLeases[aRecord.key] = { aRecord.fence, aRecord.instance, aRecord.incarnation, false, false };
+  mLeases[aRecord.key] = {
+    aRecord.fence, aRecord.instance, aRecord.incarnation, false, false, true
+  };
   return Applied::Valid;
 }
 
--- a/src/mustardplank/lease/lease_test.cpp
+++ b/src/mustardplank/lease/lease_test.cpp
@@ -211,6 +211,50 @@
   BOOST_TEST(late.table().find(kKey)->holder.str() == "x");
 }
 
+// Guards against a late renewal of a lease that ended making its intents valid again, for an
+// instance that cannot see the claims (found by the exploration with seed 69945).
+BOOST_AUTO_TEST_CASE(lateRenewalDoesNotReplaceNewerLease)
+{
+  const auto record = [](const char* aInstance, Offset aOffset, Offset aFence, Offset aSeen) {
+    const nlohmann::json json{ { "v", 1 },
+                               { "kind", "lease.renew" },
+                               { "duty", "order_servers" },
+                               { "failure_domain", "a" },
+                               { "instance", aInstance },
+                               { "fence", aFence },
+                               { "seen", aSeen } };
+    return LogEntry{ aOffset, 0, std::make_shared<const nlohmann::json>(json) };
+  };
+  LeaseTable table;
+  table.apply(record("x", 50, 20, 50));
+  table.apply(record("y", 51, 3, 6));
+  BOOST_TEST(table.isCurrent(kKey, 20));
+  table.apply(record("z", 52, 30, 52));
+  BOOST_TEST(table.isCurrent(kKey, 30));
+}
+
+// Guards against a claim that cannot be checked here hiding the holder who goes on.
+BOOST_AUTO_TEST_CASE(renewalRefutesUnprovenClaim)
+{
+  const auto record = [](const char* aKind, const char* aInstance, Offset aOffset, Offset aSeen) {
+    const nlohmann::json json{ { "v", 1 },
+                               { "kind", aKind },
+                               { "duty", "order_servers" },
+                               { "failure_domain", "a" },
+                               { "instance", aInstance },
+                               { "fence", 3 },
+                               { "seen", aSeen } };
+    return LogEntry{ aOffset, 0, std::make_shared<const nlohmann::json>(json) };
+  };
+  LeaseTable table;
+  table.apply(record("lease.claim", "y", 50, 40));
+  BOOST_TEST(table.isCurrent(kKey, 50));
+  table.apply(record("lease.renew", "x", 51, 49));
+  BOOST_TEST(table.isCurrent(kKey, 50));
+  table.apply(record("lease.renew", "x", 52, 52));
+  BOOST_TEST(table.isCurrent(kKey, 3));
+}
+
 // Shows what the position in claims prevents: without it both act.
 BOOST_AUTO_TEST_CASE(withoutPositionTwoHoldersAct)
 {
