Fit the operators' side to the daemon

A created key is therefore always compared with the configuration before it is handed out, not only after Duplicate. - A peer that was never heard has Duration::max(), which was printed as s. - A pool without servers in a failure domain, a failure domain that is out, and an instance that leaves raise no alarm. - A server that does not answer: status recommends the drain, which can be undone, instead of the withdrawal.

--- a/include/mustardplank/operator/events.hpp
+++ b/include/mustardplank/operator/events.hpp
@@ -98,6 +98,8 @@
   bool logReachable = false;
   Duration sinceLogRead{};
   std::uint64_t skippedRecords = 0;
+  /// Revision of the newest change of the configuration; set by OperatorServer.
+  config::Revision newestChange = 0;
   /// Only those that the other fields do not show; findProblems() in problems.hpp adds the others,
   /// which OperatorServer does for status calls.
   std::vector<Problem> problems;
--- a/src/ctl/apply_options.cpp
+++ b/src/ctl/apply_options.cpp
@@ -25,9 +25,8 @@
   reader.number("weight", [&](double aValue) { aObject.set_weight(aValue); });
   reader.integer("max-concurrent", [&](auto aValue) { aObject.set_max_concurrent(aValue); });
   reader.number("request-rate", [&](double aValue) { aObject.set_request_rate(aValue); });
-  reader.list("allowed-class", [&](const auto& aValues) {
-    replaceAll(*aObject.mutable_allowed_classes(), aValues);
-  });
+  reader.list(
+    "class", [&](const auto& aValues) { replaceAll(*aObject.mutable_allowed_classes(), aValues); });
   reader.text("default-class", [&](const auto& aValue) { aObject.set_default_class(aValue); });
   reader.choice("isolation", { "serve", "refuse" }, [&](std::size_t aIndex) {
     aObject.set_isolation(aIndex == 1 ? v1::ISOLATION_REFUSE : v1::ISOLATION_SERVE);
--- a/src/ctl/object_commands.cpp
+++ b/src/ctl/object_commands.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t kSecretBytes = 32;
-constexpr std::size_t kKeySuffixBytes = 4;
 
 leaf::result<void>
 usageError(const Findings& aFindings)
@@ -222,10 +221,14 @@
 createKey(Session& aSession)
 {
   const auto& line = aSession.line;
+  if (!line.has("organisation")) {
+    return leaf::new_error(CtlError{
+      ExitCode::Usage, "--organisation: missing; give the organisation that the key is for" });
+  }
   v1::CreateKeyRequest request;
   BOOST_LEAF_ASSIGN(*request.mutable_mutation(), makeMutation(line));
-  request.set_organisation(line.argument);
-  request.set_key_id(line.value("key-id", line.argument + "-" + randomHex(kKeySuffixBytes)));
+  request.set_organisation(line.value("organisation"));
+  request.set_key_id(line.argument);
   request.set_secret(randomHex(kSecretBytes));
   return printKey(aSession, callForKey(aSession, &v1::Keys::Stub::Create, request));
 }
--- a/src/ctl/render.cpp
+++ b/src/ctl/render.cpp
@@ -325,12 +325,14 @@
   for (const auto& it : aReport.leases()) {
     leases.add({ it.duty(), orDash(it.failure_domain()), orDash(it.holder()), number(it.fence()) });
   }
-  std::string text = "As seen by instance " + aReport.instance() + " in failure domain " +
-                     aReport.failure_domain() + ", revision " + number(aReport.config_revision()) +
-                     ", log " + (aReport.log_reachable() ? "reachable" : "NOT reachable") +
-                     ", last read " + seconds(aReport.since_log_read_ms()) + " ago:\n\n" +
-                     renderProblems(aReport) + "\n" + renderPools(aReport) + "\n" +
-                     renderInstances(aReport);
+  std::string text =
+    "As seen by instance " + aReport.instance() + " in failure domain " + aReport.failure_domain() +
+    ", revision " + number(aReport.config_revision()) + ", log " +
+    (aReport.log_reachable() ? "reachable" : "NOT reachable") + ", last read " +
+    (aReport.has_since_log_read_ms() ? seconds(aReport.since_log_read_ms()) + " ago"
+                                     : std::string("never")) +
+    ":\n\n" + renderProblems(aReport) + "\n" + renderPools(aReport) + "\n" +
+    renderInstances(aReport);
   if (!leases.empty()) {
     text += "\n" + leases.text();
   }
@@ -341,27 +343,27 @@
 renderInstances(const v1::StatusReport& aReport)
 {
   const auto instances = allInstances(aReport);
-  std::uint64_t newest = 0;
-  for (const auto& it : instances) {
-    newest = std::max<std::uint64_t>(newest, it.config_revision());
-  }
-  Table table({ "INSTANCE", "FAILURE DOMAIN", "STATE", "REVISION", "BEHIND", "LAST HEARD" });
+  const std::uint64_t newest = aReport.newest_change();
+  Table table({ "INSTANCE", "FAILURE DOMAIN", "STATE", "REVISION", "NEWEST CHANGE", "LAST HEARD" });
   std::size_t behind = 0;
   for (const auto& it : instances) {
-    behind += it.config_revision() < newest ? 1 : 0;
+    const bool isBehind = it.config_revision() < newest;
+    behind += isBehind ? 1 : 0;
+    const auto heard =
+      it.has_last_heard_ms() ? seconds(it.last_heard_ms()) + " ago" : std::string("never");
     table.add({ it.id(),
                 it.failure_domain(),
                 it.state(),
                 number(it.config_revision()),
-                number(newest - it.config_revision()),
-                it.id() == aReport.instance() ? "answers" : seconds(it.last_heard_ms()) + " ago" });
+                isBehind ? "not yet" : "in force",
+                it.id() == aReport.instance() ? "answers" : heard });
   }
   const auto total = std::to_string(instances.size());
-  return table.text() +
+  const auto change = "The newest change, revision " + number(newest) + ", is ";
+  return table.text() + change +
          (behind == 0
-            ? "Revision " + number(newest) + " is in force on all " + total + " instances.\n"
-            : std::to_string(behind) + " of " + total + " instances are behind revision " +
-                number(newest) + ".\n");
+            ? "in force on all " + total + " instances.\n"
+            : "not yet in force on " + std::to_string(behind) + " of " + total + " instances.\n");
 }
 
 std::string
--- a/src/mustardplank/operator/authenticator.hpp
+++ b/src/mustardplank/operator/authenticator.hpp
@@ -10,7 +10,7 @@
 namespace mustardplank::operators {
 
 /// Start of every caller key, by which it is told from an operator token.
-inline constexpr std::string_view kCallerKeyPrefix = "mpk_";
+inline constexpr std::string_view kCallerKeyPrefix = "mp-";
 
 /// Checks operator tokens against their hashes from the settings.
 class Authenticator
--- a/src/mustardplank/operator/calls.cpp
+++ b/src/mustardplank/operator/calls.cpp
@@ -209,6 +209,7 @@
   std::shared_ptr<const config::State> config;
   status = state(aContext, config);
   if (status.ok()) {
+    aReport.newestChange = newestChange(*config);
     aReport.problems = findProblems(aReport, *config);
   }
   return status;
--- a/src/mustardplank/operator/keys_service.cpp
+++ b/src/mustardplank/operator/keys_service.cpp
@@ -123,21 +123,19 @@
   if (!changed.ok()) {
     return changed;
   }
-  if (result.repeated()) {
-    const auto checked = checkRepeated(aContext, key);
-    if (!checked.ok()) {
-      return checked;
-    }
+  const auto checked = checkInForce(aContext, key);
+  if (!checked.ok()) {
+    return checked;
   }
   aResult.set_key_id(key.id.str());
   aResult.set_key(text);
   return Status::OK;
 }
 
-/// The operation was done before, perhaps with another secret, and the key may have been changed
-/// since: a key that does not work must not be handed out.
+/// If the operation was done before, perhaps with another secret, or the key was changed since,
+/// then the derived key does not work and must not be handed out.
 Status
-KeysService::checkRepeated(const ServerContext& aContext, const config::CallerKey& aKey)
+KeysService::checkInForce(const ServerContext& aContext, const config::CallerKey& aKey)
 {
   std::shared_ptr<const config::State> state;
   const auto status = mCalls.state(aContext, state);
--- a/src/mustardplank/operator/keys_service.hpp
+++ b/src/mustardplank/operator/keys_service.hpp
@@ -31,7 +31,7 @@
                    NewKey aNew,
                    Findings& aFindings,
                    v1::KeyResult& aResult);
-  grpc::Status checkRepeated(const grpc::ServerContext& aContext, const config::CallerKey& aKey);
+  grpc::Status checkInForce(const grpc::ServerContext& aContext, const config::CallerKey& aKey);
 
   Calls& mCalls;
 };
--- a/src/mustardplank/operator/problems.cpp
+++ b/src/mustardplank/operator/problems.cpp
@@ -14,6 +14,9 @@
 std::string
 seconds(Duration aDuration)
 {
+  if (aDuration == Duration::max()) {
+    return "a long time";
+  }
   return std::to_string(duration_cast<Seconds>(aDuration).count()) + " s";
 }
 
@@ -73,7 +76,7 @@
     if (mReport.skippedRecords > 0) {
       add(Severity::Warning,
           counted(mReport.skippedRecords, "log record") +
-            " of a newer version skipped; this instance needs an upgrade",
+            " skipped that this version cannot read; the instance may need an upgrade",
           here,
           "mustardplankctl instances");
     }
@@ -81,17 +84,18 @@
 
   void checkInstances()
   {
+    const auto newest = newestChange(mState);
     for (const auto& it : mReport.instances) {
       const auto where = "instance " + it.id.str() + " in " + it.failureDomain.str();
-      if (it.lastHeard > kNoticeAfter) {
+      // An instance that leaves is expected to fall silent.
+      if (it.lastHeard > kNoticeAfter && it.state != "leaving") {
         add(Severity::Warning,
             "not heard for " + seconds(it.lastHeard),
             where,
             "mustardplankctl instances");
-      } else if (it.configRevision < mReport.configRevision) {
+      } else if (it.configRevision < newest) {
         add(Severity::Info,
-            "has revision " + std::to_string(it.configRevision) + " in force, " +
-              mReport.instance.str() + " has " + std::to_string(mReport.configRevision),
+            "has not read the newest change, revision " + std::to_string(newest) + ", yet",
             where,
             "mustardplankctl instances");
       }
@@ -132,7 +136,10 @@
           "mustardplankctl top");
     }
     const auto isOpen = [](const auto& aServer) { return aServer.openSlots > 0; };
-    if (std::none_of(aStatus.servers.begin(), aStatus.servers.end(), isOpen)) {
+    const bool anyOpen = std::any_of(aStatus.servers.begin(), aStatus.servers.end(), isOpen);
+    // A pool need not have servers in each failure domain.
+    const bool expected = !aStatus.servers.empty() || hasServersHere(aPool);
+    if (expected && !anyOpen && !isOutHere()) {
       add(Severity::Critical,
           "no backend server takes work",
           aWhere,
@@ -143,11 +150,27 @@
         add(Severity::Warning,
             "does not answer; it gets no work until it does",
             "backend server " + it.id.str() + " of " + aWhere,
-            "mustardplankctl server withdraw " + it.id.str());
+            "mustardplankctl server drain " + it.id.str());
       }
     }
   }
 
+  bool isOutHere() const
+  {
+    const auto it = mState.failureDomains().find(mReport.failureDomain);
+    return it != mState.failureDomains().end() && it->second.out;
+  }
+
+  bool hasServersHere(const PoolId& aPool) const
+  {
+    const auto isHere = [&](const auto& aItem) {
+      const auto& server = aItem.second;
+      return server.pool == aPool && server.failureDomain == mReport.failureDomain &&
+             !server.withdrawn;
+    };
+    return std::any_of(mState.servers().begin(), mState.servers().end(), isHere);
+  }
+
   void checkLeases()
   {
     for (const auto& it : mReport.leases) {
@@ -196,6 +219,24 @@
 
 }
 
+config::Revision
+newestChange(const config::State& aState)
+{
+  config::Revision newest = 0;
+  const auto look = [&](const auto& aObjects) {
+    for (const auto& [id, object] : aObjects) {
+      newest = std::max(newest, object.revision);
+    }
+  };
+  look(aState.organisations());
+  look(aState.keys());
+  look(aState.classes());
+  look(aState.failureDomains());
+  look(aState.pools());
+  look(aState.servers());
+  return newest;
+}
+
 std::vector<Problem>
 findProblems(const StatusReport& aReport, const config::State& aState)
 {
--- a/src/mustardplank/operator/to_proto.cpp
+++ b/src/mustardplank/operator/to_proto.cpp
@@ -42,7 +42,9 @@
   aMessage.set_failure_domain(aStatus.failureDomain.str());
   aMessage.set_state(aStatus.state);
   aMessage.set_config_revision(aStatus.configRevision);
-  aMessage.set_last_heard_ms(toMs(aStatus.lastHeard));
+  if (aStatus.lastHeard != Duration::max()) {
+    aMessage.set_last_heard_ms(toMs(aStatus.lastHeard));
+  }
 }
 
 void
@@ -180,8 +182,11 @@
   aMessage.set_failure_domain(aReport.failureDomain.str());
   aMessage.set_config_revision(aReport.configRevision);
   aMessage.set_log_reachable(aReport.logReachable);
-  aMessage.set_since_log_read_ms(toMs(aReport.sinceLogRead));
+  if (aReport.sinceLogRead != Duration::max()) {
+    aMessage.set_since_log_read_ms(toMs(aReport.sinceLogRead));
+  }
   aMessage.set_skipped_records(aReport.skippedRecords);
+  aMessage.set_newest_change(aReport.newestChange);
   for (const auto& it : aReport.problems) {
     toProto(it, *aMessage.add_problems());
   }
