Test the traffic path and poll backend servers' load

Faults found by the tests: g++ 12 destroys temporaries of braced lists and conditional expressions in the arguments of a co_await twice (double free), so that such arguments are named variables or calls now; an answer that is no HTTP was reported as a lost server, not as a failed attempt.

Ruled out: polling plain services by GET /load, as it would count as a call; only whether they take connections is looked at.

AddressSanitizer was run before the last fix only; it has to be run again.

--- a/src/mustardplank/traffic/admission.cpp
+++ b/src/mustardplank/traffic/admission.cpp
@@ -9,12 +9,6 @@
 
 namespace {
 
-Refusal
-refuse(ErrorCode aCode, std::string aMessage)
-{
-  return { aCode, std::move(aMessage), RunState::NotRun, {} };
-}
-
 /// Quotes a caller's value for a message, cut to a length that is easy to read.
 std::string
 quoted(std::string_view aValue)
@@ -37,7 +31,7 @@
   if (!aClass.empty() && it != aState.classes().end() && it->second.open) {
     return Admitted{ {}, {}, it->second };
   }
-  return refuse(ErrorCode::MissingKey,
+  return notRun(ErrorCode::MissingKey,
                 "the header Authorization: Bearer <key> is missing; only open classes work "
                 "without a key");
 }
@@ -50,19 +44,19 @@
 {
   const ClassId wanted = aClass.empty() ? aOrganisation.defaultClass : ClassId(std::string(aClass));
   if (wanted.empty()) {
-    return refuse(ErrorCode::UnknownClass,
+    return notRun(ErrorCode::UnknownClass,
                   "the organisation has no default class; name one in X-Request-Class");
   }
   const auto it = aState.classes().find(wanted);
   if (it == aState.classes().end()) {
-    return refuse(ErrorCode::UnknownClass,
+    return notRun(ErrorCode::UnknownClass,
                   "there is no request class " + quoted(wanted.str()) + " (X-Request-Class)");
   }
   const auto& allowed = aOrganisation.allowedClasses;
   const bool isAllowed = it->second.open || wanted == aOrganisation.defaultClass ||
                          std::find(allowed.begin(), allowed.end(), wanted) != allowed.end();
   if (!isAllowed) {
-    return refuse(ErrorCode::ClassNotAllowed,
+    return notRun(ErrorCode::ClassNotAllowed,
                   "the organisation may not use request class " + quoted(wanted.str()));
   }
   return Admitted{ aOrganisation.id, aKey.id, it->second };
@@ -97,21 +91,21 @@
   }
   const auto key = bearerKey(aCredentials.authorization);
   if (key.empty()) {
-    return refuse(ErrorCode::MissingKey, "Authorization must have the form \"Bearer <key>\"");
+    return notRun(ErrorCode::MissingKey, "Authorization must have the form \"Bearer <key>\"");
   }
   const config::CallerKey* found = aState.findKey(sha256Hex(key));
   if (found == nullptr) {
-    return refuse(ErrorCode::UnknownKey, "the caller key is not known");
+    return notRun(ErrorCode::UnknownKey, "the caller key is not known");
   }
   if (found->withdrawn) {
-    return refuse(ErrorCode::KeyWithdrawn, "the caller key was withdrawn");
+    return notRun(ErrorCode::KeyWithdrawn, "the caller key was withdrawn");
   }
   const auto organisation = aState.organisations().find(found->organisation);
   if (organisation == aState.organisations().end()) {
-    return refuse(ErrorCode::UnknownKey, "the caller key belongs to no organisation");
+    return notRun(ErrorCode::UnknownKey, "the caller key belongs to no organisation");
   }
   if (aIsolated && organisation->second.isolation == config::Isolation::Refuse) {
-    return refuse(ErrorCode::Isolated, std::string(defaultMessage(ErrorCode::Isolated)));
+    return notRun(ErrorCode::Isolated);
   }
   return admitClass(aState, *found, organisation->second, aCredentials.requestClass);
 }
@@ -132,9 +126,9 @@
     known = true;
   }
   if (!known) {
-    return refuse(ErrorCode::UnknownModel, "there is no model " + quoted(aModel.str()));
+    return notRun(ErrorCode::UnknownModel, "there is no model " + quoted(aModel.str()));
   }
-  return refuse(ErrorCode::ClassNotAllowed,
+  return notRun(ErrorCode::ClassNotAllowed,
                 "model " + quoted(aModel.str()) + " is not served in request class " +
                   quoted(aClass.id.str()));
 }
@@ -155,9 +149,9 @@
     known = true;
   }
   if (!known) {
-    return refuse(ErrorCode::UnknownService, "there is no service " + quoted(aService));
+    return notRun(ErrorCode::UnknownService, "there is no service " + quoted(aService));
   }
-  return refuse(ErrorCode::ClassNotAllowed,
+  return notRun(ErrorCode::ClassNotAllowed,
                 "service " + quoted(aService) + " is not served in request class " +
                   quoted(aClass.id.str()));
 }
--- a/src/mustardplank/traffic/backend_client.cpp
+++ b/src/mustardplank/traffic/backend_client.cpp
@@ -1,13 +1,12 @@
 #include "backend_client.hpp"
 
-#include "mustardplank/base/clock.hpp"
+#include "endpoint.hpp"
 
-#include <boost/asio/ip/address.hpp>
+#include "mustardplank/base/clock.hpp"
 
 #include <sys/socket.h>
 
-#include <charconv>
-#include <optional>
+#include <cerrno>
 
 namespace mustardplank::traffic {
 
@@ -22,24 +21,6 @@
 /// One chunk of a token stream fits several times.
 constexpr std::size_t kMaxBufferBytes = 16 * 1024;
 
-std::optional<Tcp::endpoint>
-parseEndpoint(const std::string& aAddress)
-{
-  const std::size_t colon = aAddress.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  boost::system::error_code ec;
-  const auto ip = asio::ip::make_address(aAddress.substr(0, colon), ec);
-  std::uint16_t port = 0;
-  const char* end = aAddress.data() + aAddress.size();
-  const auto [last, error] = std::from_chars(aAddress.data() + colon + 1, end, port);
-  if (ec || error != std::errc() || last != end) {
-    return std::nullopt;
-  }
-  return Tcp::endpoint(ip, port);
-}
-
 /// An idle connection has nothing to read; bytes would be a late answer to an earlier request, and
 /// end of file means that the server closed it.
 bool
--- a/src/mustardplank/traffic/caller_connection.cpp
+++ b/src/mustardplank/traffic/caller_connection.cpp
@@ -136,6 +136,14 @@
     co_await refuseAndClose(std::move(*refusal));
     co_return nullptr;
   }
+  const auto bodyLimit = mServer.settings().callerLimits.maxBodyBytes;
+  std::shared_ptr<void> memory =
+    mServer.reserveBody(parser.content_length().value_or(parser.is_done() ? 0 : bodyLimit));
+  if (!memory) {
+    co_await refuseAndClose(
+      notRun(ErrorCode::Overloaded, "this instance has no memory for another body", Seconds(1)));
+    co_return nullptr;
+  }
   const bool gotBody = co_await readBody(parser);
   if (!gotBody) {
     co_return nullptr;
@@ -146,7 +154,9 @@
     co_await refuse(std::move(copy), mServer.nextRequestId().str());
     co_return nullptr;
   }
-  co_return std::move(std::get<std::unique_ptr<Request>>(result));
+  auto request = std::move(std::get<std::unique_ptr<Request>>(result));
+  request->bodyMemory = std::move(memory);
+  co_return request;
 }
 
 Task<bool>
@@ -236,14 +246,12 @@
   const bool isModels = !mAdmin && path == "/v1/models";
   if (!isHealth && !isReady && !isMetrics && !isModels) {
     if (mAdmin) {
-      co_await refuseAndClose(
-        { ErrorCode::NotFound, "there is no such path", RunState::NotRun, {} });
+      co_await refuseAndClose(notRun(ErrorCode::NotFound, "there is no such path"));
     }
     co_return mAdmin;
   }
   if (aParser.get().method() != http::verb::get && !mHeadOnly) {
-    co_await refuseAndClose(
-      { ErrorCode::MethodNotAllowed, "only GET works here", RunState::NotRun, {} });
+    co_await refuseAndClose(notRun(ErrorCode::MethodNotAllowed, "only GET works here"));
     co_return true;
   }
   mKeepAlive = mKeepAlive && !mUnreadInput;
--- a/src/mustardplank/traffic/chat_request.cpp
+++ b/src/mustardplank/traffic/chat_request.cpp
@@ -23,7 +23,7 @@
 Refusal
 invalid(std::string aMessage)
 {
-  return { ErrorCode::InvalidRequest, std::move(aMessage), RunState::NotRun, {} };
+  return notRun(ErrorCode::InvalidRequest, std::move(aMessage));
 }
 
 bool
@@ -201,16 +201,14 @@
 parseChatRequest(std::string_view aBody)
 {
   if (tooDeep(aBody)) {
-    return Refusal{ ErrorCode::InvalidJson,
-                    "the body is nested deeper than " + std::to_string(kMaxDepth) + " levels",
-                    RunState::NotRun,
-                    {} };
+    return notRun(ErrorCode::InvalidJson,
+                  "the body is nested deeper than " + std::to_string(kMaxDepth) + " levels");
   }
   json body;
   try {
     body = json::parse(aBody);
   } catch (const json::parse_error& error) {
-    return Refusal{ ErrorCode::InvalidJson, invalidJsonMessage(error), RunState::NotRun, {} };
+    return notRun(ErrorCode::InvalidJson, invalidJsonMessage(error));
   }
   if (!body.is_object()) {
     return invalid("the body must be a JSON object");
--- a/src/mustardplank/traffic/refusal.cpp
+++ b/src/mustardplank/traffic/refusal.cpp
@@ -88,6 +88,18 @@
   }
 }
 
+Refusal
+notRun(ErrorCode aCode, Duration aRetryAfter)
+{
+  return notRun(aCode, std::string(defaultMessage(aCode)), aRetryAfter);
+}
+
+Refusal
+notRun(ErrorCode aCode, std::string aMessage, Duration aRetryAfter)
+{
+  return { aCode, std::move(aMessage), RunState::NotRun, aRetryAfter };
+}
+
 std::string
 refusalBody(const Refusal& aRefusal, std::string_view aRequestId)
 {
--- a/src/mustardplank/traffic/refusal.hpp
+++ b/src/mustardplank/traffic/refusal.hpp
@@ -25,6 +25,13 @@
 std::string_view
 defaultMessage(ErrorCode aCode);
 
+/// A refusal of a request that was sent to no backend server, with the default message.
+Refusal
+notRun(ErrorCode aCode, Duration aRetryAfter = {});
+
+Refusal
+notRun(ErrorCode aCode, std::string aMessage, Duration aRetryAfter = {});
+
 /// {"error":{"code":...,"message":...,"run_state":...,"request_id":...}}
 std::string
 refusalBody(const Refusal& aRefusal, std::string_view aRequestId);
--- a/src/mustardplank/traffic/request.hpp
+++ b/src/mustardplank/traffic/request.hpp
@@ -12,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -59,6 +60,8 @@
   std::string contentType;
   std::string accept;
   std::string body;
+  /// Keeps the body's share of the memory for bodies.
+  std::shared_ptr<void> bodyMemory;
 
   // What has happened so far.
   /// A byte went to a backend server in any attempt, so "not_run" would be a lie.
--- a/src/mustardplank/traffic/request_builder.cpp
+++ b/src/mustardplank/traffic/request_builder.cpp
@@ -27,12 +27,6 @@
   return { aText.data(), aText.size() };
 }
 
-Refusal
-refuse(ErrorCode aCode, std::string aMessage)
-{
-  return { aCode, std::move(aMessage), RunState::NotRun, {} };
-}
-
 bool
 isServiceMethod(http::verb aVerb)
 {
@@ -72,7 +66,7 @@
     };
   }
   if (mHeader.count(http::field::authorization) > 1) {
-    return refuse(ErrorCode::InvalidRequest, "Authorization must be sent once");
+    return notRun(ErrorCode::InvalidRequest, "Authorization must be sent once");
   }
   const Credentials credentials{ view(mHeader[http::field::authorization]),
                                  view(mHeader["X-Request-Class"]) };
@@ -88,10 +82,7 @@
 RequestBuilder::checkHeader()
 {
   if (mServer.draining()) {
-    return Refusal{ ErrorCode::Draining,
-                    std::string(defaultMessage(ErrorCode::Draining)),
-                    RunState::NotRun,
-                    Seconds(1) };
+    return notRun(ErrorCode::Draining, Seconds(1));
   }
   if (auto refusal = checkRoute()) {
     return refusal;
@@ -109,15 +100,15 @@
   const auto path = target.substr(0, target.find('?'));
   if (path == kChatPath) {
     if (mHeader.method() != http::verb::post) {
-      return refuse(ErrorCode::MethodNotAllowed, "only POST works here");
+      return notRun(ErrorCode::MethodNotAllowed, "only POST works here");
     }
     return std::nullopt;
   }
   if (!path.starts_with(kServicePrefix)) {
-    return refuse(ErrorCode::NotFound, "there is no such path");
+    return notRun(ErrorCode::NotFound, "there is no such path");
   }
   if (!isServiceMethod(mHeader.method())) {
-    return refuse(ErrorCode::MethodNotAllowed, "GET, HEAD, POST, PUT, PATCH and DELETE work here");
+    return notRun(ErrorCode::MethodNotAllowed, "GET, HEAD, POST, PUT, PATCH and DELETE work here");
   }
   const auto rest = target.substr(kServicePrefix.size());
   const auto end = std::min(rest.find_first_of("/?"), rest.size());
@@ -135,14 +126,14 @@
 {
   const auto key = view(mHeader["Idempotency-Key"]);
   if (key.size() > kMaxIdempotencyKeyBytes) {
-    return refuse(ErrorCode::InvalidRequest,
+    return notRun(ErrorCode::InvalidRequest,
                   "Idempotency-Key is longer than " + std::to_string(kMaxIdempotencyKeyBytes) +
                     " bytes");
   }
   const bool printable = std::all_of(
     key.begin(), key.end(), [](unsigned char aByte) { return aByte >= 0x20 && aByte < 0x7f; });
   if (!printable) {
-    return refuse(ErrorCode::InvalidRequest, "Idempotency-Key has characters other than ASCII");
+    return notRun(ErrorCode::InvalidRequest, "Idempotency-Key has characters other than ASCII");
   }
   mIdempotencyKey = key;
   return std::nullopt;
@@ -162,7 +153,7 @@
   if (!found) {
     return std::nullopt;
   }
-  return refuse(ErrorCode::InvalidRequest,
+  return notRun(ErrorCode::InvalidRequest,
                 "the caller key may stand in the Authorization header only, as everything else is "
                 "passed on");
 }
--- a/src/mustardplank/traffic/request_run.cpp
+++ b/src/mustardplank/traffic/request_run.cpp
@@ -27,9 +27,12 @@
 constexpr std::uint32_t kMaxFailedAttempts = 5;
 /// The same error status from two servers is the request's fault.
 constexpr std::uint32_t kMaxRejections = 2;
-/// Text and buffered answers of one request; bounds the memory that a caller can make us use.
-constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
+/// Text and buffered answers of one request (some 200,000 tokens); bounds the memory that a caller
+/// can make us use.
+constexpr std::size_t kMaxAnswerBytes = 1024 * 1024;
 
+const std::string kEventStream = "text/event-stream";
+const std::string kJson = "application/json";
 constexpr std::string_view kDone = "[DONE]";
 constexpr std::string_view kChunkSizePlace = "00000000\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
@@ -52,6 +55,15 @@
   return aStatus >= 400 && aStatus < 500 && aStatus != kTimeout && aStatus != kTooMany;
 }
 
+/// An earlier attempt may have run, though this one did not.
+Refusal
+outcomeUnknown()
+{
+  Refusal refusal = notRun(ErrorCode::OutcomeUnknown);
+  refusal.runState = RunState::MayHaveRun;
+  return refusal;
+}
+
 bool
 isGatewayError(unsigned aStatus)
 {
@@ -87,10 +99,7 @@
     }
   }
   if (!mServer.offer(Submit{ mRequest.info })) {
-    co_await fail({ ErrorCode::Overloaded,
-                    std::string(defaultMessage(ErrorCode::Overloaded)),
-                    RunState::NotRun,
-                    Seconds(1) });
+    co_await fail(notRun(ErrorCode::Overloaded, Seconds(1)));
     co_return;
   }
   for (;;) {
@@ -103,10 +112,7 @@
       co_return;
     }
     if (!mayRunAgain()) {
-      co_await fail({ ErrorCode::BackendFailed,
-                      "the backend server failed: " + mProblem,
-                      RunState::NotRun,
-                      {} });
+      co_await fail(notRun(ErrorCode::BackendFailed, "the backend server failed: " + mProblem));
       co_return;
     }
     submitAgain(end);
@@ -121,10 +127,7 @@
   };
   mOnceEnded = true;
   if (!mServer.offer(std::move(begin))) {
-    co_await fail({ ErrorCode::Overloaded,
-                    std::string(defaultMessage(ErrorCode::Overloaded)),
-                    RunState::NotRun,
-                    Seconds(1) });
+    co_await fail(notRun(ErrorCode::Overloaded, Seconds(1)));
     co_return false;
   }
   // A caller that leaves does not end this: if the intent gets into the log, its outcome must too.
@@ -133,10 +136,7 @@
     co_await wait(until - bootNow());
   }
   if (!mRequest.onceDecision) {
-    co_await fail({ ErrorCode::OutcomeUnknown,
-                    "no decision on the idempotency key came in time",
-                    RunState::MayHaveRun,
-                    {} });
+    co_await fail(outcomeUnknown());
     co_return false;
   }
   OnceDecision decision = std::move(*mRequest.onceDecision);
@@ -157,24 +157,15 @@
       co_return false;
     }
     case OnceAnswer::Conflict:
-      co_await fail({ ErrorCode::IdempotencyConflict,
-                      std::string(defaultMessage(ErrorCode::IdempotencyConflict)),
-                      RunState::NotRun,
-                      {} });
+      co_await fail(notRun(ErrorCode::IdempotencyConflict));
       co_return false;
     case OnceAnswer::Unknown:
-      co_await fail({ ErrorCode::OutcomeUnknown,
-                      std::string(defaultMessage(ErrorCode::OutcomeUnknown)),
-                      RunState::MayHaveRun,
-                      {} });
+      co_await fail(outcomeUnknown());
       co_return false;
     case OnceAnswer::LogUnavailable:
       break;
   }
-  co_await fail({ ErrorCode::LogUnavailable,
-                  std::string(defaultMessage(ErrorCode::LogUnavailable)),
-                  RunState::NotRun,
-                  Seconds(2) });
+  co_await fail(notRun(ErrorCode::LogUnavailable, Seconds(2)));
   co_return false;
 }
 
@@ -203,10 +194,7 @@
     }
     const bool ended = co_await endIfInterrupted();
     if (!ended) {
-      co_await fail({ ErrorCode::Timeout,
-                      std::string(defaultMessage(ErrorCode::Timeout)),
-                      RunState::NotRun,
-                      {} });
+      co_await fail(notRun(ErrorCode::Timeout));
     }
     co_return false;
   }
@@ -214,10 +202,7 @@
     co_return true;
   }
   const auto refusal = *mRequest.refusal;
-  co_await fail({ refusal.code,
-                  std::string(defaultMessage(refusal.code)),
-                  RunState::NotRun,
-                  refusal.retryAfter });
+  co_await fail(notRun(refusal.code, refusal.retryAfter));
   co_return false;
 }
 
@@ -250,16 +235,10 @@
       mServer.release(mRequest, pool::SlotOutcome::CallerLeft);
       reportUsage();
       mCaller.closeAfterAnswer();
-      co_await fail({ ErrorCode::KeyWithdrawn,
-                      std::string(defaultMessage(ErrorCode::KeyWithdrawn)),
-                      RunState::NotRun,
-                      {} });
+      co_await fail(notRun(ErrorCode::KeyWithdrawn));
       co_return true;
     case Interrupt::Isolated:
-      co_await fail({ ErrorCode::Isolated,
-                      std::string(defaultMessage(ErrorCode::Isolated)),
-                      RunState::NotRun,
-                      {} });
+      co_await fail(notRun(ErrorCode::Isolated));
       co_return true;
   }
   co_return false;
@@ -305,10 +284,11 @@
   mChunks.emplace(mRequest.info.id.str());
   mSse = SseParser();
   mProblem.clear();
+  mOpenOutcome = pool::SlotOutcome::ServerLost;
   mServiceBody.clear();
   const auto exchange = co_await open(grant);
   if (!exchange) {
-    co_return co_await endOfLostConnection();
+    co_return co_await endOfLostConnection(mOpenOutcome);
   }
   if (mRequest.isService) {
     co_return co_await relayService(exchange);
@@ -326,6 +306,7 @@
   if (mRequest.info.tokensSent > 0) {
     resumed = resumeBody(mRequest.body, mRequest.info.tokensSent, mText);
   }
+  const std::string_view body = resumed.empty() ? mRequest.body : resumed;
   for (;;) {
     mConnection = co_await mServer.backends().connect(aGrant.address, fresh);
     if (!mConnection || mRequest.interrupt != Interrupt::None) {
@@ -336,7 +317,7 @@
     mRequest.sentToBackend = true;
     auto exchange = std::make_shared<BackendExchange>(
       mConnection, [this](std::string_view aBytes) { return takeBody(aBytes); });
-    auto result = co_await exchange->send(mRequest, resumed.empty() ? mRequest.body : resumed);
+    auto result = co_await exchange->send(mRequest, body);
     if (result == BackendExchange::Result::Ok) {
       result = co_await exchange->readHeader(kFirstByteTimeout);
     }
@@ -347,9 +328,9 @@
                        !mConnection->timedOut && mRequest.interrupt == Interrupt::None;
     mConnection->close();
     if (!stale) {
-      mProblem = result == BackendExchange::Result::Malformed
-                   ? "its answer is no HTTP"
-                   : "the connection broke before an answer came";
+      const bool malformed = result == BackendExchange::Result::Malformed;
+      mOpenOutcome = malformed ? pool::SlotOutcome::Failed : pool::SlotOutcome::ServerLost;
+      mProblem = malformed ? "its answer is no HTTP" : "the connection broke before an answer came";
       co_return nullptr;
     }
     fresh = true;
@@ -363,12 +344,12 @@
   const unsigned status = aExchange->status();
   if (status != 200) {
     mRejections += isRejection(status) ? 1 : 0;
-    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed,
-                                          "it answered with status " + std::to_string(status));
+    mProblem = "it answered with status " + std::to_string(status);
+    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
   }
   if (!aExchange->contentType().starts_with("text/event-stream")) {
-    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed,
-                                          "its answer is no event stream");
+    mProblem = "its answer is no event stream";
+    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
   }
   for (;;) {
     const Duration timeout = mRequest.attemptTokens == 0 ? kFirstByteTimeout : kSilenceTimeout;
@@ -390,11 +371,11 @@
       co_return co_await endOfLostConnection();
     }
     if (result == Result::Malformed) {
-      co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed,
-                                            mProblem.empty() ? "its answer is no HTTP" : mProblem);
+      co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
     }
     if (result == Result::Done) {
-      co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed, "its stream ended early");
+      mProblem = "its stream ended early";
+      co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
     }
   }
 }
@@ -411,13 +392,12 @@
     }
   }
   if (result == Result::Malformed) {
-    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed,
-                                          mProblem.empty() ? "its answer is no HTTP" : mProblem);
+    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
   }
   const unsigned status = aExchange->status();
   if (isGatewayError(status) && mRequest.info.repeatable) {
-    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed,
-                                          "it answered with status " + std::to_string(status));
+    mProblem = "it answered with status " + std::to_string(status);
+    co_return co_await endOfBrokenAttempt(pool::SlotOutcome::Failed);
   }
   giveBack(*aExchange);
   mServer.release(mRequest, pool::SlotOutcome::Finished);
@@ -425,23 +405,28 @@
   if (!mRequest.info.organisation.empty()) {
     mServer.emit(Usage{ mRequest.info.organisation, mRequest.info.requestClass, 1, 0, 0 });
   }
-  co_await deliver(status, aExchange->contentType(), std::move(mServiceBody));
+  const std::string contentType = aExchange->contentType();
+  co_await deliver(status, contentType, mServiceBody);
   co_return AttemptEnd::Ended;
 }
 
 Task<RequestRun::AttemptEnd>
-RequestRun::endOfLostConnection()
+RequestRun::endOfLostConnection(pool::SlotOutcome aOutcome)
 {
-  std::string problem = mProblem.empty() ? "the connection broke" : mProblem;
   if (mConnection && mConnection->timedOut) {
-    problem = "it sent nothing for too long";
+    mProblem = "it sent nothing for too long";
+  } else if (mProblem.empty()) {
+    mProblem = "the connection broke";
   }
-  co_return co_await endOfBrokenAttempt(pool::SlotOutcome::ServerLost, std::move(problem));
+  co_return co_await endOfBrokenAttempt(aOutcome);
 }
 
 Task<RequestRun::AttemptEnd>
-RequestRun::endOfBrokenAttempt(pool::SlotOutcome aOutcome, std::string aProblem)
+RequestRun::endOfBrokenAttempt(pool::SlotOutcome aOutcome)
 {
+  if (mProblem.empty()) {
+    mProblem = "its answer is no HTTP";
+  }
   mRequest.abortBackend = nullptr;
   if (mConnection) {
     mConnection->close();
@@ -463,9 +448,8 @@
     .field("server", server.str())
     .field("attempt", mRequest.info.attempt)
     .field("tokens_sent", mRequest.info.tokensSent)
-    .field("problem", aProblem)
+    .field("problem", mProblem)
     .write();
-  mProblem = std::move(aProblem);
   mServer.release(mRequest, aOutcome);
   ++mRequest.failedAttempts;
   auto& avoid = mRequest.info.avoid;
@@ -674,9 +658,10 @@
     co_return AttemptEnd::Ended;
   }
   if (mRequest.stream) {
-    co_await deliver(200, "text/event-stream", std::move(mOut));
+    co_await deliver(200, kEventStream, mOut);
   } else {
-    co_await deliver(200, "application/json", completion());
+    const std::string body = completion();
+    co_await deliver(200, kJson, body);
   }
   co_return AttemptEnd::Ended;
 }
@@ -730,7 +715,7 @@
 }
 
 Task<void>
-RequestRun::deliver(unsigned aStatus, std::string aContentType, std::string aBody)
+RequestRun::deliver(unsigned aStatus, const std::string& aContentType, const std::string& aBody)
 {
   if (mRequest.once) {
     const bool stored = co_await storeOutcome(aStatus, aContentType, aBody);
@@ -739,11 +724,10 @@
     }
     if (!stored || mRequest.interrupt == Interrupt::KeyWithdrawn) {
       const bool withdrawn = mRequest.interrupt == Interrupt::KeyWithdrawn;
-      Refusal refusal;
-      refusal.code = withdrawn ? ErrorCode::KeyWithdrawn : ErrorCode::OutcomeUnknown;
-      refusal.message = withdrawn ? std::string(defaultMessage(ErrorCode::KeyWithdrawn))
-                                  : "the request ran, but its outcome is not in the log yet; ask "
-                                    "again with the same idempotency key";
+      Refusal refusal = withdrawn ? notRun(ErrorCode::KeyWithdrawn)
+                                  : notRun(ErrorCode::OutcomeUnknown,
+                                           "the request ran, but its outcome is not in the log "
+                                           "yet; ask again with the same idempotency key");
       refusal.runState = RunState::Ran;
       mRequest.recorder.refusal(refusal.code);
       co_await mCaller.refuse(std::move(refusal), mRequest.info.id.str());
@@ -752,22 +736,24 @@
   }
   Answer reply;
   reply.status = aStatus;
-  reply.contentType = std::move(aContentType);
-  reply.body = std::move(aBody);
+  reply.contentType = aContentType;
+  reply.body = aBody;
   reply.requestId = mRequest.info.id.str();
   co_await mCaller.answer(std::move(reply));
 }
 
 Task<bool>
-RequestRun::storeOutcome(unsigned aStatus, std::string aContentType, std::string aBody)
+RequestRun::storeOutcome(unsigned aStatus,
+                         const std::string& aContentType,
+                         const std::string& aBody)
 {
   OnceOutcome outcome;
   outcome.id = mRequest.info.id;
   outcome.organisation = mRequest.info.organisation;
   outcome.idempotencyKey = mRequest.idempotencyKey;
   outcome.httpStatus = aStatus;
-  outcome.contentType = std::move(aContentType);
-  outcome.body = std::move(aBody);
+  outcome.contentType = aContentType;
+  outcome.body = aBody;
   mServer.emit(std::move(outcome));
   mOnceEnded = true;
   const TimePoint until = bootNow() + kMaxWaitForStore;
--- a/src/mustardplank/traffic/request_run.hpp
+++ b/src/mustardplank/traffic/request_run.hpp
@@ -54,8 +54,8 @@
   Task<std::shared_ptr<BackendExchange>> open(const pool::StartStream& aGrant);
   Task<AttemptEnd> relayChat(std::shared_ptr<BackendExchange> aExchange);
   Task<AttemptEnd> relayService(std::shared_ptr<BackendExchange> aExchange);
-  Task<AttemptEnd> endOfBrokenAttempt(pool::SlotOutcome aOutcome, std::string aProblem);
-  Task<AttemptEnd> endOfLostConnection();
+  Task<AttemptEnd> endOfBrokenAttempt(pool::SlotOutcome aOutcome);
+  Task<AttemptEnd> endOfLostConnection(pool::SlotOutcome aOutcome = pool::SlotOutcome::ServerLost);
   void giveBack(const BackendExchange& aExchange);
 
   // Chunks of a chat completion.
@@ -75,8 +75,10 @@
 
   // Ends.
   Task<void> fail(Refusal aRefusal);
-  Task<void> deliver(unsigned aStatus, std::string aContentType, std::string aBody);
-  Task<bool> storeOutcome(unsigned aStatus, std::string aContentType, std::string aBody);
+  Task<void> deliver(unsigned aStatus, const std::string& aContentType, const std::string& aBody);
+  Task<bool> storeOutcome(unsigned aStatus,
+                          const std::string& aContentType,
+                          const std::string& aBody);
   void reportNoOutcome();
   void reportUsage();
   RunState runState() const;
@@ -106,6 +108,8 @@
   bool mDone = false;
   std::uint64_t mBackendTokens = 0;
   std::string mProblem;
+  /// Outcome when no answer began.
+  pool::SlotOutcome mOpenOutcome = pool::SlotOutcome::ServerLost;
   TimePoint mReadAt{};
   std::string mServiceBody;
   /// Bytes for the caller; of a request with an idempotency key, the whole answer so far.
--- a/src/mustardplank/traffic/server.cpp
+++ b/src/mustardplank/traffic/server.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t kCommandRing = 8192;
 /// Timeouts are seconds long, so they may be found this much too late.
 constexpr Duration kSweepInterval = Millis(100);
+/// Bodies that are read or kept for another attempt. Connections times the largest body would be
+/// gigabytes; half the memory that a node has for this daemon at full size.
+constexpr std::size_t kMaxBodyMemory = 128 * 1024 * 1024;
 /// How soon an event is offered again after the decisions thread had no room.
 constexpr Duration kOfferAgain = Millis(2);
 /// How long closed connections may take to end their coroutines at a stop.
@@ -31,11 +34,8 @@
 std::string
 tooManyConnections()
 {
-  const std::string body = refusalBody({ ErrorCode::Overloaded,
-                                         "this instance has no room for another connection",
-                                         RunState::NotRun,
-                                         {} },
-                                       "");
+  const std::string body = refusalBody(
+    notRun(ErrorCode::Overloaded, "this instance has no room for another connection"), "");
   return "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\n"
          "Connection: close\r\nContent-Length: " +
          std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -54,6 +54,7 @@
   , mCallers(mIo->get_executor())
   , mAdmin(mIo->get_executor())
   , mBackends(*mIo)
+  , mPoller(*mIo, [this](Event aEvent) { return offer(std::move(aEvent)); })
   , mCommands(kCommandRing,
               [this] {
                 asio::post(*mIo, [this] {
@@ -117,6 +118,7 @@
   mAdmin.close(ec);
   mSweepTimer.cancel();
   mKeptTimer.cancel();
+  mPoller.stop();
   for (const auto& [id, request] : mRequests) {
     request->interruptWith(Interrupt::Stopping);
   }
@@ -229,6 +231,27 @@
   mServer.reportDrained();
 }
 
+Server::BodyMemory::BodyMemory(Server& aServer, std::size_t aBytes)
+  : mServer(aServer)
+  , mBytes(aBytes)
+{
+  mServer.mReservedBytes += mBytes;
+}
+
+Server::BodyMemory::~BodyMemory()
+{
+  mServer.mReservedBytes -= mBytes;
+}
+
+std::unique_ptr<Server::BodyMemory>
+Server::reserveBody(std::size_t aBytes)
+{
+  if (mReservedBytes + aBytes > kMaxBodyMemory) {
+    return nullptr;
+  }
+  return std::make_unique<BodyMemory>(*this, aBytes);
+}
+
 void
 Server::add(CallerConnection& aConnection)
 {
@@ -319,6 +342,16 @@
   return configured == mState->servers().end() ? PoolId() : configured->second.pool;
 }
 
+bool
+Server::isPlainService(const PoolId& aPool) const
+{
+  if (!mState) {
+    return false;
+  }
+  const auto it = mState->pools().find(aPool);
+  return it != mState->pools().end() && it->second.kind == config::PoolKind::Service;
+}
+
 void
 Server::refuseGrant(const pool::StartStream& aGrant, const PoolId& aPool)
 {
@@ -426,9 +459,12 @@
 Server::take(WatchServers&& aCommand)
 {
   mWatched.clear();
+  std::vector<LoadPoller::Watched> watched;
   for (const auto& server : aCommand.servers) {
     mWatched[server.id] = server.pool;
+    watched.push_back({ server, isPlainService(server.pool) });
   }
+  mPoller.watch(watched);
 }
 
 void
--- a/src/mustardplank/traffic/server.hpp
+++ b/src/mustardplank/traffic/server.hpp
@@ -2,6 +2,7 @@
 
 #include "asio_types.hpp"
 #include "backend_client.hpp"
+#include "load_poller.hpp"
 #include "request.hpp"
 
 #include "mustardplank/base/ring.hpp"
@@ -74,6 +75,22 @@
     Request& mRequest;
   };
 
+  /// Memory for the body of one request, given back by the destructor.
+  class BodyMemory
+  {
+  public:
+    BodyMemory(Server& aServer, std::size_t aBytes);
+    ~BodyMemory();
+    BodyMemory(const BodyMemory&) = delete;
+    BodyMemory& operator=(const BodyMemory&) = delete;
+
+  private:
+    Server& mServer;
+    std::size_t mBytes;
+  };
+  /// nullptr when the bodies of all requests together would take too much.
+  std::unique_ptr<BodyMemory> reserveBody(std::size_t aBytes);
+
   void add(CallerConnection& aConnection);
   void remove(CallerConnection& aConnection);
 
@@ -96,6 +113,7 @@
   void take(Drain&& aCommand);
 
   Request* find(const RequestId& aId);
+  bool isPlainService(const PoolId& aPool) const;
   PoolId poolOf(const BackendServerId& aServer) const;
   void reportDrained();
 
@@ -107,6 +125,7 @@
   Acceptor mCallers;
   Acceptor mAdmin;
   BackendClient mBackends;
+  LoadPoller mPoller;
   Ring<Command> mCommands;
   std::thread mThread;
 
@@ -120,6 +139,7 @@
   std::uint64_t mLastId = 0;
   std::unordered_map<RequestId, Request*> mRequests;
   std::unordered_set<CallerConnection*> mConnections;
+  std::size_t mReservedBytes = 0;
   std::deque<Event> mKept;
   Timer mKeptTimer;
   Timer mSweepTimer;
--- a/src/mustardplank/traffic/test_support.hpp
+++ b/src/mustardplank/traffic/test_support.hpp
@@ -396,6 +396,9 @@
     pool.kind = config::PoolKind::Service;
     pool.service = "permit-desk";
     log.change(config::PutPool{ pool });
+    auto urgent = store.current()->classes().at(ClassId("urgent"));
+    urgent.pools.push_back(pool.id);
+    log.change(config::PutClass{ urgent });
     auto organisation = store.current()->organisations().at(OrganisationId("port"));
     organisation.allowedClasses.push_back(ClassId("once"));
     log.change(config::PutOrganisation{ organisation });
