--- a/src/mustardplank/config/validate.cpp
+++ b/src/mustardplank/config/validate.cpp
@@ -16,14 +16,21 @@
 isName(const std::string& aText)
 {
   return !aText.empty() && aText.size() <= kMaxIdLength &&
-         std::all_of(aText.begin(), aText.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+         std::all_of(
+           aText.begin(), aText.end(), [](char aChar) { return aChar > ' ' && aChar < '\x7f'; });
+}
+
+bool
+isDigit(char aChar)
+{
+  return aChar >= '0' && aChar <= '9';
 }
 
 bool
 isHash(const std::string& aText)
 {
-  return aText.size() == kHashLength && std::all_of(aText.begin(), aText.end(), [](char c) {
-           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+  return aText.size() == kHashLength && std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return isDigit(aChar) || (aChar >= 'a' && aChar <= 'f');
          });
 }
 
@@ -35,8 +42,7 @@
     return false;
   }
   const std::string port = aText.substr(colon + 1);
-  return !port.empty() && port.size() <= 5 &&
-         std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; }) &&
+  return !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), isDigit) &&
          std::stoul(port) >= 1 && std::stoul(port) <= 65535;
 }
 
@@ -219,7 +225,7 @@
 std::string
 whyInvalid(const Change& aChange, const Objects& aObjects)
 {
-  return std::visit([&](const auto& it) { return why(it, aObjects); }, aChange);
+  return std::visit([&](const auto& aOne) { return why(aOne, aObjects); }, aChange);
 }
 
 }
