Use the shared prefix hash for permit requests

Cause: router and engine must hash the same text, or prefix affinity finds nothing. A test read the outcome of a stream before it was reported (failed once in three runs); it waits now.

Ruled out: hashing all of a long prompt; 64 blocks bound the size of a permit request.

Conclusion: the local hash is gone.

--- a/src/mustardplank/traffic/chat_request.cpp
+++ b/src/mustardplank/traffic/chat_request.cpp
@@ -1,6 +1,6 @@
 #include "chat_request.hpp"
 
-#include "mustardplank/base/hash.hpp"
+#include "mustardplank/base/prefix_hash.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -16,7 +16,6 @@
 /// Deeper JSON would overflow the stack when it is written again.
 constexpr int kMaxDepth = 64;
 constexpr std::size_t kBytesPerToken = 4;
-constexpr std::size_t kPrefixBlockBytes = 256;
 /// Longer prompts are told apart by their first 16 KiB only; bounds the size of a permit request.
 constexpr std::size_t kMaxPrefixBlocks = 64;
 
@@ -56,13 +55,13 @@
 
 /// Appends the text of one message's content, which is a string or a list of parts.
 std::optional<Refusal>
-appendContent(const json& aContent, const std::string& aPlace, std::string& aPrompt)
+appendContent(const json& aContent, const std::string& aPlace, std::string& aText)
 {
   if (aContent.is_null()) {
     return std::nullopt;
   }
   if (aContent.is_string()) {
-    aPrompt += aContent.get_ref<const std::string&>();
+    aText += aContent.get_ref<const std::string&>();
     return std::nullopt;
   }
   if (!aContent.is_array()) {
@@ -74,7 +73,7 @@
     }
     const auto text = part.find("text");
     if (text != part.end() && text->is_string()) {
-      aPrompt += text->get_ref<const std::string&>();
+      aText += text->get_ref<const std::string&>();
     }
   }
   return std::nullopt;
@@ -97,35 +96,19 @@
     if (role == message.end() || !role->is_string()) {
       return invalid(place + ".role must be a string");
     }
-    aPrompt += role->get_ref<const std::string&>();
-    aPrompt += '\n';
     const auto content = message.find("content");
     if (content == message.end()) {
       return invalid(place + ".content is missing");
     }
-    if (auto refusal = appendContent(*content, place + ".content", aPrompt)) {
+    std::string text;
+    if (auto refusal = appendContent(*content, place + ".content", text)) {
       return refusal;
     }
-    aPrompt += '\n';
+    appendPromptMessage(aPrompt, role->get_ref<const std::string&>(), text);
   }
   return std::nullopt;
 }
 
-std::vector<std::uint64_t>
-prefixHashes(std::string_view aPrompt)
-{
-  std::vector<std::uint64_t> hashes;
-  std::string chained;
-  for (std::size_t at = 0;
-       at + kPrefixBlockBytes <= aPrompt.size() && hashes.size() < kMaxPrefixBlocks;
-       at += kPrefixBlockBytes) {
-    chained = hashes.empty() ? std::string() : std::to_string(hashes.back());
-    chained.append(aPrompt.substr(at, kPrefixBlockBytes));
-    hashes.push_back(stableHash(chained));
-  }
-  return hashes;
-}
-
 std::optional<Refusal>
 readFlag(const json& aObject, const char* aName, const std::string& aPlace, bool& aFlag)
 {
@@ -222,7 +205,8 @@
     return *refusal;
   }
   request.promptTokens = static_cast<std::uint32_t>(prompt.size() / kBytesPerToken);
-  request.prefixHashes = prefixHashes(prompt);
+  request.prefixHashes =
+    prefixHashes(std::string_view(prompt).substr(0, kMaxPrefixBlocks * kPrefixBlockBytes));
   // Only this daemon resumes; a caller's own field would skip tokens unpaid.
   body.erase("resume");
   body["stream"] = true;
--- a/src/mustardplank/traffic/failure_test.cpp
+++ b/src/mustardplank/traffic/failure_test.cpp
@@ -297,6 +297,7 @@
   caller->send(chat(true));
   BOOST_TEST(readStream(caller->response().body()).text == tokensText(2));
   BOOST_TEST(backend.connections() == 2U);
+  BOOST_TEST(harness.waitFor<StreamEnded>(2));
   BOOST_CHECK(harness.outcomes().at(1) == SlotOutcome::Finished);
 }
 
