--- /dev/null
+++ b/bench/load/benches.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace mustardplank::load {
+
+/// Latency, CPU and memory that the daemon adds to streams; prints "name=value" lines.
+void
+benchPath();
+
+/// Measures of the policies under load; prints "<deployment>.<load>.<policy>.<measure>=<value>".
+void
+benchPolicy();
+
+}
