Let a wrapper run the daemon in integration tests

Cause: the daemon ended with "double free detected" in lost_service_answer_is_not_run_again. MUSTARDPLANK_DAEMON names a program to start instead, for example a script that runs it in gdb.

--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -345,10 +345,12 @@
 {
   auto& it = instance(aId);
   const auto log = mFolder / (aId + "." + std::to_string(++it.starts));
-  it.process =
-    std::make_unique<ChildProcess>(kBuild + "/src/daemon/mustardplankd",
-                                   std::vector<std::string>{ "--settings", it.settingsFile },
-                                   log.string());
+  // A wrapper may run the daemon in a debugger, for example.
+  const char* program = std::getenv("MUSTARDPLANK_DAEMON");
+  it.process = std::make_unique<ChildProcess>(
+    program != nullptr ? program : kBuild + "/src/daemon/mustardplankd",
+    std::vector<std::string>{ "--settings", it.settingsFile },
+    log.string());
 }
 
 void
