--- a/test/integration/domains_test.cpp
+++ b/test/integration/domains_test.cpp
@@ -131,12 +131,11 @@
   deployment.startInstances();
   deployment.fault("b1>platform", { { "cut", "both" } });
   deployment.controlPlatform({ { "lose_answers", 2 } });
-  const auto result =
-    deployment.ctl("a1", { "key", "create", "new-key", "--organisation", "authority" });
-  BOOST_REQUIRE((result.exitCode == 0));
-  const auto at = result.output.find("mp-");
-  BOOST_REQUIRE(at != std::string::npos);
-  const std::string key = result.output.substr(at, result.output.find_first_of(" \n\"", at) - at);
+  const auto result = deployment.ctl("a1", { "key", "create", "authority", "--json" });
+  BOOST_REQUIRE_MESSAGE(result.exitCode == 0, result.output);
+  const auto printed = json::parse(result.output, nullptr, false);
+  BOOST_REQUIRE_MESSAGE(printed.is_object() && printed.contains("key"), result.output);
+  const std::string key = printed.at("key");
   const bool everywhere = waitUntil(kSeconds, [&] {
     return keyWorks(deployment, "a1", key) && keyWorks(deployment, "b1", key) &&
            keyWorks(deployment, "c1", key);
@@ -168,7 +167,7 @@
                               id,
                               "--weight",
                               aWeight,
-                              "--class",
+                              "--allowed-class",
                               "normal",
                               "--default-class",
                               "normal",
