--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -345,10 +345,12 @@
 {
   auto& it = instance(aId);
   const auto log = mFolder / (aId + "." + std::to_string(++it.starts));
-  it.process =
-    std::make_unique<ChildProcess>(kBuild + "/src/daemon/mustardplankd",
-                                   std::vector<std::string>{ "--settings", it.settingsFile },
-                                   log.string());
+  // A wrapper may run the daemon in a debugger, for example.
+  const char* program = std::getenv("MUSTARDPLANK_DAEMON");
+  it.process = std::make_unique<ChildProcess>(
+    program != nullptr ? program : kBuild + "/src/daemon/mustardplankd",
+    std::vector<std::string>{ "--settings", it.settingsFile },
+    log.string());
 }
 
 void
@@ -478,7 +480,14 @@
 json
 Deployment::platformLedger()
 {
-  return getJson(mPlatformAddresses.front(), "/ledger");
+  json ledger = getJson(mPlatformAddresses.front(), "/ledger");
+  const auto ids = instanceIds();
+  for (const char* list : { "orders", "reports" }) {
+    for (auto& it : ledger[list]) {
+      it["instance"] = ids.at(it.at("view").get<std::size_t>());
+    }
+  }
+  return ledger;
 }
 
 void
