--- a/include/mustardplank/peer/messages.hpp
+++ b/include/mustardplank/peer/messages.hpp
@@ -61,7 +61,31 @@
   std::string record;
 };
 
-using Message =
-  std::variant<Heartbeat, Tombstone, Records, SnapshotRequest, Snapshot, UsageCopy, pool::Message>;
+struct ServerReport
+{
+  BackendServerId id;
+  bool starting = false;
+  bool leaving = false;
+  std::uint32_t running = 0;
+};
+
+/// From a pool owner to the instance that orders backend servers in its failure domain.
+struct PoolReport
+{
+  PoolId pool;
+  std::uint32_t usedSlots = 0;
+  std::uint32_t openSlots = 0;
+  Duration backlog{};
+  std::vector<ServerReport> servers;
+};
+
+using Message = std::variant<Heartbeat,
+                             Tombstone,
+                             Records,
+                             SnapshotRequest,
+                             Snapshot,
+                             UsageCopy,
+                             PoolReport,
+                             pool::Message>;
 
 }
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -23,6 +23,7 @@
 /// Neither log nor other failure domain for so long means isolated.
 constexpr Duration kIsolatedAfter = Seconds(5);
 constexpr Duration kTombstoneInterval = Seconds(1);
+constexpr Duration kPoolReportInterval = Seconds(1);
 constexpr Duration kSnapshotRequestInterval = Seconds(1);
 constexpr std::size_t kRelayLimit = 256;
 /// notices first.
@@ -128,6 +129,7 @@
   , mMembership({ aSettings.instance, aIncarnation, aSettings.failureDomain }, aNow)
   , mPools(aSettings, aIncarnation)
   , mDuties(aSettings, aIncarnation, mAppender, makeDutyOutputs(), aNow)
+  , mServerOrders(aSettings, aIncarnation, mDuties)
   , mOnce(onceOptions(aSettings, aIncarnation))
   , mLastTick(aNow)
 {
@@ -373,6 +375,12 @@
   mDuties.keepCopy(aMessage.record);
 }
 
+void
+Decisions::receive(const PeerMessage&, const peer::PoolReport& aMessage, TimePoint aNow)
+{
+  mServerOrders.report(aMessage, aNow);
+}
+
 void
 Decisions::receive(const PeerMessage& aFrom, const pool::Message& aMessage, TimePoint aNow)
 {
@@ -552,6 +560,8 @@
   requestSnapshot(aNow);
   mDuties.follow(mMembership, aNow);
   mDuties.tick(mStore, aNow);
+  reportPools(aNow);
+  mServerOrders.tick(*mStore.current(), mPlatformServers, aNow);
   run(mOnce.tick(aNow), aNow);
   finishDrain(aNow);
   mAppender.flush(aNow);
@@ -635,6 +645,24 @@
   }
 }
 
+void
+Decisions::reportPools(TimePoint aNow)
+{
+  if (!mSettings.orderServers || aNow < mNextPoolReport) {
+    return;
+  }
+  mNextPoolReport = aNow + kPoolReportInterval;
+  const auto* lease = mDuties.leases().find({ lease::Duty::OrderServers, mSettings.failureDomain });
+  for (const auto& it : mPools.reports(aNow)) {
+    // The own scaler is always told: without a lease record this instance may be about to claim the
+    // duty.
+    mServerOrders.report(it, aNow);
+    if (lease && lease->holder != mSettings.instance) {
+      mOutputs.toPeer(lease->holder, it);
+    }
+  }
+}
+
 void
 Decisions::appendTombstones(TimePoint aNow)
 {
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -11,6 +11,7 @@
 #include "mustardplank/settings/settings.hpp"
 #include "operator_changes.hpp"
 #include "pool_directory.hpp"
+#include "server_orders.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -74,6 +75,7 @@
   void receive(const PeerMessage& aFrom, const peer::SnapshotRequest& aMessage, TimePoint aNow);
   void receive(const PeerMessage& aFrom, const peer::Snapshot& aMessage, TimePoint aNow);
   void receive(const PeerMessage& aFrom, const peer::UsageCopy& aMessage, TimePoint aNow);
+  void receive(const PeerMessage& aFrom, const peer::PoolReport& aMessage, TimePoint aNow);
   void receive(const PeerMessage& aFrom, const pool::Message& aMessage, TimePoint aNow);
   void relayLog(const peer::Peer& aPeer);
   DutyOutputs makeDutyOutputs();
@@ -101,6 +103,7 @@
   void sendHeartbeats(TimePoint aNow);
   void updateLinks(TimePoint aNow);
   void updateIsolation(TimePoint aNow);
+  void reportPools(TimePoint aNow);
   void appendTombstones(TimePoint aNow);
   void requestSnapshot(TimePoint aNow);
   void spreadTombstone(const config::ChangeRecord& aRecord);
@@ -137,6 +140,7 @@
   peer::Membership mMembership;
   PoolDirectory mPools;
   Duties mDuties;
+  ServerOrders mServerOrders;
   once::AtMostOnce mOnce;
 
   std::vector<platform::PlatformServer> mPlatformServers;
@@ -155,6 +159,7 @@
   TimePoint mNextPoll{};
   TimePoint mNextHeartbeat{};
   TimePoint mNextTombstones{};
+  TimePoint mNextPoolReport{};
   TimePoint mNextSnapshotRequest{};
   bool mPollingInstances = false;
   bool mPollingServers = false;
--- a/src/daemon/pool_directory.cpp
+++ b/src/daemon/pool_directory.cpp
@@ -359,6 +359,30 @@
                                : found->second.otherOwners;
 }
 
+std::vector<peer::PoolReport>
+PoolDirectory::reports(TimePoint aNow) const
+{
+  std::vector<peer::PoolReport> reports;
+  for (const auto& [id, pool] : mPools) {
+    if (!pool.owner) {
+      continue;
+    }
+    const auto status = pool.owner->status(aNow);
+    peer::PoolReport report;
+    report.pool = id;
+    report.backlog = status.backlog;
+    for (const auto& it : status.servers) {
+      const bool leaving = it.state == "draining" || it.state == "lost";
+      const bool starting = !leaving && it.state != "serving";
+      report.usedSlots += it.granted;
+      report.openSlots += it.openSlots;
+      report.servers.push_back({ it.id, starting, leaving, it.granted });
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
 std::vector<PoolDirectory::PoolInfo>
 PoolDirectory::info(TimePoint aNow) const
 {
--- a/src/daemon/pool_directory.hpp
+++ b/src/daemon/pool_directory.hpp
@@ -53,6 +53,9 @@
   /// Owners of a pool in other failure domains, as last followed.
   std::vector<std::pair<FailureDomainId, InstanceId>> otherOwners(const PoolId& aPool) const;
 
+  /// The load of each owned pool, for the instance that orders backend servers.
+  std::vector<peer::PoolReport> reports(TimePoint aNow) const;
+
   struct PoolInfo
   {
     PoolId pool;
--- a/src/mustardplank/peer/codec.cpp
+++ b/src/mustardplank/peer/codec.cpp
@@ -16,9 +16,9 @@
 namespace {
 
 // In the order of the variants' alternatives.
-constexpr std::array<std::string_view, 6> kPeerNames{
-  "heartbeat", "tombstone", "records", "snapshot_request", "snapshot", "usage_copy"
-};
+constexpr std::array<std::string_view, 7> kPeerNames{ "heartbeat",        "tombstone", "records",
+                                                      "snapshot_request", "snapshot",  "usage_copy",
+                                                      "pool_report" };
 constexpr std::array<std::string_view, 12> kPoolNames{
   "permit_request", "permit_cancel", "slot_release", "register", "unregister", "registered",
   "permit_grant",   "permit_refuse", "preempt",      "handover", "owner_load", "crash_report"
--- a/src/mustardplank/peer/message_fields.hpp
+++ b/src/mustardplank/peer/message_fields.hpp
@@ -220,6 +220,27 @@
   aArchive("r", aMessage.record);
 }
 
+template<typename A>
+void
+fields(A& aArchive, ServerReport& aReport)
+{
+  aArchive("s", aReport.id);
+  aArchive("st", aReport.starting);
+  aArchive("lv", aReport.leaving);
+  aArchive("r", aReport.running);
+}
+
+template<typename A>
+void
+fields(A& aArchive, PoolReport& aMessage)
+{
+  aArchive("p", aMessage.pool);
+  aArchive("u", aMessage.usedSlots);
+  aArchive("op", aMessage.openSlots);
+  aArchive("b", aMessage.backlog);
+  aArchive("s", aMessage.servers);
+}
+
 }
 
 }
