--- a/include/mustardplank/pool/messages.hpp
+++ b/include/mustardplank/pool/messages.hpp
@@ -118,6 +118,8 @@
   Epoch highestEpoch = 0;
   std::vector<RequestInfo> waiting;
   std::vector<RunningSlot> running;
+  /// Counts the sender's registrations from 1.
+  std::uint64_t sequence = 0;
 };
 
 /// To the former owner, when an entry instance registers with another one. The former owner would
@@ -134,6 +136,9 @@
   PoolId pool;
   /// 0 means that the sender does not know the receiver (any more), which has to register again.
   Epoch epoch = 0;
+  /// Of the registration that the sender read last. Grants made between two registrations must not
+  /// be used after the second one, which says that their requests still wait.
+  std::uint64_t sequence = 0;
 };
 
 struct PermitGrant
--- a/src/mustardplank/pool/owner_admission.cpp
+++ b/src/mustardplank/pool/owner_admission.cpp
@@ -239,7 +239,7 @@
     if (mHandedOver) {
       send(aFrom, Handover{ mOptions.pool, mRegistry.epoch(), mSuccessor }, aEffects);
     } else {
-      send(aFrom, Registered{ mOptions.pool, 0 }, aEffects);
+      send(aFrom, Registered{ mOptions.pool, 0, 0 }, aEffects);
     }
     return;
   }
--- a/src/mustardplank/pool/owner_core.cpp
+++ b/src/mustardplank/pool/owner_core.cpp
@@ -51,7 +51,7 @@
 {
   for (const auto& it : mRegistry.clear(aNow)) {
     forgetInstance(it, true, aNow);
-    send(it, Registered{ mOptions.pool, 0 }, aEffects);
+    send(it, Registered{ mOptions.pool, 0, 0 }, aEffects);
   }
 }
 
@@ -181,7 +181,7 @@
     return;
   }
   const auto before = mServers[index].life.openSlots();
-  mServers.report(index, aReport, mOptions.slotLease, aNow);
+  mServers.report(index, aReport, gate(aNow));
   std::uint64_t models = 0;
   for (const auto& it : aReport.models) {
     models |= 1ULL << (static_cast<unsigned>(mModelIds.index(it)) & 63U);
--- a/src/mustardplank/pool/owner_grant.cpp
+++ b/src/mustardplank/pool/owner_grant.cpp
@@ -171,6 +171,7 @@
   slot.server = aServer;
   slot.epoch = mRegistry.epoch();
   slot.grantedAt = aNow;
+  slot.certainAt = aNow + mOptions.slotLease;
   slot.organisation = aRequest.organisation;
   slot.requestClass = aRequest.requestClass;
   slot.tier = aRequest.tier;
--- a/src/mustardplank/pool/owner_registration.cpp
+++ b/src/mustardplank/pool/owner_registration.cpp
@@ -25,13 +25,10 @@
     request.keep = true;
     enqueue(std::move(request));
   }
-  const Registered answer{ mOptions.pool, mRegistry.epoch() };
-  if (newEpoch) {
-    for (const auto& it : mRegistry.registrants()) {
-      send(it, answer, aEffects);
+  for (const auto& it : mRegistry.registrants()) {
+    if (newEpoch || it == aFrom) {
+      send(it, Registered{ mOptions.pool, mRegistry.epoch(), mRegistry.sequence(it) }, aEffects);
     }
-  } else {
-    send(aFrom, answer, aEffects);
   }
   if (first) {
     aEffects.push_back(WriteLog{
@@ -87,6 +84,7 @@
   slot.server = mServers.find(aSlot.server);
   slot.epoch = aSlot.epoch;
   slot.grantedAt = aNow;
+  slot.certainAt = aNow;
   slot.organisation = request.organisation;
   slot.requestClass = request.requestClass;
   slot.tier = request.tier;
@@ -108,7 +106,7 @@
   }
   mRegistry.expire(aNow);
   for (const auto& it : mRegistry.takeReturned()) {
-    send(it, Registered{ mOptions.pool, 0 }, aEffects);
+    send(it, Registered{ mOptions.pool, 0, 0 }, aEffects);
   }
   if (mForeignRunning == 0) {
     return;
--- a/src/mustardplank/pool/owner_release.cpp
+++ b/src/mustardplank/pool/owner_release.cpp
@@ -24,9 +24,9 @@
 {
   Running& slot = aSlot->second;
   if (aOrphan) {
-    mServers.orphan(slot, aLeaseEnd, aNow);
+    mServers.orphan(slot, aLeaseEnd);
   } else {
-    mServers.release(slot, aNow);
+    mServers.release(slot);
   }
   if (slot.server >= 0) {
     mServers.refresh(slot.server, gate(aNow));
--- a/src/mustardplank/pool/permit_client.cpp
+++ b/src/mustardplank/pool/permit_client.cpp
@@ -87,6 +87,7 @@
 {
   mRegistered = false;
   mRegisterSent = aNow;
+  ++mRegistrations;
   for (auto& [id, request] : mRequests) {
     if (!request.running && !request.spilledTo) {
       request.askedAt = aNow;
@@ -98,7 +99,7 @@
 Register
 PermitClient::registration(TimePoint aNow) const
 {
-  Register message{ mOptions.pool, mOptions.incarnation, mHighestEpoch, {}, {} };
+  Register message{ mOptions.pool, mOptions.incarnation, mHighestEpoch, {}, {}, mRegistrations };
   for (const auto& [id, request] : mRequests) {
     if (request.spilledTo) {
       continue;
@@ -212,7 +213,13 @@
     return;
   }
   if (aMessage.epoch == 0) {
-    registerAgain(aNow, aEffects);
+    // While a registration is on the way, this answers something sent before it.
+    if (mRegistered) {
+      registerAgain(aNow, aEffects);
+    }
+    return;
+  }
+  if (aMessage.sequence != 0 && aMessage.sequence != mRegistrations) {
     return;
   }
   if (aMessage.epoch < mHighestEpoch) {
@@ -249,6 +256,11 @@
                      Effects& aEffects)
 {
   const auto it = mRequests.find(aMessage.id);
+  if (mOptions.epochs && mOwner && aFrom == *mOwner && !mRegistered) {
+    // Sent before the owner read the registration, which replaces all that it knew of this
+    // instance. A release would be taken for the end of a grant that it makes after that.
+    return;
+  }
   if (it == mRequests.end() || !accepts(aFrom, aMessage, it->second)) {
     SlotRelease unused;
     unused.pool = mOptions.pool;
--- a/src/mustardplank/pool/permit_client.hpp
+++ b/src/mustardplank/pool/permit_client.hpp
@@ -82,6 +82,7 @@
   Epoch mHighestEpoch = 0;
   std::optional<TimePoint> mLastSeen;
   TimePoint mRegisterSent;
+  std::uint64_t mRegistrations = 0;
   Requests mRequests;
   std::size_t mRunning = 0;
   std::deque<std::pair<CrashReport, TimePoint>> mCrashes;
--- a/src/mustardplank/pool/registry.cpp
+++ b/src/mustardplank/pool/registry.cpp
@@ -26,13 +26,15 @@
   const bool starting = mRegistrants.empty();
   const bool known = contains(aFrom);
   if (starting) {
-    mSince = aNow;
     mEpoch = std::max(mEpoch, aMessage.highestEpoch) + 1;
   } else if (aMessage.highestEpoch > mEpoch || (!known && aMessage.highestEpoch == mEpoch)) {
     // Another owner had this epoch.
     mEpoch = aMessage.highestEpoch + 1;
   }
-  mRegistrants[aFrom] = { aMessage.incarnation, aNow };
+  if (mEpoch != former) {
+    mSince = aNow;
+  }
+  mRegistrants[aFrom] = { aMessage.incarnation, aNow, aMessage.sequence };
   mRemoved.erase(aFrom);
   mReturned.erase(aFrom);
   update(aNow);
@@ -115,6 +117,13 @@
   return it != mRegistrants.end() ? it->second.heard + mSlotLease : TimePoint();
 }
 
+std::uint64_t
+Registry::sequence(const InstanceId& aInstance) const
+{
+  const auto it = mRegistrants.find(aInstance);
+  return it != mRegistrants.end() ? it->second.sequence : 0;
+}
+
 std::vector<InstanceId>
 Registry::registrants() const
 {
--- a/src/mustardplank/pool/registry.hpp
+++ b/src/mustardplank/pool/registry.hpp
@@ -37,6 +37,8 @@
   TimePoint leaseEnd(const InstanceId& aInstance) const;
   bool empty() const { return mRegistrants.empty(); }
   std::vector<InstanceId> registrants() const;
+  /// Of the last registration of an instance.
+  std::uint64_t sequence(const InstanceId& aInstance) const;
   Epoch epoch() const { return mEpoch; }
   /// Start of the current run as owner.
   TimePoint since() const { return mSince; }
@@ -56,6 +58,7 @@
   {
     std::uint64_t incarnation = 0;
     TimePoint heard;
+    std::uint64_t sequence = 0;
   };
   /// Sets mCompleteSince and mCompleteUntil.
   void update(TimePoint aNow);
--- a/src/mustardplank/pool/servers.cpp
+++ b/src/mustardplank/pool/servers.cpp
@@ -87,7 +87,7 @@
 }
 
 void
-Servers::release(Running& aSlot, TimePoint aNow)
+Servers::release(Running& aSlot)
 {
   if (aSlot.server < 0) {
     return;
@@ -97,15 +97,12 @@
   if (aSlot.alone) {
     server.alone = false;
   }
-  if (server.life.fragile()) {
-    server.releases.push_back(aNow);
-  }
 }
 
 void
-Servers::orphan(Running& aSlot, TimePoint aLeaseEnd, TimePoint aNow)
+Servers::orphan(Running& aSlot, TimePoint aLeaseEnd)
 {
-  release(aSlot, aNow);
+  release(aSlot);
   if (aSlot.server >= 0 && (*this)[aSlot.server].life.fragile()) {
     (*this)[aSlot.server].orphans.push_back({ aSlot.info.id, aLeaseEnd });
   }
@@ -121,22 +118,21 @@
 }
 
 void
-Servers::report(int aServer, const LoadReport& aReport, Duration aSlotLease, TimePoint aNow)
+Servers::report(int aServer, const LoadReport& aReport, const Gate& aGate)
 {
   Server& server = (*this)[aServer];
   server.unreachableInARow = 0;
-  server.life.report(aReport, aNow);
-  const TimePoint taken = aNow - aReport.age;
+  server.life.report(aReport, aGate.now);
+  const TimePoint taken = aGate.now - aReport.age;
   if (!server.life.fragile()) {
     server.orphans.clear();
     server.unknown = 0;
-    server.releases.clear();
+    server.unknownFor = aGate.since;
     return;
   }
-  // Streams that are certain to have been opened or given up before the report was made.
   const auto certain = static_cast<std::uint32_t>(
     std::count_if(server.running.begin(), server.running.end(), [&](const Running* aSlot) {
-      return aSlot->grantedAt + aSlotLease < taken;
+      return aSlot->certainAt < taken;
     }));
   const std::uint32_t reported = aReport.running + aReport.waiting;
   const std::uint32_t others = reported > certain ? reported - certain : 0;
@@ -144,10 +140,14 @@
        it != server.orphans.end() && server.orphans.size() > others;) {
     it = it->leaseEnd < taken ? server.orphans.erase(it) : it + 1;
   }
-  std::erase_if(server.releases, [&](TimePoint aTime) { return aTime <= taken; });
-  const auto known = static_cast<std::uint32_t>(server.running.size() + server.orphans.size() +
-                                                server.releases.size());
-  server.unknown = reported > known ? reported - known : 0;
+  if (taken < aGate.since) {
+    return;
+  }
+  const auto orphans = static_cast<std::uint32_t>(server.orphans.size());
+  const std::uint32_t unknown = others > orphans ? others - orphans : 0;
+  const bool first = server.unknownFor != aGate.since;
+  server.unknown = first ? unknown : std::min(server.unknown, unknown);
+  server.unknownFor = aGate.since;
 }
 
 void
@@ -186,8 +186,7 @@
       return 0;
     }
     // Only a report made since shows streams that a dead instance left behind.
-    const auto taken = server.life.reportTaken();
-    if (aGate.tookOver && aGate.reportsExpected && (!taken || *taken < aGate.since)) {
+    if (aGate.tookOver && aGate.reportsExpected && server.unknownFor != aGate.since) {
       return 0;
     }
   }
--- a/src/mustardplank/pool/servers.hpp
+++ b/src/mustardplank/pool/servers.hpp
@@ -19,6 +19,8 @@
   int server = 0;
   Epoch epoch = 0;
   TimePoint grantedAt;
+  /// From then on the stream has certainly been opened or given up.
+  TimePoint certainAt;
   int organisation = 0;
   int requestClass = 0;
   std::uint32_t tier = 0;
@@ -54,10 +56,11 @@
   /// Slots that this owner granted and that were not released.
   std::vector<Running*> running;
   std::vector<Orphan> orphans;
-  /// Streams that the last report shows but this owner does not know of.
+  /// Streams that former owners granted and no instance has registered. They can only become
+  /// fewer, so that a report made before our own streams were opened must not hide them.
   std::uint32_t unknown = 0;
-  /// Times of releases since the last report was made.
-  std::vector<TimePoint> releases;
+  /// The start of the run as owner for which unknown was first found out.
+  std::optional<TimePoint> unknownFor;
   /// A crash suspect runs here alone.
   bool alone = false;
   /// Kept empty for a crash suspect that waits.
@@ -109,13 +112,13 @@
   const std::deque<Server>& all() const { return mServers; }
 
   void occupy(Running& aSlot);
-  void release(Running& aSlot, TimePoint aNow);
+  void release(Running& aSlot);
   /// The entry instance of the slot is silent or gone. On a server that can be overloaded the slot
   /// stays in use until a report shows it free.
-  void orphan(Running& aSlot, TimePoint aLeaseEnd, TimePoint aNow);
+  void orphan(Running& aSlot, TimePoint aLeaseEnd);
   /// The orphan's entry instance is back.
   void adopt(const RequestId& aId, int aServer);
-  void report(int aServer, const LoadReport& aReport, Duration aSlotLease, TimePoint aNow);
+  void report(int aServer, const LoadReport& aReport, const Gate& aGate);
   /// Recomputes the shares of a pool that is split among owners.
   template<typename Share>
   void setShares(const Share& aShare)
