--- a/src/daemon/duties.cpp
+++ b/src/daemon/duties.cpp
@@ -1,5 +1,6 @@
 #include "duties.hpp"
 
+#include "crash_record.hpp"
 #include "mustardplank/base/clock.hpp"
 #include "mustardplank/base/log_event.hpp"
 
@@ -102,7 +103,7 @@
   mLedger.apply(aEntry);
   mMeter.apply(aEntry, mLedger);
   mBackup.apply(aEntry);
-  if (aEntry.record->is_object() && aEntry.record->value("kind", "") == "config.snapshot") {
+  if (isKind(*aEntry.record, "config.snapshot")) {
     mLastSnapshot = std::max(mLastSnapshot, aEntry.offset);
   }
 }
