Keep the streams of an unregistered instance in mind on cold servers

The former owner took its slot on a cold server for free and granted it again: 3 streams on 2 cold slots.

Change: the slots of an instance that unregisters become orphans, which on a cold server only a load report made later frees.

--- a/src/mustardplank/pool/owner_registration.cpp
+++ b/src/mustardplank/pool/owner_registration.cpp
@@ -42,7 +42,8 @@
 void
 OwnerCore::handle(const InstanceId& aFrom, const Unregister&, TimePoint aNow, Effects& aEffects)
 {
-  forgetInstance(aFrom, true, aNow);
+  // Its streams go on under another owner.
+  forgetInstance(aFrom, false, aNow);
   mRegistry.remove(aFrom, aNow);
   refreshServers(aNow);
   grantAll(aNow, aEffects);
