Test that an answer to an older registration is ignored

Cause: disabling the check of Registered.sequence made no test fail; the random schedules reach it too rarely since the client ignores epoch 0 while a registration is on the way.

--- a/src/mustardplank/pool/client_test.cpp
+++ b/src/mustardplank/pool/client_test.cpp
@@ -98,4 +98,29 @@
   BOOST_TEST(domain.at("i0").owner.status(domain.now).running == 0U);
 }
 
+// Guards against a stream opened by a grant that the owner made before it read the newest
+// registration, which says that the request still waits: the owner grants it a second time.
+BOOST_AUTO_TEST_CASE(answerToOlderRegistrationIsIgnored)
+{
+  ClientOptions options;
+  options.self = InstanceId("i1");
+  options.pool = kPool;
+  PoolClient client(options);
+  const InstanceId owner("i0");
+  const TimePoint now{ Seconds(100) };
+  Effects effects;
+  client.setOwner(owner, now, effects);
+  client.submit(request("r1"), now, effects);
+  client.linkRestored(owner, now, effects);
+  const PermitGrant grant{ kPool, RequestId("r1"), 1, 1, BackendServerId("b1"), "127.0.0.1:9" };
+  effects.clear();
+  client.receive(owner, Registered{ kPool, 1, 1 }, now, effects);
+  client.receive(owner, grant, now, effects);
+  BOOST_TEST(effects.empty());
+  client.receive(owner, Registered{ kPool, 1, 2 }, now, effects);
+  client.receive(owner, grant, now, effects);
+  BOOST_REQUIRE(effects.size() == 1U);
+  BOOST_TEST(std::holds_alternative<StartStream>(effects[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
