Append usage copies that arrive after their sender is gone

The exploration () found usage lost although a surviving instance had a copy. Cause: the keeper was frozen, learned that the sender was gone and only then received its last copies, which it kept but never appended. The backup now remembers vanished instances for 120 s. Ruled out: appending every copy after a time without news, which costs appends for each idle instance.

After: passes, test copyArrivingAfterSenderIsGoneIsAppended.

--- a/include/mustardplank/usage/meter.hpp
+++ b/include/mustardplank/usage/meter.hpp
@@ -95,7 +95,16 @@
     bool gone = false;
     std::optional<TimePoint> lastAppend;
   };
+  struct Gone
+  {
+    std::uint64_t incarnation = 0;
+    /// Of the first tick after.
+    std::optional<TimePoint> since;
+  };
+
   std::map<Source, Kept> mKept;
+  /// A copy may arrive after its sender is known to be gone.
+  std::map<InstanceId, Gone> mGone;
 };
 
 }
--- a/src/mustardplank/usage/meter.cpp
+++ b/src/mustardplank/usage/meter.cpp
@@ -12,6 +12,9 @@
 
 /// After which a copy that is to be appended for a vanished instance is appended again.
 constexpr Duration kBackupRetry = Seconds(5);
+/// So long copies that arrive from a vanished instance are appended at once. Longer than messages
+/// are under way; bounds the needless appends for one that was taken for gone by mistake.
+constexpr Duration kRememberGone = Seconds(120);
 /// A source that has nothing new still writes so many times while it could be retired.
 constexpr std::uint64_t kWritesBeforeRetired = 4;
 
@@ -167,6 +170,9 @@
   }
   outdate(record->source);
   auto& kept = mKept[record->source];
+  const auto gone = mGone.find(record->source.instance);
+  kept.gone =
+    kept.gone || (gone != mGone.end() && record->source.incarnation <= gone->second.incarnation);
   kept.record.failureDomain = record->failureDomain;
   kept.record.source = record->source;
   kept.record.born = record->born;
@@ -178,6 +184,7 @@
 void
 UsageBackup::gone(const InstanceId& aInstance, std::uint64_t aIncarnation)
 {
+  mGone[aInstance] = { aIncarnation, std::nullopt };
   for (auto& [source, kept] : mKept) {
     kept.gone = kept.gone || (source.instance == aInstance && source.incarnation <= aIncarnation);
   }
@@ -215,6 +222,11 @@
 UsageBackup::tick(TimePoint aNow)
 {
   std::vector<AppendRecord> appends;
+  for (auto& [instance, gone] : mGone) {
+    gone.since = gone.since.value_or(aNow);
+  }
+  std::erase_if(mGone,
+                [&](const auto& aItem) { return aNow - *aItem.second.since >= kRememberGone; });
   for (auto& [source, kept] : mKept) {
     if (kept.gone && (!kept.lastAppend || aNow - *kept.lastAppend >= kBackupRetry)) {
       kept.lastAppend = aNow;
--- a/src/mustardplank/usage/usage_test.cpp
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -190,6 +190,19 @@
   BOOST_TEST(y.ledger.unreported(kDomain)[0].lines == lines(2, 13));
 }
 
+// Guards against a copy that arrives after its sender was found gone never being appended (found by
+// the exploration with seed 1004947).
+BOOST_FIXTURE_TEST_CASE(copyArrivingAfterSenderIsGoneIsAppended, Two)
+{
+  x.meter.add(kPort, { 1, 3, 6 });
+  const auto effects = x.meter.tick(at(1), x.ledger);
+  const auto& copy = std::get<CopyToBackup>(effects.back());
+  y.backup.gone(InstanceId("x"), 1);
+  BOOST_TEST(y.backup.tick(at(2)).empty());
+  y.backup.keep(nlohmann::json::parse(copy.record));
+  BOOST_TEST(y.backup.tick(at(3)).size() == 1U);
+}
+
 // Guards against usage of an instance that started without the log having no copy anywhere.
 BOOST_FIXTURE_TEST_CASE(usageIsCopiedBeforeLogWasRead, Two)
 {
