Fix a source's beginning at its first record in the log

Cause: a copy made before its sender had read the log names position 0 as the source's beginning, its own records a later one, and the ledger kept the latest; bases, which hold the state at the close before, then depended on how far their writer had read. The first record now decides.

--- a/src/mustardplank/usage/ledger.cpp
+++ b/src/mustardplank/usage/ledger.cpp
@@ -87,8 +87,13 @@
     ++mIgnoredCounters;
     return;
   }
-  auto& source = domain.sources[aRecord.source];
-  source.born = aRecord.born;
+  const auto [it, added] = domain.sources.try_emplace(aRecord.source);
+  auto& source = it->second;
+  if (added) {
+    // The first record decides. Bases hold the state at a close, which later records must not
+    // change.
+    source.born = aRecord.born;
+  }
   source.lastWindow = domain.window + 1;
   source.lastOffset = aOffset;
   for (const auto& [organisation, total] : aRecord.totals) {
@@ -159,8 +164,8 @@
 {
   const auto [it, added] = aDomain.sources.try_emplace(aBase.source);
   auto& source = it->second;
+  source.born = aBase.born;
   if (added) {
-    source.born = aBase.born;
     source.lastWindow = aBase.lastWindow;
   }
   source.lastWindowAtClose = aBase.lastWindow;
--- a/src/mustardplank/usage/usage_test.cpp
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -245,6 +245,23 @@
   BOOST_TEST(windows[1].id == x.ledger.unreported(kDomain).back().id);
 }
 
+// Guards against bases that depend on how far their writer had read: a copy made before the log was
+// read names another beginning than the source's own records (found by the exploration with seed
+// 1031379).
+BOOST_FIXTURE_TEST_CASE(basesHoldStateAtClose, Two)
+{
+  const Source source{ InstanceId("z"), 1, 0 };
+  log.append(encode(CountersRecord{ kDomain, source, 0, { { kPort, { 1, 4, 8 } } } }));
+  read();
+  close();
+  const auto next = encode(x.ledger.nextClose(kDomain, 0, true));
+  log.append(encode(CountersRecord{ kDomain, source, 1, { { kPort, { 2, 6, 12 } } } }));
+  log.append(next);
+  read();
+  BOOST_TEST(x.ledger.window(kDomain) == 2U);
+  BOOST_TEST(x.ledger.baseMismatches() == 0U);
+}
+
 // Guards against a late reader that takes bases although it missed entries after them.
 BOOST_FIXTURE_TEST_CASE(basesAreNotTakenAfterMissedEntries, Two)
 {
