Let an instance count whose incarnation is below its retired predecessor's

Cause: the daemon takes the incarnation from the wall clock, which may step back. The ledger would ignore every part of such a process, and its meter would begin a new part with each log entry. It now takes an incarnation above the retired one. Found by reading; the exploration's incarnations only rise. Test lowerIncarnationThanRetiredStillCounts.

--- a/include/mustardplank/usage/ledger.hpp
+++ b/include/mustardplank/usage/ledger.hpp
@@ -65,6 +65,8 @@
 
   /// Whether records of the source count no more: it was retired, or began before a restart.
   bool isIgnored(const FailureDomainId& aDomain, const Source& aSource, Offset aBorn) const;
+  /// The latest retired source of the instance; its later sources have to come after it.
+  std::optional<Source> retired(const FailureDomainId& aDomain, const InstanceId& aInstance) const;
   /// Windows closed since the source last wrote; 0 when it is unknown here.
   std::uint64_t windowsSilent(const FailureDomainId& aDomain, const Source& aSource) const;
   const LedgerOptions& options() const { return mOptions; }
--- a/include/mustardplank/usage/meter.hpp
+++ b/include/mustardplank/usage/meter.hpp
@@ -52,12 +52,13 @@
   /// Appends at once, before a planned stop; isLogged() tells when the stop loses nothing.
   std::vector<MeterEffect> flush(TimePoint aNow, const UsageLedger& aLedger);
   bool isLogged() const;
+  const Source& source() const { return mSource; }
 
 private:
   Totals unlogged() const;
   std::string record(const Totals& aTotals) const;
   void noteOwn(const CountersRecord& aRecord);
-  void beginPart();
+  void beginPart(const UsageLedger& aLedger);
   bool isAppendDue(const Totals& aUnlogged, TimePoint aNow, const UsageLedger& aLedger) const;
 
   MeterOptions mOptions;
--- a/src/mustardplank/usage/ledger.cpp
+++ b/src/mustardplank/usage/ledger.cpp
@@ -341,6 +341,17 @@
   return domain != nullptr && isIgnoredIn(*domain, aSource, aBorn);
 }
 
+std::optional<Source>
+UsageLedger::retired(const FailureDomainId& aDomain, const InstanceId& aInstance) const
+{
+  const auto* domain = findDomain(aDomain);
+  if (domain == nullptr) {
+    return std::nullopt;
+  }
+  const auto it = domain->retired.find(aInstance);
+  return it == domain->retired.end() ? std::nullopt : std::optional(it->second.first);
+}
+
 std::uint64_t
 UsageLedger::windowsSilent(const FailureDomainId& aDomain, const Source& aSource) const
 {
--- a/src/mustardplank/usage/meter.cpp
+++ b/src/mustardplank/usage/meter.cpp
@@ -75,7 +75,7 @@
     mBorn = mNext;
   }
   if (aLedger.isIgnored(mOptions.failureDomain, mSource, *mBorn)) {
-    beginPart();
+    beginPart(aLedger);
     return;
   }
   if (config::readableKind(*aEntry.record) != RecordKind::UsageCounters) {
@@ -97,7 +97,7 @@
 /// What the log held of the old part until now is all that counts of it; the new one begins with
 /// the rest.
 void
-UsageMeter::beginPart()
+UsageMeter::beginPart(const UsageLedger& aLedger)
 {
   Totals rest;
   for (const auto& [organisation, total] : mTotals) {
@@ -107,7 +107,14 @@
       rest[organisation] = left;
     }
   }
-  ++mSource.part;
+  const auto retired = aLedger.retired(mOptions.failureDomain, mOptions.instance);
+  if (retired && retired->incarnation > mSource.incarnation) {
+    // The incarnation comes from a clock that stepped back since the retired process started.
+    mSource.incarnation = retired->incarnation + 1;
+    mSource.part = 0;
+  } else {
+    ++mSource.part;
+  }
   mBorn = mNext;
   mTotals = std::move(rest);
   mLogged.clear();
--- a/src/mustardplank/usage/usage_test.cpp
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -298,6 +298,29 @@
   BOOST_TEST(sum.requests == 5U);
 }
 
+// Guards against an instance never being billed whose incarnation is below that of its retired
+// predecessor, as the clock stepped back.
+BOOST_AUTO_TEST_CASE(lowerIncarnationThanRetiredStillCounts)
+{
+  Two two(LedgerOptions{ 2, 100 });
+  two.count(two.x, 10);
+  for (int i = 0; i < 3; ++i) {
+    two.count(two.y, 1);
+    two.close();
+  }
+  Instance again("x", 0, LedgerOptions{ 2, 100 });
+  again.read(two.log);
+  BOOST_TEST(again.meter.source().incarnation == 2U);
+  again.meter.add(kPort, { 1, 7, 14 });
+  two.log.appendAll(again.meter.tick(at(1000), again.ledger));
+  two.read();
+  two.close();
+  again.read(two.log);
+  BOOST_TEST(two.y.ledger.unreported(kDomain).back().lines == lines(1, 7));
+  BOOST_TEST(again.meter.isLogged());
+  BOOST_TEST(again.meter.source().part == 0U);
+}
+
 // Guards against a failure domain that is never billed again because nobody knows its state, and
 // against billing twice what was counted before.
 BOOST_FIXTURE_TEST_CASE(restartBeginsAnew, Two)
