--- a/src/mustardplank/usage/ledger.cpp
+++ b/src/mustardplank/usage/ledger.cpp
@@ -87,8 +87,13 @@
     ++mIgnoredCounters;
     return;
   }
-  auto& source = domain.sources[aRecord.source];
-  source.born = aRecord.born;
+  const auto [it, added] = domain.sources.try_emplace(aRecord.source);
+  auto& source = it->second;
+  if (added) {
+    // The first record decides. Bases hold the state at a close, which later records must not
+    // change.
+    source.born = aRecord.born;
+  }
   source.lastWindow = domain.window + 1;
   source.lastOffset = aOffset;
   for (const auto& [organisation, total] : aRecord.totals) {
@@ -159,8 +164,8 @@
 {
   const auto [it, added] = aDomain.sources.try_emplace(aBase.source);
   auto& source = it->second;
+  source.born = aBase.born;
   if (added) {
-    source.born = aBase.born;
     source.lastWindow = aBase.lastWindow;
   }
   source.lastWindowAtClose = aBase.lastWindow;
@@ -336,6 +341,17 @@
   return domain != nullptr && isIgnoredIn(*domain, aSource, aBorn);
 }
 
+std::optional<Source>
+UsageLedger::retired(const FailureDomainId& aDomain, const InstanceId& aInstance) const
+{
+  const auto* domain = findDomain(aDomain);
+  if (domain == nullptr) {
+    return std::nullopt;
+  }
+  const auto it = domain->retired.find(aInstance);
+  return it == domain->retired.end() ? std::nullopt : std::optional(it->second.first);
+}
+
 std::uint64_t
 UsageLedger::windowsSilent(const FailureDomainId& aDomain, const Source& aSource) const
 {
