--- a/src/mustardplank/lease/lease.cpp
+++ b/src/mustardplank/lease/lease.cpp
@@ -128,16 +128,17 @@
 bool
 LeaseHolder::mayClaim(const LeaseKey& aKey, const Local& aLocal, TimePoint aNow) const
 {
-  const auto order = rank(aKey);
-  if (!order || !aLocal.willing || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
+  const auto wait = waitBeforeClaim(aKey);
+  const bool early = aNow - aLocal.lastRead < wait;
+  if (early || !aLocal.willing || !mCaughtUp || aNow - *mCaughtUp > mOptions.maxReadAge) {
     return false;
   }
   if (mOptions.failureDomain != aKey.failureDomain &&
       (isDomainLive(aKey.failureDomain) || aNow - aLocal.domainLive < mOptions.lease)) {
     return false;
   }
-  const auto wait = waitBeforeClaim(aKey) + mOptions.rankDelay * *order;
-  return aNow - aLocal.lastRead >= wait;
+  const auto order = rank(aKey);
+  return order && aNow - aLocal.lastRead >= wait + mOptions.rankDelay * *order;
 }
 
 bool
@@ -174,7 +175,9 @@
   const auto* lease = mTable.find(aKey);
   const bool holds = lease != nullptr && isOwn(*lease) && !lease->released;
   if (mReleasing) {
-    return holds && maySend(aLocal, mOptions.renewInterval, aNow)
+    // A call sent before release() may still take effect, so the successor must not act yet.
+    return holds && aNow - *mReleasing >= mOptions.margin &&
+               maySend(aLocal, mOptions.renewInterval, aNow)
              ? std::optional(send("lease.release", aKey, aLocal, aNow))
              : std::nullopt;
   }
@@ -204,7 +207,7 @@
 std::vector<AppendRecord>
 LeaseHolder::release(TimePoint aNow)
 {
-  mReleasing = true;
+  mReleasing = aNow;
   for (auto& [key, local] : mLocal) {
     local.lastSent.reset();
   }
--- a/src/mustardplank/pool/owner_registration.cpp
+++ b/src/mustardplank/pool/owner_registration.cpp
@@ -25,20 +25,17 @@
     request.keep = true;
     enqueue(std::move(request));
   }
-  const Registered answer{ mOptions.pool, mRegistry.epoch() };
-  if (newEpoch) {
-    for (const auto& it : mRegistry.registrants()) {
-      send(it, answer, aEffects);
+  for (const auto& it : mRegistry.registrants()) {
+    if (newEpoch || it == aFrom) {
+      send(it, Registered{ mOptions.pool, mRegistry.epoch(), mRegistry.sequence(it) }, aEffects);
     }
-  } else {
-    send(aFrom, answer, aEffects);
   }
   if (first) {
     aEffects.push_back(WriteLog{
       "pool.owner_started",
       { { "pool", mOptions.pool.str() }, { "epoch", std::to_string(mRegistry.epoch()) } } });
   }
-  updateShares(aNow);
+  refreshServers(aNow);
   grantAll(aNow, aEffects);
 }
 
@@ -47,7 +44,7 @@
 {
   forgetInstance(aFrom, true, aNow);
   mRegistry.remove(aFrom, aNow);
-  updateShares(aNow);
+  refreshServers(aNow);
   grantAll(aNow, aEffects);
 }
 
@@ -87,6 +84,7 @@
   slot.server = mServers.find(aSlot.server);
   slot.epoch = aSlot.epoch;
   slot.grantedAt = aNow;
+  slot.certainAt = aNow;
   slot.organisation = request.organisation;
   slot.requestClass = request.requestClass;
   slot.tier = request.tier;
@@ -108,7 +106,10 @@
   }
   mRegistry.expire(aNow);
   for (const auto& it : mRegistry.takeReturned()) {
-    send(it, Registered{ mOptions.pool, 0 }, aEffects);
+    send(it, Registered{ mOptions.pool, 0, 0 }, aEffects);
+  }
+  if (mForeignRunning == 0) {
+    return;
   }
   for (auto it = mRunning.begin(); it != mRunning.end();) {
     const auto current = it++;
--- a/src/mustardplank/pool/owner_release.cpp
+++ b/src/mustardplank/pool/owner_release.cpp
@@ -24,10 +24,14 @@
 {
   Running& slot = aSlot->second;
   if (aOrphan) {
-    mServers.orphan(slot, aLeaseEnd, aNow);
+    mServers.orphan(slot, aLeaseEnd);
   } else {
-    mServers.release(slot, aNow);
+    mServers.release(slot);
   }
+  if (slot.server >= 0) {
+    mServers.refresh(slot.server, gate(aNow));
+  }
+  mForeignRunning -= slot.foreign ? 1 : 0;
   --mOrganisations[static_cast<std::size_t>(slot.organisation)].running;
   mMinShare.ended(slot.requestClass);
   mByTier[slot.tier].erase(&slot);
