--- a/src/daemon/pool_directory.cpp
+++ b/src/daemon/pool_directory.cpp
@@ -246,7 +246,9 @@
                        pool::Effects& aEffects)
 {
   if (std::holds_alternative<pool::CrashReport>(aMessage)) {
+    // Clients remember crash reports too, for the next owner that they register with.
     for (auto& [id, pool] : mPools) {
+      pool.client.receive(aFrom, aMessage, aNow, aEffects);
       if (pool.owner) {
         pool.owner->receive(aFrom, aMessage, aNow, aEffects);
       }
@@ -258,9 +260,11 @@
     return;
   }
   auto& pool = found->second;
-  if (!isForOwner(aMessage)) {
+  const bool forBoth = std::holds_alternative<pool::Handover>(aMessage);
+  if (forBoth || !isForOwner(aMessage)) {
     pool.client.receive(aFrom, aMessage, aNow, aEffects);
-  } else if (pool.owner) {
+  }
+  if (pool.owner && (forBoth || isForOwner(aMessage))) {
     pool.owner->receive(aFrom, aMessage, aNow, aEffects);
   }
 }
--- a/src/mustardplank/peer/message_fields.hpp
+++ b/src/mustardplank/peer/message_fields.hpp
@@ -90,6 +90,7 @@
   aArchive("p", aMessage.pool);
   aArchive("n", aMessage.incarnation);
   aArchive("e", aMessage.highestEpoch);
+  aArchive("q", aMessage.sequence);
   aArchive("w", aMessage.waiting);
   aArchive("r", aMessage.running);
 }
@@ -107,6 +108,7 @@
 {
   aArchive("p", aMessage.pool);
   aArchive("e", aMessage.epoch);
+  aArchive("q", aMessage.sequence);
 }
 
 template<typename A>
