--- a/test/integration/domains_test.cpp
+++ b/test/integration/domains_test.cpp
@@ -131,7 +131,8 @@
   deployment.startInstances();
   deployment.fault("b1>platform", { { "cut", "both" } });
   deployment.controlPlatform({ { "lose_answers", 2 } });
-  const auto result = deployment.ctl("a1", { "key", "create", "authority", "--json" });
+  const auto result =
+    deployment.ctl("a1", { "key", "create", "new-key", "--organisation", "authority", "--json" });
   BOOST_REQUIRE_MESSAGE(result.exitCode == 0, result.output);
   const auto printed = json::parse(result.output, nullptr, false);
   BOOST_REQUIRE_MESSAGE(printed.is_object() && printed.contains("key"), result.output);
@@ -167,7 +168,7 @@
                               id,
                               "--weight",
                               aWeight,
-                              "--allowed-class",
+                              "--class",
                               "normal",
                               "--default-class",
                               "normal",
--- a/test/integration/servers_test.cpp
+++ b/test/integration/servers_test.cpp
@@ -96,7 +96,8 @@
   }
   Deployment deployment(plan);
   deployment.startInstances();
-  Load load(8, [&](unsigned aNumber) {
+  // More than the eight slots of one engine in each failure domain, so that all are used.
+  Load load(24, [&](unsigned aNumber) {
     return chatAt(deployment, aNumber % 2 == 0 ? "a1" : "b1", "normal", "leaving", 20);
   });
   const bool allUsed = waitUntil(Seconds(10), [&] {
