Bound the callers of the crash test, so that it ends with isolation off

Cause: with crash isolation off the crashing request waits for its deadline once every engine has ended, and the test did not end within 60 s. The caller of the crashing request now waits 4 s, its neighbours 15 s; the checks are unchanged.

--- a/test/integration/answers_test.cpp
+++ b/test/integration/answers_test.cpp
@@ -219,10 +219,14 @@
   Deployment deployment(plan);
   deployment.startInstances();
   Load load(6, [&](unsigned aNumber) {
-    return chatAt(deployment, aNumber % 2 == 0 ? "a1" : "b1", "normal", "neighbour", 30);
+    auto chat = chatAt(deployment, aNumber % 2 == 0 ? "a1" : "b1", "normal", "neighbour", 30);
+    chat.timeout = Seconds(15);
+    return chat;
   });
   auto crash = chatAt(deployment, "a1", "normal", "crash");
   crash.prompt = "CRASH-ENGINE " + crash.prompt;
+  // With every engine ended it would wait for its deadline.
+  crash.timeout = Seconds(4);
   const std::vector<std::string> engines{ "e1", "e2", "e3", "e4" };
   unsigned ended = 0;
   const auto countEnded = [&] {
