--- a/include/mustardplank/usage/meter.hpp
+++ b/include/mustardplank/usage/meter.hpp
@@ -52,12 +52,13 @@
   /// Appends at once, before a planned stop; isLogged() tells when the stop loses nothing.
   std::vector<MeterEffect> flush(TimePoint aNow, const UsageLedger& aLedger);
   bool isLogged() const;
+  const Source& source() const { return mSource; }
 
 private:
   Totals unlogged() const;
   std::string record(const Totals& aTotals) const;
   void noteOwn(const CountersRecord& aRecord);
-  void beginPart();
+  void beginPart(const UsageLedger& aLedger);
   bool isAppendDue(const Totals& aUnlogged, TimePoint aNow, const UsageLedger& aLedger) const;
 
   MeterOptions mOptions;
@@ -95,7 +96,16 @@
     bool gone = false;
     std::optional<TimePoint> lastAppend;
   };
+  struct Gone
+  {
+    std::uint64_t incarnation = 0;
+    /// Of the first tick after.
+    std::optional<TimePoint> since;
+  };
+
   std::map<Source, Kept> mKept;
+  /// A copy may arrive after its sender is known to be gone.
+  std::map<InstanceId, Gone> mGone;
 };
 
 }
--- a/src/mustardplank/usage/usage_test.cpp
+++ b/src/mustardplank/usage/usage_test.cpp
@@ -190,6 +190,19 @@
   BOOST_TEST(y.ledger.unreported(kDomain)[0].lines == lines(2, 13));
 }
 
+// Guards against a copy that arrives after its sender was found gone never being appended (found by
+// the exploration with seed 1004947).
+BOOST_FIXTURE_TEST_CASE(copyArrivingAfterSenderIsGoneIsAppended, Two)
+{
+  x.meter.add(kPort, { 1, 3, 6 });
+  const auto effects = x.meter.tick(at(1), x.ledger);
+  const auto& copy = std::get<CopyToBackup>(effects.back());
+  y.backup.gone(InstanceId("x"), 1);
+  BOOST_TEST(y.backup.tick(at(2)).empty());
+  y.backup.keep(nlohmann::json::parse(copy.record));
+  BOOST_TEST(y.backup.tick(at(3)).size() == 1U);
+}
+
 // Guards against usage of an instance that started without the log having no copy anywhere.
 BOOST_FIXTURE_TEST_CASE(usageIsCopiedBeforeLogWasRead, Two)
 {
@@ -232,6 +245,23 @@
   BOOST_TEST(windows[1].id == x.ledger.unreported(kDomain).back().id);
 }
 
+// Guards against bases that depend on how far their writer had read: a copy made before the log was
+// read names another beginning than the source's own records (found by the exploration with seed
+// 1031379).
+BOOST_FIXTURE_TEST_CASE(basesHoldStateAtClose, Two)
+{
+  const Source source{ InstanceId("z"), 1, 0 };
+  log.append(encode(CountersRecord{ kDomain, source, 0, { { kPort, { 1, 4, 8 } } } }));
+  read();
+  close();
+  const auto next = encode(x.ledger.nextClose(kDomain, 0, true));
+  log.append(encode(CountersRecord{ kDomain, source, 1, { { kPort, { 2, 6, 12 } } } }));
+  log.append(next);
+  read();
+  BOOST_TEST(x.ledger.window(kDomain) == 2U);
+  BOOST_TEST(x.ledger.baseMismatches() == 0U);
+}
+
 // Guards against a late reader that takes bases although it missed entries after them.
 BOOST_FIXTURE_TEST_CASE(basesAreNotTakenAfterMissedEntries, Two)
 {
@@ -268,6 +298,29 @@
   BOOST_TEST(sum.requests == 5U);
 }
 
+// Guards against an instance never being billed whose incarnation is below that of its retired
+// predecessor, as the clock stepped back.
+BOOST_AUTO_TEST_CASE(lowerIncarnationThanRetiredStillCounts)
+{
+  Two two(LedgerOptions{ 2, 100 });
+  two.count(two.x, 10);
+  for (int i = 0; i < 3; ++i) {
+    two.count(two.y, 1);
+    two.close();
+  }
+  Instance again("x", 0, LedgerOptions{ 2, 100 });
+  again.read(two.log);
+  BOOST_TEST(again.meter.source().incarnation == 2U);
+  again.meter.add(kPort, { 1, 7, 14 });
+  two.log.appendAll(again.meter.tick(at(1000), again.ledger));
+  two.read();
+  two.close();
+  again.read(two.log);
+  BOOST_TEST(two.y.ledger.unreported(kDomain).back().lines == lines(1, 7));
+  BOOST_TEST(again.meter.isLogged());
+  BOOST_TEST(again.meter.source().part == 0U);
+}
+
 // Guards against a failure domain that is never billed again because nobody knows its state, and
 // against billing twice what was counted before.
 BOOST_FIXTURE_TEST_CASE(restartBeginsAnew, Two)
