--- a/bench/load/benches.hpp
+++ b/bench/load/benches.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <vector>
 
 namespace mustardplank::load {
@@ -8,9 +9,9 @@
 void
 benchPath(const std::vector<unsigned>& aStreams);
 
-/// Measures of the policies under load; prints
+/// Measures of the policies under all loads or one; prints
 /// "<deployment>.<load>.<policy>.<measure>=<median over seeds>".
 void
-benchPolicy(unsigned aSeeds);
+benchPolicy(unsigned aSeeds, const std::string& aOnlyLoad);
 
 }
--- a/src/mustardplank/traffic/server.cpp
+++ b/src/mustardplank/traffic/server.cpp
@@ -319,6 +319,12 @@
   for (auto* connection : mConnections) {
     connection->sweep(now);
   }
+  std::size_t running = 0;
+  for (const auto& [id, request] : mRequests) {
+    running += request->running ? 1 : 0;
+  }
+  mMetrics->set(metrics::Gauge::RunningRequests, static_cast<double>(running));
+  mMetrics->set(metrics::Gauge::WaitingRequests, static_cast<double>(mRequests.size() - running));
 }
 
 Request*
