Drop intents that a later renewal shows to be void

Cause: an instance that could not see the claims read a late renewal of an ended lease first, so an intent under that token looked valid; the current holder's renewal came after it. Ruled out: counting no intent until the lease is proven, which would forget valid orders of a holder that dies then.

Not covered: the log has forgotten all records of the newer lease, that holder is gone, and the intent of the older one arrives after that; this needs a log that forgets records younger than the time an append can be late.

--- a/include/mustardplank/lease/order_journal.hpp
+++ b/include/mustardplank/lease/order_journal.hpp
@@ -86,6 +86,8 @@
     Order order;
     /// Fencing token of the latest valid intent; none while no intent was read.
     std::optional<Offset> fence;
+    /// Offset of that intent.
+    Offset intent = 0;
     bool settled = false;
     bool executing = false;
     /// Of an execution that the log does not know yet.
@@ -95,7 +97,9 @@
 
   using Entries = std::unordered_map<OperationId, Entry>;
 
-  void applyIntent(const nlohmann::json& aRecord, const LeaseTable& aTable);
+  void applyIntent(const LogEntry& aEntry, const LeaseTable& aTable);
+  void dropRefuted(const LeaseTable& aTable);
+  static bool isRefuted(const Entry& aEntry, const LeaseTable& aTable);
   std::optional<JournalEffect> applyOutcome(const nlohmann::json& aRecord);
   std::optional<JournalEffect> step(Entry& aEntry, Offset aFence, TimePoint aNow);
   void settle(Entry& aEntry);
--- a/src/mustardplank/lease/order_journal.cpp
+++ b/src/mustardplank/lease/order_journal.cpp
@@ -72,22 +72,47 @@
   mNext = aEntry.offset + 1;
   const auto kind = config::readableKind(*aEntry.record);
   if (kind == RecordKind::OrderIntent) {
-    applyIntent(*aEntry.record, aTable);
+    applyIntent(aEntry, aTable);
   } else if (kind == RecordKind::OrderOutcome) {
     if (auto effect = applyOutcome(*aEntry.record)) {
       effects.push_back(std::move(*effect));
     }
+  } else if (kind == RecordKind::LeaseRenew && mOptions.checkFence) {
+    dropRefuted(aTable);
   }
   return effects;
 }
 
+bool
+OrderJournal::isRefuted(const Entry& aEntry, const LeaseTable& aTable)
+{
+  const auto* lease = aTable.find(aEntry.order.key);
+  return lease != nullptr && aEntry.fence && *aEntry.fence < lease->fence &&
+         lease->fence < aEntry.intent;
+}
+
+/// An instance that cannot see the claims learns of one from a renewal, possibly after intents that
+/// the claim had made invalid.
 void
-OrderJournal::applyIntent(const json& aRecord, const LeaseTable& aTable)
+OrderJournal::dropRefuted(const LeaseTable& aTable)
+{
+  std::erase_if(mOpen, [&](const OperationId& aOperation) {
+    const auto it = mEntries.find(aOperation);
+    const bool refuted = isRefuted(it->second, aTable);
+    if (refuted) {
+      mEntries.erase(it);
+    }
+    return refuted;
+  });
+}
+
+void
+OrderJournal::applyIntent(const LogEntry& aEntry, const LeaseTable& aTable)
 {
   Order order;
   Offset fence = 0;
   Findings findings;
-  FieldReader fields(aRecord, "", findings);
+  FieldReader fields(*aEntry.record, "", findings);
   describe(fields, order);
   fields.field("fence", fence);
   const bool valid = !mOptions.checkFence || aTable.isCurrent(order.key, fence);
@@ -101,6 +126,7 @@
   }
   entry.order = std::move(order);
   entry.fence = fence;
+  entry.intent = aEntry.offset;
   // What this instance did or learnt under an older token is for the new holder to repeat.
   entry.executing = false;
   entry.outcome.reset();
--- a/src/mustardplank/lease/order_journal_test.cpp
+++ b/src/mustardplank/lease/order_journal_test.cpp
@@ -116,6 +116,35 @@
   BOOST_TEST(y.journal.tick(at(21), y.holder).empty());
 }
 
+// Guards against a void intent being taken up by an instance that could not see the claim that made
+// it void, and learnt of it later from a renewal (found by the exploration with seed 2087269).
+BOOST_AUTO_TEST_CASE(renewalOfUnseenClaimRefutesIntent)
+{
+  const auto entry = [](Offset aOffset, const char* aKind, Offset aFence) {
+    const nlohmann::json json{ { "v", 1 },
+                               { "kind", aKind },
+                               { "duty", "order_servers" },
+                               { "failure_domain", "a" },
+                               { "instance", "x" },
+                               { "operation", "op" },
+                               { "payload", "{}" },
+                               { "fence", aFence },
+                               { "seen", aOffset } };
+    return LogEntry{ aOffset, 0, std::make_shared<const nlohmann::json>(json) };
+  };
+  LeaseTable table;
+  OrderJournal journal;
+  for (const auto& it : { entry(70, "lease.renew", 3), entry(71, "order.intent", 3) }) {
+    table.apply(it);
+    journal.apply(it, table);
+  }
+  BOOST_TEST(journal.unresolved().size() == 1U);
+  const auto renewal = entry(72, "lease.renew", 47);
+  table.apply(renewal);
+  journal.apply(renewal, table);
+  BOOST_TEST(journal.unresolved().empty());
+}
+
 // Guards against an order of which nobody learns whether it was executed.
 BOOST_FIXTURE_TEST_CASE(successorResolvesWithSameOperation, Ordered)
 {
