Settle orders with a stale fencing token as not sent; mark repeated operator calls

An order refused for its fencing token was recorded as answered, so that a successor would not have resolved it. The simulated policy benchmark goes: the policies are measured with real processes.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,14 +3,12 @@
 #   scripts/bench.sh path    latency, CPU and memory that the daemon adds (about 2 minutes)
 #   scripts/bench.sh policy  the policies under load (about 10 minutes)
 #   scripts/bench.sh decision  cost of the pool owner's decisions, messages and bytes (in one process, seconds)
-#   scripts/bench.sh simulate  the policies in simulated time (a model, seconds)
 #   scripts/bench.sh k_mutex   the pool owner against permission-based k-mutual exclusion (seconds)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/build.sh build >/dev/null
 case "${1:-}" in
   decision) exec build/bench/decision/decision_bench "${@:2}" ;;
-  simulate) exec build/bench/decision/policy_sim "${@:2}" ;;
   k_mutex) exec build/bench/decision/k_mutex ;;
 esac
 # Two sockets for each stream, in the daemon and in the load generator.
--- a/src/daemon/duties.cpp
+++ b/src/daemon/duties.cpp
@@ -54,8 +54,7 @@
 executionOf(const platform::Result<platform::Ordered>& aResult)
 {
   const auto* failure = std::get_if<platform::Failure>(&aResult);
-  if (!failure || failure->kind == platform::FailureKind::NotAvailable ||
-      failure->kind == platform::FailureKind::StaleFence) {
+  if (!failure || failure->kind == platform::FailureKind::NotAvailable) {
     return lease::Execution::Answered;
   }
   return failure->kind == platform::FailureKind::Unknown ? lease::Execution::Unknown
--- a/src/daemon/operator_changes.cpp
+++ b/src/daemon/operator_changes.cpp
@@ -38,6 +38,7 @@
   pending.withdrawal = config::isWithdrawal(aRequest.record.change);
   pending.deadline = aNow + (pending.withdrawal ? kWithdrawalDeadline : kDeadline);
   pending.request = std::move(aRequest);
+  pending.repeated = mStore.find(pending.request.record.operation).has_value();
   if (answerFromLog(pending)) {
     return;
   }
@@ -72,7 +73,8 @@
     return false;
   }
   operators::ChangeReply reply;
-  reply.outcome = result->first;
+  reply.outcome = aPending.repeated ? config::ChangeOutcome::Duplicate : result->first;
+  reply.first = result->first;
   reply.revision = result->revision;
   reply.message = result->message;
   aPending.request.reply(std::move(reply));
--- a/src/daemon/operator_changes.hpp
+++ b/src/daemon/operator_changes.hpp
@@ -25,6 +25,8 @@
   {
     operators::ChangeRequest request;
     bool withdrawal = false;
+    /// The operation was in the log when the request came.
+    bool repeated = false;
     /// An append waits or is under way.
     bool underWay = false;
     /// The latest append had no effect.
