Retract a crash report when the same process of the server answers

Ruled out: waiting for confirmation before the request runs alone, since a request that does crash servers would reach the next one meanwhile. A loss stays a suspicion at once; a load report of the same incarnation 100 ms later retracts it, a new incarnation, a failed poll or 2 s of silence confirms it, and only confirmed ones go into the log.

The at-most-once proof asked for the outcome with another query than the first call had, which is another request and was rightly answered as a conflict; it now repeats the same call.

--- a/include/mustardplank/pool/messages.hpp
+++ b/include/mustardplank/pool/messages.hpp
@@ -196,12 +196,29 @@
   std::uint32_t queued = 0;
 };
 
+enum class CrashState
+{
+  /// The connection broke; whether the backend server crashed is not known yet.
+  Suspected,
+  /// The backend server does not answer, or was started anew.
+  Confirmed,
+  /// The same process of the backend server answers: only the connection broke.
+  Retracted,
+};
+
+inline constexpr NameTable<CrashState, 3> kCrashStateNames{ { {
+  { CrashState::Suspected, "suspected" },
+  { CrashState::Confirmed, "confirmed" },
+  { CrashState::Retracted, "retracted" },
+} } };
+
 /// To every peer: a backend server was lost while it ran this request.
 struct CrashReport
 {
   std::uint64_t digest = 0;
   BackendServerId server;
   RequestId request;
+  CrashState state = CrashState::Suspected;
 };
 
 using Message = std::variant<PermitRequest,
--- a/src/daemon/crash_record.cpp
+++ b/src/daemon/crash_record.cpp
@@ -48,7 +48,8 @@
   }
   return pool::CrashReport{ digest->get<std::uint64_t>(),
                             BackendServerId(*server),
-                            RequestId(*request) };
+                            RequestId(*request),
+                            pool::CrashState::Confirmed };
 }
 
 }
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -135,7 +135,8 @@
     spreadTombstone(aRequest.record);
     publishConfig(aNow);
   }
-  // A withdrawal must not follow, in the log, a change that an operator makes with it in force: it would undo the change.
+  // A withdrawal must not follow, in the log, a change that an operator makes with it in force: it
+  // would undo the change.
   for (const auto& it : mStore.pendingTombstones()) {
     mAppender.add(config::encodeTombstone(it).dump());
   }
--- a/src/daemon/decisions_traffic.cpp
+++ b/src/daemon/decisions_traffic.cpp
@@ -203,7 +203,8 @@
 Decisions::run(pool::Broadcast aEffect)
 {
   mToSelf.push_back(aEffect.message);
-  if (const auto* report = std::get_if<pool::CrashReport>(&aEffect.message)) {
+  const auto* report = std::get_if<pool::CrashReport>(&aEffect.message);
+  if (report && report->state == pool::CrashState::Confirmed) {
     mAppender.add(encodeCrashRecord(*report));
   }
   for (const auto& [id, peer] : mMembership.peers()) {
--- a/src/mustardplank/peer/message_fields.hpp
+++ b/src/mustardplank/peer/message_fields.hpp
@@ -167,10 +167,17 @@
   aArchive("q", aMessage.queued);
 }
 
+constexpr CrashState
+lastEnumerator(CrashState)
+{
+  return CrashState::Retracted;
+}
+
 template<typename A>
 void
 fields(A& aArchive, CrashReport& aMessage)
 {
+  aArchive("st", aMessage.state);
   aArchive("g", aMessage.digest);
   aArchive("s", aMessage.server);
   aArchive("i", aMessage.request);
--- a/src/mustardplank/pool/crash_table.cpp
+++ b/src/mustardplank/pool/crash_table.cpp
@@ -18,7 +18,10 @@
 }
 
 bool
-CrashTable::record(std::uint64_t aDigest, const BackendServerId& aServer, TimePoint aNow)
+CrashTable::record(std::uint64_t aDigest,
+                   const BackendServerId& aServer,
+                   const RequestId& aRequest,
+                   TimePoint aNow)
 {
   if (aDigest == 0) {
     return false;
@@ -31,15 +34,32 @@
   }
   Suspect& suspect = mSuspects[aDigest];
   const bool known = suspect.crashes > 0 && aNow - suspect.last < kSuspectTime;
-  if (known && suspect.server == aServer && aNow - suspect.last < kOneCrash) {
+  const bool same = suspect.request == aRequest || aNow - suspect.last < kOneCrash;
+  if (known && suspect.server == aServer && same) {
     return false;
   }
   suspect.crashes = known ? suspect.crashes + 1 : 1;
   suspect.last = aNow;
   suspect.server = aServer;
+  suspect.request = aRequest;
   return true;
 }
 
+void
+CrashTable::retract(std::uint64_t aDigest, const BackendServerId& aServer)
+{
+  const auto it = mSuspects.find(aDigest);
+  if (it == mSuspects.end() || it->second.server != aServer) {
+    return;
+  }
+  if (--it->second.crashes == 0) {
+    mSuspects.erase(it);
+    return;
+  }
+  it->second.server = {};
+  it->second.request = {};
+}
+
 CrashTable::Verdict
 CrashTable::verdict(std::uint64_t aDigest, TimePoint aNow) const
 {
--- a/src/mustardplank/pool/crash_table.hpp
+++ b/src/mustardplank/pool/crash_table.hpp
@@ -19,9 +19,14 @@
     Refused,
   };
 
-  /// Returns whether the crash is new. All reports about one server within a few seconds are one
-  /// crash.
-  bool record(std::uint64_t aDigest, const BackendServerId& aServer, TimePoint aNow);
+  /// Returns whether the crash is new. All reports about one server within a few seconds, and all
+  /// about one request on it, are one crash.
+  bool record(std::uint64_t aDigest,
+              const BackendServerId& aServer,
+              const RequestId& aRequest,
+              TimePoint aNow);
+  /// The latest crash was none if it was of this server: it lives.
+  void retract(std::uint64_t aDigest, const BackendServerId& aServer);
   /// The request ran alone to its end: it was not the cause.
   void clear(std::uint64_t aDigest) { mSuspects.erase(aDigest); }
   Verdict verdict(std::uint64_t aDigest, TimePoint aNow) const;
@@ -36,6 +41,7 @@
     int crashes = 0;
     TimePoint last;
     BackendServerId server;
+    RequestId request;
   };
   std::unordered_map<std::uint64_t, Suspect> mSuspects;
 };
--- a/src/mustardplank/pool/crash_test.cpp
+++ b/src/mustardplank/pool/crash_test.cpp
@@ -151,6 +151,36 @@
   BOOST_TEST(domain.at("i0").started[3].server.str() == domain.at("i0").started[2].server.str());
 }
 
+// Guards against refusing a harmless request whose connections broke twice while the servers lived.
+BOOST_AUTO_TEST_CASE(crashIsRetractedWhenTheServerLives)
+{
+  Domain domain = servingDomain(3);
+  for (const auto* id : { "r1", "r2", "r3" }) {
+    domain.submit("i0", suspect(id));
+    const auto server = domain.at("i0").started.back().server.str();
+    domain.end("i0", id, SlotOutcome::ServerLost, kDigest);
+    domain.pass(Millis(200));
+    domain.report(warmReport(server, 4));
+    domain.pass(Seconds(6));
+  }
+  BOOST_TEST(domain.at("i0").refused.empty());
+  BOOST_CHECK(domain.at("i0").crashes.back().state == CrashState::Retracted);
+}
+
+// Guards against taking a crashed server for a living one because it was started anew at once.
+BOOST_AUTO_TEST_CASE(newIncarnationConfirmsTheCrash)
+{
+  Domain domain = servingDomain(3);
+  domain.submit("i0", suspect("r1"));
+  const auto server = domain.at("i0").started.back().server.str();
+  domain.end("i0", "r1", SlotOutcome::ServerLost, kDigest);
+  domain.pass(Millis(200));
+  auto report = warmReport(server, 4);
+  ++report.incarnation;
+  domain.report(report);
+  BOOST_CHECK(domain.at("i0").crashes.back().state == CrashState::Confirmed);
+}
+
 // Guards against suspecting every request when a network fault breaks all connections at once.
 BOOST_AUTO_TEST_CASE(networkFaultMakesNoSuspects)
 {
--- a/src/mustardplank/pool/owner_core.cpp
+++ b/src/mustardplank/pool/owner_core.cpp
@@ -180,6 +180,8 @@
   if (index < 0) {
     return;
   }
+  settleCrashes(aReport.server, aReport.incarnation, aNow, aEffects);
+  mServers[index].incarnation = aReport.incarnation;
   const auto before = mServers[index].life.openSlots();
   mServers.report(index, aReport, gate(aNow));
   std::uint64_t models = 0;
@@ -204,6 +206,7 @@
   if (index < 0 || mView.pool.kind == config::PoolKind::Service) {
     return;
   }
+  settleCrashes(aServer, std::nullopt, aNow, aEffects);
   if (++mServers[index].unreachableInARow >= kUnreachablePolls) {
     mServers[index].life.connectionLost(aNow);
     mServers.refresh(index, gate(aNow));
@@ -236,6 +239,7 @@
     it.life.tick(aNow);
   }
   mCrashes.tick(aNow);
+  confirmLateCrashes(aNow, aEffects);
   refreshServers(aNow);
   moveFromReclaimed(aNow, aEffects);
   if (mView.failureDomainOut) {
--- a/src/mustardplank/pool/owner_core.hpp
+++ b/src/mustardplank/pool/owner_core.hpp
@@ -136,6 +136,13 @@
   void learn(Running& aSlot, const SlotRelease& aEnd, TimePoint aNow);
   void serverLost(Running& aSlot, const SlotRelease& aEnd, TimePoint aNow, Effects& aEffects);
   void recordCrash(const Running& aSlot, TimePoint aNow, Effects& aEffects);
+  /// Settles open crashes of a server that answers, or of which aIncarnation is empty, does not.
+  void settleCrashes(const BackendServerId& aServer,
+                     std::optional<std::uint64_t> aIncarnation,
+                     TimePoint aNow,
+                     Effects& aEffects);
+  void confirmLateCrashes(TimePoint aNow, Effects& aEffects);
+  void tellCrash(CrashReport aReport, CrashState aState, Effects& aEffects) const;
   bool networkFault(TimePoint aNow);
   void markSuspects(std::uint64_t aDigest, TimePoint aNow, Effects& aEffects);
   /// Ends the bookkeeping of a slot; aOrphan tells that its stream may go on.
@@ -161,6 +168,14 @@
   FairQueue mQueue;
   MinShare mMinShare;
   CrashTable mCrashes;
+  /// Broken connections of which it is not known whether the server crashed.
+  struct OpenCrash
+  {
+    CrashReport report;
+    std::uint64_t incarnation = 0;
+    TimePoint since;
+  };
+  std::vector<OpenCrash> mOpenCrashes;
   Spill mSpill;
   TokenBucket mRetries;
 
--- a/src/mustardplank/pool/owner_release.cpp
+++ b/src/mustardplank/pool/owner_release.cpp
@@ -9,6 +9,10 @@
 /// Errors in a row after which a server that still answers counts as lost.
 constexpr int kFailuresInARow = 3;
 constexpr double kSlownessSmoothing = 0.1;
+/// A report that comes sooner after a loss may have been under way before it.
+constexpr Duration kReportDelay = Millis(100);
+/// A server that did not answer for so long after a loss has crashed.
+constexpr Duration kSilentCrash = Seconds(2);
 /// Losing more than half of the servers, and at least this many, within kFaultTime is a fault of
 /// the network and not of requests.
 constexpr std::size_t kLeastFaultLosses = 3;
@@ -135,13 +139,54 @@
 OwnerCore::recordCrash(const Running& aSlot, TimePoint aNow, Effects& aEffects)
 {
   const auto& server = mServers[aSlot.server].config.id;
-  if (!mOptions.crashIsolation || !mCrashes.record(aSlot.info.digest, server, aNow)) {
+  if (!mOptions.crashIsolation ||
+      !mCrashes.record(aSlot.info.digest, server, aSlot.info.id, aNow)) {
     return;
   }
-  aEffects.push_back(Broadcast{ CrashReport{ aSlot.info.digest, server, aSlot.info.id } });
+  const CrashReport report{ aSlot.info.digest, server, aSlot.info.id, CrashState::Suspected };
+  mOpenCrashes.push_back({ report, mServers[aSlot.server].incarnation, aNow });
+  tellCrash(report, CrashState::Suspected, aEffects);
   markSuspects(aSlot.info.digest, aNow, aEffects);
 }
 
+void
+OwnerCore::tellCrash(CrashReport aReport, CrashState aState, Effects& aEffects) const
+{
+  aReport.state = aState;
+  aEffects.push_back(Broadcast{ std::move(aReport) });
+}
+
+void
+OwnerCore::settleCrashes(const BackendServerId& aServer,
+                         std::optional<std::uint64_t> aIncarnation,
+                         TimePoint aNow,
+                         Effects& aEffects)
+{
+  std::erase_if(mOpenCrashes, [&](const OpenCrash& aOpen) {
+    if (aOpen.report.server != aServer || aNow - aOpen.since < kReportDelay) {
+      return false;
+    }
+    const bool lives = aIncarnation == aOpen.incarnation;
+    if (lives) {
+      mCrashes.retract(aOpen.report.digest, aServer);
+    }
+    tellCrash(aOpen.report, lives ? CrashState::Retracted : CrashState::Confirmed, aEffects);
+    return true;
+  });
+}
+
+void
+OwnerCore::confirmLateCrashes(TimePoint aNow, Effects& aEffects)
+{
+  std::erase_if(mOpenCrashes, [&](const OpenCrash& aOpen) {
+    const bool late = aNow - aOpen.since >= kSilentCrash;
+    if (late) {
+      tellCrash(aOpen.report, CrashState::Confirmed, aEffects);
+    }
+    return late;
+  });
+}
+
 void
 OwnerCore::markSuspects(std::uint64_t aDigest, TimePoint aNow, Effects& aEffects)
 {
@@ -169,7 +214,12 @@
 void
 OwnerCore::handle(const InstanceId&, const CrashReport& aMessage, TimePoint aNow, Effects& aEffects)
 {
-  if (mOptions.crashIsolation && mCrashes.record(aMessage.digest, aMessage.server, aNow)) {
+  if (aMessage.state == CrashState::Retracted) {
+    mCrashes.retract(aMessage.digest, aMessage.server);
+    return;
+  }
+  if (mOptions.crashIsolation &&
+      mCrashes.record(aMessage.digest, aMessage.server, aMessage.request, aNow)) {
     markSuspects(aMessage.digest, aNow, aEffects);
   }
 }
--- a/src/mustardplank/pool/permit_client.cpp
+++ b/src/mustardplank/pool/permit_client.cpp
@@ -347,6 +347,12 @@
 void
 PermitClient::handle(const InstanceId&, const CrashReport& aMessage, TimePoint aNow, Effects&)
 {
+  if (aMessage.state == CrashState::Retracted) {
+    std::erase_if(mCrashes, [&](const auto& aItem) {
+      return aItem.first.digest == aMessage.digest && aItem.first.server == aMessage.server;
+    });
+    return;
+  }
   const bool known = std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aItem) {
     return aItem.first.request == aMessage.request && aItem.first.server == aMessage.server;
   });
--- a/src/mustardplank/pool/servers.hpp
+++ b/src/mustardplank/pool/servers.hpp
@@ -65,6 +65,8 @@
   bool alone = false;
   /// Kept empty for a crash suspect that waits.
   bool reserved = false;
+  /// Of the process that last reported its load.
+  std::uint64_t incarnation = 0;
   int failuresInARow = 0;
   int unreachableInARow = 0;
   /// Seconds for each output token relative to the pool's average; 1 while unknown.
--- a/test/integration/answers_test.cpp
+++ b/test/integration/answers_test.cpp
@@ -173,7 +173,7 @@
   for (unsigned round = 0; round < kRounds; ++round) {
     ChatAnswer answer;
     const bool told = waitUntil(Seconds(75), [&] {
-      answer = callPermits(deployment, "a1", bodyOf(round), keyOf(round), 0, kPatience);
+      answer = callPermits(deployment, "a1", bodyOf(round), keyOf(round), 400, kPatience);
       return answer.done || answer.errorCode == "outcome_unknown";
     });
     BOOST_TEST(told, answer.describe());
