Report a refused connection as not_connected

It counted as a lost server, so every request that met a dead server became a crash suspect. The test of a refused connection now expects exactly not_connected in place of server_lost: nothing was sent.

--- a/src/mustardplank/traffic/request_run.cpp
+++ b/src/mustardplank/traffic/request_run.cpp
@@ -284,7 +284,6 @@
   mChunks.emplace(mRequest.info.id.str());
   mSse = SseParser();
   mProblem.clear();
-  mOpenOutcome = pool::SlotOutcome::ServerLost;
   mServiceBody.clear();
   const auto exchange = co_await open(grant);
   if (!exchange) {
@@ -307,6 +306,8 @@
     resumed = resumeBody(mRequest.body, mRequest.info.tokensSent, mText);
   }
   const std::string_view body = resumed.empty() ? mRequest.body : resumed;
+  // Without a connection the request cannot have been the cause of the server's loss.
+  mOpenOutcome = pool::SlotOutcome::NotConnected;
   for (;;) {
     mConnection = co_await mServer.backends().connect(aGrant.address, fresh);
     if (!mConnection || mRequest.interrupt != Interrupt::None) {
@@ -315,6 +316,7 @@
     }
     mRequest.abortBackend = [connection = mConnection] { connection->close(); };
     mRequest.sentToBackend = true;
+    mOpenOutcome = pool::SlotOutcome::ServerLost;
     auto exchange = std::make_shared<BackendExchange>(
       mConnection, [this](std::string_view aBytes) { return takeBody(aBytes); });
     auto result = co_await exchange->send(mRequest, body);
