--- a/bench/load/bench_driver.cpp
+++ b/bench/load/bench_driver.cpp
@@ -23,6 +23,11 @@
                                                     : numbers);
       return 0;
     }
+    if (what == "control") {
+      mustardplank::load::benchControl(numbers.empty() ? std::vector<unsigned>{ 2, 4, 8, 16, 42 }
+                                                       : numbers);
+      return 0;
+    }
     if (what == "policy") {
       mustardplank::load::benchPolicy(numbers.empty() ? kSeeds : numbers.front(),
                                       aCount >= 4 ? aArguments[3] : "");
@@ -32,6 +37,7 @@
     std::cerr << "bench-driver: " << error.what() << '\n';
     return 1;
   }
-  std::cerr << "usage: bench-driver path [STREAMS...]|policy [SEEDS [LOAD]]\n";
+  std::cerr
+    << "usage: bench-driver path [STREAMS...]|control [INSTANCES...]|policy [SEEDS [LOAD]]\n";
   return 2;
 }
--- a/bench/load/benches.hpp
+++ b/bench/load/benches.hpp
@@ -9,6 +9,11 @@
 void
 benchPath(const std::vector<unsigned>& aStreams);
 
+/// What an idle instance spends on control with so many instances and backend servers in one
+/// failure domain; prints "<measure>.<instances>.<servers>=<value>".
+void
+benchControl(const std::vector<unsigned>& aInstances);
+
 /// Measures of the policies under all loads or one; prints
 /// "<deployment>.<load>.<policy>.<measure>=<median over seeds>".
 void
--- a/bench/load/installation.cpp
+++ b/bench/load/installation.cpp
@@ -152,6 +152,7 @@
       settings["operator_tokens"] = json::array({ token });
       settings.merge_patch(mPlan.settings);
       mCallers[id] = settings["callers"];
+      mAdmin[id] = settings["admin"];
       list.push_back({ { "id", id },
                        { "failure_domain", "fd-" + letter },
                        { "peer_address", settings["peers"] },
@@ -177,6 +178,16 @@
   }
 }
 
+std::vector<std::string>
+Installation::instances() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, address] : mCallers) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 std::vector<std::string>
 Installation::callers() const
 {
--- a/bench/load/installation.hpp
+++ b/bench/load/installation.hpp
@@ -24,6 +24,8 @@
   support::ChildProcess& engine(const std::string& aId) { return *mBackends.at(aId); }
   support::ChildProcess& instance(const std::string& aId) { return *mInstances.at(aId); }
   std::string instanceCallers(const std::string& aId) const { return mCallers.at(aId); }
+  std::string instanceAdmin(const std::string& aId) const { return mAdmin.at(aId); }
+  std::vector<std::string> instances() const;
   nlohmann::json ledger(const std::string& aBackend) const;
   void control(const std::string& aBackend, const nlohmann::json& aBody) const;
 
@@ -41,6 +43,7 @@
   std::map<std::string, std::string> mBackendAddresses;
   std::map<std::string, std::unique_ptr<support::ChildProcess>> mInstances;
   std::map<std::string, std::string> mCallers;
+  std::map<std::string, std::string> mAdmin;
   unsigned mOperations = 0;
 };
 
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -24,9 +24,12 @@
   ConfigRevision,
   LeasesHeld,
   LiveInstances,
+  /// Bytes of messages between instances since the start.
+  PeerBytesSent,
+  PeerBytesReceived,
 };
 
-inline constexpr NameTable<Gauge, 9> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 11> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -36,6 +39,8 @@
   { Gauge::ConfigRevision, "config_revision" },
   { Gauge::LeasesHeld, "leases_held" },
   { Gauge::LiveInstances, "live_instances" },
+  { Gauge::PeerBytesSent, "peer_bytes_sent" },
+  { Gauge::PeerBytesReceived, "peer_bytes_received" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Benchmarks, with real processes on the loopback interface where not said otherwise. Prints name=value lines.
 #   scripts/bench.sh path    latency, CPU and memory that the daemon adds (about 2 minutes)
+#   scripts/bench.sh control  what an instance spends on control, at 2 to 42 instances (about 3 minutes)
 #   scripts/bench.sh policy  the policies under load (about 10 minutes)
 #   scripts/bench.sh decision  cost of the pool owner's decisions, messages and bytes (in one process, seconds)
 #   scripts/bench.sh k_mutex   the pool owner against permission-based k-mutual exclusion (seconds)
@@ -13,4 +14,4 @@
 esac
 # Two sockets for each stream, in the daemon and in the load generator.
 ulimit -n "$(ulimit -Hn)"
-exec build/bench/load/bench-driver "${@:?path or policy}"
+exec build/bench/load/bench-driver "${@:?path, control or policy}"
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -35,6 +35,7 @@
 constexpr std::size_t kOperatorRing = 256;
 constexpr std::size_t kControlRing = 64;
 constexpr Duration kTickInterval = Millis(20);
+constexpr Duration kMetricsInterval = Seconds(1);
 
 struct OutgoingMessage
 {
@@ -131,6 +132,9 @@
         LogEvent(LogLevel::Error, "platform.ring_full").write();
       }
     };
+    outputs.setGauge = [this](metrics::Gauge aGauge, double aValue) {
+      metrics.set(aGauge, aValue);
+    };
     outputs.drained = drained;
     return outputs;
   }
@@ -180,6 +184,11 @@
     startOperators();
     timers.subscribe(
       "decisions", kTickInterval, [this](TimePoint aNow) { control.push(Tick{ aNow }); });
+    timers.subscribe("metrics", kMetricsInterval, [this](TimePoint) {
+      metrics.set(metrics::Gauge::PeerBytesSent, static_cast<double>(transport->bytesSent()));
+      metrics.set(metrics::Gauge::PeerBytesReceived,
+                  static_cast<double>(transport->bytesReceived()));
+    });
     timers.start();
     LogEvent(LogLevel::Info, "daemon.started")
       .field("failure_domain", settings.failureDomain.str())
--- a/src/daemon/decisions.cpp
+++ b/src/daemon/decisions.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kIsolatedAfter = Seconds(5);
 constexpr Duration kTombstoneInterval = Seconds(1);
 constexpr Duration kPoolReportInterval = Seconds(1);
+constexpr Duration kGaugeInterval = Seconds(1);
 constexpr Duration kSnapshotRequestInterval = Seconds(1);
 
 once::Options
@@ -179,6 +180,7 @@
   mDuties.follow(mMembership, aNow);
   mDuties.tick(mStore, aNow);
   reportPools(aNow);
+  updateGauges(aNow);
   mServerOrders.tick(*mStore.current(), mPlatformServers, aNow);
   run(mOnce.tick(aNow), aNow);
   finishDrain(aNow);
@@ -281,6 +283,27 @@
   }
 }
 
+void
+Decisions::updateGauges(TimePoint aNow)
+{
+  if (aNow < mNextGauges) {
+    return;
+  }
+  mNextGauges = aNow + kGaugeInterval;
+  const auto held = std::count_if(
+    mDuties.leases().all().begin(), mDuties.leases().all().end(), [&](const auto& aItem) {
+      return aItem.second.holder == mSettings.instance && !aItem.second.released;
+    });
+  const auto live = mMembership.liveInDomain(aNow).size();
+  mOutputs.setGauge(metrics::Gauge::PeerLinks, static_cast<double>(mLinks.size()));
+  mOutputs.setGauge(metrics::Gauge::LogReachable, mFollower.reachable(aNow) ? 1.0 : 0.0);
+  mOutputs.setGauge(metrics::Gauge::SecondsSinceLogRead,
+                    toMillis(mFollower.sinceRead(aNow)) / 1000.0);
+  mOutputs.setGauge(metrics::Gauge::ConfigRevision, static_cast<double>(mStore.next()));
+  mOutputs.setGauge(metrics::Gauge::LeasesHeld, static_cast<double>(held));
+  mOutputs.setGauge(metrics::Gauge::LiveInstances, static_cast<double>(live));
+}
+
 void
 Decisions::appendTombstones(TimePoint aNow)
 {
--- a/src/daemon/decisions.hpp
+++ b/src/daemon/decisions.hpp
@@ -5,6 +5,7 @@
 #include "log_appender.hpp"
 #include "log_follower.hpp"
 #include "mustardplank/config/store.hpp"
+#include "mustardplank/metrics/metrics.hpp"
 #include "mustardplank/once/at_most_once.hpp"
 #include "mustardplank/peer/membership.hpp"
 #include "mustardplank/peer/transport.hpp"
@@ -30,6 +31,7 @@
   std::function<void(std::vector<peer::PeerAddress>)> setPeers;
   /// Takes the outcome of a platform call, on any thread.
   std::function<void(PlatformEvent)> fromPlatform;
+  std::function<void(metrics::Gauge, double)> setGauge;
   /// The last stream has ended and everything is handed over.
   std::function<void()> drained;
 };
@@ -104,6 +106,7 @@
   void updateLinks(TimePoint aNow);
   void updateIsolation(TimePoint aNow);
   void reportPools(TimePoint aNow);
+  void updateGauges(TimePoint aNow);
   void appendTombstones(TimePoint aNow);
   void requestSnapshot(TimePoint aNow);
   void spreadTombstone(const config::ChangeRecord& aRecord);
@@ -160,6 +163,7 @@
   TimePoint mNextHeartbeat{};
   TimePoint mNextTombstones{};
   TimePoint mNextPoolReport{};
+  TimePoint mNextGauges{};
   TimePoint mNextSnapshotRequest{};
   bool mPollingInstances = false;
   bool mPollingServers = false;
