--- a/src/mustardplank/traffic/admission_test.cpp
+++ b/src/mustardplank/traffic/admission_test.cpp
@@ -112,11 +112,11 @@
 {
   harness.start();
   const auto caller = harness.connect();
-  const std::string long_(2000, 'a');
+  const std::string longText(2000, 'a');
   for (int i = 0; i < 2; ++i) {
     caller->send(chatWith(R"({"model":"m1","max_tokens":7,"resume":{"tokens":5},"messages":)"
                           R"([{"role":"user","content":")" +
-                          long_ + "\"}]}"));
+                          longText + "\"}]}"));
     BOOST_TEST(caller->response().result_int() == 200U);
   }
   const auto submits = harness.events<Submit>();
