--- a/bench/load/installation.cpp
+++ b/bench/load/installation.cpp
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include <thread>
+
 namespace mustardplank::load {
 
 using nlohmann::json;
@@ -90,7 +92,18 @@
   record.change = aChange;
   json body;
   body["records"] = json::array({ config::encodeChange(record) });
-  support::postJson(mPlatformAddress, "/log/append", body);
+  // A large configuration exceeds the log's rate for a while.
+  constexpr unsigned kTooManyRequests = 429;
+  constexpr unsigned kOk = 200;
+  const support::HttpCall call{ mPlatformAddress, "POST", "/log/append", {}, body.dump() };
+  auto answer = support::callHttp(call);
+  while (answer.status == kTooManyRequests) {
+    std::this_thread::sleep_for(Millis(50));
+    answer = support::callHttp(call);
+  }
+  if (answer.status != kOk) {
+    throw std::runtime_error("the log refused the configuration: " + answer.body);
+  }
 }
 
 void
