Hold the duties by conditional appends; take the baseline of servers once all have registered

Weighed: joining only when nobody claims (the holder still lost the duties to whoever joined next), an own log of claims with conditional appends (kept; 1 append a second by one instance).

--- a/include/mustardplank/control/board.hpp
+++ b/include/mustardplank/control/board.hpp
@@ -29,6 +29,8 @@
   /// The sender's time of day.
   std::int64_t wallMs = 0;
   bool leaving = false;
+  /// Set when the sender holds the duties: the end of the log of claims.
+  std::optional<std::uint64_t> leaseEnd;
   /// Cumulative figures of this incarnation, by usage window.
   std::map<std::uint64_t, UsageCounts> windows;
   std::vector<dispatch::CrashReport> crashes;
--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -37,14 +37,17 @@
   Reports,
   /// What outlives all instances; newest record of each key.
   State,
+  /// Claims of the duties.
+  Claims,
 };
 
-inline constexpr NameTable<Topic, 5> kTopicNames{ { {
+inline constexpr NameTable<Topic, 6> kTopicNames{ { {
   { Topic::Operators, "operators" },
   { Topic::Servers, "servers" },
   { Topic::Board, "board" },
   { Topic::Reports, "reports" },
   { Topic::State, "state" },
+  { Topic::Claims, "claims" },
 } } };
 
 struct Record
@@ -78,14 +81,6 @@
   Offset end = 0;
 };
 
-/// Membership of a group whose members share out the partitions of topics.
-struct Membership
-{
-  std::uint64_t generation = 0;
-  /// Whether the only partition of the duty belongs to this member.
-  bool holds = false;
-};
-
 /// What an operator's record says.
 struct NewConfig
 {
@@ -143,9 +138,6 @@
   /// Records of logs with keys need one each.
   HttpCall (*append)(Topic aTopic, const std::vector<Record>& aRecords, std::optional<Offset> aAt);
   Result<AppendResult> (*decodeAppend)(const HttpAnswer& aAnswer);
-  HttpCall (*join)(const std::string& aMember, Duration aTtl, std::uint64_t aGeneration);
-  HttpCall (*leave)(const std::string& aMember);
-  Result<Membership> (*decodeJoin)(const HttpAnswer& aAnswer);
   std::optional<OperatorRecord> (*decodeOperator)(const Record& aRecord, Findings& aFindings);
   std::optional<route::BackendServer> (*decodeServer)(const Record& aRecord, Findings& aFindings);
   HttpCall (*report)(const UsageReport& aReport, const DutyHolder& aHolder);
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -32,8 +32,8 @@
 /// Costs of a choice in time to the first event, for what has no time of its own.
 struct PlacementCosts
 {
-  /// Round trip to another failure domain.
-  Duration otherDomain = Millis(2);
+  /// Round trip to another failure domain, and the risk that the way there is cut while it runs.
+  Duration otherDomain = Millis(25);
   /// Each kilobyte that crosses into another failure domain; from the price of traffic there.
   Duration otherDomainPerKb = Millis(2);
   /// Each 1,000 shared tokens that a server reads although another one keeps them, besides the time
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -58,6 +58,8 @@
   /// Where usage is reported and servers are ordered; nothing when that is not this system's.
   std::optional<Address> orders;
   dispatch::Policy policy = dispatch::Policy::Predicted;
+  /// The whole system starts for the first time.
+  bool firstStart = false;
   bool reportUsage = true;
   bool orderServers = true;
   RouteBounds bounds;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -49,7 +49,8 @@
 constexpr Duration kBoardInterval = Millis(1000);
 /// An instance with nothing to tell says that it lives.
 constexpr Duration kBoardIdle = Millis(2000);
-constexpr Duration kRenewInterval = Millis(700);
+/// How often the lease is looked at.
+constexpr Duration kLeaseStep = Millis(250);
 constexpr Duration kDutyInterval = Millis(500);
 constexpr Duration kTick = Millis(100);
 /// Time in which the balancer notices that this instance is not ready.
@@ -60,6 +61,8 @@
 constexpr std::size_t kAssumedInstances = 12;
 /// Records of the board are read in pages; a reader that starts reads what is kept.
 constexpr std::size_t kMaxCrashesTold = 64;
+/// Time after the start in which all servers have written an entry.
+constexpr Duration kBaselineWait = Millis(3000);
 constexpr const char* kBaselineKey = "baseline";
 
 asio::ip::tcp::endpoint
@@ -151,7 +154,7 @@
     : settings(std::move(aSettings))
     , incarnation(static_cast<std::uint64_t>(wallMillis()))
     , dispatcher(dispatcherOptions(settings))
-    , lease(leaseOptions(settings))
+    , lease(leaseOptions(settings), settings.firstStart, bootNow())
     , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
     , orders({})
     , gateway(io,
@@ -401,6 +404,9 @@
     entry.incarnation = incarnation;
     entry.wallMs = wallMillis();
     entry.leaving = draining;
+    if (lease.holds()) {
+      entry.leaseEnd = lease.end();
+    }
     entry.windows = usage.takeUntold();
     entry.crashes = std::exchange(crashes, {});
     entry.needs = dispatcher.takeNeeds(bootNow());
@@ -420,15 +426,31 @@
     }
     usage.apply(*entry);
     needs[entry->instance] = { entry->wallMs, entry->needs };
+    noteHolder(*entry);
     for (const auto& it : entry->crashes) {
       dispatcher.reportCrash(it, bootNow());
     }
   }
 
+  /// Old entries, read at the start, say nothing of who holds the duties now.
+  void noteHolder(const control::BoardEntry& aEntry)
+  {
+    const auto age = Millis(std::max<std::int64_t>(wallMillis() - aEntry.wallMs, 0));
+    if (aEntry.instance == settings.instance || !aEntry.leaseEnd) {
+      return;
+    }
+    if (aEntry.leaving) {
+      lease.givenUp(*aEntry.leaseEnd, bootNow() - age);
+    } else {
+      lease.observed(*aEntry.leaseEnd, bootNow() - age);
+    }
+  }
+
   void countInstances()
   {
     auto live = usage.live(wallMillis());
     live[settings.instance] = settings.failureDomain;
+    lease.setRank(rankAmong(live));
     std::size_t inDomain = 0;
     for (const auto& [id, domain] : live) {
       inDomain += domain == settings.failureDomain ? 1 : 0;
@@ -449,6 +471,18 @@
     metrics.set(metrics::Gauge::LiveInstances, static_cast<double>(live.size()));
   }
 
+  /// This instance's place in an order that differs between deployments' instances but is the same
+  /// for all.
+  std::size_t rankAmong(const std::map<InstanceId, FailureDomainId>& aLive) const
+  {
+    const auto own = stableHash(settings.instance.str());
+    std::size_t rank = 0;
+    for (const auto& [id, domain] : aLive) {
+      rank += stableHash(id.str()) < own ? 1 : 0;
+    }
+    return rank;
+  }
+
   awaitable<void> boardLoop()
   {
     auto store = client();
@@ -456,7 +490,8 @@
     TimePoint lastTold{};
     for (;;) {
       const auto now = bootNow();
-      if (usage.hasUntold() || !crashes.empty() || now - lastTold >= kBoardIdle) {
+      if (usage.hasUntold() || !crashes.empty() || boardDue || now - lastTold >= kBoardIdle) {
+        boardDue = false;
         auto entry = makeEntry();
         std::vector<control::Record> records{ { 0, {}, control::encodeEntry(entry) } };
         const auto result = co_await store.append(Topic::Board, records, std::nullopt);
@@ -490,25 +525,36 @@
   awaitable<void> leaseLoop()
   {
     auto store = client();
-    const auto member = settings.instance.str() + "/" + std::to_string(incarnation);
-    for (;;) {
-      if (draining) {
-        co_await store.leave(member);
-        co_return;
-      }
-      const auto sent = bootNow();
-      const auto result = co_await store.join(member, settings.bounds.lease, lease.generation());
-      if (const auto* membership = std::get_if<control::Membership>(&result)) {
-        const bool before = lease.holds();
-        lease.joined(sent, *membership, bootNow());
-        if (before != lease.holds()) {
-          LogEvent(LogLevel::Info, lease.holds() ? "lease.taken" : "lease.lost")
-            .field("generation", lease.generation())
-            .write();
-          metrics.set(metrics::Gauge::LeasesHeld, lease.holds() ? 1 : 0);
-        }
+    if (settings.firstStart) {
+      // Spread, as nobody knows the others yet.
+      co_await pauseFor(Millis(static_cast<int>(stableHash(settings.instance.str()) % 500)));
+    }
+    while (!draining) {
+      if (const auto at = lease.wantsAppend(bootNow())) {
+        co_await renewLease(store, *at);
       }
-      co_await pauseFor(kRenewInterval);
+      co_await pauseFor(kLeaseStep);
+    }
+  }
+
+  awaitable<void> renewLease(StoreClient& aStore, control::Offset aAt)
+  {
+    const auto sent = bootNow();
+    std::vector<control::Record> records{ { 0, {}, settings.instance.str() } };
+    const auto result = co_await aStore.append(Topic::Claims, records, aAt);
+    const auto now = bootNow();
+    const bool before = lease.holds();
+    if (const auto* answer = std::get_if<control::AppendResult>(&result)) {
+      lease.appended(sent, *answer, now);
+    } else {
+      lease.appendUnknown(now);
+    }
+    if (before != lease.holds()) {
+      LogEvent(LogLevel::Info, lease.holds() ? "lease.taken" : "lease.lost")
+        .field("end", lease.end())
+        .write();
+      metrics.set(metrics::Gauge::LeasesHeld, lease.holds() ? 1 : 0);
+      boardDue = true;
     }
   }
 
@@ -524,6 +570,7 @@
   awaitable<control::DutyAnswer> callDuty(platform::HttpExchange& aExchange, control::HttpCall aCall)
   {
     aCall.notAfter = lease.actUntil();
+    lease.acted(bootNow());
     const auto answer = co_await aExchange.call(std::move(aCall));
     if (const auto* failure = std::get_if<Failure>(&answer)) {
       platformCalls.failed(failure->message);
@@ -701,7 +748,7 @@
       co_return true;
     }
     const auto present = presentServers();
-    if (present.empty()) {
+    if (present.empty() || bootNow() < startedAt + kBaselineWait) {
       co_return false;
     }
     std::vector<control::Record> record{ { 0, kBaselineKey, control::encodeBaseline(present) } };
@@ -776,6 +823,8 @@
       return;
     }
     draining = true;
+    boardDue = true;
+    lease.stop();
     gateway.drain();
     LogEvent(LogLevel::Info, "daemon.stopping").field("active", gateway.active()).write();
     asio::co_spawn(io, drainLoop(), asio::detached);
@@ -812,8 +861,8 @@
     std::ostringstream out;
     out << "config " << (table ? table->version() : 0) << "\n"
         << "active " << gateway.active() << " waiting " << dispatcher.waiting() << "\n"
-        << "lease " << (lease.holds() ? "held" : "not held") << " generation "
-        << lease.generation() << "\n"
+        << "lease " << (lease.holds() ? "held" : "not held") << " end " << lease.end()
+        << "\n"
         << "store config " << (storeConfig.isLost() ? "lost" : "ok") << " servers "
         << (storeServers.isLost() ? "lost" : "ok") << " board "
         << (storeBoard.isLost() ? "lost" : "ok") << "\n";
@@ -856,6 +905,7 @@
 
   settings::RouteSettings settings;
   std::uint64_t incarnation;
+  TimePoint startedAt = bootNow();
   AlarmQueue alarms;
   metrics::Metrics metrics;
   dispatch::Dispatcher dispatcher;
@@ -872,6 +922,8 @@
   std::map<std::uint64_t, control::ReportIntent> unreported;
   std::set<std::uint64_t> reported;
   std::optional<control::Baseline> baseline;
+  /// The others are to be told at once.
+  bool boardDue = false;
   std::size_t mostInstances = 1;
   TimePoint mostInstancesAt{};
   Dependency storeConfig{ "store_config" };
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -62,22 +62,4 @@
   co_return mDialect.decodeAppend(std::get<control::HttpAnswer>(answer));
 }
 
-asio::awaitable<control::Result<control::Membership>>
-StoreClient::join(std::string aMember, Duration aTtl, std::uint64_t aGeneration)
-{
-  auto call = mDialect.join(aMember, aTtl, aGeneration);
-  const auto answer = co_await mExchange.call(std::move(call));
-  if (const auto* failure = std::get_if<Failure>(&answer)) {
-    co_return *failure;
-  }
-  co_return mDialect.decodeJoin(std::get<control::HttpAnswer>(answer));
-}
-
-asio::awaitable<void>
-StoreClient::leave(std::string aMember)
-{
-  auto call = mDialect.leave(aMember);
-  co_await mExchange.call(std::move(call));
-}
-
 }
--- a/src/daemon/store_client.hpp
+++ b/src/daemon/store_client.hpp
@@ -44,10 +44,6 @@
     control::Topic aTopic,
     std::vector<control::Record> aRecords,
     std::optional<control::Offset> aAt);
-  boost::asio::awaitable<control::Result<control::Membership>> join(std::string aMember,
-                                                                    Duration aTtl,
-                                                                    std::uint64_t aGeneration);
-  boost::asio::awaitable<void> leave(std::string aMember);
   const control::StoreDialect& dialect() const { return mDialect; }
 
 private:
--- a/src/mustardplank/control/board.cpp
+++ b/src/mustardplank/control/board.cpp
@@ -58,6 +58,9 @@
   entry.incarnation = aObject.at("n").get<std::uint64_t>();
   entry.wallMs = aObject.at("t").get<std::int64_t>();
   entry.leaving = aObject.value("l", false);
+  if (aObject.contains("h")) {
+    entry.leaseEnd = aObject.at("h").get<std::uint64_t>();
+  }
   for (const auto& it : aObject.value("w", json::array())) {
     entry.windows[it.at(0).get<std::uint64_t>()] = countsFromJson(it.at(1));
   }
@@ -84,6 +87,9 @@
   if (aEntry.leaving) {
     object["l"] = true;
   }
+  if (aEntry.leaseEnd) {
+    object["h"] = *aEntry.leaseEnd;
+  }
   for (const auto& [window, counts] : aEntry.windows) {
     object["w"].push_back(json::array({ window, countsToJson(counts) }));
   }
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -4,30 +4,86 @@
 
 namespace mustardplank::control {
 
-DutyLease::DutyLease(DutyLeaseOptions aOptions)
+DutyLease::DutyLease(DutyLeaseOptions aOptions, bool aFirstStart, TimePoint aNow)
   : mOptions(aOptions)
+  , mObservedAt(aFirstStart ? aNow - aOptions.ttl : aNow)
+  , mTriedAt(aNow - aOptions.renewInterval)
 {
+  if (!aFirstStart) {
+    mLastAct = aNow;
+  }
 }
 
 void
-DutyLease::joined(TimePoint aSent, const Membership& aMembership, TimePoint aNow)
+DutyLease::observed(Offset aEnd, TimePoint aNow)
 {
-  if (aMembership.generation < mGeneration) {
-    // An answer that was overtaken by a later one.
-    return;
+  if (aEnd > mEnd) {
+    lose(aEnd, aNow);
+  } else if (aEnd == mEnd && !mFence) {
+    mObservedAt = std::max(mObservedAt, aNow);
   }
-  const bool lapsed = mFence && aNow > mRenewedAt + mOptions.ttl;
-  mGeneration = aMembership.generation;
-  if (!aMembership.holds) {
-    mFence.reset();
+}
+
+void
+DutyLease::lose(Offset aEnd, TimePoint aNow)
+{
+  mFence.reset();
+  mEnd = aEnd;
+  mObservedAt = aNow;
+}
+
+void
+DutyLease::givenUp(Offset aEnd, TimePoint aNow)
+{
+  // With a later record somebody else has claimed them since.
+  if (!mFence && aEnd >= mEnd) {
+    mEnd = aEnd;
+    mObservedAt = aNow - mOptions.ttl;
+  }
+}
+
+std::optional<Offset>
+DutyLease::wantsAppend(TimePoint aNow) const
+{
+  if (mStopped || aNow < mTriedAt + mOptions.renewInterval / 2) {
+    return std::nullopt;
+  }
+  const auto due = mFence ? mRenewedAt + mOptions.renewInterval
+                          : mObservedAt + mOptions.ttl + static_cast<int>(mRank) * mOptions.rankDelay;
+  return aNow >= due ? std::optional(mEnd) : std::nullopt;
+}
+
+void
+DutyLease::appended(TimePoint aSent, const AppendResult& aResult, TimePoint aNow)
+{
+  mTriedAt = aNow;
+  if (aResult.appended) {
+    if (!mFence) {
+      mFence = aResult.end;
+      mMayActFrom = aNow + mOptions.settle;
+      if (mLastAct) {
+        mMayActFrom = std::max(mMayActFrom, *mLastAct + mOptions.lease);
+      }
+    }
+    mEnd = aResult.end;
+    mRenewedAt = aSent;
     return;
   }
-  if (!mFence || lapsed) {
-    // Another member may have held the duties in between.
-    mFence = aMembership.generation;
-    mHeldSince = aNow;
+  // Nobody else could claim before this lease ends, so what was appended is an own renewal whose
+  // answer was lost.
+  const bool own = mFence && aResult.end == mEnd + 1 && aNow < mRenewedAt + mOptions.ttl;
+  if (own) {
+    mEnd = aResult.end;
+    mTriedAt = aNow - mOptions.renewInterval;
+    return;
   }
-  mRenewedAt = aSent;
+  lose(aResult.end, aNow);
+}
+
+void
+DutyLease::appendUnknown(TimePoint aNow)
+{
+  mTriedAt = aNow;
 }
 
 TimePoint
@@ -39,7 +95,7 @@
 std::optional<std::uint64_t>
 DutyLease::mayAct(TimePoint aNow) const
 {
-  if (!mFence || aNow < mHeldSince + mOptions.lease || aNow >= actUntil()) {
+  if (!mFence || mStopped || aNow < mMayActFrom || aNow >= actUntil()) {
     return std::nullopt;
   }
   return mFence;
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -268,7 +268,7 @@
 
   RunningJob run;
   run.unread = aChoice.unread;
-  run.memory = aChoice.unread + aJob.outputTokens;
+  run.memory = aJob.promptTokens + aJob.outputTokens;
   run.tier = aJob.tier;
   run.sent = aNow;
   run.estimate = aChoice.estimate;
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -73,9 +73,13 @@
 bool
 fitsMemory(const PlacementInput& aInput, const ServerState& aServer, std::uint64_t aCapacity)
 {
-  const auto needed = static_cast<double>(aServer.memoryTokens) * aInput.sharers +
-                      aInput.job->promptTokens + aInput.job->outputTokens;
-  return needed <= kMemoryPart * static_cast<double>(aCapacity);
+  const auto own = static_cast<double>(aServer.running.size());
+  const double needed = aInput.job->promptTokens + aInput.job->outputTokens;
+  const double mean =
+    own > 0 ? static_cast<double>(aServer.memoryTokens) / own : static_cast<double>(needed);
+  const double others = std::max(0.0, activeEstimate(aServer, aInput) - own);
+  const double used = static_cast<double>(aServer.memoryTokens) + others * mean;
+  return used + needed <= kMemoryPart * static_cast<double>(aCapacity);
 }
 
 /// The shared part by which requests find their home: the last one that other requests have too.
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -74,6 +74,7 @@
   reader.address("store", settings.store);
   reader.optionalAddress("orders", settings.orders);
   reader.enumeration("policy", settings.policy, dispatch::kPolicyNames);
+  reader.boolean("first_start", settings.firstStart);
   reader.boolean("report_usage", settings.reportUsage);
   reader.boolean("order_servers", settings.orderServers);
   reader.enumeration("log_level", settings.logLevel, kLogLevelNames);
