Order again what was taken away, keep a reserve with regular servers, let the baseline grow; end the process at once

An order is repeated when its servers are not there after their boot time; 0.6 of all wanted servers are kept, with regular ones if need be. Cause of too few servers at the start: servers write their first entries over five seconds. The baseline grows for nine.

--- a/include/mustardplank/control/server_orders.hpp
+++ b/include/mustardplank/control/server_orders.hpp
@@ -29,6 +29,11 @@
   Duration calm = Seconds(25);
   /// An order that the platform could not meet is repeated after this.
   Duration repeat = Seconds(2);
+  /// An order whose servers are not there so long after they should have started is repeated:
+  /// they were taken away.
+  Duration startSlack = Seconds(2);
+  /// Least part of all wanted servers that is kept, with regular ones if need be.
+  double reserve = 0.6;
 };
 
 /// What is known when orders are decided.
@@ -69,6 +74,7 @@
   {
     std::optional<std::uint32_t> ordered;
     TimePoint retryAt{};
+    TimePoint orderedAt{};
     /// Since when fewer would do.
     std::optional<TimePoint> lowerSince;
   };
@@ -79,10 +85,19 @@
   };
 
   std::map<FailureDomainId, Supply> supplyOf(const OrderInput& aInput) const;
+  struct Wish
+  {
+    Key key;
+    std::uint32_t count = 0;
+    /// Servers of that kind that are there.
+    std::uint32_t present = 0;
+    /// Whether fewer may be ordered without waiting.
+    bool mayDropNow = false;
+  };
+
   void want(std::vector<ServerOrder>& aOrders,
-            const Key& aKey,
-            std::uint32_t aCount,
-            bool aMayDropNow,
+            const Wish& aWish,
+            Duration aBootTime,
             TimePoint aNow);
 
   ServerOrderOptions mOptions;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -149,7 +149,9 @@
     daemon.run();
   }
   stopLogWriter();
-  return EXIT_SUCCESS;
+  // Everything is written and closed. The exit handlers of libraries that this mode does not use
+  // (a thread pool of the logging library) can keep a process from ending.
+  std::quick_exit(EXIT_SUCCESS);
 }
 
 }
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -62,7 +62,7 @@
 /// Records of the board are read in pages; a reader that starts reads what is kept.
 constexpr std::size_t kMaxCrashesTold = 64;
 /// Time after the start in which all servers have written an entry.
-constexpr Duration kBaselineWait = Millis(3000);
+constexpr Duration kBaselineTime = Millis(9000);
 constexpr const char* kBaselineKey = "baseline";
 
 asio::ip::tcp::endpoint
@@ -683,6 +683,8 @@
     }
   }
 
+  const control::Baseline& currentBaseline() const { return baseline ? *baseline : startBaseline; }
+
   control::ServiceNeed needOf(const route::ServiceId& aService) const
   {
     control::ServiceNeed sum;
@@ -701,12 +703,10 @@
   {
     std::vector<FailureDomainId> domains;
     std::set<FailureDomainId> served;
-    if (baseline) {
-      const auto known = baseline->find(aService.id);
-      if (known != baseline->end()) {
-        for (const auto& [domain, count] : known->second) {
-          served.insert(domain);
-        }
+    const auto& known = currentBaseline();
+    if (const auto it = known.find(aService.id); it != known.end()) {
+      for (const auto& [domain, count] : it->second) {
+        served.insert(domain);
       }
     }
     for (const auto& it : served) {
@@ -717,17 +717,19 @@
     return domains;
   }
 
-  /// Ready servers that can be ordered, by service and failure domain.
-  control::Baseline presentServers() const
+  /// Servers write their first entries over a few seconds; the baseline grows meanwhile.
+  void noteBaseline()
   {
-    control::Baseline present;
+    if (!settings.firstStart || bootNow() > startedAt + kBaselineTime) {
+      return;
+    }
     for (const auto& [id, server] : registry.servers()) {
       const auto* service = table->service(server.service);
-      if (service && service->orders && !server.draining) {
-        ++present[server.service][server.domain];
+      const bool counts = service && service->orders && !server.preemptible;
+      if (counts && baselineServers.insert(id).second) {
+        ++startBaseline[server.service][server.domain];
       }
     }
-    return present;
   }
 
   /// Takes the baseline from the store, or sets it when nobody has. False: try again.
@@ -744,18 +746,20 @@
         baseline = control::decodeBaseline(it.value.value_or(std::string()), findings);
       }
     }
-    if (baseline) {
-      co_return true;
+    if (baseline || startBaseline.empty()) {
+      co_return baseline.has_value();
     }
-    const auto present = presentServers();
-    if (present.empty() || bootNow() < startedAt + kBaselineWait) {
-      co_return false;
+    if (bootNow() < startedAt + kBaselineTime) {
+      // Good enough for the first orders, not for ever.
+      co_return true;
     }
-    std::vector<control::Record> record{ { 0, kBaselineKey, control::encodeBaseline(present) } };
+    std::vector<control::Record> record{
+      { 0, kBaselineKey, control::encodeBaseline(startBaseline) }
+    };
     const auto result = co_await aStore.append(Topic::State, record, records->end);
     const auto* appended = std::get_if<control::AppendResult>(&result);
     if (appended && appended->appended) {
-      baseline = present;
+      baseline = startBaseline;
     }
     co_return baseline.has_value();
   }
@@ -769,6 +773,9 @@
     platform::HttpExchange exchange(endpointOf(*settings.orders));
     for (;;) {
       co_await pauseFor(kDutyInterval);
+      if (table) {
+        noteBaseline();
+      }
       if (!holder() || !table) {
         continue;
       }
@@ -791,7 +798,10 @@
       input.domains = domainsOf(service);
       input.servers = &registry.servers();
       input.need = needOf(id);
-      input.baseline = (*baseline)[id];
+      const auto& known = currentBaseline();
+      if (const auto it = known.find(id); it != known.end()) {
+        input.baseline = it->second;
+      }
       for (auto& it : orders.decide(input, bootNow())) {
         wanted.push_back(std::move(it));
       }
@@ -922,6 +932,9 @@
   std::map<std::uint64_t, control::ReportIntent> unreported;
   std::set<std::uint64_t> reported;
   std::optional<control::Baseline> baseline;
+  /// While the system starts for the first time.
+  control::Baseline startBaseline;
+  std::set<BackendServerId> baselineServers;
   /// The others are to be told at once.
   bool boardDue = false;
   std::size_t mostInstances = 1;
--- a/src/mustardplank/control/server_orders.cpp
+++ b/src/mustardplank/control/server_orders.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Below this no traffic has begun, and servers can leave without cutting anything.
+constexpr double kIdleNeed = 0.5;
+
 double
 priceIn(const route::OrderLimits& aLimits, const FailureDomainId& aDomain)
 {
@@ -55,13 +58,12 @@
 
 void
 ServerOrders::want(std::vector<ServerOrder>& aOrders,
-                   const Key& aKey,
-                   std::uint32_t aCount,
-                   bool aMayDropNow,
+                   const Wish& aWish,
+                   Duration aBootTime,
                    TimePoint aNow)
 {
-  auto& state = mStates[aKey];
-  if (state.ordered && aCount < *state.ordered && !aMayDropNow) {
+  auto& state = mStates[aWish.key];
+  if (state.ordered && aWish.count < *state.ordered && !aWish.mayDropNow) {
     if (!state.lowerSince) {
       state.lowerSince = aNow;
     }
@@ -71,10 +73,13 @@
   } else {
     state.lowerSince.reset();
   }
-  if (state.ordered == aCount || aNow < state.retryAt) {
+  const bool takenAway = aWish.present < aWish.count &&
+                         aNow - state.orderedAt > aBootTime + mOptions.startSlack;
+  if ((state.ordered == aWish.count && !takenAway) || aNow < state.retryAt) {
     return;
   }
-  aOrders.push_back({ aKey.service, aKey.domain, aCount, aKey.preemptible });
+  aOrders.push_back(
+    { aWish.key.service, aWish.key.domain, aWish.count, aWish.key.preemptible });
 }
 
 std::vector<ServerOrder>
@@ -87,41 +92,56 @@
   }
   const auto& limits = *service.orders;
   const bool worthwhile = limits.preemptiblePrice < mOptions.worthwhilePrice;
-  const bool idle = aInput.need.shortStreams + aInput.need.longTokensPerMs < 0.5;
+  const bool idle = aInput.need.shortStreams + aInput.need.longTokensPerMs < kIdleNeed;
   auto supply = supplyOf(aInput);
   const auto needed = static_cast<std::uint32_t>(
     std::lround(std::ceil(aInput.need.shortStreams / mOptions.streamsPerServer +
                           aInput.need.longTokensPerMs / mOptions.tokensPerServer)));
+  const auto perDomain = static_cast<std::uint32_t>(std::lround(
+    std::ceil(static_cast<double>(needed) / static_cast<double>(aInput.domains.size()))));
+  const auto totalIn = [&](const FailureDomainId& aDomain) {
+    const auto wanted = std::max(baselineOf(aInput, aDomain), perDomain) + mOptions.extra;
+    return std::clamp(wanted, limits.min, limits.max);
+  };
   std::uint32_t usable = 0;
+  std::uint32_t wantedInAll = 0;
   for (const auto& it : aInput.domains) {
     usable += supply[it].regular + supply[it].preemptible;
+    wantedInAll += totalIn(it);
   }
-  std::uint32_t standIns = needed - std::min(needed, usable);
+  const auto least =
+    std::max(needed, static_cast<std::uint32_t>(std::lround(mOptions.reserve * wantedInAll)));
+  std::uint32_t standIns = least - std::min(least, usable);
   std::uint32_t regularLeft = mOptions.regular;
-  const auto perDomain = static_cast<std::uint32_t>(
-    std::lround(std::ceil(static_cast<double>(needed) / aInput.domains.size())));
   for (const auto& domain : cheapestFirst(aInput)) {
-    const auto baseline = baselineOf(aInput, domain);
+    const auto have = supply[domain];
     if (!worthwhile) {
-      const auto count = std::clamp(std::max(baseline, perDomain), limits.min, limits.max);
-      want(orders, { service.id, domain, false }, count, false, aNow);
+      const auto count =
+        std::clamp(std::max(baselineOf(aInput, domain), perDomain), limits.min, limits.max);
+      want(orders, { { service.id, domain, false }, count, have.regular }, limits.bootTime, aNow);
       continue;
     }
     auto regular = std::min(regularLeft, limits.max);
     regularLeft -= regular;
-    const auto preemptible =
-      std::clamp(std::max(baseline + mOptions.extra, perDomain + mOptions.extra),
-                 limits.min - std::min(limits.min, regular),
-                 limits.max - regular);
-    want(orders, { service.id, domain, true }, preemptible, false, aNow);
-    const auto added = std::min(standIns, limits.max - std::min(limits.max, regular + preemptible));
+    const auto preemptible = totalIn(domain) - std::min(totalIn(domain), regular);
+    want(orders,
+         { { service.id, domain, true }, preemptible, have.preemptible },
+         limits.bootTime,
+         aNow);
+    // Servers that are there stay counted: the platform takes the number for all of the kind.
+    const auto room = limits.max - std::min(limits.max, have.regular + have.preemptible);
+    const auto added = std::min(standIns, room);
     standIns -= added;
-    regular += added;
+    if (added > 0) {
+      regular = std::max(regular, have.regular + added);
+    }
     // Those of the start leave when preemptible ones have taken their place.
-    const auto have = supply[domain];
-    const bool replaced = have.preemptible >= std::min(baseline, preemptible);
-    if (replaced || have.regular < regular || mStates[{ service.id, domain, false }].ordered) {
-      want(orders, { service.id, domain, false }, regular, idle && replaced, aNow);
+    const bool replaced = have.preemptible >= std::min(baselineOf(aInput, domain), preemptible);
+    if (replaced || regular > have.regular) {
+      want(orders,
+           { { service.id, domain, false }, regular, have.regular, idle },
+           limits.bootTime,
+           aNow);
     }
   }
   return orders;
@@ -133,6 +153,7 @@
   auto& state = mStates[{ aOrder.service, aOrder.domain, aOrder.preemptible }];
   if (aAnswer == DutyAnswer::Accepted) {
     state.ordered = aOrder.count;
+    state.orderedAt = aNow;
     return;
   }
   state.retryAt = aNow + mOptions.repeat;
