Estimate other instances' load by reports and a mean queue

Own load times the number of instances made one own request fill a server of 16 slots on the grown sites (516 of 733 urgent requests got nothing there).

--- a/include/mustardplank/control/server_orders.hpp
+++ b/include/mustardplank/control/server_orders.hpp
@@ -22,6 +22,8 @@
   double worthwhilePrice = 0.8;
   /// Short streams that one engine serves well within its pauses.
   double streamsPerServer = 24.0;
+  /// Part of an engine's slots that short streams fill on average.
+  double slotPart = 0.75;
   /// Prompt tokens a millisecond that one engine reads for long prompts beside all else.
   double tokensPerServer = 25.0;
   /// A server is given up after so much time in which it was not needed: its streams may be cut
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -92,8 +92,8 @@
   void serverGone(const BackendServerId& aId);
   /// Failure domains that get no new work.
   void setEvacuated(std::set<FailureDomainId> aDomains);
-  /// Instances that share the budgets and servers: all, and those of this failure domain.
-  void setInstances(std::size_t aAll, std::size_t aInDomain);
+  /// Instances that share the budgets and servers.
+  void setInstances(std::size_t aInstances);
 
   /// What all instances together need of a service, as every instance knows it, so that they divide
   /// its servers alike.
@@ -137,6 +137,8 @@
     std::vector<ServerState*> servers;
     /// Unread tokens of long prompts since the needs were taken.
     std::uint64_t longTokens = 0;
+    /// Smoothed tokens that a server reads for a long prompt.
+    double meanLongUnread = 0.0;
   };
   struct GrantedJob
   {
@@ -167,7 +169,6 @@
   std::map<route::ServiceId, ServiceState> mServices;
   std::set<FailureDomainId> mEvacuated;
   std::size_t mInstances = 1;
-  std::size_t mInDomain = 1;
   std::unordered_map<JobId, GrantedJob> mGranted;
   std::vector<Job> mWaiting;
   TimePoint mNeedsTaken{};
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -60,6 +60,8 @@
   Duration slotTime = Millis(15);
   /// Share of a failure domain's servers that serve short prompts.
   double shortShare = 0.4;
+  /// Tokens of other instances' long prompts that wait at a server, on average.
+  double othersUnread = 0.0;
 };
 
 struct Choice
@@ -78,8 +80,6 @@
   const PlacementCosts* costs = nullptr;
   const std::vector<ServerState*>* servers = nullptr;
   FailureDomainId ownDomain;
-  /// Instances that send to the servers of a failure domain.
-  double sharers = 1.0;
   bool engine = false;
   TimePoint now{};
   /// Requests a second that this instance may send to a cold server.
@@ -94,9 +94,13 @@
 std::uint32_t
 unreadTokens(const Job& aJob, const ServerState& aServer);
 
-/// Predicted time to the first event on this server, reading aUnread tokens.
+/// Predicted time to the first event on this server, reading aUnread tokens. aLongGroup: the server
+/// is one of those for long prompts, at which other instances' prompts may wait too.
 Duration
-predictFirstEvent(const PlacementInput& aInput, const ServerState& aServer, std::uint32_t aUnread);
+predictFirstEvent(const PlacementInput& aInput,
+                  const ServerState& aServer,
+                  std::uint32_t aUnread,
+                  bool aLongGroup);
 
 /// Picks among the servers that have room; nothing when none has.
 ///
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -165,7 +165,7 @@
               metrics,
               makeOutputs())
   {
-    dispatcher.setInstances(kAssumedInstances, kAssumedInstances / 2);
+    dispatcher.setInstances(kAssumedInstances);
   }
 
   StoreClient client() { return { endpointOf(settings.store), adapter::storeDialect() }; }
@@ -451,10 +451,6 @@
     auto live = usage.live(wallMillis());
     live[settings.instance] = settings.failureDomain;
     lease.setRank(rankAmong(live));
-    std::size_t inDomain = 0;
-    for (const auto& [id, domain] : live) {
-      inDomain += domain == settings.failureDomain ? 1 : 0;
-    }
     // Those that are cut off from the store send requests too: shares follow the largest number
     // seen lately.
     const auto now = bootNow();
@@ -462,7 +458,7 @@
       mostInstances = live.size();
       mostInstancesAt = now;
     }
-    dispatcher.setInstances(mostInstances, inDomain);
+    dispatcher.setInstances(mostInstances);
     if (table) {
       for (const auto& [id, service] : table->config().services) {
         dispatcher.setNeed(id, needOf(id));
--- a/src/mustardplank/control/server_orders.cpp
+++ b/src/mustardplank/control/server_orders.cpp
@@ -94,8 +94,10 @@
   const bool worthwhile = limits.preemptiblePrice < mOptions.worthwhilePrice;
   const bool idle = aInput.need.shortStreams + aInput.need.longTokensPerMs < kIdleNeed;
   auto supply = supplyOf(aInput);
+  const double slots = service.engine ? service.engine->slots : mOptions.streamsPerServer;
+  const double streams = std::min(mOptions.streamsPerServer, mOptions.slotPart * slots);
   const auto needed = static_cast<std::uint32_t>(
-    std::lround(std::ceil(aInput.need.shortStreams / mOptions.streamsPerServer +
+    std::lround(std::ceil(aInput.need.shortStreams / streams +
                           aInput.need.longTokensPerMs / mOptions.tokensPerServer)));
   const auto perDomain = static_cast<std::uint32_t>(std::lround(
     std::ceil(static_cast<double>(needed) / static_cast<double>(aInput.domains.size()))));
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -38,6 +38,10 @@
 constexpr Duration kMaxRetryAfter = Seconds(2);
 /// Short streams that one engine serves well within its pauses.
 constexpr double kStreamsPerServer = 24.0;
+/// Part of an engine's slots that short streams fill on average.
+constexpr double kSlotPart = 0.75;
+/// Use from which a server's queue is no longer predicted.
+constexpr double kMostUse = 0.9;
 /// Part of an engine's reading speed that long prompts may use on average.
 constexpr double kLongUse = 0.4;
 /// Weight of one second's need in the division of servers.
@@ -87,7 +91,7 @@
   if (it != mServices.end()) {
     return it->second;
   }
-  return mServices.emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, 0 })
+  return mServices.emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, 0, 0.0 })
     .first->second;
 }
 
@@ -140,10 +144,9 @@
 }
 
 void
-Dispatcher::setInstances(std::size_t aAll, std::size_t aInDomain)
+Dispatcher::setInstances(std::size_t aInstances)
 {
-  mInstances = std::max<std::size_t>(aAll, 1);
-  mInDomain = std::max<std::size_t>(aInDomain, 1);
+  mInstances = std::max<std::size_t>(aInstances, 1);
 }
 
 bool
@@ -193,7 +196,6 @@
   input.costs = &mOptions.costs;
   input.servers = &aService.servers;
   input.ownDomain = mOptions.domain;
-  input.sharers = static_cast<double>(mInDomain);
   input.now = aNow;
   const auto* service = mTable ? mTable->service(aJob.service) : nullptr;
   input.engine = service && service->engine.has_value();
@@ -258,7 +260,9 @@
   effect.estimate = aChoice.estimate;
   effect.unread = aChoice.unread;
   if (aJob.streaming && isLongPrompt(aJob)) {
-    serviceState(aJob.service).longTokens += aChoice.unread;
+    auto& service = serviceState(aJob.service);
+    service.longTokens += aChoice.unread;
+    smooth(service.meanLongUnread, aChoice.unread, kModelWeight);
   }
 
   GrantedJob granted;
@@ -382,14 +386,29 @@
 void
 Dispatcher::setNeed(const route::ServiceId& aService, const ServiceNeed& aNeed)
 {
-  auto& model = serviceState(aService).model;
-  const double needShort = aNeed.shortStreams / kStreamsPerServer;
-  const double needLong = aNeed.longTokensPerMs / (kLongUse * model.tokensPerMs);
-  if (needShort + needLong < kLeastNeed) {
+  auto& state = serviceState(aService);
+  auto& model = state.model;
+  const auto* service = mTable ? mTable->service(aService) : nullptr;
+  if (!service || !service->engine || state.servers.empty()) {
     return;
   }
-  const double share = std::clamp(needShort / (needShort + needLong), kLeastShare, 1 - kLeastShare);
-  smooth(model.shortShare, share, kMixWeight);
+  const double slots = service->engine->slots;
+  const double needShort = aNeed.shortStreams / std::min(kStreamsPerServer, kSlotPart * slots);
+  const double needLong = aNeed.longTokensPerMs / (kLongUse * model.tokensPerMs);
+  if (needShort + needLong >= kLeastNeed) {
+    const double share =
+      std::clamp(needShort / (needShort + needLong), kLeastShare, 1 - kLeastShare);
+    smooth(model.shortShare, share, kMixWeight);
+  }
+  // Mean queue of a server with random arrivals and even service times.
+  const double longServers =
+    std::max(1.0, static_cast<double>(state.servers.size()) * (1.0 - model.shortShare));
+  const double use =
+    std::min(aNeed.longTokensPerMs / (longServers * model.tokensPerMs), kMostUse);
+  const double others = static_cast<double>(mInstances - 1) / static_cast<double>(mInstances);
+  smooth(model.othersUnread,
+         others * state.meanLongUnread * use / (2.0 * (1.0 - use)),
+         kMixWeight);
 }
 
 void
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -13,7 +13,7 @@
 /// several steps.
 constexpr std::uint32_t kChunkTokens = 2048;
 /// A report older than this says nothing of the present load.
-constexpr Duration kReportAge = Millis(500);
+constexpr Duration kReportAge = Millis(2000);
 /// Part of a server's memory that requests of all instances may fill; beyond it the engine
 /// preempts.
 constexpr double kMemoryPart = 0.85;
@@ -34,16 +34,20 @@
   return Duration(static_cast<std::int64_t>(static_cast<double>(aDuration.count()) * aFactor));
 }
 
+/// Requests of all instances: this one's exactly, those of the others by the last report, which
+/// counts for less as it ages.
 double
 activeEstimate(const ServerState& aServer, const PlacementInput& aInput)
 {
   const double own = static_cast<double>(aServer.running.size());
-  if (aServer.reportedAt + kReportAge < aInput.now) {
-    return own * aInput.sharers;
+  const auto age = aInput.now - aServer.reportedAt;
+  if (aServer.reportedAt == TimePoint{} || age >= kReportAge) {
+    return own;
   }
   const double others =
     static_cast<double>(aServer.reportedRunning + aServer.reportedWaiting) - aServer.ownAtReport;
-  return own + std::max(0.0, others);
+  const double weight = 1.0 - static_cast<double>(age.count()) / kReportAge.count();
+  return own + std::max(0.0, others) * weight;
 }
 
 bool
@@ -161,8 +165,8 @@
     return aServer.server.domain == aInput.ownDomain ? aInput.costs->shortBesideLong : Duration{};
   }
   constexpr double kLeastStreams = 2.0;
-  const auto streams = std::round(aServer.urgentStreams * aInput.sharers);
-  return scaled(aInput.costs->longBesideShort, std::max(kLeastStreams, streams));
+  const auto streams = std::max<double>(kLeastStreams, aServer.urgentStreams);
+  return scaled(aInput.costs->longBesideShort, streams);
 }
 
 std::uint32_t
@@ -207,13 +211,17 @@
 }
 
 Duration
-predictFirstEvent(const PlacementInput& aInput, const ServerState& aServer, std::uint32_t aUnread)
+predictFirstEvent(const PlacementInput& aInput,
+                  const ServerState& aServer,
+                  std::uint32_t aUnread,
+                  bool aLongGroup)
 {
   if (!aInput.engine) {
     const double load = activeEstimate(aServer, aInput) / std::max(1U, aServer.server.slots);
     return scaled(aInput.model->slotTime, (1.0 + 2.0 * load) * aServer.slowness);
   }
-  const double ahead = static_cast<double>(aServer.unreadTokens) * aInput.sharers;
+  const double others = aLongGroup ? aInput.model->othersUnread : 0.0;
+  const double ahead = static_cast<double>(aServer.unreadTokens) + others;
   const double millis = (ahead + aUnread) / aInput.model->tokensPerMs;
   const auto reading = Duration(static_cast<std::int64_t>(1000.0 * millis));
   return scaled(aInput.model->base + reading, aServer.slowness);
@@ -233,11 +241,14 @@
     }
     Choice choice{ it, {}, unreadTokens(job, *it) };
     Duration cost = domainCost(aInput, *it);
+    bool longGroup = false;
     if (aInput.engine) {
       if (!fitsMemory(aInput, *it, it->prefixes.capacity())) {
         continue;
       }
-      cost += groupCost(aInput, *it, isLong, contains(homes.group, it));
+      const bool inGroup = contains(homes.group, it);
+      longGroup = isLong == inGroup;
+      cost += groupCost(aInput, *it, isLong, inGroup);
       if (homes.best == it) {
         // Other instances send requests with the same parts there too.
         choice.unread = std::min(choice.unread, job.promptTokens - sharedTokens(job));
@@ -246,7 +257,7 @@
       const double again = std::max(0.0, static_cast<double>(choice.unread) - ownTokens);
       cost += scaled(aInput.costs->readAgainPer1000, again / 1000.0);
     }
-    choice.estimate = predictFirstEvent(aInput, *it, choice.unread);
+    choice.estimate = predictFirstEvent(aInput, *it, choice.unread, longGroup);
     cost += choice.estimate + scaled(aInput.costs->failing, it->failureRate);
     if (aInput.now + choice.estimate > job.onTimeUntil) {
       cost += aInput.costs->late;
@@ -270,7 +281,7 @@
     const double load = activeEstimate(*it, aInput) / std::max(1U, it->server.slots);
     if (!best || load < bestLoad) {
       const auto unread = unreadTokens(*aInput.job, *it);
-      best = Choice{ it, predictFirstEvent(aInput, *it, unread), unread };
+      best = Choice{ it, predictFirstEvent(aInput, *it, unread, false), unread };
       bestLoad = load;
     }
   }
