--- a/include/mustardplank/control/server_orders.hpp
+++ b/include/mustardplank/control/server_orders.hpp
@@ -13,9 +13,10 @@
 
 struct ServerOrderOptions
 {
-  /// Preemptible servers in each failure domain besides those that it had at the start: what is
-  /// left when a failure domain's are taken away has to carry a burst.
-  std::uint32_t extra = 1;
+  /// Servers in each failure domain besides those that it had at the start, as a part of these and
+  /// at least: what is left when a failure domain's are taken away has to carry a burst.
+  double extraPart = 0.4;
+  std::uint32_t leastExtra = 2;
   /// Regular servers in all, where they are cheapest; they stay when all others are taken away.
   std::uint32_t regular = 1;
   /// From this part of the regular price on, preemptible servers are not worth their notice.
--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -50,9 +50,7 @@
 
 private:
   void remove(const BackendServerId& aId, TimePoint aNow, std::vector<ServerEvent>& aEvents);
-  void add(const Record& aRecord,
-           const StoreDialect& aDialect,
-           std::vector<ServerEvent>& aEvents);
+  void add(const Record& aRecord, const StoreDialect& aDialect, std::vector<ServerEvent>& aEvents);
 
   std::map<BackendServerId, route::BackendServer> mServers;
   /// Removals that wait for the entry to come back.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -563,7 +563,8 @@
     return control::DutyHolder{ settings.instance.str(), *fence };
   }
 
-  awaitable<control::DutyAnswer> callDuty(platform::HttpExchange& aExchange, control::HttpCall aCall)
+  awaitable<control::DutyAnswer> callDuty(platform::HttpExchange& aExchange,
+                                          control::HttpCall aCall)
   {
     aCall.notAfter = lease.actUntil();
     lease.acted(bootNow());
@@ -591,8 +592,7 @@
       const auto& records = std::get<control::Chunk>(chunk);
       for (const auto& it : records.records) {
         Findings findings;
-        if (const auto intent =
-              control::decodeIntent(it.value.value_or(std::string()), findings)) {
+        if (const auto intent = control::decodeIntent(it.value.value_or(std::string()), findings)) {
           usage.decided(intent->window);
           if (!reported.contains(intent->window)) {
             unreported.insert_or_assign(intent->window, *intent);
@@ -622,8 +622,7 @@
       if (!who) {
         co_return;
       }
-      auto call =
-        adapter::storeDialect().report({ intent.window, intent.counts }, *who);
+      auto call = adapter::storeDialect().report({ intent.window, intent.counts }, *who);
       const auto answer = co_await callDuty(aExchange, std::move(call));
       if (answer == control::DutyAnswer::Later) {
         co_return;
@@ -867,8 +866,7 @@
     std::ostringstream out;
     out << "config " << (table ? table->version() : 0) << "\n"
         << "active " << gateway.active() << " waiting " << dispatcher.waiting() << "\n"
-        << "lease " << (lease.holds() ? "held" : "not held") << " end " << lease.end()
-        << "\n"
+        << "lease " << (lease.holds() ? "held" : "not held") << " end " << lease.end() << "\n"
         << "store config " << (storeConfig.isLost() ? "lost" : "ok") << " servers "
         << (storeServers.isLost() ? "lost" : "ok") << " board "
         << (storeBoard.isLost() ? "lost" : "ok") << "\n";
--- a/src/mustardplank/base/log_writer.cpp
+++ b/src/mustardplank/base/log_writer.cpp
@@ -111,9 +111,8 @@
       if (mDropped != mDroppedTold) {
         const auto dropped = mDropped - mDroppedTold;
         mDroppedTold = mDropped;
-        append(wallMillis(),
-               LogLevel::Warning,
-               "event=log.dropped lines=" + std::to_string(dropped));
+        append(
+          wallMillis(), LogLevel::Warning, "event=log.dropped lines=" + std::to_string(dropped));
       }
       std::string batch = std::exchange(mBuffer, {});
       lock.unlock();
@@ -156,7 +155,8 @@
 startLogWriter(LogLevel aLevel, std::string_view aInstance)
 {
   gWriter = std::make_unique<Writer>(aLevel, aInstance);
-  setLogSink([](LogLevel aLineLevel, const std::string& aLine) { gWriter->add(aLineLevel, aLine); });
+  setLogSink(
+    [](LogLevel aLineLevel, const std::string& aLine) { gWriter->add(aLineLevel, aLine); });
 }
 
 void
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -48,8 +48,9 @@
   if (mStopped || aNow < mTriedAt + mOptions.renewInterval / 2) {
     return std::nullopt;
   }
-  const auto due = mFence ? mRenewedAt + mOptions.renewInterval
-                          : mObservedAt + mOptions.ttl + static_cast<int>(mRank) * mOptions.rankDelay;
+  const auto due = mFence
+                     ? mRenewedAt + mOptions.renewInterval
+                     : mObservedAt + mOptions.ttl + static_cast<int>(mRank) * mOptions.rankDelay;
   return aNow >= due ? std::optional(mEnd) : std::nullopt;
 }
 
--- /dev/null
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -0,0 +1,249 @@
+#include "mustardplank/control/duty_lease.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <vector>
+
+using namespace mustardplank;
+using namespace mustardplank::control;
+
+namespace {
+
+TimePoint
+at(int aMillis)
+{
+  return TimePoint(Seconds(100)) + Millis(aMillis);
+}
+
+/// The log of claims: appends succeed only at its end.
+struct Log
+{
+  Offset end = 0;
+  AppendResult append(Offset aAt)
+  {
+    if (aAt != end) {
+      return { false, end };
+    }
+    return { true, ++end };
+  }
+};
+
+void
+step(DutyLease& aLease, Log& aLog, TimePoint aNow)
+{
+  if (const auto offset = aLease.wantsAppend(aNow)) {
+    aLease.appended(aNow, aLog.append(*offset), aNow);
+  }
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(duty_lease)
+
+BOOST_AUTO_TEST_CASE(first_instance_of_a_first_start_takes_the_duties_at_once)
+{
+  Log log;
+  DutyLease lease({}, true, at(0));
+  step(lease, log, at(0));
+  BOOST_TEST(lease.holds());
+  BOOST_TEST(!lease.mayAct(at(100)).has_value());
+  BOOST_TEST(lease.mayAct(at(400)).value() == 1U);
+}
+
+// Guards against two holders: the second one must not act before the first one's right has ended.
+BOOST_AUTO_TEST_CASE(observer_claims_only_after_a_whole_lease_without_renewal)
+{
+  Log log;
+  DutyLease holder({}, true, at(0));
+  DutyLease observer({}, false, at(0));
+  step(holder, log, at(0));
+  observer.observed(holder.end(), at(100));
+  for (int now = 100; now < 2000; now += 100) {
+    step(holder, log, at(now));
+    step(observer, log, at(now));
+    BOOST_TEST(!observer.holds());
+  }
+  // The holder stops renewing; its last renewal was sent at 1 s at the earliest.
+  int taken = 0;
+  for (int now = 2000; now < 12000 && taken == 0; now += 100) {
+    step(observer, log, at(now));
+    taken = observer.holds() ? now : 0;
+  }
+  BOOST_TEST_REQUIRE(taken > 0);
+  BOOST_TEST(!holder.mayAct(at(taken)).has_value());
+  BOOST_TEST(observer.mayAct(at(taken + 500)).value_or(0) > 1U);
+}
+
+// Guards against the fault in which an old notice, read again after a restart, let an instance
+// claim the duties from an active holder.
+BOOST_AUTO_TEST_CASE(notice_of_a_former_holder_gives_nothing_up)
+{
+  Log log;
+  log.end = 7;
+  DutyLease lease({}, false, at(0));
+  lease.observed(7, at(0));
+  lease.givenUp(5, at(10));
+  BOOST_TEST(!lease.wantsAppend(at(600)).has_value());
+  lease.givenUp(7, at(700));
+  BOOST_TEST(lease.wantsAppend(at(1300)).value() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(own_renewal_whose_answer_was_lost_keeps_the_duties)
+{
+  Log log;
+  DutyLease lease({}, true, at(0));
+  step(lease, log, at(0));
+  const auto fence = lease.mayAct(at(500));
+  log.append(*lease.wantsAppend(at(1100)));
+  lease.appendUnknown(at(1200));
+  step(lease, log, at(1800));
+  BOOST_TEST(lease.holds());
+  step(lease, log, at(1900));
+  BOOST_TEST((lease.mayAct(at(2000)) == fence));
+}
+
+// Guards against a holder that acts after a pause of its process.
+BOOST_AUTO_TEST_CASE(paused_holder_may_not_act_until_it_has_renewed)
+{
+  Log log;
+  DutyLease lease({}, true, at(0));
+  step(lease, log, at(0));
+  BOOST_TEST(lease.mayAct(at(1500)).has_value());
+  BOOST_TEST(!lease.mayAct(at(2000)).has_value());
+  BOOST_TEST(!lease.mayAct(at(9000)).has_value());
+}
+
+// Guards against holders that act in the order A, B, A within a lease.
+BOOST_AUTO_TEST_CASE(instance_that_gets_the_duties_back_waits_a_lease)
+{
+  Log log;
+  DutyLease lease({}, true, at(0));
+  step(lease, log, at(0));
+  lease.acted(at(1500));
+  log.append(1);
+  log.append(2);
+  step(lease, log, at(4000));
+  BOOST_TEST(!lease.holds());
+  lease.givenUp(3, at(4100));
+  step(lease, log, at(4100));
+  step(lease, log, at(4600));
+  BOOST_TEST(lease.holds());
+  BOOST_TEST(lease.mayAct(at(5000)).has_value());
+  lease.acted(at(5000));
+  lease.acted(at(6300));
+  // Another instance claims when this lease has ended, and gives the duties up at once.
+  log.append(4);
+  step(lease, log, at(7700));
+  BOOST_TEST(!lease.holds());
+  lease.givenUp(5, at(7800));
+  step(lease, log, at(8300));
+  BOOST_TEST(lease.holds());
+  BOOST_TEST(!lease.mayAct(at(9200)).has_value());
+  step(lease, log, at(9300));
+  BOOST_TEST(lease.mayAct(at(9400)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(restarted_process_waits_a_lease_before_it_acts)
+{
+  Log log;
+  DutyLease lease({}, false, at(0));
+  lease.givenUp(0, at(0));
+  step(lease, log, at(600));
+  BOOST_TEST(lease.holds());
+  BOOST_TEST(!lease.mayAct(at(1000)).has_value());
+  step(lease, log, at(1700));
+  step(lease, log, at(2800));
+  BOOST_TEST(lease.mayAct(at(3100)).has_value());
+}
+
+// Explores schedules with lost answers, late appends, pauses and restarts: no two instances may act
+// within less than the time a call takes, and fencing tokens never fall.
+BOOST_AUTO_TEST_CASE(explored_schedules_never_have_two_holders)
+{
+  constexpr int kSchedules = 2000;
+  constexpr int kSteps = 400;
+  constexpr int kInstances = 4;
+  for (int seed = 1; seed <= kSchedules; ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto chance = [&](int aPart) { return static_cast<int>(random() % 100) < aPart; };
+    Log log;
+    std::vector<DutyLease> leases;
+    std::vector<int> pausedUntil(kInstances, 0);
+    struct Late
+    {
+      int when;
+      Offset at;
+    };
+    std::vector<Late> late;
+    for (int i = 0; i < kInstances; ++i) {
+      leases.emplace_back(DutyLeaseOptions{}, true, at(0));
+      leases.back().setRank(static_cast<std::size_t>(i));
+    }
+    std::uint64_t highest = 0;
+    int lastActor = -1;
+    int lastActAt = -100000;
+    std::map<int, int> actedAt;
+    for (int n = 0; n < kSteps; ++n) {
+      const int now = n * 100;
+      for (auto it = late.begin(); it != late.end();) {
+        if (it->when <= now) {
+          log.append(it->at);
+          it = late.erase(it);
+        } else {
+          ++it;
+        }
+      }
+      for (int i = 0; i < kInstances; ++i) {
+        auto& lease = leases[static_cast<std::size_t>(i)];
+        if (pausedUntil[static_cast<std::size_t>(i)] > now) {
+          continue;
+        }
+        if (chance(1)) {
+          pausedUntil[static_cast<std::size_t>(i)] = now + static_cast<int>(random() % 8000);
+          continue;
+        }
+        if (chance(1)) {
+          lease = DutyLease({}, false, at(now));
+          lease.setRank(static_cast<std::size_t>(i));
+          actedAt.erase(i);
+        }
+        if (const auto offset = lease.wantsAppend(at(now))) {
+          if (chance(10)) {
+            late.push_back({ now + static_cast<int>(random() % 6000), *offset });
+            lease.appendUnknown(at(now));
+          } else if (chance(10)) {
+            log.append(*offset);
+            lease.appendUnknown(at(now));
+          } else {
+            lease.appended(at(now), log.append(*offset), at(now));
+          }
+        }
+        for (auto& other : leases) {
+          if (lease.holds() && &other != &lease && chance(30)) {
+            other.observed(lease.end(), at(now));
+          }
+        }
+        if (const auto fence = lease.mayAct(at(now))) {
+          lease.acted(at(now));
+          BOOST_REQUIRE_MESSAGE(*fence >= highest, "a fence that fell, seed " << seed);
+          highest = *fence;
+          if (lastActor != i) {
+            BOOST_REQUIRE_MESSAGE(now - lastActAt >= 1000,
+                                  "two holders within a call's time, seed " << seed);
+            const auto before = actedAt.find(i);
+            BOOST_REQUIRE_MESSAGE(before == actedAt.end() || now - before->second >= 3000,
+                                  "A, B, A within a lease, seed " << seed);
+          }
+          lastActor = i;
+          lastActAt = now;
+          actedAt[i] = now;
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/server_orders.cpp
+++ b/src/mustardplank/control/server_orders.cpp
@@ -73,13 +73,12 @@
   } else {
     state.lowerSince.reset();
   }
-  const bool takenAway = aWish.present < aWish.count &&
-                         aNow - state.orderedAt > aBootTime + mOptions.startSlack;
+  const bool takenAway =
+    aWish.present < aWish.count && aNow - state.orderedAt > aBootTime + mOptions.startSlack;
   if ((state.ordered == aWish.count && !takenAway) || aNow < state.retryAt) {
     return;
   }
-  aOrders.push_back(
-    { aWish.key.service, aWish.key.domain, aWish.count, aWish.key.preemptible });
+  aOrders.push_back({ aWish.key.service, aWish.key.domain, aWish.count, aWish.key.preemptible });
 }
 
 std::vector<ServerOrder>
@@ -96,14 +95,15 @@
   auto supply = supplyOf(aInput);
   const double slots = service.engine ? service.engine->slots : mOptions.streamsPerServer;
   const double streams = std::min(mOptions.streamsPerServer, mOptions.slotPart * slots);
-  const auto needed = static_cast<std::uint32_t>(
-    std::lround(std::ceil(aInput.need.shortStreams / streams +
-                          aInput.need.longTokensPerMs / mOptions.tokensPerServer)));
+  const auto needed = static_cast<std::uint32_t>(std::lround(std::ceil(
+    aInput.need.shortStreams / streams + aInput.need.longTokensPerMs / mOptions.tokensPerServer)));
   const auto perDomain = static_cast<std::uint32_t>(std::lround(
     std::ceil(static_cast<double>(needed) / static_cast<double>(aInput.domains.size()))));
   const auto totalIn = [&](const FailureDomainId& aDomain) {
-    const auto wanted = std::max(baselineOf(aInput, aDomain), perDomain) + mOptions.extra;
-    return std::clamp(wanted, limits.min, limits.max);
+    const auto wanted = std::max(baselineOf(aInput, aDomain), perDomain);
+    const auto extra =
+      static_cast<std::uint32_t>(std::lround(std::ceil(mOptions.extraPart * wanted)));
+    return std::clamp(wanted + std::max(extra, mOptions.leastExtra), limits.min, limits.max);
   };
   std::uint32_t usable = 0;
   std::uint32_t wantedInAll = 0;
--- /dev/null
+++ b/src/mustardplank/control/server_orders_test.cpp
@@ -0,0 +1,187 @@
+#include "mustardplank/control/server_orders.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::control;
+
+namespace {
+
+const FailureDomainId kA("a");
+const FailureDomainId kB("b");
+const FailureDomainId kC("c");
+
+TimePoint
+at(double aSeconds)
+{
+  return TimePoint(Seconds(100)) + Duration(static_cast<std::int64_t>(aSeconds * 1e6));
+}
+
+/// Three failure domains with three regular servers each at the start.
+struct Fixture
+{
+  Fixture()
+  {
+    service.id = route::ServiceId("llm");
+    service.engine = route::EngineLimits{ 64, 300000 };
+    service.orders =
+      route::OrderLimits{ 1, 6, Seconds(4), 0.18, { { kA, 0.85 }, { kB, 1.2 }, { kC, 1.0 } } };
+    input.service = &service;
+    input.domains = { kA, kB, kC };
+    input.servers = &servers;
+    input.baseline = { { kA, 3 }, { kB, 3 }, { kC, 3 } };
+    for (const auto& domain : input.domains) {
+      add(domain, 3, false);
+    }
+  }
+
+  void add(const FailureDomainId& aDomain, int aCount, bool aPreemptible)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      route::BackendServer server;
+      server.id = BackendServerId(aDomain.str() + std::to_string(servers.size()) +
+                                  (aPreemptible ? "p" : "r"));
+      server.service = service.id;
+      server.domain = aDomain;
+      server.preemptible = aPreemptible;
+      servers[server.id] = server;
+    }
+  }
+
+  void removeAll(const FailureDomainId& aDomain, bool aPreemptible)
+  {
+    std::erase_if(servers, [&](const auto& aItem) {
+      return aItem.second.domain == aDomain && aItem.second.preemptible == aPreemptible;
+    });
+  }
+
+  std::vector<ServerOrder> decide(TimePoint aNow, DutyAnswer aAnswer = DutyAnswer::Accepted)
+  {
+    const auto list = orders.decide(input, aNow);
+    for (const auto& it : list) {
+      orders.answered(it, aAnswer, aNow);
+    }
+    return list;
+  }
+
+  static int countFor(const std::vector<ServerOrder>& aOrders,
+                      const FailureDomainId& aDomain,
+                      bool aPreemptible)
+  {
+    for (const auto& it : aOrders) {
+      if (it.domain == aDomain && it.preemptible == aPreemptible) {
+        return static_cast<int>(it.count);
+      }
+    }
+    return -1;
+  }
+
+  route::Service service;
+  std::map<BackendServerId, route::BackendServer> servers;
+  OrderInput input;
+  ServerOrders orders{ {} };
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(server_orders)
+
+// Guards against a deployment that gives up its servers before others have taken their place.
+BOOST_FIXTURE_TEST_CASE(preemptible_servers_replace_regular_ones_when_they_are_there, Fixture)
+{
+  auto first = decide(at(0));
+  BOOST_TEST(countFor(first, kA, true) == 4);
+  BOOST_TEST(countFor(first, kB, true) == 5);
+  BOOST_TEST(countFor(first, kA, false) == -1);
+  BOOST_TEST(decide(at(1)).empty());
+  for (const auto& it : { kA, kB, kC }) {
+    add(it, 5, true);
+  }
+  auto second = decide(at(5));
+  BOOST_TEST(countFor(second, kA, false) == 1);
+  BOOST_TEST(countFor(second, kB, false) == 0);
+  BOOST_TEST(countFor(second, kC, false) == 0);
+}
+
+// Guards against the fault in which servers that were taken away never came back, as their number
+// counted as ordered.
+BOOST_FIXTURE_TEST_CASE(servers_that_were_taken_away_are_ordered_again, Fixture)
+{
+  decide(at(0));
+  for (const auto& it : { kA, kB, kC }) {
+    add(it, 5, true);
+    removeAll(it, false);
+  }
+  decide(at(5));
+  removeAll(kB, true);
+  const auto again = decide(at(20));
+  BOOST_TEST(countFor(again, kB, true) == 5);
+  BOOST_TEST(countFor(decide(at(21)), kB, true) == -1);
+}
+
+// Load pattern: two failure domains' preemptible servers are taken away within seconds.
+BOOST_FIXTURE_TEST_CASE(regular_servers_stand_in_when_too_few_are_left, Fixture)
+{
+  decide(at(0));
+  for (const auto& it : { kA, kB, kC }) {
+    add(it, 5, true);
+    removeAll(it, false);
+  }
+  decide(at(5));
+  removeAll(kB, true);
+  // One regular server is kept in any case.
+  BOOST_TEST(countFor(decide(at(20), DutyAnswer::NotAvailable), kA, false) == 1);
+  removeAll(kC, true);
+  const auto orders = decide(at(23), DutyAnswer::NotAvailable);
+  int regular = 0;
+  for (const auto& it : { kA, kB, kC }) {
+    regular += std::max(0, countFor(orders, it, false));
+  }
+  BOOST_TEST(regular >= 4);
+}
+
+BOOST_FIXTURE_TEST_CASE(order_that_could_not_be_met_is_repeated_later, Fixture)
+{
+  decide(at(0), DutyAnswer::NotAvailable);
+  BOOST_TEST(decide(at(1)).empty());
+  BOOST_TEST(countFor(decide(at(2.1)), kA, true) == 4);
+}
+
+// Guards against streams that are cut as their server leaves in a short calm.
+BOOST_FIXTURE_TEST_CASE(fewer_servers_are_ordered_only_after_a_long_calm, Fixture)
+{
+  input.need = { 600.0, 0.0 };
+  const auto high = decide(at(0));
+  BOOST_TEST(countFor(high, kB, true) == 6);
+  for (const auto& it : { kA, kB, kC }) {
+    add(it, 6, true);
+    removeAll(it, false);
+  }
+  input.need = { 50.0, 0.0 };
+  decide(at(10));
+  BOOST_TEST(countFor(decide(at(30)), kB, true) == -1);
+  BOOST_TEST(countFor(decide(at(36)), kB, true) == 5);
+}
+
+BOOST_FIXTURE_TEST_CASE(preemptible_servers_that_save_little_are_not_ordered, Fixture)
+{
+  service.orders->preemptiblePrice = 1.0;
+  for (const auto& it : decide(at(0))) {
+    BOOST_TEST(!it.preemptible);
+    BOOST_TEST(it.count == 3U);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(limits_of_the_service_hold_for_both_kinds_together, Fixture)
+{
+  service.orders->max = 3;
+  input.need = { 5000.0, 500.0 };
+  for (int second = 0; second < 60; second += 3) {
+    std::map<FailureDomainId, std::uint32_t> sum;
+    for (const auto& it : decide(at(second))) {
+      BOOST_TEST(it.count <= 3U);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -0,0 +1,105 @@
+#include "mustardplank/control/server_registry.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::control;
+
+namespace {
+
+TimePoint
+at(int aMillis)
+{
+  return TimePoint(Seconds(100)) + Millis(aMillis);
+}
+
+/// Values are "SERVICE STATE"; "bad" is no entry.
+std::optional<route::BackendServer>
+decode(const Record& aRecord, Findings& aFindings)
+{
+  if (!aRecord.value || *aRecord.value == "bad") {
+    aFindings.add("server", "malformed");
+    return std::nullopt;
+  }
+  route::BackendServer server;
+  server.id = BackendServerId(aRecord.key);
+  server.service = route::ServiceId("s");
+  server.address = "10.0.0.1:80";
+  server.draining = *aRecord.value == "draining";
+  return server;
+}
+
+StoreDialect
+dialect()
+{
+  StoreDialect dialect{};
+  dialect.decodeServer = decode;
+  return dialect;
+}
+
+std::size_t
+countGone(const std::vector<ServerEvent>& aEvents)
+{
+  std::size_t n = 0;
+  for (const auto& it : aEvents) {
+    n += std::holds_alternative<ServerGone>(it) ? 1 : 0;
+  }
+  return n;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(server_registry)
+
+BOOST_AUTO_TEST_CASE(entries_come_and_go)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "ready" } }, dialect(), at(0));
+  BOOST_TEST(registry.servers().size() == 2U);
+  registry.readSucceeded(at(100));
+  BOOST_TEST(countGone(registry.apply({ { 2, "a", {} } }, dialect(), at(100))) == 1U);
+  BOOST_TEST(registry.servers().size() == 1U);
+}
+
+// Guards against a malformed entry that takes a working server away.
+BOOST_AUTO_TEST_CASE(malformed_entry_changes_nothing)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  registry.apply({ { 0, "a", "ready" } }, dialect(), at(0));
+  BOOST_TEST(registry.apply({ { 1, "a", "bad" }, { 2, "c", "bad" } }, dialect(), at(10)).empty());
+  BOOST_TEST(registry.servers().size() == 1U);
+}
+
+// Guards against a deployment without servers after an outage of the store in which entries lapsed.
+BOOST_AUTO_TEST_CASE(entries_that_lapsed_in_an_outage_may_come_back)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  registry.apply(
+    { { 0, "a", "ready" }, { 1, "b", "ready" }, { 2, "c", "draining" } }, dialect(), at(0));
+  registry.readSucceeded(at(9000));
+  const auto events =
+    registry.apply({ { 3, "a", {} }, { 4, "b", {} }, { 5, "c", {} } }, dialect(), at(9000));
+  BOOST_TEST(countGone(events) == 1U);
+  BOOST_TEST(registry.servers().size() == 2U);
+  registry.readSucceeded(at(10000));
+  registry.apply({ { 6, "a", "ready" } }, dialect(), at(10000));
+  BOOST_TEST(countGone(registry.tick(at(10900))) == 0U);
+  BOOST_TEST(countGone(registry.tick(at(11100))) == 1U);
+  BOOST_TEST(registry.servers().count(BackendServerId("a")) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(full_list_removes_what_is_not_in_it)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "ready" } }, dialect(), at(0));
+  registry.readSucceeded(at(500));
+  const auto events = registry.replace({ { 5, "b", "ready" } }, dialect(), at(500));
+  BOOST_TEST(countGone(events) == 1U);
+  BOOST_TEST(registry.servers().count(BackendServerId("b")) == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mustardplank/control/usage_windows_test.cpp
@@ -0,0 +1,107 @@
+#include "mustardplank/control/usage_windows.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::control;
+
+namespace {
+
+constexpr std::int64_t kStart = 1'000'000'000'000;
+
+BoardEntry
+entryOf(const char* aInstance, std::int64_t aWallMs, std::map<std::uint64_t, UsageCounts> aWindows)
+{
+  BoardEntry entry;
+  entry.instance = InstanceId(aInstance);
+  entry.domain = FailureDomainId("fd");
+  entry.incarnation = 1;
+  entry.wallMs = aWallMs;
+  entry.windows = std::move(aWindows);
+  return entry;
+}
+
+const OrganisationId kOne("one");
+
+}
+
+BOOST_AUTO_TEST_SUITE(usage_windows)
+
+BOOST_AUTO_TEST_CASE(own_figures_are_told_once_until_they_change)
+{
+  UsageWindows usage({});
+  usage.count(kOne, kStart + 10);
+  usage.count(kOne, kStart + 20);
+  auto told = usage.takeUntold();
+  BOOST_TEST(told.size() == 1U);
+  BOOST_TEST(told.begin()->second[kOne] == 2U);
+  BOOST_TEST(!usage.hasUntold());
+  usage.count(kOne, kStart + 30);
+  BOOST_TEST(usage.takeUntold().begin()->second[kOne] == 3U);
+}
+
+// Guards against a window that is reported without what a slower instance counted in it.
+BOOST_AUTO_TEST_CASE(window_waits_for_all_live_instances)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStart);
+  usage.apply(entryOf("a", kStart + 5300, { { window, { { kOne, 4 } } } }));
+  usage.apply(entryOf("b", kStart + 4900, { { window, { { kOne, 3 } } } }));
+  BOOST_TEST(usage.due(kStart + 5400).empty());
+  usage.apply(entryOf("b", kStart + 5600, { { window, { { kOne, 5 } } } }));
+  const auto due = usage.due(kStart + 5700);
+  BOOST_TEST_REQUIRE(due.size() == 1U);
+  BOOST_TEST(due[0].counts.at(kOne) == 9U);
+}
+
+// Guards against a window that is never reported as one instance has gone.
+BOOST_AUTO_TEST_CASE(window_does_not_wait_for_an_instance_that_is_gone)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStart);
+  usage.apply(entryOf("a", kStart + 8500, { { window, { { kOne, 4 } } } }));
+  usage.apply(entryOf("b", kStart + 4000, { { window, { { kOne, 3 } } } }));
+  BOOST_TEST(usage.due(kStart + 7000).empty());
+  BOOST_TEST(usage.due(kStart + 8600).size() == 1U);
+}
+
+// Guards against figures that fall or double when records come late or twice.
+BOOST_AUTO_TEST_CASE(figures_are_cumulative_by_incarnation)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStart);
+  usage.apply(entryOf("a", kStart + 5300, { { window, { { kOne, 4 } } } }));
+  usage.apply(entryOf("a", kStart + 5200, { { window, { { kOne, 2 } } } }));
+  auto reborn = entryOf("a", kStart + 5400, { { window, { { kOne, 1 } } } });
+  reborn.incarnation = 2;
+  usage.apply(reborn);
+  usage.apply(reborn);
+  const auto due = usage.due(kStart + 5500);
+  BOOST_TEST_REQUIRE(due.size() == 1U);
+  BOOST_TEST(due[0].counts.at(kOne) == 5U);
+}
+
+// Guards against a second report for a window, and against one that comes too late to count.
+BOOST_AUTO_TEST_CASE(decided_and_late_windows_are_not_due)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStart);
+  usage.apply(entryOf("a", kStart + 5300, { { window, { { kOne, 4 } } } }));
+  BOOST_TEST(usage.due(kStart + 15000).empty());
+  BOOST_TEST(usage.due(kStart + 6000).size() == 1U);
+  usage.decided(window);
+  BOOST_TEST(usage.due(kStart + 6000).empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_instances_are_not_counted_as_live)
+{
+  UsageWindows usage({});
+  usage.apply(entryOf("a", kStart, {}));
+  auto leaving = entryOf("b", kStart, {});
+  leaving.leaving = true;
+  usage.apply(leaving);
+  BOOST_TEST(usage.live(kStart + 100).size() == 1U);
+  BOOST_TEST(usage.live(kStart + 60000).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -55,7 +55,9 @@
 constexpr Duration kStallSlack = Millis(400);
 constexpr double kStalledRate = 0.6;
 /// Per tick: a server that failed is tried again although others are better.
-constexpr double kFailureDecay = 0.96;
+constexpr double kFailureDecay = 0.92;
+/// Below this a server counts as sound.
+constexpr double kForgivenRate = 0.02;
 
 Duration
 part(Duration aDuration, double aPart)
@@ -106,9 +108,9 @@
 Dispatcher::serverSeen(const route::BackendServer& aServer, TimePoint aNow)
 {
   auto* known = find(aServer.id);
-  const bool reborn = known && (known->server.bornMs != aServer.bornMs ||
-                                known->server.address != aServer.address ||
-                                known->server.service != aServer.service);
+  const bool reborn =
+    known && (known->server.bornMs != aServer.bornMs || known->server.address != aServer.address ||
+              known->server.service != aServer.service);
   if (!known || reborn) {
     auto state = std::make_unique<ServerState>(aServer);
     if (const auto* service = mTable ? mTable->service(aServer.service) : nullptr;
@@ -316,8 +318,8 @@
   // Spread, so that those who come back don't come at once.
   std::uniform_real_distribution<double> spread(0.6, 1.0);
   const auto left = aJob.deadline - aNow;
-  const auto wish = aReason == RefusalReason::CrashSuspect ? kMaxRetryAfter
-                                                           : part(left, 1.0 / kRetryAfterDivisor);
+  const auto wish =
+    aReason == RefusalReason::CrashSuspect ? kMaxRetryAfter : part(left, 1.0 / kRetryAfterDivisor);
   const auto after = std::clamp(part(wish, spread(mRandom)), kMinRetryAfter, kMaxRetryAfter);
   aEffects.emplace_back(Refusal{ aJob.id, aReason, after });
 }
@@ -358,10 +360,8 @@
   }
   std::stable_sort(mWaiting.begin(), mWaiting.end(), [&](const Job& aLeft, const Job& aRight) {
     const auto key = [&](const Job& aJob) {
-      return std::tuple(aJob.tier,
-                        aJob.onTimeUntil < aNow,
-                        runningOf[aJob.organisation],
-                        aJob.onTimeUntil);
+      return std::tuple(
+        aJob.tier, aJob.onTimeUntil < aNow, runningOf[aJob.organisation], aJob.onTimeUntil);
     };
     return key(aLeft) < key(aRight);
   });
@@ -403,12 +403,9 @@
   // Mean queue of a server with random arrivals and even service times.
   const double longServers =
     std::max(1.0, static_cast<double>(state.servers.size()) * (1.0 - model.shortShare));
-  const double use =
-    std::min(aNeed.longTokensPerMs / (longServers * model.tokensPerMs), kMostUse);
+  const double use = std::min(aNeed.longTokensPerMs / (longServers * model.tokensPerMs), kMostUse);
   const double others = static_cast<double>(mInstances - 1) / static_cast<double>(mInstances);
-  smooth(model.othersUnread,
-         others * state.meanLongUnread * use / (2.0 * (1.0 - use)),
-         kMixWeight);
+  smooth(model.othersUnread, others * state.meanLongUnread * use / (2.0 * (1.0 - use)), kMixWeight);
 }
 
 void
@@ -428,10 +425,9 @@
     smooth(model.tokensPerMs, std::clamp(sample, 5.0, 200.0), kModelWeight);
   }
   const auto estimate = std::max<Duration>(aRun.estimate, Millis(1));
-  const double ratio = aServer.slowness * static_cast<double>(took.count()) /
-                       static_cast<double>(estimate.count());
-  smooth(
-    aServer.slowness, std::clamp(ratio, kMinSlowness, kMaxSlowness), kSpeedWeight);
+  const double ratio =
+    aServer.slowness * static_cast<double>(took.count()) / static_cast<double>(estimate.count());
+  smooth(aServer.slowness, std::clamp(ratio, kMinSlowness, kMaxSlowness), kSpeedWeight);
 }
 
 void
@@ -474,8 +470,8 @@
 Dispatcher::noteOutcome(ServerState& aServer, JobOutcome aOutcome, TimePoint aNow)
 {
   const auto suspend = [&](Duration aLeast) {
-    aServer.suspension =
-      std::clamp<Duration>(2 * aServer.suspension, std::max(aLeast, kMinSuspension), kMaxSuspension);
+    aServer.suspension = std::clamp<Duration>(
+      2 * aServer.suspension, std::max(aLeast, kMinSuspension), kMaxSuspension);
     aServer.suspendedUntil = aNow + aServer.suspension;
   };
   aServer.trial = false;
@@ -541,6 +537,9 @@
 {
   for (auto& [id, server] : mServers) {
     server->failureRate *= kFailureDecay;
+    if (server->failureRate < kForgivenRate) {
+      server->failureRate = 0.0;
+    }
     for (auto& [job, run] : server->running) {
       if (!run.started && aNow - run.sent > kStallFactor * run.estimate + kStallSlack) {
         server->failureRate = std::max(server->failureRate, kStalledRate);
--- /dev/null
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -0,0 +1,295 @@
+#include "test_support.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+using namespace mustardplank;
+using namespace mustardplank::dispatch;
+using namespace mustardplank::dispatch::test;
+
+BOOST_AUTO_TEST_SUITE(dispatcher)
+
+// Guards against work for a server that leaves, also when it was chosen just before.
+BOOST_AUTO_TEST_CASE(leaving_server_gets_nothing)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a"), at(0));
+  Effects effects;
+  dispatcher.submit(makeJob(1, 500, 1, at(0)), at(0), effects);
+  BOOST_TEST_REQUIRE(grantIn(effects, 1) != nullptr);
+  auto leaving = makeServer("s1", "a");
+  leaving.draining = true;
+  dispatcher.serverSeen(leaving, at(1));
+  BOOST_TEST(!dispatcher.maySend(1, at(2)));
+  effects.clear();
+  dispatcher.submit(makeJob(2, 500, 1, at(3)), at(3), effects);
+  BOOST_TEST_REQUIRE(refusalIn(effects, 2) != nullptr);
+  BOOST_TEST((refusalIn(effects, 2)->reason == RefusalReason::NoServer));
+}
+
+// Guards against a request that reaches another incarnation than the one it was meant for.
+BOOST_AUTO_TEST_CASE(reborn_server_is_another_one)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a"), at(0));
+  Effects effects;
+  dispatcher.submit(makeJob(1, 500, 1, at(0)), at(0), effects);
+  auto reborn = makeServer("s1", "a");
+  reborn.bornMs = 2;
+  dispatcher.serverSeen(reborn, at(1));
+  BOOST_TEST(!dispatcher.maySend(1, at(2)));
+  dispatcher.ended(1, JobOutcome::Cancelled, at(3), effects);
+  effects.clear();
+  dispatcher.submit(makeJob(2, 500, 1, at(4)), at(4), effects);
+  BOOST_TEST(dispatcher.maySend(2, at(5)));
+}
+
+BOOST_AUTO_TEST_CASE(domain_that_is_out_gets_nothing)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a"), at(0));
+  dispatcher.serverSeen(makeServer("s2", "b"), at(0));
+  Effects effects;
+  dispatcher.submit(makeJob(1, 500, 1, at(0)), at(0), effects);
+  BOOST_TEST(grantIn(effects, 1)->server.str() == "s1");
+  dispatcher.setEvacuated({ FailureDomainId("a") });
+  BOOST_TEST(!dispatcher.maySend(1, at(1)));
+  dispatcher.submit(makeJob(2, 500, 1, at(1)), at(1), effects);
+  BOOST_TEST(grantIn(effects, 2)->server.str() == "s2");
+}
+
+// Guards against a cold server that gets more than it bears from all instances together.
+BOOST_AUTO_TEST_CASE(cold_server_gets_its_share_a_second)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  auto server = makeServer("s1", "a");
+  server.coldFor = Seconds(3);
+  dispatcher.serverSeen(server, at(0));
+  int sent = 0;
+  Effects effects;
+  for (JobId job = 1; job <= 60; ++job) {
+    const auto now = at(static_cast<double>(job) * 15);
+    dispatcher.submit(makeJob(job, 300, 1, now), now, effects);
+    if (grantIn(effects, job) && dispatcher.maySend(job, now)) {
+      ++sent;
+      dispatcher.started(job, now);
+    }
+  }
+  // (12 x 1.5 + 5) / 6 instances.
+  BOOST_TEST(sent == 3);
+}
+
+// Guards against a queue that forgets tiers: all slots are taken, then one gets free.
+BOOST_AUTO_TEST_CASE(urgent_requests_leave_the_queue_first)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a", "desk", 1), at(0));
+  Effects effects;
+  dispatcher.submit(makeCall(1, at(0)), at(0), effects);
+  BOOST_TEST(grantIn(effects, 1) != nullptr);
+  auto low = makeCall(2, at(1));
+  low.tier = 2;
+  dispatcher.submit(low, at(1), effects);
+  auto high = makeCall(3, at(2));
+  high.tier = 0;
+  dispatcher.submit(high, at(2), effects);
+  BOOST_TEST(dispatcher.waiting() == 2U);
+  effects.clear();
+  dispatcher.ended(1, JobOutcome::Finished, at(10), effects);
+  BOOST_TEST(grantIn(effects, 3) != nullptr);
+  BOOST_TEST(grantIn(effects, 2) == nullptr);
+}
+
+// Load pattern: one organisation sends many times its usual.
+BOOST_AUTO_TEST_CASE(organisation_with_least_running_goes_first_in_its_tier)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a", "desk", 2), at(0));
+  Effects effects;
+  dispatcher.submit(makeCall(1, at(0)), at(0), effects);
+  dispatcher.submit(makeCall(2, at(0)), at(0), effects);
+  for (JobId job = 3; job < 9; ++job) {
+    dispatcher.submit(makeCall(job, at(1)), at(1), effects);
+  }
+  auto other = makeCall(9, at(2));
+  other.organisation = OrganisationId("two");
+  dispatcher.submit(other, at(2), effects);
+  effects.clear();
+  dispatcher.ended(1, JobOutcome::Finished, at(5), effects);
+  BOOST_TEST(grantIn(effects, 9) != nullptr);
+}
+
+// Guards against requests that are held until callers give up: what finds no room within part of
+// its target is refused, with a time after which to come back.
+BOOST_AUTO_TEST_CASE(request_without_room_is_refused_soon)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a", "desk", 1), at(0));
+  Effects effects;
+  dispatcher.submit(makeCall(1, at(0)), at(0), effects);
+  dispatcher.submit(makeCall(2, at(0)), at(0), effects);
+  dispatcher.tick(at(30), effects);
+  BOOST_TEST(refusalIn(effects, 2) == nullptr);
+  dispatcher.tick(at(70), effects);
+  BOOST_TEST_REQUIRE(refusalIn(effects, 2) != nullptr);
+  BOOST_TEST(refusalIn(effects, 2)->retryAfter > Duration{});
+  BOOST_TEST(refusalIn(effects, 2)->retryAfter < Millis(800) / 3);
+}
+
+// Load pattern: a server of which the health check is good fails its requests.
+BOOST_AUTO_TEST_CASE(failing_server_is_left_for_others_and_tried_again)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("bad", "a", "desk", 6), at(0));
+  dispatcher.serverSeen(makeServer("good", "a", "desk", 6), at(0));
+  Effects effects;
+  double now = 0;
+  int bad = 0;
+  for (JobId job = 1; job <= 600; ++job) {
+    now += 10;
+    effects.clear();
+    dispatcher.submit(makeCall(job, at(now)), at(now), effects);
+    const bool isBad = grantIn(effects, job)->server.str() == "bad";
+    bad += isBad ? 1 : 0;
+    dispatcher.started(job, at(now + 5));
+    dispatcher.ended(job, isBad ? JobOutcome::Failed : JobOutcome::Finished, at(now + 5), effects);
+    if (job % 10 == 0) {
+      dispatcher.tick(at(now), effects);
+    }
+  }
+  BOOST_TEST(bad < 60);
+  BOOST_TEST(bad > 1);
+}
+
+// Guards against a dead address that costs every request a connection attempt.
+BOOST_AUTO_TEST_CASE(unreachable_server_is_suspended_and_tried_by_one_request)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a", "desk", 6), at(0));
+  Effects effects;
+  dispatcher.submit(makeCall(1, at(0)), at(0), effects);
+  dispatcher.ended(1, JobOutcome::NotConnected, at(1), effects);
+  dispatcher.submit(makeCall(2, at(2)), at(2), effects);
+  BOOST_TEST(refusalIn(effects, 2) != nullptr);
+  dispatcher.submit(makeCall(3, at(400)), at(400), effects);
+  BOOST_TEST(grantIn(effects, 3) != nullptr);
+  dispatcher.submit(makeCall(4, at(401)), at(401), effects);
+  BOOST_TEST(grantIn(effects, 4) == nullptr);
+  dispatcher.ended(3, JobOutcome::Finished, at(410), effects);
+  BOOST_TEST(grantIn(effects, 4) != nullptr);
+}
+
+// Guards against retries that multiply the load when many requests fail.
+BOOST_AUTO_TEST_CASE(repeats_stay_within_the_share_of_the_budget)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  const route::ServiceId service("desk");
+  int taken = 0;
+  for (int i = 0; i < 1000; ++i) {
+    dispatcher.countRequest(service, at(i * 5));
+    taken += dispatcher.takeRepeat(service, at(i * 5)) ? 1 : 0;
+  }
+  // 0.2 x 1000 + 52 / 6.
+  BOOST_TEST(taken <= 208);
+  BOOST_TEST(taken >= 100);
+}
+
+// Guards against a request that ends each server it reaches.
+BOOST_AUTO_TEST_CASE(request_that_crashed_two_servers_is_a_suspect)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.reportCrash({ 7, BackendServerId("s1") }, at(0));
+  dispatcher.reportCrash({ 7, BackendServerId("s1") }, at(1));
+  BOOST_TEST(!dispatcher.isCrashSuspect(7, at(2)));
+  dispatcher.reportCrash({ 7, BackendServerId("s2") }, at(3));
+  BOOST_TEST(dispatcher.isCrashSuspect(7, at(4)));
+  BOOST_TEST(!dispatcher.isCrashSuspect(8, at(4)));
+  BOOST_TEST(!dispatcher.isCrashSuspect(7, at(200000)));
+}
+
+// Load pattern: prompts that share parts. All instances send a session to the same server.
+BOOST_AUTO_TEST_CASE(sessions_have_one_home_on_all_instances)
+{
+  std::map<std::uint64_t, std::set<std::string>> homes;
+  for (const auto* domain : { "a", "b", "c" }) {
+    auto dispatcher = makeDispatcher(makeConfig(), makeOptions(domain));
+    for (const auto* it : { "a", "b", "c" }) {
+      for (int i = 0; i < 3; ++i) {
+        dispatcher.serverSeen(makeServer(it + std::to_string(i), it), at(0));
+      }
+    }
+    Effects effects;
+    JobId job = 0;
+    for (std::uint64_t session = 0; session < 40; ++session) {
+      effects.clear();
+      const auto now = at(static_cast<double>(session) * 1000);
+      dispatcher.submit(makeJob(++job, 9000, session, now), now, effects);
+      homes[session].insert(grantIn(effects, job)->server.str());
+      dispatcher.started(job, now + Millis(100));
+      dispatcher.ended(job, JobOutcome::Finished, now + Millis(300), effects);
+    }
+  }
+  int shared = 0;
+  for (const auto& [session, servers] : homes) {
+    shared += servers.size() == 1 ? 1 : 0;
+  }
+  BOOST_TEST(shared == 40);
+}
+
+// Load pattern: long prompts beside short streams with tight pauses.
+BOOST_AUTO_TEST_CASE(long_prompts_and_short_streams_use_different_servers)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  for (int i = 0; i < 4; ++i) {
+    dispatcher.serverSeen(makeServer("s" + std::to_string(i), "a"), at(0));
+  }
+  Effects effects;
+  std::set<std::string> shorts;
+  std::set<std::string> longs;
+  for (JobId job = 1; job <= 40; ++job) {
+    effects.clear();
+    const bool isLong = job % 2 == 0;
+    const auto now = at(static_cast<double>(job) * 100);
+    dispatcher.submit(makeJob(job, isLong ? 9000 : 600, job, now), now, effects);
+    (isLong ? longs : shorts).insert(grantIn(effects, job)->server.str());
+    dispatcher.started(job, now + Millis(isLong ? 180 : 25));
+    dispatcher.ended(job, JobOutcome::Finished, now + Millis(190), effects);
+  }
+  for (const auto& it : shorts) {
+    BOOST_TEST(longs.count(it) == 0U);
+  }
+}
+
+// Guards against the fault in which one own request, times the number of instances, filled a
+// server with few slots.
+BOOST_AUTO_TEST_CASE(own_load_is_not_multiplied_by_the_instances)
+{
+  auto dispatcher = makeDispatcher(makeConfig(16, 314000));
+  dispatcher.setInstances(61);
+  dispatcher.serverSeen(makeServer("s1", "a", "llm", 16), at(0));
+  Effects effects;
+  for (JobId job = 1; job <= 10; ++job) {
+    dispatcher.submit(makeJob(job, 600, job, at(0)), at(0), effects);
+    BOOST_TEST(grantIn(effects, job) != nullptr);
+  }
+}
+
+// Guards against preemption in the engine: requests wait here when its memory would overflow.
+BOOST_AUTO_TEST_CASE(memory_of_an_engine_is_not_overfilled)
+{
+  auto dispatcher = makeDispatcher(makeConfig(64, 100000));
+  dispatcher.serverSeen(makeServer("s1", "a"), at(0));
+  Effects effects;
+  int granted = 0;
+  for (JobId job = 1; job <= 20; ++job) {
+    auto request = makeJob(job, 9000, job, at(0));
+    request.deadline = at(60000);
+    dispatcher.submit(request, at(0), effects);
+    granted += grantIn(effects, job) ? 1 : 0;
+  }
+  BOOST_TEST(granted == 9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -111,14 +111,15 @@
          bool aLong,
          std::vector<const ServerState*>& aGroup)
 {
-  std::sort(aDomain.begin(), aDomain.end(), [](const ServerState* aLeft, const ServerState* aRight) {
-    return aLeft->server.id < aRight->server.id;
-  });
+  std::sort(
+    aDomain.begin(), aDomain.end(), [](const ServerState* aLeft, const ServerState* aRight) {
+      return aLeft->server.id < aRight->server.id;
+    });
   std::size_t shorts = aDomain.size();
   if (aDomain.size() >= 2) {
     const auto n = static_cast<double>(aDomain.size());
-    shorts = static_cast<std::size_t>(
-      std::clamp(std::round(n * aInput.model->shortShare), 1.0, n - 1.0));
+    shorts =
+      static_cast<std::size_t>(std::clamp(std::round(n * aInput.model->shortShare), 1.0, n - 1.0));
   }
   for (std::size_t i = 0; i < aDomain.size(); ++i) {
     if (aDomain.size() < 2 || (i >= shorts) == aLong) {
--- a/src/mustardplank/gateway/backend_link.cpp
+++ b/src/mustardplank/gateway/backend_link.cpp
@@ -55,17 +55,16 @@
   mBusy = true;
   mWriting = true;
   newParser();
-  asio::async_write(mSocket,
-                    asio::buffer(mRequest),
-                    [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                      self->mWriting = false;
-                      self->mRequest.clear();
-                      self->mRequest.shrink_to_fit();
-                      if (aError && self->mBusy) {
-                        // What was read before may hold the answer; the read reports the end.
-                        self->read();
-                      }
-                    });
+  asio::async_write(
+    mSocket, asio::buffer(mRequest), [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      self->mWriting = false;
+      self->mRequest.clear();
+      self->mRequest.shrink_to_fit();
+      if (aError && self->mBusy) {
+        // What was read before may hold the answer; the read reports the end.
+        self->read();
+      }
+    });
   read();
 }
 
--- a/src/mustardplank/gateway/caller_link.cpp
+++ b/src/mustardplank/gateway/caller_link.cpp
@@ -230,20 +230,19 @@
   }
   mSending.swap(mOut);
   mWriting = true;
-  asio::async_write(mSocket,
-                    asio::buffer(mSending),
-                    [self = shared_from_this()](ErrorCode aError, std::size_t) {
-                      self->mWriting = false;
-                      self->mSending.clear();
-                      if (aError) {
-                        self->close();
-                        return;
-                      }
-                      self->flush();
-                      if (self->mExchange) {
-                        self->mExchange->callerReady();
-                      }
-                    });
+  asio::async_write(
+    mSocket, asio::buffer(mSending), [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      self->mWriting = false;
+      self->mSending.clear();
+      if (aError) {
+        self->close();
+        return;
+      }
+      self->flush();
+      if (self->mExchange) {
+        self->mExchange->callerReady();
+      }
+    });
 }
 
 void
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -156,8 +156,8 @@
   }
   mJob.prompt = aHead.prompt;
   mJob.promptTokens = aHead.promptTokens;
-  mJob.outputTokens = aHead.outputHint.value_or(
-    aHead.maxOutputTokens > 0 ? aHead.maxOutputTokens : kDefaultOutputTokens);
+  mJob.outputTokens = aHead.outputHint.value_or(aHead.maxOutputTokens > 0 ? aHead.maxOutputTokens
+                                                                          : kDefaultOutputTokens);
   mJob.repeatable = mRoute->isRepeatable();
   mJob.streaming = isStream();
   const auto left = std::min(aHead.timeLeft.value_or(kDefaultTimeLeft), mRoute->timeout);
@@ -195,8 +195,7 @@
     return;
   }
   mLink = mContext.pool.connect(
-    aGrant.address,
-    [&context = mContext, id = mJob.id, aTry](const BackendPool::Link& aLink) {
+    aGrant.address, [&context = mContext, id = mJob.id, aTry](const BackendPool::Link& aLink) {
       const auto it = context.exchanges.find(id);
       if (it != context.exchanges.end()) {
         it->second->connected(aTry, aLink);
@@ -282,8 +281,7 @@
   forwarding.organisation = mJob.organisation.str();
   forwarding.timeLeft = deadline() - bootNow();
   forwarding.server = mGrant->server.str();
-  forwarding.urgency =
-    std::clamp(mJob.tier, kMostUrgent, kLeastUrgent);
+  forwarding.urgency = std::clamp(mJob.tier, kMostUrgent, kLeastUrgent);
   forwarding.lastEventId =
     mEvents.lastEventId().empty() ? mHead.lastEventId : mEvents.lastEventId();
   mContext.dialect.prepareForward(fields, forwarding);
@@ -523,8 +521,7 @@
   }
   mBody.clear();
   mEvents.takeRest();
-  const auto outcome =
-    lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
+  const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
   if (tryElsewhere(outcome, false, lost ? "connection_lost" : "malformed_answer")) {
     return;
   }
@@ -643,9 +640,8 @@
     mRecorder->requestTime(now - mJob.arrived);
   }
   if (mRoute) {
-    releaseServer(answered || (mBegan && aReason == "complete")
-                    ? dispatch::JobOutcome::Finished
-                    : dispatch::JobOutcome::Cancelled);
+    releaseServer(answered || (mBegan && aReason == "complete") ? dispatch::JobOutcome::Finished
+                                                                : dispatch::JobOutcome::Cancelled);
   }
 }
 
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -137,17 +137,15 @@
 {
   auto& context = mImpl->context;
   mImpl->acceptor.emplace(context.io.get_executor(), endpointOf(context.options.callers));
-  mImpl->readiness.emplace(context.io,
-                           endpointOf(context.options.readiness),
-                           [impl = mImpl.get()](const std::string& aPath) {
-                             return impl->readinessPage(aPath);
-                           });
+  mImpl->readiness.emplace(
+    context.io,
+    endpointOf(context.options.readiness),
+    [impl = mImpl.get()](const std::string& aPath) { return impl->readinessPage(aPath); });
   if (!context.options.metrics.empty()) {
-    mImpl->metricsServer.emplace(context.io,
-                                 endpointOf(context.options.metrics),
-                                 [impl = mImpl.get()](const std::string& aPath) {
-                                   return impl->metricsPage(aPath);
-                                 });
+    mImpl->metricsServer.emplace(
+      context.io,
+      endpointOf(context.options.metrics),
+      [impl = mImpl.get()](const std::string& aPath) { return impl->metricsPage(aPath); });
   }
   mImpl->accept();
 }
--- a/src/mustardplank/gateway/page_server.cpp
+++ b/src/mustardplank/gateway/page_server.cpp
@@ -52,12 +52,11 @@
     response.keep_alive(request.keep_alive());
     response.body() = std::move(page.body);
     response.prepare_payload();
-    http::async_write(
-      socket, response, [self = shared_from_this()](ErrorCode aError, std::size_t) {
-        if (!aError && self->response.keep_alive()) {
-          self->read();
-        }
-      });
+    http::async_write(socket, response, [self = shared_from_this()](ErrorCode aError, std::size_t) {
+      if (!aError && self->response.keep_alive()) {
+        self->read();
+      }
+    });
   }
 
   Socket socket;
--- a/src/mustardplank/platform/http_platform.cpp
+++ b/src/mustardplank/platform/http_platform.cpp
@@ -1,7 +1,7 @@
 #include "mustardplank/platform/http_platform.hpp"
 
-#include "mustardplank/platform/http_exchange.hpp"
 #include "json_forms.hpp"
+#include "mustardplank/platform/http_exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/mustardplank/settings/object_reader.cpp
+++ b/src/mustardplank/settings/object_reader.cpp
@@ -117,10 +117,8 @@
   const auto hasKey = [&](const auto& aMember) { return aMember.key == aKey; };
   const auto it = std::find_if(mNode.members.begin(), mNode.members.end(), hasKey);
   const bool whole = it != mNode.members.end() && it->value.type == JsonNode::Type::Integer;
-  const auto* node = find(aKey,
-                          whole ? JsonNode::Type::Integer : JsonNode::Type::Float,
-                          "a number",
-                          Presence::Optional);
+  const auto* node = find(
+    aKey, whole ? JsonNode::Type::Integer : JsonNode::Type::Float, "a number", Presence::Optional);
   if (node == nullptr) {
     return;
   }
