--- /dev/null
+++ b/test/routes/changes_test.cpp
@@ -0,0 +1,211 @@
+#include "deployment.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <csignal>
+#include <future>
+#include <set>
+
+using namespace mustardplank;
+using namespace mustardplank::routes;
+using support::waitUntil;
+
+namespace {
+
+Call
+callOf(const std::string& aPath)
+{
+  Call call;
+  call.path = aPath;
+  call.attempt = newAttempt();
+  return call;
+}
+
+unsigned
+statusOf(RouteDeployment& aDeployment, const Call& aCall, std::size_t aInstance = 0)
+{
+  try {
+    CallerConnection connection(aDeployment.callers(aInstance));
+    return connection.call(aCall).result_int();
+  } catch (const boost::system::system_error&) {
+    return 0;
+  }
+}
+
+}
+
+// Guards against a key or a route that works on after it was taken away, also on a connection that
+// is open already.
+BOOST_AUTO_TEST_CASE(routes_change_of_configuration_is_in_force_within_two_seconds)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  deployment.configure("key-new", false);
+  BOOST_TEST(waitUntil(Millis(2000),
+                       [&] { return connection.call(callOf("/twice/ok")).result_int() == 401U; }));
+  auto call = callOf("/plain/ok");
+  call.key = "key-new";
+  BOOST_TEST(connection.call(call).result_int() == 404U);
+}
+
+// Guards against an older configuration after the store has dropped its history.
+BOOST_AUTO_TEST_CASE(routes_configuration_survives_the_loss_of_history)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.configure("key-new");
+  deployment.store().compact("keyed.op");
+  deployment.store().compact("keyed.servers");
+  auto call = callOf("/twice/ok");
+  call.key = "key-new";
+  BOOST_TEST(waitUntil(Millis(2000), [&] { return statusOf(deployment, call) == 200U; }));
+  deployment.configure("key-newer");
+  call.key = "key-newer";
+  BOOST_TEST(waitUntil(Millis(2000), [&] { return statusOf(deployment, call) == 200U; }));
+}
+
+BOOST_AUTO_TEST_CASE(routes_malformed_records_change_nothing)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.store().put("keyed.op", "config", "{\"version\":\"new\"}");
+  deployment.store().put("keyed.servers", "server0", "\xff\xfe");
+  deployment.store().put("keyed.servers", "other", R"({"service":"svc","address":"127.0.0.1:9"})");
+  std::this_thread::sleep_for(Millis(2000));
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  }
+}
+
+// Guards against work for servers that leave or have gone, and domains that are out.
+BOOST_AUTO_TEST_CASE(routes_leaving_servers_get_no_new_work)
+{
+  RouteDeployment deployment(3, 1);
+  deployment.writeServer(0, "draining");
+  deployment.removeServer(1);
+  std::this_thread::sleep_for(Millis(2000));
+  const auto before =
+    deployment.server(0).arrivals().size() + deployment.server(1).arrivals().size();
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  }
+  BOOST_TEST(deployment.server(0).arrivals().size() + deployment.server(1).arrivals().size() ==
+             before);
+  deployment.store().put("keyed.op", "evacuate/fd-a", "{}");
+  BOOST_TEST(
+    waitUntil(Millis(2000), [&] { return statusOf(deployment, callOf("/plain/ok")) == 503U; }));
+  deployment.store().put("keyed.op", "evacuate/fd-a", std::nullopt);
+  BOOST_TEST(
+    waitUntil(Millis(2000), [&] { return statusOf(deployment, callOf("/plain/ok")) == 200U; }));
+}
+
+// Guards against an outage of the store that stops the service.
+BOOST_AUTO_TEST_CASE(routes_service_goes_on_without_the_store)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.store().setDown(true);
+  std::this_thread::sleep_for(Millis(3000));
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  }
+  BOOST_TEST(deployment.readinessStatus() == 200);
+  deployment.configure("key-new");
+  deployment.store().setDown(false);
+  auto call = callOf("/twice/ok");
+  call.key = "key-new";
+  BOOST_TEST(waitUntil(Millis(2500), [&] { return statusOf(deployment, call) == 200U; }));
+}
+
+// Guards against an instance that serves, or says that it is ready, without a configuration.
+BOOST_AUTO_TEST_CASE(routes_instance_without_configuration_is_not_ready)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.store().setDown(true);
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  BOOST_TEST(waitUntil(Millis(3000), [&] { return deployment.readinessStatus() == 503; }));
+  BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 503U);
+  deployment.store().setDown(false);
+  BOOST_TEST(
+    waitUntil(Millis(3000), [&] { return statusOf(deployment, callOf("/plain/ok")) == 200U; }));
+}
+
+// Guards against a planned stop that cuts answers, takes requests until its end, or never ends.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_cuts_nothing_and_ends)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection idle(deployment.callers());
+  BOOST_TEST(idle.call(callOf("/plain/ok")).result_int() == 200U);
+  auto stream = std::async(std::launch::async, [&] {
+    CallerConnection connection(deployment.callers());
+    return connection.call(callOf("/events/stream30")).body();
+  });
+  std::this_thread::sleep_for(Millis(300));
+  deployment.instance(0).signal(SIGTERM);
+  BOOST_TEST(waitUntil(Millis(1000), [&] { return deployment.readinessStatus() == 503; }));
+  // Callers that come before the balancer has noticed are served.
+  const auto answer = idle.call(callOf("/plain/ok"));
+  BOOST_TEST(answer.result_int() == 200U);
+  BOOST_TEST(!answer.keep_alive());
+  BOOST_TEST(stream.get().ends_with("id: 30\ndata: t30\n\n"));
+  const auto code = deployment.instance(0).wait(Millis(4000));
+  BOOST_TEST_REQUIRE(code.has_value());
+  BOOST_TEST(*code == 0);
+}
+
+BOOST_AUTO_TEST_CASE(routes_reload_disturbs_nothing)
+{
+  RouteDeployment deployment(1, 1);
+  auto stream = std::async(std::launch::async, [&] {
+    CallerConnection connection(deployment.callers());
+    return connection.call(callOf("/events/stream10")).body();
+  });
+  std::this_thread::sleep_for(Millis(100));
+  deployment.instance(0).signal(SIGHUP);
+  BOOST_TEST(stream.get().ends_with("id: 10\ndata: t10\n\n"));
+  BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+}
+
+// Guards against usage that is lost, reported twice with other figures, or by two holders, while
+// the holder is killed and answers of the store are lost.
+BOOST_AUTO_TEST_CASE(routes_usage_of_a_window_is_reported_once)
+{
+  RouteDeployment deployment(1, 3);
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    statusOf(deployment, callOf("/plain/ok"), static_cast<std::size_t>(i % 3));
+    std::this_thread::sleep_for(Millis(100));
+    if (i == 20) {
+      deployment.store().loseAnswers(3);
+    }
+    if (i == 40) {
+      std::string holder;
+      for (const auto& it : deployment.store().dutyCalls()) {
+        holder = it.holder;
+      }
+      if (!holder.empty()) {
+        deployment.instance(static_cast<std::size_t>(holder.back() - '0')).kill();
+        deployment.startInstance(static_cast<std::size_t>(holder.back() - '0'));
+      }
+    }
+  }
+  std::this_thread::sleep_for(Millis(9000));
+  std::map<std::uint64_t, std::string> windows;
+  std::uint64_t fence = 0;
+  std::uint64_t reported = 0;
+  for (const auto& it : deployment.store().dutyCalls()) {
+    if (it.path != "/usage") {
+      continue;
+    }
+    BOOST_TEST(it.fence >= fence);
+    fence = it.fence;
+    const auto window = it.body.at("windowId").get<std::uint64_t>();
+    const auto counts = it.body.at("counts").dump();
+    const auto [known, isNew] = windows.emplace(window, counts);
+    BOOST_TEST(known->second == counts);
+    if (isNew) {
+      reported += it.body.at("counts").value("one", 0);
+    }
+  }
+  BOOST_TEST(windows.size() >= 2U);
+  BOOST_TEST(reported >= 40U);
+}
--- /dev/null
+++ b/test/routes/deployment.cpp
@@ -0,0 +1,263 @@
+#include "deployment.hpp"
+
+#include "mustardplank/base/clock.hpp"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace mustardplank::routes {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis kServingBound{ 10000 };
+
+std::string
+freeAddress()
+{
+  return "127.0.0.1:" + std::to_string(support::freePort());
+}
+
+json
+routeJson(const char* aName, const char* aKind, int aAttempts, bool aResume, bool aOpen)
+{
+  return { { "name", aName },
+           { "hostname", "test.example" },
+           { "pathPrefix", std::string("/") + aName + "/" },
+           { "routeType", aKind },
+           { "timeoutMs", 3000 },
+           { "targetLatencyMs", 300 },
+           { "priority", 1 },
+           { "service", "svc" },
+           { "maxAttempts", aAttempts },
+           { "public", aOpen },
+           { "streamResume", aResume } };
+}
+
+}
+
+std::string
+newAttempt()
+{
+  static std::atomic<int> count{ 0 };
+  return "attempt" + std::to_string(++count);
+}
+
+CallerConnection::CallerConnection(const std::string& aAddress)
+  : mStream(mIo)
+{
+  mStream.connect(standins::parseEndpoint(aAddress));
+}
+
+void
+CallerConnection::send(const Call& aCall)
+{
+  http::request<http::string_body> request;
+  request.method_string(aCall.method);
+  request.target(aCall.path);
+  request.version(11);
+  request.set(http::field::host, "test.example");
+  request.set("X-Attempt-Id", aCall.attempt.empty() ? newAttempt() : aCall.attempt);
+  request.set("X-Deadline-Ms", std::to_string(aCall.deadlineMs));
+  if (!aCall.key.empty()) {
+    request.set(http::field::authorization, "Bearer " + aCall.key);
+  }
+  for (const auto& [name, value] : aCall.fields) {
+    request.set(name, value);
+  }
+  request.body() = aCall.body;
+  request.prepare_payload();
+  http::write(mStream, request);
+}
+
+Response
+CallerConnection::read()
+{
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(boost::none);
+  boost::system::error_code ec;
+  http::read(mStream, mBuffer, parser, ec);
+  mPartial = parser.get().body();
+  if (ec) {
+    throw boost::system::system_error(ec);
+  }
+  return parser.release();
+}
+
+Response
+CallerConnection::call(const Call& aCall)
+{
+  send(aCall);
+  return read();
+}
+
+void
+CallerConnection::close()
+{
+  mStream.close();
+}
+
+RouteDeployment::RouteDeployment(std::size_t aServers, std::size_t aInstances)
+  : mWork(mIo.get_executor())
+  , mFolder(std::filesystem::temp_directory_path() /
+            ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
+{
+  std::filesystem::create_directories(mFolder);
+  mStore = std::make_unique<StoreStandin>(mIo);
+  for (std::size_t i = 0; i < aServers; ++i) {
+    mServers.push_back(std::make_unique<ServerStandin>(mIo, "server" + std::to_string(i)));
+  }
+  mThread = std::thread([this] { mIo.run(); });
+  configure();
+  for (std::size_t i = 0; i < aServers; ++i) {
+    writeServer(i);
+  }
+  mInstances.resize(aInstances);
+  for (std::size_t i = 0; i < aInstances; ++i) {
+    mCallers.push_back(freeAddress());
+    mReadiness.push_back(freeAddress());
+    startInstance(i);
+  }
+  awaitServing();
+}
+
+RouteDeployment::~RouteDeployment()
+{
+  mInstances.clear();
+  mIo.stop();
+  mThread.join();
+  std::filesystem::remove_all(mFolder);
+}
+
+std::string
+RouteDeployment::settingsFile(std::size_t aIndex) const
+{
+  return mFolder + "/settings" + std::to_string(aIndex) + ".json";
+}
+
+void
+RouteDeployment::startInstance(std::size_t aIndex)
+{
+  const json settings{ { "mode", "routes" },
+                       { "instance", "instance" + std::to_string(aIndex) },
+                       { "failure_domain", "fd-a" },
+                       { "callers", mCallers.at(aIndex) },
+                       { "readiness", mReadiness.at(aIndex) },
+                       { "admin", freeAddress() },
+                       { "store", mStore->address() },
+                       { "orders", mStore->address() },
+                       { "log_sampling", 1 },
+                       { "bounds",
+                         { { "usage_window_s", 2.0 },
+                           { "usage_late_s", 8.0 },
+                           { "stop_grace_s", 5.0 },
+                           { "lease_ms", 3000 } } } };
+  std::ofstream(settingsFile(aIndex)) << settings.dump();
+  mInstances.at(aIndex) = std::make_unique<support::ChildProcess>(
+    std::string(BUILD_DIR) + "/src/daemon/mustardplankd",
+    std::vector<std::string>{ "--settings", settingsFile(aIndex) },
+    mFolder + "/instance" + std::to_string(aIndex));
+}
+
+void
+RouteDeployment::configure(const std::string& aKeyOfOne, bool aWithPlain)
+{
+  json config{ { "version", ++mVersion } };
+  config["routes"] = json::array();
+  if (aWithPlain) {
+    config["routes"].push_back(routeJson("plain", "non_idempotent", 1, false, false));
+  }
+  config["routes"].push_back(routeJson("twice", "idempotent", 2, false, false));
+  config["routes"].push_back(routeJson("events", "streaming", 1, false, false));
+  config["routes"].push_back(routeJson("resume", "streaming", 2, true, false));
+  config["routes"].push_back(routeJson("open", "idempotent", 1, false, true));
+  config["services"] =
+    json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
+  config["limits"] = { { "maxHeaderBytes", 8192 },
+                       { "maxBodyBytes", 100000 },
+                       { "headerTimeoutMs", 1000 },
+                       { "idleTimeoutMs", 3000 } };
+  config["tenants"] = json::array();
+  config["tenants"].push_back({ { "name", "one" }, { "apiKeys", { aKeyOfOne } } });
+  config["tenants"].push_back({ { "name", "two" }, { "apiKeys", { "key-two" } } });
+  mStore->put("keyed.op", "config", config.dump());
+}
+
+void
+RouteDeployment::writeServer(std::size_t aIndex,
+                             const std::string& aState,
+                             const std::string& aMore)
+{
+  const auto& server = *mServers.at(aIndex);
+  json entry{ { "service", "svc" }, { "address", server.address() },
+              { "zone", "fd-a" },   { "slots", 8 },
+              { "state", aState },  { "born", 1 } };
+  if (!aMore.empty()) {
+    entry.update(json::parse(aMore));
+  }
+  mStore->put("keyed.servers", server.id(), entry.dump());
+}
+
+void
+RouteDeployment::removeServer(std::size_t aIndex)
+{
+  mStore->put("keyed.servers", mServers.at(aIndex)->id(), std::nullopt);
+}
+
+int
+RouteDeployment::readinessStatus(std::size_t aIndex)
+{
+  try {
+    CallerConnection connection(mReadiness.at(aIndex));
+    Call call;
+    call.method = "GET";
+    call.path = "/readyz";
+    call.body = "";
+    return static_cast<int>(connection.call(call).result_int());
+  } catch (const boost::system::system_error&) {
+    return 0;
+  }
+}
+
+void
+RouteDeployment::awaitServing()
+{
+  for (std::size_t i = 0; i < mCallers.size(); ++i) {
+    const bool serving = support::waitUntil(kServingBound, [&] {
+      if (readinessStatus(i) != 200) {
+        return false;
+      }
+      CallerConnection connection(mCallers[i]);
+      Call call;
+      call.path = "/twice/ok";
+      return connection.call(call).result_int() == 200;
+    });
+    if (!serving) {
+      throw std::runtime_error("an instance does not serve: " + mInstances[i]->output() +
+                               mInstances[i]->errors());
+    }
+  }
+}
+
+std::size_t
+RouteDeployment::arrivals(const std::string& aAttempt) const
+{
+  std::size_t n = 0;
+  for (const auto& server : mServers) {
+    for (const auto& it : server->arrivals()) {
+      n += it.attempt == aAttempt ? 1 : 0;
+    }
+  }
+  return n;
+}
+
+}
--- /dev/null
+++ b/test/routes/deployment.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "server_standin.hpp"
+#include "store_standin.hpp"
+
+#include "support/child_process.hpp"
+#include "support/wait.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mustardplank::routes {
+
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+
+/// A request of a caller; path is "/ROUTE/MODE".
+struct Call
+{
+  std::string path;
+  std::string method = "POST";
+  std::string attempt;
+  std::string key = "key-one";
+  std::string body = "body";
+  int deadlineMs = 2000;
+  std::vector<std::pair<std::string, std::string>> fields{};
+};
+
+/// One connection of a caller.
+class CallerConnection
+{
+public:
+  explicit CallerConnection(const std::string& aAddress);
+
+  void send(const Call& aCall);
+  /// Throws when the connection ends before the answer is complete. What came of the body is in
+  /// partialBody() then.
+  Response read();
+  Response call(const Call& aCall);
+  const std::string& partialBody() const { return mPartial; }
+  void close();
+
+private:
+  boost::asio::io_context mIo;
+  boost::beast::tcp_stream mStream;
+  boost::beast::flat_buffer mBuffer;
+  std::string mPartial;
+};
+
+/// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
+///
+/// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
+/// /resume/ (stream that can be resumed, two attempts), /open/ (idempotent, no key). Keys: key-one,
+/// key-two.
+class RouteDeployment
+{
+public:
+  RouteDeployment(std::size_t aServers, std::size_t aInstances);
+  ~RouteDeployment();
+
+  StoreStandin& store() { return *mStore; }
+  ServerStandin& server(std::size_t aIndex) { return *mServers.at(aIndex); }
+  support::ChildProcess& instance(std::size_t aIndex) { return *mInstances.at(aIndex); }
+  const std::string& callers(std::size_t aIndex = 0) const { return mCallers.at(aIndex); }
+  const std::string& readiness(std::size_t aIndex = 0) const { return mReadiness.at(aIndex); }
+  std::string settingsFile(std::size_t aIndex) const;
+
+  void startInstance(std::size_t aIndex);
+  /// Writes a configuration; version rises with each call.
+  void configure(const std::string& aKeyOfOne = "key-one", bool aWithPlain = true);
+  void writeServer(std::size_t aIndex,
+                   const std::string& aState = "ready",
+                   const std::string& aMore = "");
+  void removeServer(std::size_t aIndex);
+  /// Waits until every instance serves requests.
+  void awaitServing();
+  int readinessStatus(std::size_t aIndex = 0);
+
+  /// Arrivals of an attempt at all servers.
+  std::size_t arrivals(const std::string& aAttempt) const;
+
+private:
+  boost::asio::io_context mIo;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
+  std::unique_ptr<StoreStandin> mStore;
+  std::vector<std::unique_ptr<ServerStandin>> mServers;
+  std::vector<std::unique_ptr<support::ChildProcess>> mInstances;
+  std::vector<std::string> mCallers;
+  std::vector<std::string> mReadiness;
+  std::string mFolder;
+  int mVersion = 0;
+  std::thread mThread;
+};
+
+/// An id for an attempt that no other has.
+std::string
+newAttempt();
+
+}
--- /dev/null
+++ b/test/routes/server_standin.cpp
@@ -0,0 +1,164 @@
+#include "server_standin.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+// g++ 12 takes the operators new and delete of coroutine frames of Asio for a mismatched pair.
+#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
+
+namespace mustardplank::routes {
+
+namespace asio = boost::asio;
+using standins::Awaitable;
+using standins::Request;
+using standins::SocketPtr;
+
+namespace {
+
+constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
+
+Awaitable<bool>
+writeText(SocketPtr aSocket, std::string aText)
+{
+  const auto [ec, n] = co_await asio::async_write(*aSocket, asio::buffer(aText), kUse);
+  co_return !ec;
+}
+
+std::string
+answerText(unsigned aStatus,
+           const std::string& aAttempt,
+           const std::string& aFields,
+           const std::string& aBody)
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " X\r\nX-Attempt-Id: " + aAttempt + "\r\n" +
+         aFields + "Keep-Alive: timeout=5\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+std::string
+chunkText(const std::string& aBytes)
+{
+  char buf[16];
+  std::snprintf(buf, sizeof buf, "%zx\r\n", aBytes.size());
+  return buf + aBytes + "\r\n";
+}
+
+}
+
+ServerStandin::ServerStandin(asio::io_context& aIo, std::string aId)
+  : mId(std::move(aId))
+{
+  mAddress = standins::serveHttp(aIo, "127.0.0.1:0", [this](SocketPtr aSocket, Request& aRequest) {
+    return handle(std::move(aSocket), aRequest);
+  });
+}
+
+std::vector<ServerStandin::Arrival>
+ServerStandin::arrivals() const
+{
+  const std::lock_guard lock(mMutex);
+  return mArrivals;
+}
+
+Awaitable<void>
+ServerStandin::awaitClose(SocketPtr aSocket)
+{
+  char byte = 0;
+  co_await aSocket->async_read_some(asio::buffer(&byte, 1), kUse);
+  ++mCancelled;
+}
+
+Awaitable<bool>
+ServerStandin::handle(SocketPtr aSocket, Request& aRequest)
+{
+  Arrival arrival;
+  arrival.attempt = std::string(aRequest["X-Attempt-Id"]);
+  arrival.path = std::string(aRequest.target());
+  arrival.body = aRequest.body();
+  for (const auto& it : aRequest) {
+    arrival.headers[std::string(it.name_string())] = std::string(it.value());
+  }
+  const std::string expected(aRequest["X-Expected-Instance"]);
+  const std::string mode = arrival.path.substr(arrival.path.rfind('/') + 1);
+  const auto attempt = arrival.attempt;
+  const std::string signature =
+    "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8\r\n";
+  const std::string whole = answerText(200, attempt, signature, "answer to " + attempt);
+  {
+    const std::lock_guard lock(mMutex);
+    mArrivals.push_back(arrival);
+  }
+  if (mReplaced || (!expected.empty() && expected != mId)) {
+    co_return co_await writeText(aSocket, answerText(421, attempt, "X-Instance-Id: other\r\n", ""));
+  }
+  if (mode.starts_with("stream")) {
+    co_return co_await stream(aSocket, aRequest, std::atoi(mode.c_str() + 6), false);
+  }
+  if (mode.starts_with("broken")) {
+    co_return co_await stream(aSocket, aRequest, std::atoi(mode.c_str() + 6), true);
+  }
+  if (!mFailing || mode == "ok") {
+    co_return co_await writeText(aSocket, whole);
+  }
+  if (mode == "error") {
+    co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
+  }
+  if (mode == "not_run") {
+    co_return co_await writeText(aSocket, answerText(503, attempt, "X-Not-Executed: 1\r\n", ""));
+  }
+  if (mode == "hang") {
+    co_await awaitClose(aSocket);
+    co_return false;
+  }
+  if (mode == "cut") {
+    co_await writeText(aSocket, whole.substr(0, whole.size() - 5));
+    co_return false;
+  }
+  if (mode == "garbage") {
+    co_await writeText(aSocket, "\x01\x02 this is no answer\r\n\r\n");
+    co_return false;
+  }
+  if (mode == "surplus") {
+    co_return co_await writeText(aSocket, whole + answerText(200, "other", signature, "surplus"));
+  }
+  if (mode == "late") {
+    co_return co_await writeText(aSocket, answerText(200, "other", signature, "late") + whole);
+  }
+  co_return co_await writeText(aSocket, answerText(200, attempt, "", "not signed"));
+}
+
+Awaitable<bool>
+ServerStandin::stream(SocketPtr aSocket, Request& aRequest, int aEvents, bool aBroken)
+{
+  constexpr int kTotal = 6;
+  const std::string last(aRequest["Last-Event-Id"]);
+  const bool breaks = aBroken && last.empty() && mFailing;
+  const int total = aBroken ? kTotal : aEvents;
+  std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
+                     "\r\nX-Response-Signature: sig-" + mId +
+                     "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+  bool open = co_await writeText(aSocket, std::move(head));
+  for (int i = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && i <= total; ++i) {
+    if (breaks && i > aEvents) {
+      co_await writeText(aSocket, chunkText("id: " + std::to_string(i) + "\nda"));
+      co_return false;
+    }
+    std::string text = "id: " + std::to_string(i);
+    text += "\ndata: t" + std::to_string(i);
+    text += "\n\n";
+    open = co_await writeText(aSocket, chunkText(text));
+    co_await standins::sleepMillis(50);
+  }
+  if (!open) {
+    ++mCancelled;
+    co_return false;
+  }
+  co_return co_await writeText(aSocket, "0\r\n\r\n");
+}
+
+}
--- /dev/null
+++ b/test/routes/server_standin.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "standins/common/http_server.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace mustardplank::routes {
+
+/// What a backend server does with a request; the last part of the path names it.
+///
+///     ok       an answer with signature           error    500
+///     not_run  503 that says it has not run       hang     no answer
+///     cut      half of an answer, then the end    garbage  bytes that are no answer
+///     surplus  an answer, and one more            unsigned 200 without signature
+///     late     an answer to another request first
+///     streamN  N events, 50 ms apart              brokenN  N events and half of one, then the end,
+///                                                          unless the caller resumes
+class ServerStandin
+{
+public:
+  ServerStandin(boost::asio::io_context& aIo, std::string aId);
+
+  const std::string& id() const { return mId; }
+  const std::string& address() const { return mAddress; }
+
+  struct Arrival
+  {
+    std::string attempt;
+    std::string path;
+    std::string body;
+    std::map<std::string, std::string> headers;
+  };
+  std::vector<Arrival> arrivals() const;
+  /// Requests whose connection the system closed before they had ended.
+  int cancelled() const { return mCancelled; }
+  /// Answers with 421, as another server that has got the address.
+  void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
+  /// Fails every request of a path with the mode named in the path; false: answers all.
+  void setFailing(bool aFailing) { mFailing = aFailing; }
+
+private:
+  standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<bool> stream(standins::SocketPtr aSocket,
+                                   standins::Request& aRequest,
+                                   int aEvents,
+                                   bool aBroken);
+  standins::Awaitable<void> awaitClose(standins::SocketPtr aSocket);
+
+  std::string mId;
+  std::string mAddress;
+  mutable std::mutex mMutex;
+  std::vector<Arrival> mArrivals;
+  std::atomic<int> mCancelled{ 0 };
+  std::atomic<bool> mReplaced{ false };
+  std::atomic<bool> mFailing{ true };
+};
+
+}
--- /dev/null
+++ b/test/routes/store_standin.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "standins/common/http_server.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardplank::routes {
+
+/// A stand-in for the platform's store and its duty calls, on the thread of an io_context. Its
+/// functions may be called on any thread.
+class StoreStandin
+{
+public:
+  explicit StoreStandin(boost::asio::io_context& aIo);
+
+  const std::string& address() const { return mAddress; }
+
+  /// Writes a keyed record; nothing as the value removes the key.
+  void put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue);
+  /// While down, calls get 503.
+  void setDown(bool aDown);
+  /// Forgets all records of a topic but the newest of each key.
+  void compact(const std::string& aTopic);
+  /// Answers of the next so many appends are lost after they took effect.
+  void loseAnswers(int aCount);
+
+  struct DutyCall
+  {
+    std::string path;
+    std::string holder;
+    std::uint64_t fence = 0;
+    nlohmann::json body;
+  };
+  std::vector<DutyCall> dutyCalls() const;
+
+private:
+  struct Record
+  {
+    std::string key;
+    std::optional<std::string> value;
+  };
+  struct Log
+  {
+    std::uint64_t start = 0;
+    std::vector<Record> records;
+    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
+    std::uint64_t end() const { return start + records.size(); }
+  };
+
+  standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<bool> read(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<bool> append(standins::SocketPtr aSocket, standins::Request& aRequest);
+  std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
+  std::uint64_t endOf(const std::string& aTopic) const;
+  nlohmann::json newestPage(const std::string& aTopic) const;
+  void add(Log& aLog, bool aKeyed, const std::string& aContent);
+
+  mutable std::mutex mMutex;
+  std::map<std::string, Log> mLogs;
+  std::vector<DutyCall> mDutyCalls;
+  bool mDown = false;
+  int mLoseAnswers = 0;
+  std::string mAddress;
+};
+
+}
