--- /dev/null
+++ b/bench/model/engine_model.cpp
@@ -0,0 +1,85 @@
+#include "engine_model.hpp"
+
+#include <algorithm>
+
+namespace mustardplank::model {
+
+namespace {
+
+Duration
+millis(double aMillis)
+{
+  return Duration(static_cast<std::int64_t>(aMillis * 1000.0));
+}
+
+}
+
+Engine::Engine(EngineParameters aParameters)
+  : mParameters(aParameters)
+  , mPrefixes(aParameters.memoryTokens)
+{
+}
+
+void
+Engine::submit(const dispatch::Job& aJob, std::uint32_t aOutputTokens, TimePoint aNow)
+{
+  if (mRunning.empty() && mWaiting.empty()) {
+    mNow = std::max(mNow, aNow + millis(mParameters.firstMs));
+  }
+  mWaiting.push_back({ aJob, 0, std::max(1U, aOutputTokens), 0 });
+}
+
+void
+Engine::admit()
+{
+  std::stable_sort(mWaiting.begin(), mWaiting.end(), [](const Run& aLeft, const Run& aRight) {
+    return aLeft.job.tier < aRight.job.tier;
+  });
+  while (!mWaiting.empty() && mRunning.size() < mParameters.slots) {
+    auto run = std::move(mWaiting.front());
+    mWaiting.pop_front();
+    const auto kept = std::min(mPrefixes.keptTokens(run.job.prompt), run.job.promptTokens);
+    run.unread = run.job.promptTokens - kept;
+    mKeptTokens += kept;
+    mReadTokens += run.unread;
+    mPrefixes.use(run.job.prompt);
+    mRunning.push_back(std::move(run));
+  }
+}
+
+std::vector<EngineEvent>
+Engine::advance(TimePoint aUntil)
+{
+  std::vector<EngineEvent> events;
+  while (mNow < aUntil && !(mRunning.empty() && mWaiting.empty())) {
+    admit();
+    std::uint32_t chunk = mParameters.chunkTokens;
+    std::uint32_t read = 0;
+    for (auto& it : mRunning) {
+      const auto n = std::min(chunk, it.unread);
+      it.unread -= n;
+      chunk -= n;
+      read += n;
+    }
+    mNow += millis(mParameters.stepMs +
+                   mParameters.stepMsPerSlot * static_cast<double>(mRunning.size()) +
+                   read / mParameters.promptTokensPerMs);
+    for (auto& it : mRunning) {
+      if (it.unread > 0) {
+        continue;
+      }
+      ++it.made;
+      const bool last = it.made >= it.output;
+      if (it.made == 1 || it.made % mParameters.eventTokens == 0 || last) {
+        events.push_back({ it.job.id, mNow, it.made == 1, last });
+      }
+    }
+    std::erase_if(mRunning, [](const Run& aRun) { return aRun.made >= aRun.output; });
+  }
+  if (mRunning.empty() && mWaiting.empty()) {
+    mNow = std::max(mNow, aUntil);
+  }
+  return events;
+}
+
+}
--- /dev/null
+++ b/bench/model/replay.cpp
@@ -0,0 +1,264 @@
+#include "replay.hpp"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+namespace mustardplank::model {
+
+namespace {
+
+using dispatch::Dispatcher;
+using dispatch::Job;
+using dispatch::JobId;
+
+/// Steps of the replay; shorter than any step of an engine.
+constexpr Duration kStep = Millis(2);
+constexpr Duration kTick = Millis(100);
+constexpr Duration kNeedInterval = Seconds(1);
+const TimePoint kStart{ Seconds(1000) };
+
+const route::ServiceId kService("llm");
+
+struct Playing
+{
+  std::size_t kind = 0;
+  std::size_t instance = 0;
+  std::size_t engine = 0;
+  Job job;
+  TimePoint lastEvent{};
+  bool onTime = true;
+};
+
+class Player
+{
+public:
+  Player(const Load& aLoad, dispatch::Policy aPolicy)
+    : mLoad(aLoad)
+    , mRandom(aLoad.seed)
+  {
+    for (const auto& it : aLoad.kinds) {
+      mResult.kinds.push_back({ it.name, 0, 0, 0, 0 });
+    }
+    for (std::size_t i = 0; i < aLoad.domains * aLoad.enginesPerDomain; ++i) {
+      mEngines.emplace_back(aLoad.engine);
+    }
+    for (std::size_t i = 0; i < aLoad.domains * aLoad.instancesPerDomain; ++i) {
+      addInstance(i, aPolicy);
+    }
+  }
+
+  Result run()
+  {
+    const auto end = kStart + Duration(static_cast<std::int64_t>(mLoad.seconds * 1e6));
+    for (auto now = kStart; now < end; now += kStep) {
+      arrive(now);
+      for (std::size_t i = 0; i < mEngines.size(); ++i) {
+        for (const auto& it : mEngines[i].advance(now)) {
+          onEvent(i, it);
+        }
+      }
+      tick(now);
+    }
+    for (const auto& it : mEngines) {
+      mResult.readTokens += it.readTokens();
+      mResult.keptTokens += it.keptTokens();
+    }
+    return mResult;
+  }
+
+private:
+  static std::string engineName(std::size_t aIndex)
+  {
+    return "s" + std::to_string(aIndex * 7919 % 1000) + "-" + std::to_string(aIndex);
+  }
+
+  FailureDomainId domainOfEngine(std::size_t aIndex) const
+  {
+    return FailureDomainId("fd" + std::to_string(aIndex / mLoad.enginesPerDomain));
+  }
+
+  void addInstance(std::size_t aIndex, dispatch::Policy aPolicy)
+  {
+    dispatch::DispatcherOptions options;
+    options.domain = FailureDomainId("fd" + std::to_string(aIndex / mLoad.instancesPerDomain));
+    options.policy = aPolicy;
+    options.seed = aIndex + 1;
+    auto dispatcher = std::make_unique<Dispatcher>(std::move(options));
+    route::Config config;
+    route::Service service;
+    service.id = kService;
+    service.engine = route::EngineLimits{ mLoad.engine.slots, mLoad.engine.memoryTokens };
+    config.services[kService] = service;
+    dispatcher->setConfig(std::make_shared<route::RouteTable>(std::move(config)));
+    dispatcher->setInstances(mLoad.domains * mLoad.instancesPerDomain);
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      route::BackendServer server;
+      server.id = BackendServerId(engineName(i));
+      server.service = kService;
+      server.domain = domainOfEngine(i);
+      server.slots = mLoad.engine.slots;
+      dispatcher->serverSeen(server, kStart);
+      mEngineByName[engineName(i)] = i;
+    }
+    mInstances.push_back(std::move(dispatcher));
+  }
+
+  double rateOf(std::size_t aKind, TimePoint aNow) const
+  {
+    double rate = mLoad.kinds[aKind].perSecond;
+    const double second = toMillis(aNow - kStart) / 1000.0;
+    for (const auto& it : mLoad.bursts) {
+      if (it.kind == aKind && second >= it.fromSeconds && second < it.toSeconds) {
+        rate *= it.factor;
+      }
+    }
+    return rate;
+  }
+
+  void arrive(TimePoint aNow)
+  {
+    for (std::size_t kind = 0; kind < mLoad.kinds.size(); ++kind) {
+      const double mean = rateOf(kind, aNow) * toMillis(kStep) / 1000.0;
+      const auto n = std::poisson_distribution<int>(mean)(mRandom);
+      for (int i = 0; i < n; ++i) {
+        submit(kind, aNow);
+      }
+    }
+  }
+
+  void submit(std::size_t aKind, TimePoint aNow)
+  {
+    const auto& kind = mLoad.kinds[aKind];
+    std::lognormal_distribution<double> spread(-0.32, 0.8);
+    const auto own = static_cast<std::uint32_t>(kind.ownTokens * std::min(spread(mRandom), 6.0)) + 1;
+    const auto session = mRandom() % kind.sessions;
+    Playing playing;
+    playing.kind = aKind;
+    playing.instance = mRandom() % mInstances.size();
+    auto& job = playing.job;
+    job.id = ++mLastJob;
+    job.service = kService;
+    job.route = route::RouteId(kind.name);
+    job.organisation = OrganisationId("one");
+    job.tier = kind.tier;
+    job.streaming = true;
+    job.promptTokens = kind.commonTokens + kind.sessionTokens + own;
+    job.outputTokens = kind.outputTokens;
+    job.prompt = { { 1000 + aKind, kind.commonTokens },
+                   { 100000 * (aKind + 1) + session, kind.sessionTokens },
+                   { 10000000 + job.id, own } };
+    job.arrived = aNow;
+    job.onTimeUntil = aNow + kind.target;
+    job.deadline = aNow + kind.deadline;
+    ++mResult.kinds[aKind].asked;
+    mPlaying.emplace(job.id, playing);
+    dispatch::Effects effects;
+    mInstances[playing.instance]->submit(job, aNow, effects);
+    carryOut(playing.instance, effects, aNow);
+  }
+
+  void carryOut(std::size_t aInstance, const dispatch::Effects& aEffects, TimePoint aNow)
+  {
+    for (const auto& it : aEffects) {
+      if (const auto* grant = std::get_if<dispatch::Grant>(&it)) {
+        auto& playing = mPlaying.at(grant->job);
+        playing.engine = mEngineByName.at(grant->server.str());
+        mInstances[aInstance]->maySend(grant->job, aNow);
+        mEngines[playing.engine].submit(playing.job, playing.job.outputTokens, aNow);
+      } else {
+        const auto id = std::get<dispatch::Refusal>(it).job;
+        ++mResult.kinds[mPlaying.at(id).kind].refused;
+        mPlaying.erase(id);
+      }
+    }
+  }
+
+  void onEvent(std::size_t aEngine, const EngineEvent& aEvent)
+  {
+    const auto it = mPlaying.find(aEvent.job);
+    if (it == mPlaying.end()) {
+      return;
+    }
+    auto& playing = it->second;
+    const auto& kind = mLoad.kinds[playing.kind];
+    auto& dispatcher = *mInstances[playing.instance];
+    if (aEvent.first) {
+      playing.onTime = aEvent.at <= playing.job.onTimeUntil;
+      dispatcher.started(aEvent.job, aEvent.at);
+      dispatcher.loadReported(BackendServerId(engineName(aEngine)),
+                              mEngines[aEngine].running(),
+                              mEngines[aEngine].waiting(),
+                              aEvent.at);
+    } else if (aEvent.at - playing.lastEvent > kind.pauseTarget) {
+      playing.onTime = false;
+    }
+    playing.lastEvent = aEvent.at;
+    if (!aEvent.last) {
+      return;
+    }
+    auto& result = mResult.kinds[playing.kind];
+    ++(playing.onTime ? result.onTime : result.late);
+    dispatch::Effects effects;
+    const auto instance = playing.instance;
+    mPlaying.erase(it);
+    dispatcher.ended(aEvent.job, dispatch::JobOutcome::Finished, aEvent.at, effects);
+    carryOut(instance, effects, aEvent.at);
+  }
+
+  void tick(TimePoint aNow)
+  {
+    if (aNow >= mNextTick) {
+      mNextTick = aNow + kTick;
+      for (std::size_t i = 0; i < mInstances.size(); ++i) {
+        dispatch::Effects effects;
+        mInstances[i]->tick(aNow, effects);
+        carryOut(i, effects, aNow);
+      }
+    }
+    if (aNow >= mNextNeed) {
+      mNextNeed = aNow + kNeedInterval;
+      dispatch::ServiceNeed sum;
+      for (auto& it : mInstances) {
+        const auto need = it->takeNeeds(aNow)[kService];
+        sum.shortStreams += need.shortStreams;
+        sum.longTokensPerMs += need.longTokensPerMs;
+      }
+      for (auto& it : mInstances) {
+        it->setNeed(kService, sum);
+      }
+    }
+  }
+
+  const Load& mLoad;
+  std::mt19937_64 mRandom;
+  std::vector<Engine> mEngines;
+  std::map<std::string, std::size_t> mEngineByName;
+  std::vector<std::unique_ptr<Dispatcher>> mInstances;
+  std::map<JobId, Playing> mPlaying;
+  JobId mLastJob = 0;
+  TimePoint mNextTick = kStart;
+  TimePoint mNextNeed = kStart + kNeedInterval;
+  Result mResult;
+};
+
+}
+
+Result
+replay(const Load& aLoad, dispatch::Policy aPolicy)
+{
+  return Player(aLoad, aPolicy).run();
+}
+
+Load
+permitLoad()
+{
+  Load load;
+  Kind review{ "review", 20.8, 1, 2520, 3780, 2890, 147, 52, Millis(600), Millis(500), Millis(4000) };
+  Kind summary{ "summary", 26.2, 0, 119, 79, 628, 123, 291, Millis(300), Millis(300), Millis(12000) };
+  load.kinds = { review, summary };
+  return load;
+}
+
+}
--- /dev/null
+++ b/bench/model/replay_test.cpp
@@ -0,0 +1,119 @@
+#include "replay.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace mustardplank;
+using namespace mustardplank::model;
+using dispatch::Policy;
+
+namespace {
+
+constexpr std::uint64_t kSeeds[] = { 1, 2, 3 };
+
+struct Sums
+{
+  double review = 0.0;
+  double summary = 0.0;
+  double kept = 0.0;
+  double refused = 0.0;
+};
+
+Sums
+mean(Load aLoad, Policy aPolicy)
+{
+  Sums sums;
+  for (const auto seed : kSeeds) {
+    aLoad.seed = seed;
+    const auto result = replay(aLoad, aPolicy);
+    sums.review += result.kinds[0].onTimePart() / std::size(kSeeds);
+    sums.summary += result.kinds[1].onTimePart() / std::size(kSeeds);
+    sums.kept += result.keptPart() / std::size(kSeeds);
+    for (const auto& it : result.kinds) {
+      sums.refused += static_cast<double>(it.refused) / static_cast<double>(it.asked);
+    }
+  }
+  return sums;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(replays)
+
+BOOST_AUTO_TEST_CASE(same_seed_gives_the_same_result)
+{
+  const auto load = permitLoad();
+  const auto one = replay(load, Policy::Predicted);
+  const auto two = replay(load, Policy::Predicted);
+  BOOST_TEST(one.readTokens == two.readTokens);
+  BOOST_TEST(one.kinds[0].onTime == two.kinds[0].onTime);
+}
+
+// Load pattern: a calm day. Homes for shared parts: most of their tokens are found kept.
+BOOST_AUTO_TEST_CASE(calm_load_is_on_time_and_keeps_shared_parts)
+{
+  auto load = permitLoad();
+  load.seconds = 40;
+  const auto predicted = mean(load, Policy::Predicted);
+  const auto baseline = mean(load, Policy::LeastLoad);
+  BOOST_TEST_MESSAGE("calm: review " << predicted.review << " / " << baseline.review << ", summary "
+                                     << predicted.summary << " / " << baseline.summary << ", kept "
+                                     << predicted.kept << " / " << baseline.kept);
+  BOOST_TEST(predicted.review > 0.93);
+  BOOST_TEST(predicted.summary > 0.97);
+  BOOST_TEST(predicted.kept > baseline.kept + 0.1);
+  BOOST_TEST(predicted.refused == 0.0);
+}
+
+// Load pattern: long prompts come 2.3 times as often for some seconds. Without servers of their
+// own, short streams pause for each chunk that is read beside them.
+BOOST_AUTO_TEST_CASE(burst_of_long_prompts_leaves_short_streams_on_time)
+{
+  auto load = permitLoad();
+  load.bursts = { { 0, 2.3, 4.0, 13.0 } };
+  const auto predicted = mean(load, Policy::Predicted);
+  const auto baseline = mean(load, Policy::TwoChoices);
+  BOOST_TEST_MESSAGE("long burst: review " << predicted.review << " / " << baseline.review
+                                           << ", summary " << predicted.summary << " / "
+                                           << baseline.summary);
+  BOOST_TEST(predicted.summary > baseline.summary + 0.1);
+  BOOST_TEST(predicted.review > baseline.review);
+}
+
+// Load pattern: short streams come twice as often.
+BOOST_AUTO_TEST_CASE(burst_of_short_streams_is_served)
+{
+  auto load = permitLoad();
+  load.bursts = { { 1, 2.2, 4.0, 10.0 } };
+  const auto predicted = mean(load, Policy::Predicted);
+  const auto baseline = mean(load, Policy::TwoChoices);
+  BOOST_TEST_MESSAGE("short burst: review " << predicted.review << " / " << baseline.review
+                                            << ", summary " << predicted.summary << " / "
+                                            << baseline.summary);
+  BOOST_TEST(predicted.summary > 0.9);
+  BOOST_TEST(predicted.summary > baseline.summary);
+}
+
+// Load pattern: many instances before many small engines. One instance's requests say little of a
+// server's load.
+BOOST_AUTO_TEST_CASE(many_instances_share_small_engines)
+{
+  auto load = permitLoad();
+  load.engine.slots = 16;
+  load.engine.memoryTokens = 314653;
+  load.enginesPerDomain = 12;
+  load.instancesPerDomain = 7;
+  load.seconds = 12;
+  load.kinds[0].perSecond = 100;
+  load.kinds[0].sessions = 700;
+  load.kinds[1].perSecond = 60;
+  const auto predicted = mean(load, Policy::Predicted);
+  const auto baseline = mean(load, Policy::TwoChoices);
+  BOOST_TEST_MESSAGE("many instances: review " << predicted.review << " / " << baseline.review
+                                               << ", summary " << predicted.summary << " / "
+                                               << baseline.summary << ", refused "
+                                               << predicted.refused);
+  BOOST_TEST(predicted.summary > 0.9);
+  BOOST_TEST(predicted.review > 0.8);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -1,5 +1,7 @@
 #include "run.hpp"
 
+#include "explain.hpp"
+
 #include <utility>
 
 namespace mustardplank::ctl {
@@ -48,6 +50,10 @@
     std::ostream& aOut,
     std::ostream& aErrors)
 {
+  // Reads saved logs only, so it needs no server.
+  if (!aArguments.empty() && aArguments.front() == "explain") {
+    return runExplain(aArguments, aOut, aErrors);
+  }
   return leaf::try_handle_all(
     [&]() -> leaf::result<ExitCode> { return tryRun(aArguments, aEnvironment, aOut, aErrors); },
     [&](const CtlError& aError) {
