--- a/bench/model/engine_model.cpp
+++ b/bench/model/engine_model.cpp
@@ -61,9 +61,9 @@
       chunk -= n;
       read += n;
     }
-    mNow += millis(mParameters.stepMs +
-                   mParameters.stepMsPerSlot * static_cast<double>(mRunning.size()) +
-                   read / mParameters.promptTokensPerMs);
+    mNow +=
+      millis(mParameters.stepMs + mParameters.stepMsPerSlot * static_cast<double>(mRunning.size()) +
+             read / mParameters.promptTokensPerMs);
     for (auto& it : mRunning) {
       if (it.unread > 0) {
         continue;
--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kStep = Millis(2);
 constexpr Duration kTick = Millis(100);
 constexpr Duration kNeedInterval = Seconds(1);
+constexpr Duration kRunOut = Seconds(20);
 const TimePoint kStart{ Seconds(1000) };
 
 const route::ServiceId kService("llm");
@@ -52,8 +53,11 @@
   Result run()
   {
     const auto end = kStart + Duration(static_cast<std::int64_t>(mLoad.seconds * 1e6));
-    for (auto now = kStart; now < end; now += kStep) {
-      arrive(now);
+    // After the end of the load, what is under way runs out.
+    for (auto now = kStart; now < end || (!mPlaying.empty() && now < end + kRunOut); now += kStep) {
+      if (now < end) {
+        arrive(now);
+      }
       for (std::size_t i = 0; i < mEngines.size(); ++i) {
         for (const auto& it : mEngines[i].advance(now)) {
           onEvent(i, it);
@@ -132,7 +136,8 @@
   {
     const auto& kind = mLoad.kinds[aKind];
     std::lognormal_distribution<double> spread(-0.32, 0.8);
-    const auto own = static_cast<std::uint32_t>(kind.ownTokens * std::min(spread(mRandom), 6.0)) + 1;
+    const auto own =
+      static_cast<std::uint32_t>(kind.ownTokens * std::min(spread(mRandom), 6.0)) + 1;
     const auto session = mRandom() % kind.sessions;
     Playing playing;
     playing.kind = aKind;
@@ -255,8 +260,12 @@
 permitLoad()
 {
   Load load;
-  Kind review{ "review", 20.8, 1, 2520, 3780, 2890, 147, 52, Millis(600), Millis(500), Millis(4000) };
-  Kind summary{ "summary", 26.2, 0, 119, 79, 628, 123, 291, Millis(300), Millis(300), Millis(12000) };
+  Kind review{
+    "review", 20.8, 1, 2520, 3780, 2890, 147, 52, Millis(600), Millis(500), Millis(4000)
+  };
+  Kind summary{
+    "summary", 26.2, 0, 119, 79, 628, 123, 291, Millis(300), Millis(300), Millis(12000)
+  };
   load.kinds = { review, summary };
   return load;
 }
--- a/bench/model/replay_test.cpp
+++ b/bench/model/replay_test.cpp
@@ -75,7 +75,7 @@
   BOOST_TEST_MESSAGE("long burst: review " << predicted.review << " / " << baseline.review
                                            << ", summary " << predicted.summary << " / "
                                            << baseline.summary);
-  BOOST_TEST(predicted.summary > baseline.summary + 0.1);
+  BOOST_TEST(1 - predicted.summary < (1 - baseline.summary) / 2);
   BOOST_TEST(predicted.review > baseline.review);
 }
 
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -312,7 +312,8 @@
          "\nExit codes: 0 done, 1 refused, 2 wrong command line, 3 no answer or no log, 4 conflict "
          "with "
          "somebody else's change.\n\"mustardplankctl COMMAND --help\" explains one command. Start "
-         "with \"mustardplankctl status\".\n\"mustardplankctl explain ID FILE...\" names the cause of a "
+         "with \"mustardplankctl status\".\n\"mustardplankctl explain ID FILE...\" names the cause "
+         "of a "
          "failed request from saved logs of mode \"routes\".\n";
 }
 
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -45,7 +45,8 @@
     { "rejected", "the server said that it did not run it, and no other one could be tried" },
     { "not_connected", "no connection to a server could be set up" },
     { "connection_lost", "the server's connection broke, and it could not be sent to another one" },
-    { "malformed_answer", "the server's answer was malformed, and it could not be sent to another one" },
+    { "malformed_answer",
+      "the server's answer was malformed, and it could not be sent to another one" },
     { "stalled", "the server fell silent, and it could not be sent to another one" },
     { "time_up", "its time limit was reached before its answer was complete" },
     { "server_error", "the server answered 503 without saying that the request had not run" },
@@ -97,9 +98,10 @@
 concludeFrom(Explanation& aExplanation)
 {
   auto& lines = aExplanation.lines;
-  std::stable_sort(lines.begin(), lines.end(), [](const std::string& aLeft, const std::string& aRight) {
-    return valueOf(aLeft, "time") < valueOf(aRight, "time");
-  });
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const std::string& aLeft, const std::string& aRight) {
+      return valueOf(aLeft, "time") < valueOf(aRight, "time");
+    });
   aExplanation.cause = lines.empty()
                          ? "No line names this request: it reached none of these instances, or it "
                            "went well and was not sampled."
--- a/src/ctl/explain_test.cpp
+++ b/src/ctl/explain_test.cpp
@@ -19,12 +19,16 @@
 }
 
 const std::string kLog =
-  "  7.9 edge-b time=2026-03-20T08:13:08.907Z level=INFO instance=b event=request.broken_off request=r1 "
-  "status=200 reason=connection_lost route=x organisation=\"\" server=none sends=1 events=31 total_ms=10.0 first_ms=2.0 config=2\n"
+  "  7.9 edge-b time=2026-03-20T08:13:08.907Z level=INFO instance=b event=request.broken_off "
+  "request=r1 "
+  "status=200 reason=connection_lost route=x organisation=\"\" server=none sends=1 events=31 "
+  "total_ms=10.0 first_ms=2.0 config=2\n"
   "time=2026-03-20T08:13:08.256Z level=INFO instance=b event=request.granted request=r1 server=s1\n"
-  "time=2026-03-20T08:13:08.300Z level=INFO instance=b event=request.granted request=r11 server=s1\n"
+  "time=2026-03-20T08:13:08.300Z level=INFO instance=b event=request.granted request=r11 "
+  "server=s1\n"
   "not a line of the system\n"
-  "time=2026-03-20T08:13:09.000Z level=INFO instance=a event=request.refused request=r2 status=503 reason=no_server\n";
+  "time=2026-03-20T08:13:09.000Z level=INFO instance=a event=request.refused request=r2 status=503 "
+  "reason=no_server\n";
 
 }
 
