--- a/include/mustardplank/route/table.hpp
+++ b/include/mustardplank/route/table.hpp
@@ -39,6 +39,11 @@
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
 
+/// Place in the order of urgency; 0 is first. Requests of equal tier, as those of one organisation
+/// with a tier of its own, are ordered by their routes.
+std::uint32_t
+rankOf(std::uint32_t aTier, const Route& aRoute);
+
 /// Picks one of the route's services by weight; aPoint is uniform in [0, 1).
 const ServiceId&
 pickService(const Route& aRoute, double aPoint);
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -42,7 +42,7 @@
 /// least this long.
 constexpr int kPauseFactor = 2;
 constexpr Duration kLeastPauseLimit = Millis(800);
-constexpr std::uint32_t kMostUrgent = 0;
+/// Engines know ranks from 0 to 9.
 constexpr std::uint32_t kLeastUrgent = 9;
 
 double
@@ -161,11 +161,12 @@
 {
   mJob.service = route::pickService(*mRoute, uniform(mContext.random));
   mJob.route = mRoute->id;
-  mJob.tier = mRoute->tier;
+  auto tier = mRoute->tier;
   if (aOrganisation) {
     mJob.organisation = aOrganisation->id;
-    mJob.tier = aOrganisation->tier.value_or(mRoute->tier);
+    tier = aOrganisation->tier.value_or(tier);
   }
+  mJob.tier = route::rankOf(tier, *mRoute);
   mJob.prompt = aHead.prompt;
   mJob.promptTokens = aHead.promptTokens;
   mJob.outputTokens = aHead.outputHint.value_or(aHead.maxOutputTokens > 0 ? aHead.maxOutputTokens
@@ -199,6 +200,7 @@
         .field("server", std::string_view(aGrant.server.str()))
         .field("estimate_ms", toMillis(aGrant.estimate))
         .field("unread_tokens", aGrant.unread)
+        .field("tier", mJob.tier)
         .field("waited_ms", toMillis(bootNow() - mJob.arrived))
         .field("config", mTable->version()),
       true);
@@ -344,7 +346,7 @@
   forwarding.organisation = mJob.organisation.str();
   forwarding.timeLeft = deadline() - bootNow();
   forwarding.server = mGrant->server.str();
-  forwarding.urgency = std::clamp(mJob.tier, kMostUrgent, kLeastUrgent);
+  forwarding.urgency = std::min(mJob.tier, kLeastUrgent);
   forwarding.lastEventId =
     mEvents.lastEventId().empty() ? mHead.lastEventId : mEvents.lastEventId();
   mContext.dialect.prepareForward(fields, forwarding);
--- a/src/mustardplank/route/table.cpp
+++ b/src/mustardplank/route/table.cpp
@@ -67,6 +67,14 @@
   return it == mConfig.services.end() ? nullptr : &it->second;
 }
 
+std::uint32_t
+rankOf(std::uint32_t aTier, const Route& aRoute)
+{
+  // Routes of three tiers and more share the last place.
+  constexpr std::uint32_t kRoutePlaces = 3;
+  return aTier * kRoutePlaces + std::min(aRoute.tier, kRoutePlaces - 1);
+}
+
 const ServiceId&
 pickService(const Route& aRoute, double aPoint)
 {
--- a/src/mustardplank/route/table_test.cpp
+++ b/src/mustardplank/route/table_test.cpp
@@ -75,4 +75,17 @@
   BOOST_TEST(picked.count("none") == 0U);
 }
 
+// Guards against the fault in which an organisation's short requests were preempted for its long
+// ones: its own tier put both on one level.
+BOOST_AUTO_TEST_CASE(requests_of_one_tier_are_ordered_by_route)
+{
+  auto urgent = makeRoute("a", "a", "/");
+  auto normal = makeRoute("b", "a", "/");
+  normal.tier = 1;
+  BOOST_TEST(rankOf(1, urgent) < rankOf(1, normal));
+  BOOST_TEST(rankOf(0, normal) < rankOf(1, urgent));
+  normal.tier = 9;
+  BOOST_TEST(rankOf(0, normal) < rankOf(1, urgent));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
