--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -441,7 +441,9 @@
   }
   const bool success = aStatus / 100 == 2;
   const bool encoded = aFields.find(http::field::content_encoding) != aFields.end();
-  if (success && (!head.isSigned || encoded)) {
+  // A stream that has begun can only go on with events.
+  const bool breaksStream = mHeadPassed && !success;
+  if ((success && (!head.isSigned || encoded)) || breaksStream) {
     onAnswerFault(AnswerFault::Malformed);
     return true;
   }
--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -170,6 +170,19 @@
   BOOST_TEST(deployment.arrivals(call.attempt) == 1U);
 }
 
+// Guards against the fault in which the error of the server that was to go on with a stream was
+// written into the stream.
+BOOST_AUTO_TEST_CASE(routes_error_of_the_resuming_server_stays_out_of_the_stream)
+{
+  RouteDeployment deployment(2, 1);
+  const auto call = callOf("/resume/no_resume");
+  CallerConnection connection(deployment.callers());
+  BOOST_CHECK_THROW(connection.call(call), boost::system::system_error);
+  BOOST_TEST(connection.partialBody() == "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+  BOOST_TEST(connection.unreadBytes().find("HTTP/") == std::string::npos);
+  BOOST_TEST(deployment.arrivals(call.attempt) == 2U);
+}
+
 // Guards against servers that work for callers who have left.
 BOOST_AUTO_TEST_CASE(routes_request_of_a_caller_who_left_is_cancelled)
 {
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -93,6 +93,13 @@
   return parser.release();
 }
 
+std::string
+CallerConnection::unreadBytes() const
+{
+  const auto bytes = mBuffer.cdata();
+  return { static_cast<const char*>(bytes.data()), bytes.size() };
+}
+
 Response
 CallerConnection::call(const Call& aCall)
 {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -46,6 +46,8 @@
   Response read();
   Response call(const Call& aCall);
   const std::string& partialBody() const { return mPartial; }
+  /// Bytes that were received and could not be read as part of the answer.
+  std::string unreadBytes() const;
   void close();
 
 private:
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -102,6 +102,12 @@
   if (mode.starts_with("broken")) {
     co_return co_await stream(aSocket, aRequest, std::atoi(mode.c_str() + 6), true);
   }
+  if (mode == "no_resume") {
+    if (std::string(aRequest["Last-Event-Id"]).empty()) {
+      co_return co_await stream(aSocket, aRequest, 2, true);
+    }
+    co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
+  }
   if (!mFailing || mode == "ok") {
     co_return co_await writeText(aSocket, whole);
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -19,6 +19,7 @@
 ///     late     an answer to another request first
 ///     streamN  N events, 50 ms apart              brokenN  N events and half of one, then the end,
 ///                                                          unless the caller resumes
+///     no_resume  like broken2, but 500 to a caller that resumes
 class ServerStandin
 {
 public:
