--- /dev/null
+++ b/src/daemon/route_daemon_impl.hpp
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "route_daemon.hpp"
+#include "store_client.hpp"
+
+#include "mustardplank/base/alarm_queue.hpp"
+#include "mustardplank/base/clock.hpp"
+#include "mustardplank/base/log_event.hpp"
+#include "mustardplank/control/board.hpp"
+#include "mustardplank/control/duty_lease.hpp"
+#include "mustardplank/control/server_orders.hpp"
+#include "mustardplank/control/server_registry.hpp"
+#include "mustardplank/control/usage_windows.hpp"
+#include "mustardplank/dispatch/dispatcher.hpp"
+#include "mustardplank/gateway/gateway.hpp"
+#include "mustardplank/metrics/metrics.hpp"
+#include "platform/store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <set>
+
+namespace mustardplank::daemon {
+
+namespace asio = boost::asio;
+using asio::awaitable;
+using control::Failure;
+using control::FailureKind;
+using control::Topic;
+
+/// Pause after a call that failed.
+inline constexpr Duration kRetryPause = Millis(200);
+
+inline asio::ip::tcp::endpoint
+endpointOf(const settings::Address& aAddress)
+{
+  return { asio::ip::make_address_v4(aAddress.ip), aAddress.port };
+}
+
+/// Tells whether something that can be lost is there, with a line for each change.
+class Dependency
+{
+public:
+  explicit Dependency(const char* aName)
+    : mName(aName)
+  {
+  }
+
+  void succeeded()
+  {
+    if (mLost) {
+      mLost = false;
+      LogEvent(LogLevel::Info, "dependency.regained")
+        .field("name", mName)
+        .field("lost_ms", toMillis(bootNow() - mSince))
+        .write();
+    }
+  }
+
+  void failed(const std::string& aDetail)
+  {
+    if (!mLost) {
+      mLost = true;
+      mSince = bootNow();
+      LogEvent(LogLevel::Warning, "dependency.lost")
+        .field("name", mName)
+        .field("detail", aDetail)
+        .write();
+    }
+  }
+
+  bool isLost() const { return mLost; }
+
+private:
+  const char* mName;
+  bool mLost = false;
+  TimePoint mSince{};
+};
+
+/// Everything runs on the thread of io. What follows the store, the board and the duties stands in
+/// files of their own.
+struct RouteDaemon::Impl
+{
+  explicit Impl(settings::RouteSettings aSettings);
+  StoreClient client() { return { endpointOf(settings.store), adapter::storeDialect() }; }
+  gateway::GatewayOutputs makeOutputs();
+
+  // Alarms.
+  void armAlarms();
+  awaitable<void> tickLoop();
+
+  // Configuration.
+  void applyOperator(const control::Record& aRecord);
+  void applyConfig(route::Config aConfig, control::Offset aOffset);
+  void replaceOperators(const std::vector<control::Record>& aRecords);
+  awaitable<void> followOperators();
+
+  // Backend servers.
+  void applyServers(const std::vector<control::ServerEvent>& aEvents);
+  void applyServer(const control::ServerSeen& aEvent);
+  void applyServer(const control::ServerGone& aEvent);
+  Duration serversPause() const;
+  awaitable<void> followServers();
+
+  // Board.
+  control::BoardEntry makeEntry();
+  void applyEntry(const control::Record& aRecord);
+  /// Old entries, read at the start, say nothing of who holds the duties now.
+  void noteHolder(const control::BoardEntry& aEntry);
+  void countInstances();
+  /// This instance's place in an order that differs between deployments' instances but is the same
+  /// for all.
+  std::size_t rankAmong(const std::map<InstanceId, FailureDomainId>& aLive) const;
+  /// The more instances there are, the smaller the part of a window that is lost with one.
+  Duration tellInterval() const;
+  awaitable<void> boardLoop();
+  awaitable<bool> tell(StoreClient& aStore);
+  awaitable<void> readBoard(StoreClient& aStore, control::Offset& aNext);
+
+  // Duties.
+  awaitable<void> leaseLoop();
+  awaitable<void> renewLease(StoreClient& aStore, control::Offset aAt);
+  std::optional<control::DutyHolder> holder() const;
+  awaitable<control::DutyAnswer> callDuty(platform::HttpExchange& aExchange,
+                                          control::HttpCall aCall);
+  /// Reads what was decided about windows. False when the store cannot be read.
+  awaitable<bool> readIntents(StoreClient& aStore, control::Offset& aNext);
+  awaitable<void> reportDecided(platform::HttpExchange& aExchange);
+  awaitable<void> usageLoop();
+  const control::Baseline& currentBaseline() const { return baseline ? *baseline : startBaseline; }
+  control::ServiceNeed needOf(const route::ServiceId& aService) const;
+  std::vector<FailureDomainId> domainsOf(const route::Service& aService) const;
+  /// Servers write their first entries over a few seconds; the baseline grows meanwhile.
+  void noteBaseline();
+  /// Takes the baseline from the store, or sets it when nobody has. False: try again.
+  awaitable<bool> fetchBaseline(StoreClient& aStore);
+  awaitable<void> orderLoop();
+  awaitable<void> orderServers(platform::HttpExchange& aExchange);
+
+  // Start and stop.
+  void terminate();
+  awaitable<void> drainLoop();
+  void awaitSignals();
+  std::string statusText() const;
+  void run();
+
+  /// How long the number of instances seen is kept.
+  static constexpr Duration kInstanceMemory = Seconds(20);
+  /// Needs older than this are not counted.
+  static constexpr std::int64_t kNeedAgeMs = 5000;
+
+  settings::RouteSettings settings;
+  std::uint64_t incarnation;
+  TimePoint startedAt = bootNow();
+  AlarmQueue alarms;
+  metrics::Metrics metrics;
+  dispatch::Dispatcher dispatcher;
+  control::ServerRegistry registry;
+  control::DutyLease lease;
+  control::UsageWindows usage;
+  control::ServerOrders orders;
+  route::RouteTablePtr table;
+  std::set<FailureDomainId> domainsOut;
+  std::map<BackendServerId, std::string> serverTexts;
+  std::vector<dispatch::CrashReport> crashes;
+  std::map<InstanceId, std::pair<std::int64_t, std::map<route::ServiceId, control::ServiceNeed>>>
+    needs;
+  std::map<std::uint64_t, control::ReportIntent> unreported;
+  std::set<std::uint64_t> reported;
+  std::optional<control::Baseline> baseline;
+  /// While the system starts for the first time.
+  control::Baseline startBaseline;
+  std::set<BackendServerId> baselineServers;
+  /// The others are to be told at once.
+  bool boardDue = false;
+  std::size_t mostInstances = 1;
+  TimePoint mostInstancesAt{};
+  Dependency storeConfig{ "store_config" };
+  Dependency storeServers{ "store_servers" };
+  Dependency storeBoard{ "store_board" };
+  Dependency platformCalls{ "platform_calls" };
+  bool draining = false;
+
+  asio::io_context io{ 1 };
+  asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
+  asio::steady_timer alarmTimer{ io };
+  gateway::Gateway gateway;
+};
+
+}
--- /dev/null
+++ b/src/daemon/route_daemon_store.cpp
@@ -0,0 +1,206 @@
+#include "route_daemon_impl.hpp"
+
+namespace mustardplank::daemon {
+
+namespace {
+
+/// Longest wait of a read for the next change of the configuration. A connection that has gone
+/// silent delays a change by this and the call's timeout.
+constexpr Duration kConfigWait = Millis(1800);
+/// Part of the time for which a leaving server still serves after which its entry is read at the
+/// latest: each entry changes about once a second, and each read has its price.
+constexpr double kServersPausePart = 0.55;
+constexpr Duration kServersWait = Millis(400);
+
+}
+
+void
+RouteDaemon::Impl::applyOperator(const control::Record& aRecord)
+{
+  Findings findings;
+  auto record = adapter::storeDialect().decodeOperator(aRecord, findings);
+  if (!record) {
+    LogEvent(LogLevel::Error, "config.rejected")
+      .field("offset", aRecord.offset)
+      .field("detail", findings.text())
+      .write();
+    return;
+  }
+  if (auto* config = std::get_if<control::NewConfig>(&*record)) {
+    applyConfig(std::move(config->config), aRecord.offset);
+  } else if (const auto* out = std::get_if<control::DomainOut>(&*record)) {
+    if (out->out) {
+      domainsOut.insert(out->domain);
+    } else {
+      domainsOut.erase(out->domain);
+    }
+    dispatcher.setEvacuated(domainsOut);
+    LogEvent(LogLevel::Info, out->out ? "domain.out" : "domain.back")
+      .field("domain", out->domain.str())
+      .field("offset", aRecord.offset)
+      .write();
+  }
+}
+
+void
+RouteDaemon::Impl::applyConfig(route::Config aConfig, control::Offset aOffset)
+{
+  if (table && aConfig.version <= table->version()) {
+    return;
+  }
+  table = std::make_shared<route::RouteTable>(std::move(aConfig));
+  dispatcher.setConfig(table);
+  gateway.setTable(table);
+  metrics.set(metrics::Gauge::ConfigRevision, static_cast<double>(table->version()));
+  LogEvent(LogLevel::Info, "config.in_force")
+    .field("version", table->version())
+    .field("offset", aOffset)
+    .field("routes", table->config().routes.size())
+    .field("organisations", table->config().organisations.size())
+    .write();
+}
+
+void
+RouteDaemon::Impl::replaceOperators(const std::vector<control::Record>& aRecords)
+{
+  std::set<FailureDomainId> out;
+  for (const auto& it : aRecords) {
+    applyOperator(it);
+    Findings findings;
+    const auto record = adapter::storeDialect().decodeOperator(it, findings);
+    if (const auto* domain = record ? std::get_if<control::DomainOut>(&*record) : nullptr) {
+      if (domain->out) {
+        out.insert(domain->domain);
+      }
+    }
+  }
+  domainsOut = std::move(out);
+  dispatcher.setEvacuated(domainsOut);
+}
+
+awaitable<void>
+RouteDaemon::Impl::followOperators()
+{
+  auto store = client();
+  std::optional<control::Offset> next;
+  for (;;) {
+    if (!next) {
+      auto page = co_await store.newest(Topic::Operators);
+      if (auto* records = std::get_if<control::NewestPage>(&page)) {
+        storeConfig.succeeded();
+        replaceOperators(records->records);
+        next = records->end;
+      } else {
+        storeConfig.failed(std::get<Failure>(page).message);
+        co_await pauseFor(kRetryPause);
+      }
+      continue;
+    }
+    auto chunk = co_await store.read(Topic::Operators, *next, kConfigWait);
+    if (auto* records = std::get_if<control::Chunk>(&chunk)) {
+      storeConfig.succeeded();
+      for (const auto& it : records->records) {
+        applyOperator(it);
+        next = it.offset + 1;
+      }
+      continue;
+    }
+    const auto& failure = std::get<Failure>(chunk);
+    if (failure.kind == FailureKind::Forgotten) {
+      next.reset();
+      continue;
+    }
+    storeConfig.failed(failure.message);
+    co_await pauseFor(kRetryPause);
+  }
+}
+
+void
+RouteDaemon::Impl::applyServers(const std::vector<control::ServerEvent>& aEvents)
+{
+  for (const auto& it : aEvents) {
+    std::visit([this](const auto& aEvent) { applyServer(aEvent); }, it);
+  }
+}
+
+void
+RouteDaemon::Impl::applyServer(const control::ServerSeen& aEvent)
+{
+  const auto& server = aEvent.server;
+  const auto text = server.service.str() + server.address + (server.draining ? " draining" : "") +
+                    std::to_string(server.bornMs);
+  auto& known = serverTexts[server.id];
+  if (known != text) {
+    known = text;
+    LogEvent(LogLevel::Info, "server.seen")
+      .field("server", server.id.str())
+      .field("service", server.service.str())
+      .field("domain", server.domain.str())
+      .field("draining", static_cast<int>(server.draining))
+      .field("preemptible", static_cast<int>(server.preemptible))
+      .field("cold_ms", toMillis(server.coldFor))
+      .write();
+  }
+  dispatcher.serverSeen(server, bootNow());
+}
+
+void
+RouteDaemon::Impl::applyServer(const control::ServerGone& aEvent)
+{
+  serverTexts.erase(aEvent.id);
+  LogEvent(LogLevel::Info, "server.gone").field("server", aEvent.id.str()).write();
+  dispatcher.serverGone(aEvent.id);
+  gateway.forgetServer(aEvent.address);
+}
+
+Duration
+RouteDaemon::Impl::serversPause() const
+{
+  const auto drain = static_cast<double>(settings.bounds.serverDrain.count());
+  return Duration(static_cast<std::int64_t>(kServersPausePart * drain));
+}
+
+awaitable<void>
+RouteDaemon::Impl::followServers()
+{
+  auto store = client();
+  const auto& dialect = store.dialect();
+  std::optional<control::Offset> next;
+  for (;;) {
+    if (!next) {
+      auto page = co_await store.newest(Topic::Servers);
+      if (auto* records = std::get_if<control::NewestPage>(&page)) {
+        const auto now = bootNow();
+        storeServers.succeeded();
+        registry.readSucceeded(now);
+        applyServers(registry.replace(records->records, dialect, now));
+        next = records->end;
+      } else {
+        storeServers.failed(std::get<Failure>(page).message);
+        co_await pauseFor(kRetryPause);
+      }
+      continue;
+    }
+    auto chunk = co_await store.read(Topic::Servers, *next, kServersWait);
+    if (auto* records = std::get_if<control::Chunk>(&chunk)) {
+      const auto now = bootNow();
+      storeServers.succeeded();
+      registry.readSucceeded(now);
+      applyServers(registry.apply(records->records, dialect, now));
+      if (!records->records.empty()) {
+        next = records->records.back().offset + 1;
+      }
+      co_await pauseFor(serversPause());
+      continue;
+    }
+    const auto& failure = std::get<Failure>(chunk);
+    if (failure.kind == FailureKind::Forgotten) {
+      next.reset();
+      continue;
+    }
+    storeServers.failed(failure.message);
+    co_await pauseFor(kRetryPause);
+  }
+}
+
+}
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -29,10 +29,6 @@
 constexpr Duration kDefaultTimeLeft = Seconds(30);
 /// Output tokens assumed when the request says nothing.
 constexpr std::uint32_t kDefaultOutputTokens = 200;
-/// Answers up to this size are held until they are whole.
-constexpr std::size_t kMaxHeldAnswer = 16 * 1024 * 1024;
-/// Time after which a caller may come back who met an instance without configuration.
-constexpr Duration kNoConfigRetry = Millis(500);
 /// A server that has not answered after so many times the predicted time, and this besides, is
 /// given up for another one.
 constexpr int kStallFactor = 4;
@@ -122,7 +118,7 @@
 Exchange::admit()
 {
   if (!mTable) {
-    answerOwn(503, "no_configuration", kNoConfigRetry);
+    answerOwn(503, "no_configuration", kRetrySoon);
     return false;
   }
   const std::string host(mRequest[http::field::host]);
@@ -251,7 +247,7 @@
     if (mMayHaveRun) {
       answerOwn(502, "not_connected", std::nullopt);
     } else {
-      answerOwn(503, "not_connected", kNoConfigRetry);
+      answerOwn(503, "not_connected", kRetrySoon);
     }
     return;
   }
@@ -267,7 +263,7 @@
     aLink->close();
     releaseServer(dispatch::JobOutcome::Cancelled);
     if (++mConnectFailures >= kMaxConnectFailures) {
-      answerOwn(mMayHaveRun ? 502 : 503, "no_server", kNoConfigRetry);
+      answerOwn(mMayHaveRun ? 502 : 503, "no_server", kRetrySoon);
       return;
     }
     submit();
@@ -411,255 +407,6 @@
   return true;
 }
 
-bool
-Exchange::onAnswerHead(unsigned aStatus, Fields& aFields)
-{
-  const auto head = mContext.dialect.readAnswer(aStatus, aFields);
-  if (!head.attempt.empty() && head.attempt != mHead.attempt) {
-    return false;
-  }
-  const auto now = bootNow();
-  mStatus = aStatus;
-  if (head.load) {
-    mContext.dispatcher.loadReported(mGrant->server, head.load->running, head.load->waiting, now);
-  }
-  if (head.misdirected || head.notRun) {
-    const auto outcome =
-      head.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
-    const auto address = mGrant->address;
-    if (!tryElsewhere(outcome, true, head.misdirected ? "misdirected" : "rejected")) {
-      if (mMayHaveRun) {
-        breakOff("rejected");
-      } else {
-        answerOwn(503, "rejected", kNoConfigRetry);
-      }
-    }
-    if (head.misdirected) {
-      mContext.pool.forget(address);
-    }
-    return true;
-  }
-  const bool success = aStatus / 100 == 2;
-  const bool encoded = aFields.find(http::field::content_encoding) != aFields.end();
-  // A stream that has begun can only go on with events.
-  const bool breaksStream = mHeadPassed && !success;
-  if ((success && (!head.isSigned || encoded)) || breaksStream) {
-    onAnswerFault(AnswerFault::Malformed);
-    return true;
-  }
-  noteBegan();
-  if (!isStream() || !success) {
-    mContext.dispatcher.started(mJob.id, now);
-  }
-  mPhase = Phase::Answering;
-  if (!mHeadPassed) {
-    mAnswerFields = aFields;
-    removeConnectionFields(mAnswerFields);
-  }
-  mStreamed = isStream() && success;
-  return true;
-}
-
-void
-Exchange::noteBegan()
-{
-  if (!mBegan) {
-    mBegan = true;
-    mFirstByteAt = bootNow();
-    mRecorder->firstToken(mFirstByteAt - mJob.arrived);
-    if (!mJob.organisation.empty()) {
-      mContext.outputs.began(mJob.organisation);
-    }
-  }
-}
-
-void
-Exchange::onAnswerBody(std::string_view aBytes)
-{
-  if (mDone || mPhase != Phase::Answering) {
-    return;
-  }
-  if (!mStreamed) {
-    mBody.append(aBytes);
-    if (mBody.size() > kMaxHeldAnswer) {
-      breakOff("answer_too_large");
-    }
-    return;
-  }
-  mHeardAt = bootNow();
-  mEvents.add(aBytes);
-  relayEvents();
-}
-
-void
-Exchange::relayEvents()
-{
-  const auto events = mEvents.take();
-  if (events.empty()) {
-    return;
-  }
-  mContext.dispatcher.started(mJob.id, bootNow());
-  if (!mHeadPassed) {
-    passOnHead(mStatus, mAnswerFields, true);
-    armStallAlarm();
-  }
-  std::string text;
-  text.reserve(events.size() + 16);
-  appendChunk(text, events);
-  mCaller.write(text);
-  if (mLink && mCaller.pending() > mContext.options.bufferedBytes) {
-    mLink->pause();
-  }
-}
-
-void
-Exchange::callerReady()
-{
-  if (mLink && mPhase == Phase::Answering) {
-    mLink->resume();
-  }
-}
-
-void
-Exchange::passOnHead(unsigned aStatus, Fields& aFields, bool aStreamed)
-{
-  mHeadPassed = true;
-  std::string text;
-  appendStatusLine(text, aStatus);
-  appendFields(text, aFields);
-  if (aStreamed) {
-    text += "Transfer-Encoding: chunked\r\n";
-  } else if (mRequest.method() != http::verb::head) {
-    text += "Content-Length: " + std::to_string(mBody.size()) + "\r\n";
-  }
-  if (mCaller.closesAfter()) {
-    text += "Connection: close\r\n";
-  }
-  text += "\r\n";
-  mCaller.write(text);
-}
-
-void
-Exchange::onAnswerEnd()
-{
-  mLink.reset();
-  if (mDone || mPhase != Phase::Answering) {
-    return;
-  }
-  if (mStreamed) {
-    const auto rest = mEvents.takeRest();
-    if (!mHeadPassed) {
-      passOnHead(mStatus, mAnswerFields, true);
-    }
-    if (!rest.empty()) {
-      std::string text;
-      appendChunk(text, rest);
-      mCaller.write(text);
-    }
-    finishAnswer();
-    return;
-  }
-  if (mStatus >= 500) {
-    if (mJob.repeatable) {
-      if (tryElsewhere(dispatch::JobOutcome::Failed, false, "server_error")) {
-        mBody.clear();
-        mAnswerFields.clear();
-        return;
-      }
-    }
-    // 503 promises that the request has not run, which the server did not say.
-    if (mStatus == 503) {
-      answerOwn(502, "server_error", std::nullopt);
-      return;
-    }
-  }
-  passOnHead(mStatus, mAnswerFields, false);
-  mCaller.write(mBody);
-  finishAnswer();
-}
-
-void
-Exchange::onAnswerFault(AnswerFault aFault)
-{
-  if (mDone) {
-    return;
-  }
-  const bool lost = aFault == AnswerFault::Lost;
-  if (lost && mDigest != 0 && mGrant) {
-    mContext.outputs.crashed({ mDigest, mGrant->server });
-  }
-  mBody.clear();
-  mEvents.takeRest();
-  const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
-  if (tryElsewhere(outcome, false, lost ? "connection_lost" : "malformed_answer")) {
-    return;
-  }
-  breakOff(lost ? "connection_lost" : "malformed_answer");
-}
-
-void
-Exchange::breakOff(const char* aReason)
-{
-  if (!mHeadPassed) {
-    answerOwn(502, aReason, std::nullopt);
-    return;
-  }
-  end("request.broken_off", mStatus, aReason);
-  mCaller.abort();
-}
-
-void
-Exchange::answerOwn(unsigned aStatus, const char* aReason, std::optional<Duration> aRetryAfter)
-{
-  if (mHeadPassed) {
-    end("request.broken_off", mStatus, aReason);
-    mCaller.abort();
-    return;
-  }
-  Fields fields;
-  if (aRetryAfter) {
-    mContext.dialect.setRetryAfter(fields, *aRetryAfter);
-  }
-  std::string text;
-  appendStatusLine(text, aStatus);
-  appendFields(text, fields);
-  text += "Content-Length: 0\r\n";
-  const bool closes = mCaller.closesAfter();
-  if (closes) {
-    text += "Connection: close\r\n";
-  }
-  text += "\r\n";
-  const bool refusal = aStatus == 503 || aStatus == 429 || aStatus == 408;
-  end(refusal ? "request.refused" : "request.failed", aStatus, aReason);
-  mCaller.write(text);
-  mCaller.finish(!closes);
-}
-
-void
-Exchange::finishAnswer()
-{
-  if (mStreamed) {
-    mCaller.write(kLastChunk);
-  }
-  const bool closes = mCaller.closesAfter();
-  end("request.answered", mStatus, "complete");
-  mCaller.finish(!closes);
-}
-
-void
-Exchange::refused(const dispatch::Refusal& aRefusal)
-{
-  if (mDone) {
-    return;
-  }
-  const std::string reason(dispatch::kRefusalReasonNames.name(aRefusal.reason));
-  if (mMayHaveRun) {
-    breakOff(reason.c_str());
-    return;
-  }
-  answerOwn(503, reason.c_str(), aRefusal.retryAfter);
-}
-
 void
 Exchange::timeUp()
 {
@@ -670,7 +417,7 @@
   if (sent) {
     answerOwn(504, "time_up", std::nullopt);
   } else {
-    answerOwn(503, "time_up", kNoConfigRetry);
+    answerOwn(503, "time_up", kRetrySoon);
   }
 }
 
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -18,6 +18,10 @@
 
 class CallerLink;
 
+/// Time after which a caller may come back who met an instance without configuration, or a server
+/// that could not take the request.
+inline constexpr Duration kRetrySoon = Millis(500);
+
 /// One request of a caller from its last byte to the end of its answer: asks the dispatcher for a
 /// server, sends, relays, and tries again where that is allowed.
 class Exchange : public AnswerListener
