--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -121,6 +121,10 @@
     dispatcher.tick(bootNow(), effects);
     gateway.run(effects);
     applyServers(registry.tick(bootNow()));
+    metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.running()));
+    metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waiting()));
+    metrics.set(metrics::Gauge::CallerConnections, static_cast<double>(gateway.connections()));
+    metrics.set(metrics::Gauge::LogReachable, storeConfig.isLost() ? 0 : 1);
   }
 }
 
--- a/src/mustardplank/gateway/exchange_answer.cpp
+++ b/src/mustardplank/gateway/exchange_answer.cpp
@@ -7,12 +7,34 @@
 
 #include <boost/beast/http/field.hpp>
 
+#include <string_view>
+#include <utility>
+
 namespace mustardplank::gateway {
 
 namespace http = boost::beast::http;
 
 namespace {
 
+/// The code under which an answer of the system's own is counted.
+mustardplank::ErrorCode
+errorCodeOf(std::string_view aReason, bool aRefusal)
+{
+  using Code = mustardplank::ErrorCode;
+  static constexpr std::pair<std::string_view, Code> kCodes[] = {
+    { "no_server", Code::NoBackendServer },   { "not_connected", Code::NoBackendServer },
+    { "overloaded", Code::Overloaded },       { "cold", Code::Overloaded },
+    { "rejected", Code::Overloaded },         { "crash_suspect", Code::CrashSuspect },
+    { "time_up", Code::DeadlineUnreachable },
+  };
+  for (const auto& [reason, code] : kCodes) {
+    if (reason == aReason) {
+      return code;
+    }
+  }
+  return aRefusal ? Code::Internal : Code::BackendFailed;
+}
+
 /// Answers up to this size are held until they are whole.
 constexpr std::size_t kMaxHeldAnswer = 16 * 1024 * 1024;
 
@@ -93,7 +115,11 @@
     }
     return;
   }
-  mHeardAt = bootNow();
+  const auto now = bootNow();
+  if (mHeadPassed) {
+    mRecorder->tokenGap(now - mHeardAt);
+  }
+  mHeardAt = now;
   mEvents.add(aBytes);
   relayEvents();
 }
@@ -237,6 +263,9 @@
   }
   text += "\r\n";
   const bool refusal = aStatus == 503 || aStatus == 429 || aStatus == 408;
+  if (mRecorder) {
+    mRecorder->refusal(errorCodeOf(aReason, refusal));
+  }
   end(refusal ? "request.refused" : "request.failed", aStatus, aReason);
   mCaller.write(text);
   mCaller.finish(!closes);
--- /dev/null
+++ b/src/mustardplank/settings/route_settings_test.cpp
@@ -0,0 +1,70 @@
+#include "mustardplank/settings/route_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+#include <sstream>
+
+using namespace mustardplank;
+using namespace mustardplank::settings;
+
+namespace {
+
+const std::string kLeast = R"({ "mode": "routes", "instance": "a", "failure_domain": "fd",
+  "callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "admin": "127.0.0.1:3", "store": "127.0.0.1:4")";
+
+RouteSettings
+parse(const std::string& aText, Findings& aFindings)
+{
+  return parseRouteSettings(aText, "s.json", aFindings);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(route_settings)
+
+BOOST_AUTO_TEST_CASE(example_has_no_findings)
+{
+  std::ifstream in(std::string(SOURCE_DIR) + "/docs/route-settings.example.json");
+  std::stringstream text;
+  text << in.rdbuf();
+  Findings findings;
+  const auto settings = parse(text.str(), findings);
+  BOOST_TEST(findings.text() == "");
+  BOOST_TEST(settings.orders->text() == "127.0.0.1:8743");
+  BOOST_TEST((readMode(text.str()) == Mode::Routes));
+}
+
+BOOST_AUTO_TEST_CASE(settings_without_mode_are_those_of_pools)
+{
+  BOOST_TEST((readMode("{}") == Mode::Pools));
+  BOOST_TEST((readMode("{ not json") == Mode::Pools));
+}
+
+// Guards against a rendered template in which the platform left values out.
+BOOST_AUTO_TEST_CASE(missing_values_keep_their_defaults)
+{
+  Findings findings;
+  const auto settings =
+    parse(kLeast + R"(, "bounds": { "retry_ratio": null, "retry_slack": 52, "lease_ms": 2500 } })",
+          findings);
+  BOOST_TEST(findings.text() == "");
+  BOOST_TEST(settings.bounds.retryRatio == 0.2);
+  BOOST_TEST(settings.bounds.retrySlack == 52.0);
+  BOOST_TEST(toMillis(settings.bounds.lease) == 2500.0);
+  BOOST_TEST(!settings.orders.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(all_findings_are_reported_with_their_places)
+{
+  Findings findings;
+  parse(kLeast + R"(, "policy": "best",
+  "bounds": { "retry_ratio": "much", "lease_ms": -1 }, "typo": 1 })",
+        findings);
+  BOOST_TEST(findings.size() == 4U);
+  for (const auto& it : findings.items()) {
+    BOOST_TEST(it.place.starts_with("s.json:"));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
