--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -96,7 +96,9 @@
       }
       continue;
     }
-    auto chunk = co_await store.read(Topic::Operators, *next, kConfigWait);
+    // A store that was lost is asked without waiting: a call sent before its return gets no answer.
+    const auto wait = storeConfig.isLost() ? Duration{} : kConfigWait;
+    auto chunk = co_await store.read(Topic::Operators, *next, wait);
     if (auto* records = std::get_if<control::Chunk>(&chunk)) {
       storeConfig.succeeded();
       for (const auto& it : records->records) {
@@ -181,7 +183,8 @@
       }
       continue;
     }
-    auto chunk = co_await store.read(Topic::Servers, *next, kServersWait);
+    const auto wait = storeServers.isLost() ? Duration{} : kServersWait;
+    auto chunk = co_await store.read(Topic::Servers, *next, wait);
     if (auto* records = std::get_if<control::Chunk>(&chunk)) {
       const auto now = bootNow();
       storeServers.succeeded();
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -115,6 +115,23 @@
   BOOST_TEST(waitUntil(Millis(2500), [&] { return statusOf(deployment, call) == 200U; }));
 }
 
+// Guards against the fault in which a read that was sent while the store was silent was waited for
+// long after its return, so that a change came into force late.
+BOOST_AUTO_TEST_CASE(routes_change_is_in_force_soon_after_a_silent_store_returns)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.configure("key-two-new");
+  auto call = callOf("/twice/ok");
+  call.key = "key-two-new";
+  BOOST_TEST(waitUntil(Millis(2000), [&] { return statusOf(deployment, call) == 200U; }));
+  deployment.store().setSilent(true);
+  std::this_thread::sleep_for(Millis(3600));
+  deployment.configure("key-new");
+  deployment.store().setSilent(false);
+  call.key = "key-new";
+  BOOST_TEST(waitUntil(Millis(2000), [&] { return statusOf(deployment, call) == 200U; }));
+}
+
 // Guards against an instance that serves, or says that it is ready, without a configuration.
 BOOST_AUTO_TEST_CASE(routes_instance_without_configuration_is_not_ready)
 {
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -112,6 +112,13 @@
   mDown = aDown;
 }
 
+void
+StoreStandin::setSilent(bool aSilent)
+{
+  const std::lock_guard lock(mMutex);
+  mSilent = aSilent;
+}
+
 void
 StoreStandin::compact(const std::string& aTopic)
 {
@@ -183,9 +190,16 @@
 {
   const auto path = standins::pathOf(aRequest);
   bool down = false;
+  bool silent = false;
   {
     const std::lock_guard lock(mMutex);
     down = mDown;
+    silent = mSilent;
+  }
+  if (silent) {
+    constexpr std::int64_t kLongerThanAnyCallMs = 60000;
+    co_await standins::sleepMillis(kLongerThanAnyCallMs);
+    co_return false;
   }
   if (down) {
     auto body = standins::errorBody("down");
@@ -228,7 +242,7 @@
   for (std::uint64_t waited = 0; waited < wait; waited += kStepMs) {
     {
       const std::lock_guard lock(mMutex);
-      if (endOf(topic) > from || mDown) {
+      if (endOf(topic) > from || mDown || mSilent) {
         break;
       }
     }
@@ -236,14 +250,21 @@
   }
   std::string body;
   std::uint64_t start = 0;
+  bool silent = false;
   {
     const std::lock_guard lock(mMutex);
+    silent = mSilent;
     const auto it = mLogs.find(topic);
     start = it == mLogs.end() ? 0 : it->second.start;
     if (from >= start) {
       body = chunk(topic, from);
     }
   }
+  if (silent) {
+    constexpr std::int64_t kLongerThanAnyCallMs = 60000;
+    co_await standins::sleepMillis(kLongerThanAnyCallMs);
+    co_return false;
+  }
   if (from < start) {
     json gone{ { "startOffset", start } };
     co_return co_await standins::respond(aSocket, aRequest, 410, std::move(gone));
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -27,6 +27,8 @@
   void put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue);
   /// While down, calls get 503.
   void setDown(bool aDown);
+  /// While silent, calls get no answer, also later.
+  void setSilent(bool aSilent);
   /// Forgets all records of a topic but the newest of each key.
   void compact(const std::string& aTopic);
   /// Answers of the next so many appends are lost after they took effect.
@@ -67,6 +69,7 @@
   std::map<std::string, Log> mLogs;
   std::vector<DutyCall> mDutyCalls;
   bool mDown = false;
+  bool mSilent = false;
   int mLoseAnswers = 0;
   std::string mAddress;
 };
