--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -86,7 +86,8 @@
 Exchange::line(LogLevel aLevel, std::string_view aEvent) const
 {
   LogEvent event(aLevel, aEvent);
-  event.field("request", std::string_view(mHead.attempt));
+  event.field("request", std::string_view(mHead.attempt))
+    .field("at_ms", toMillis(bootNow() - mJob.arrived));
   return event;
 }
 
