--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -13,6 +13,17 @@
 constexpr Duration kBaselineTime = Millis(9000);
 constexpr const char* kBaselineKey = "baseline";
 
+void
+logIgnored(const char* aEvent, control::Offset aOffset, const Findings& aFindings)
+{
+  if (!aFindings.empty()) {
+    LogEvent(LogLevel::Warning, aEvent)
+      .field("offset", aOffset)
+      .field("detail", aFindings.text())
+      .write();
+  }
+}
+
 }
 
 awaitable<void>
@@ -98,6 +109,7 @@
           unreported.insert_or_assign(intent->window, *intent);
         }
       }
+      logIgnored("report.intent_ignored", it.offset, findings);
       aNext = it.offset + 1;
     }
     if (aNext >= records.end) {
@@ -242,6 +254,7 @@
     if (it.key == kBaselineKey) {
       baseline = control::decodeBaseline(it.value.value_or(std::string()), findings);
     }
+    logIgnored("baseline.ignored", it.offset, findings);
   }
   if (baseline || startBaseline.empty()) {
     co_return baseline.has_value();
