Make the cost of a decision and of a renewed entry independent of what has not changed

Each renewal of an entry (2,500 a second) was parsed and rebuilt all lists of servers; each decision sorted all servers by failure domain; each end of a request sorted the whole queue.

Change: a renewal whose record differs only in its running number is skipped by its digest; lists are rebuilt when a server comes, leaves or moves; the division into servers for short and long prompts is kept; the end of a request looks for the first waiting one only.

Short streams have the servers that they need before long prompts get the rest; a long prompt on such a server costs as much as the streams of all instances there; a shared part has a second home.

--- a/bench/model/engine_model.cpp
+++ b/bench/model/engine_model.cpp
@@ -42,11 +42,21 @@
     run.unread = run.job.promptTokens - kept;
     mKeptTokens += kept;
     mReadTokens += run.unread;
+    const auto own = run.job.prompt.empty() ? 0 : run.job.prompt.back().tokens;
+    mReadSharedTokens += run.unread - std::min(run.unread, own);
     mPrefixes.use(run.job.prompt);
     mRunning.push_back(std::move(run));
   }
 }
 
+void
+Engine::lose()
+{
+  mRunning.clear();
+  mWaiting.clear();
+  mPrefixes.clear();
+}
+
 std::vector<EngineEvent>
 Engine::advance(TimePoint aUntil)
 {
--- a/bench/model/engine_model.hpp
+++ b/bench/model/engine_model.hpp
@@ -49,6 +49,10 @@
   std::uint32_t waiting() const { return static_cast<std::uint32_t>(mWaiting.size()); }
   std::uint64_t readTokens() const { return mReadTokens; }
   std::uint64_t keptTokens() const { return mKeptTokens; }
+  /// Tokens read of parts that other requests may have too.
+  std::uint64_t readSharedTokens() const { return mReadSharedTokens; }
+  /// The engine and all that it keeps is gone.
+  void lose();
 
 private:
   struct Run
@@ -68,6 +72,7 @@
   TimePoint mNow{};
   std::uint64_t mReadTokens = 0;
   std::uint64_t mKeptTokens = 0;
+  std::uint64_t mReadSharedTokens = 0;
 };
 
 }
--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -22,11 +22,13 @@
 
 const route::ServiceId kService("llm");
 
+constexpr std::size_t kNoEngine = static_cast<std::size_t>(-1);
+
 struct Playing
 {
   std::size_t kind = 0;
   std::size_t instance = 0;
-  std::size_t engine = 0;
+  std::size_t engine = kNoEngine;
   Job job;
   TimePoint lastEvent{};
   bool onTime = true;
@@ -40,7 +42,7 @@
     , mRandom(aLoad.seed)
   {
     for (const auto& it : aLoad.kinds) {
-      mResult.kinds.push_back({ it.name, 0, 0, 0, 0 });
+      mResult.kinds.push_back({ it.name, 0, 0, 0, 0, 0 });
     }
     for (std::size_t i = 0; i < aLoad.domains * aLoad.enginesPerDomain; ++i) {
       mEngines.emplace_back(aLoad.engine);
@@ -55,6 +57,7 @@
     const auto end = kStart + Duration(static_cast<std::int64_t>(mLoad.seconds * 1e6));
     // After the end of the load, what is under way runs out.
     for (auto now = kStart; now < end || (!mPlaying.empty() && now < end + kRunOut); now += kStep) {
+      loseEngines(now);
       if (now < end) {
         arrive(now);
       }
@@ -65,10 +68,17 @@
       }
       tick(now);
     }
+    std::uint64_t readShared = 0;
     for (const auto& it : mEngines) {
       mResult.readTokens += it.readTokens();
       mResult.keptTokens += it.keptTokens();
+      readShared += it.readSharedTokens();
+    }
+    std::uint64_t distinct = 0;
+    for (const auto& [id, tokens] : mSharedParts) {
+      distinct += tokens;
     }
+    mResult.readAgainTokens = readShared - std::min(readShared, distinct);
     return mResult;
   }
 
@@ -121,6 +131,43 @@
     return rate;
   }
 
+  void loseEngines(TimePoint aNow)
+  {
+    for (; mNextLoss < mLoad.losses.size(); ++mNextLoss) {
+      const auto& loss = mLoad.losses[mNextLoss];
+      if (toMillis(aNow - kStart) < 1000.0 * loss.atSeconds) {
+        return;
+      }
+      const auto first = loss.domain * mLoad.enginesPerDomain;
+      const auto n =
+        static_cast<std::size_t>(loss.part * static_cast<double>(mLoad.enginesPerDomain));
+      for (std::size_t i = first; i < first + n; ++i) {
+        loseEngine(i, aNow);
+      }
+    }
+  }
+
+  /// What runs there is lost; the model has no retries.
+  void loseEngine(std::size_t aEngine, TimePoint aNow)
+  {
+    mEngines[aEngine].lose();
+    for (auto& it : mInstances) {
+      it->serverGone(BackendServerId(engineName(aEngine)));
+    }
+    for (auto it = mPlaying.begin(); it != mPlaying.end();) {
+      const auto [id, playing] = *it;
+      if (playing.engine != aEngine) {
+        ++it;
+        continue;
+      }
+      ++mResult.kinds[playing.kind].late;
+      it = mPlaying.erase(it);
+      dispatch::Effects effects;
+      mInstances[playing.instance]->ended(id, dispatch::JobOutcome::ConnectionLost, aNow, effects);
+      carryOut(playing.instance, effects, aNow);
+    }
+  }
+
   void arrive(TimePoint aNow)
   {
     for (std::size_t kind = 0; kind < mLoad.kinds.size(); ++kind) {
@@ -154,6 +201,8 @@
     job.prompt = { { 1000 + aKind, kind.commonTokens },
                    { 100000 * (aKind + 1) + session, kind.sessionTokens },
                    { 10000000 + job.id, own } };
+    mSharedParts[job.prompt[0].id] = kind.commonTokens;
+    mSharedParts[job.prompt[1].id] = kind.sessionTokens;
     job.arrived = aNow;
     job.onTimeUntil = aNow + kind.target;
     job.deadline = aNow + kind.deadline;
@@ -197,6 +246,7 @@
                               mEngines[aEngine].waiting(),
                               aEvent.at);
     } else if (aEvent.at - playing.lastEvent > kind.pauseTarget) {
+      mResult.kinds[playing.kind].paused += playing.onTime ? 1 : 0;
       playing.onTime = false;
     }
     playing.lastEvent = aEvent.at;
@@ -243,6 +293,9 @@
   std::vector<std::unique_ptr<Dispatcher>> mInstances;
   std::map<JobId, Playing> mPlaying;
   JobId mLastJob = 0;
+  std::size_t mNextLoss = 0;
+  /// Sizes of the parts that several requests have.
+  std::map<std::uint64_t, std::uint32_t> mSharedParts;
   TimePoint mNextTick = kStart;
   TimePoint mNextNeed = kStart + kNeedInterval;
   Result mResult;
@@ -270,4 +323,24 @@
   return load;
 }
 
+Load
+grownLoad()
+{
+  Load load;
+  Kind review{
+    "review", 392, 1, 2520, 3780, 2890, 1900, 50, Millis(500), Millis(500), Millis(4000)
+  };
+  Kind summary{
+    "summary", 232, 0, 119, 79, 628, 1500, 290, Millis(300), Millis(300), Millis(10000)
+  };
+  load.kinds = { review, summary };
+  load.engine.slots = 16;
+  load.engine.memoryTokens = 314653;
+  load.engine.eventTokens = 10;
+  load.enginesPerDomain = 47;
+  load.instancesPerDomain = 20;
+  load.seconds = 8;
+  return load;
+}
+
 }
--- a/bench/model/replay.hpp
+++ b/bench/model/replay.hpp
@@ -27,6 +27,15 @@
   Duration deadline = Millis(4000);
 };
 
+/// The engines of one failure domain that are lost at one moment.
+struct EngineLoss
+{
+  double atSeconds = 0.0;
+  std::size_t domain = 0;
+  /// Part of its engines.
+  double part = 1.0;
+};
+
 /// A span in which one kind comes more often.
 struct Burst
 {
@@ -40,6 +49,7 @@
 {
   std::vector<Kind> kinds;
   std::vector<Burst> bursts;
+  std::vector<EngineLoss> losses;
   double seconds = 20.0;
   std::size_t domains = 3;
   std::size_t enginesPerDomain = 3;
@@ -55,6 +65,8 @@
   std::uint64_t onTime = 0;
   std::uint64_t late = 0;
   std::uint64_t refused = 0;
+  /// Of the late ones, those whose first event was in time but a later one was not.
+  std::uint64_t paused = 0;
   double onTimePart() const
   {
     return asked == 0 ? 1.0 : static_cast<double>(onTime) / static_cast<double>(asked);
@@ -66,6 +78,15 @@
   std::vector<KindResult> kinds;
   std::uint64_t readTokens = 0;
   std::uint64_t keptTokens = 0;
+  /// Tokens of parts that several requests have, read by an engine although one had read them
+  /// before.
+  std::uint64_t readAgainTokens = 0;
+  /// Part of the tokens of shared parts that were found kept, of all that some engine had read.
+  double sharedKeptPart() const
+  {
+    const auto all = static_cast<double>(readAgainTokens + keptTokens);
+    return all == 0 ? 1.0 : static_cast<double>(keptTokens) / all;
+  }
   double keptPart() const
   {
     const auto all = static_cast<double>(readTokens + keptTokens);
@@ -77,8 +98,13 @@
 Result
 replay(const Load& aLoad, dispatch::Policy aPolicy);
 
-/// The permit deployment of the users' site at its calm rate; bursts are to be added.
+/// Two services' worth of long reviews and short summaries before 9 engines, at a calm rate;
+/// bursts are to be added.
 Load
 permitLoad();
 
+/// The same kinds of request before 141 small engines and 60 instances.
+Load
+grownLoad();
+
 }
--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -34,7 +34,7 @@
   /// Time without a successful read after which the store counts as having been out.
   static constexpr Duration kOutage = Millis(2500);
 
-  /// Takes in records of the log, in order.
+  /// Takes in records of the log, in order. A record without news gives no event.
   std::vector<ServerEvent> apply(const std::vector<Record>& aRecords,
                                  const StoreDialect& aDialect,
                                  TimePoint aNow);
@@ -53,6 +53,8 @@
   void add(const Record& aRecord, const StoreDialect& aDialect, std::vector<ServerEvent>& aEvents);
 
   std::map<BackendServerId, route::BackendServer> mServers;
+  /// Of the record from which a server's entry was read.
+  std::map<BackendServerId, std::uint64_t> mDigests;
   /// Removals that wait for the entry to come back.
   std::map<BackendServerId, TimePoint> mMissing;
   std::optional<TimePoint> mLastRead;
--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -140,6 +140,9 @@
   Result<AppendResult> (*decodeAppend)(const HttpAnswer& aAnswer);
   std::optional<OperatorRecord> (*decodeOperator)(const Record& aRecord, Findings& aFindings);
   std::optional<route::BackendServer> (*decodeServer)(const Record& aRecord, Findings& aFindings);
+  /// Equal for records of one server that differ only in their running number: a server renews its
+  /// entry about once a second, mostly without news.
+  std::uint64_t (*serverDigest)(const Record& aRecord);
   HttpCall (*report)(const UsageReport& aReport, const DutyHolder& aHolder);
   HttpCall (*order)(const ServerOrder& aOrder, const DutyHolder& aHolder);
   DutyAnswer (*decodeDuty)(const HttpAnswer& aAnswer);
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -137,6 +138,7 @@
     ServiceModel model;
     RetryBudget budget;
     std::vector<ServerState*> servers;
+    bool hasOwnDomain = false;
     /// Unread tokens of long prompts since the needs were taken.
     std::uint64_t longTokens = 0;
     /// Smoothed tokens that a server reads for a long prompt.
@@ -151,6 +153,7 @@
   };
 
   ServiceState& serviceState(const route::ServiceId& aId);
+  void divide(ServiceState& aService);
   void rebuildLists();
   bool isUsable(const ServerState& aServer) const;
   PlacementInput inputFor(const Job& aJob, ServiceState& aService, TimePoint aNow) const;
@@ -158,7 +161,15 @@
   bool place(Job& aJob, TimePoint aNow, Effects& aEffects);
   void grant(Job aJob, const Choice& aChoice, TimePoint aNow, Effects& aEffects);
   void refuse(const Job& aJob, RefusalReason aReason, TimePoint aNow, Effects& aEffects);
+  /// What decides which of two waiting jobs goes first: the smaller one does.
+  using Rank = std::tuple<std::uint32_t, bool, std::size_t, TimePoint>;
+  Rank rankOf(const Job& aJob, TimePoint aNow) const;
+  /// Places the jobs that go first on what has become free.
+  void placeFirst(const route::ServiceId& aService, TimePoint aNow, Effects& aEffects);
+  /// Looks through all waiting jobs and refuses those that have waited long enough.
   void placeWaiting(TimePoint aNow, Effects& aEffects);
+  /// One job less of the organisation is granted.
+  void forget(const OrganisationId& aOrganisation);
   RefusalReason reasonFor(const Job& aJob, TimePoint aNow);
   void learnStart(ServerState& aServer, const RunningJob& aRun, TimePoint aNow, bool aAheadEmpty);
   void noteOutcome(ServerState& aServer, JobOutcome aOutcome, TimePoint aNow);
@@ -172,6 +183,8 @@
   std::set<FailureDomainId> mEvacuated;
   std::size_t mInstances = 1;
   std::unordered_map<JobId, GrantedJob> mGranted;
+  /// Granted jobs of each organisation.
+  std::map<OrganisationId, std::size_t> mRunningOf;
   std::vector<Job> mWaiting;
   TimePoint mNeedsTaken{};
   CrashSuspects mSuspects;
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -39,12 +39,15 @@
   /// Each 1,000 shared tokens that a server reads although another one keeps them, besides the time
   /// that the reading takes.
   Duration readAgainPer1000 = Millis(30);
+  /// The second home of a shared part: used only when the first has this much more to do, so that
+  /// on calm days it does not read the part at all.
+  Duration secondHome = Millis(200);
   /// An answer that is predicted to be late.
   Duration late = Millis(400);
   /// A short stream beside long prompts: its pauses grow by the chunks that are read.
   Duration shortBesideLong = Millis(120);
   /// A long prompt beside short streams, for each of them.
-  Duration longBesideShort = Millis(25);
+  Duration longBesideShort = Millis(80);
   /// A server that fails all requests.
   Duration failing = Millis(1500);
 };
@@ -62,6 +65,8 @@
   double shortShare = 0.4;
   /// Tokens of other instances' long prompts that wait at a server, on average.
   double othersUnread = 0.0;
+  /// Short streams of all instances on each server for them.
+  double streamsPerServer = 0.0;
 };
 
 struct Choice
@@ -80,6 +85,8 @@
   const PlacementCosts* costs = nullptr;
   const std::vector<ServerState*>* servers = nullptr;
   FailureDomainId ownDomain;
+  /// Whether any of the servers is in it.
+  bool hasOwnDomain = true;
   bool engine = false;
   TimePoint now{};
   /// Requests a second that this instance may send to a cold server.
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -62,6 +62,10 @@
   /// Part of the latest requests that failed.
   double failureRate = 0.0;
   std::uint32_t failuresInRow = 0;
+  /// Kinds of prompt that divideServers() gave it; both when it is alone in its failure domain.
+  bool servesShort = true;
+  bool servesLong = true;
+
   /// Gets no request before this, but for trials.
   TimePoint suspendedUntil{};
   Duration suspension{};
--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -30,6 +30,7 @@
   }
   aEvents.emplace_back(ServerGone{ aId, it->second.address });
   mMissing.erase(aId);
+  mDigests.erase(aId);
   mServers.erase(it);
 }
 
@@ -38,6 +39,13 @@
                     const StoreDialect& aDialect,
                     std::vector<ServerEvent>& aEvents)
 {
+  const auto digest = aDialect.serverDigest(aRecord);
+  const BackendServerId id(aRecord.key);
+  const auto known = mDigests.find(id);
+  if (known != mDigests.end() && known->second == digest) {
+    mMissing.erase(id);
+    return;
+  }
   Findings findings;
   auto server = aDialect.decodeServer(aRecord, findings);
   if (!server) {
@@ -49,6 +57,7 @@
     return;
   }
   mMissing.erase(server->id);
+  mDigests[server->id] = digest;
   mServers[server->id] = *server;
   aEvents.emplace_back(ServerSeen{ std::move(*server) });
 }
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/control/server_registry.hpp"
 
+#include "mustardplank/base/hash.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace mustardplank;
@@ -34,6 +36,9 @@
 {
   StoreDialect dialect{};
   dialect.decodeServer = decode;
+  dialect.serverDigest = [](const Record& aRecord) {
+    return stableHash(aRecord.value.value_or(std::string()));
+  };
   return dialect;
 }
 
@@ -62,6 +67,32 @@
   BOOST_TEST(registry.servers().size() == 1U);
 }
 
+// Guards against work for each renewal of each entry, which grows with the servers: at 3,000
+// servers an instance used 41 % of a core.
+BOOST_AUTO_TEST_CASE(renewed_entry_without_news_gives_no_event)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  BOOST_TEST(registry.apply({ { 0, "a", "ready" } }, dialect(), at(0)).size() == 1U);
+  BOOST_TEST(registry.apply({ { 1, "a", "ready" } }, dialect(), at(10)).empty());
+  BOOST_TEST(registry.apply({ { 2, "a", "draining" } }, dialect(), at(20)).size() == 1U);
+  registry.apply({ { 3, "a", {} } }, dialect(), at(30));
+  BOOST_TEST(registry.apply({ { 4, "a", "draining" } }, dialect(), at(40)).size() == 1U);
+}
+
+// Guards against a living server that is dropped after an outage, as its renewal has no news.
+BOOST_AUTO_TEST_CASE(renewal_without_news_ends_the_grace_of_a_lapsed_entry)
+{
+  ServerRegistry registry;
+  registry.readSucceeded(at(0));
+  registry.apply({ { 0, "a", "ready" } }, dialect(), at(0));
+  registry.readSucceeded(at(10000));
+  BOOST_TEST(registry.apply({ { 1, "a", {} } }, dialect(), at(10000)).empty());
+  BOOST_TEST(registry.apply({ { 2, "a", "ready" } }, dialect(), at(10500)).empty());
+  BOOST_TEST(registry.tick(at(13000)).empty());
+  BOOST_TEST(registry.servers().size() == 1U);
+}
+
 // Guards against a malformed entry that takes a working server away.
 BOOST_AUTO_TEST_CASE(malformed_entry_changes_nothing)
 {
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/dispatch/dispatcher.hpp"
 
+#include "mustardplank/dispatch/server_groups.hpp"
+
 #include "smoothing.hpp"
 
 #include <algorithm>
@@ -49,7 +51,8 @@
   if (it != mServices.end()) {
     return it->second;
   }
-  return mServices.emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, 0, 0.0 })
+  return mServices
+    .emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, false, 0, 0.0 })
     .first->second;
 }
 
@@ -64,6 +67,7 @@
 Dispatcher::serverSeen(const route::BackendServer& aServer, TimePoint aNow)
 {
   auto* known = find(aServer.id);
+  const bool isKnown = known != nullptr;
   const bool reborn =
     known && (known->server.bornMs != aServer.bornMs || known->server.address != aServer.address ||
               known->server.service != aServer.service);
@@ -76,8 +80,7 @@
     known = state.get();
     mServers[aServer.id] = std::move(state);
   }
-  const bool moved = reborn || known->running.empty() ||
-                     known->server.draining != aServer.draining ||
+  const bool moved = !isKnown || reborn || known->server.draining != aServer.draining ||
                      known->server.domain != aServer.domain;
   known->server = aServer;
   known->coldUntil = aNow + aServer.coldFor;
@@ -131,6 +134,19 @@
       serviceState(server->server.service).servers.push_back(server.get());
     }
   }
+  for (auto& [id, service] : mServices) {
+    divide(service);
+  }
+}
+
+void
+Dispatcher::divide(ServiceState& aService)
+{
+  divideServers(aService.servers, aService.model.shortShare);
+  aService.hasOwnDomain =
+    std::any_of(aService.servers.begin(), aService.servers.end(), [&](const auto* aServer) {
+      return aServer->server.domain == mOptions.domain;
+    });
 }
 
 void
@@ -160,6 +176,7 @@
   input.costs = &mOptions.costs;
   input.servers = &aService.servers;
   input.ownDomain = mOptions.domain;
+  input.hasOwnDomain = aService.hasOwnDomain;
   input.now = aNow;
   const auto* service = mTable ? mTable->service(aJob.service) : nullptr;
   input.engine = service && service->engine.has_value();
@@ -251,8 +268,9 @@
   server.running.emplace(aJob.id, run);
   server.prefixes.use(aJob.prompt);
   const auto id = aJob.id;
+  ++mRunningOf[aJob.organisation];
   granted.job = std::move(aJob);
-  mGranted.insert_or_assign(id, std::move(granted));
+  mGranted.emplace(id, std::move(granted));
   aEffects.emplace_back(std::move(effect));
 }
 
@@ -308,39 +326,69 @@
   return cold ? RefusalReason::Cold : RefusalReason::Overloaded;
 }
 
+Dispatcher::Rank
+Dispatcher::rankOf(const Job& aJob, TimePoint aNow) const
+{
+  // Load pattern: more requests than slots. Tiers go strictly first; inside a tier those that can
+  // still be on time, then the organisations with the least work running, then the earliest due.
+  const auto it = mRunningOf.find(aJob.organisation);
+  const std::size_t running = it == mRunningOf.end() ? 0 : it->second;
+  return { aJob.tier, aJob.onTimeUntil < aNow, running, aJob.onTimeUntil };
+}
+
+void
+Dispatcher::placeFirst(const route::ServiceId& aService, TimePoint aNow, Effects& aEffects)
+{
+  for (const bool isLong : { false, true }) {
+    for (;;) {
+      auto first = mWaiting.end();
+      std::optional<Rank> best;
+      for (auto it = mWaiting.begin(); it != mWaiting.end(); ++it) {
+        if (isLongPrompt(*it) != isLong || it->service != aService) {
+          continue;
+        }
+        const auto rank = rankOf(*it, aNow);
+        if (!best || rank < *best) {
+          best = rank;
+          first = it;
+        }
+      }
+      if (first == mWaiting.end() || !place(*first, aNow, aEffects)) {
+        break;
+      }
+      mWaiting.erase(first);
+    }
+  }
+}
+
 void
 Dispatcher::placeWaiting(TimePoint aNow, Effects& aEffects)
 {
   if (mWaiting.empty()) {
     return;
   }
-  // Load pattern: more requests than slots. Tiers go strictly first; inside a tier those that can
-  // still be on time, then the organisations with the least work running, then the earliest due.
-  std::map<OrganisationId, std::size_t> runningOf;
-  for (const auto& [id, granted] : mGranted) {
-    ++runningOf[granted.job.organisation];
-  }
-  std::stable_sort(mWaiting.begin(), mWaiting.end(), [&](const Job& aLeft, const Job& aRight) {
-    const auto key = [&](const Job& aJob) {
-      return std::tuple(
-        aJob.tier, aJob.onTimeUntil < aNow, runningOf[aJob.organisation], aJob.onTimeUntil);
-    };
-    return key(aLeft) < key(aRight);
-  });
+  std::vector<std::pair<Rank, std::size_t>> order;
+  order.reserve(mWaiting.size());
+  for (std::size_t i = 0; i < mWaiting.size(); ++i) {
+    order.emplace_back(rankOf(mWaiting[i], aNow), i);
+  }
+  std::sort(order.begin(), order.end());
   std::set<std::pair<route::ServiceId, bool>> full;
   std::vector<Job> left;
-  for (auto& it : mWaiting) {
-    const auto group = std::pair(it.service, isLongPrompt(it));
-    if (!full.contains(group) && place(it, aNow, aEffects)) {
+  left.reserve(mWaiting.size());
+  for (const auto& [rank, index] : order) {
+    auto& job = mWaiting[index];
+    const auto group = std::pair(job.service, isLongPrompt(job));
+    if (!full.contains(group) && place(job, aNow, aEffects)) {
       continue;
     }
     full.insert(group);
-    const auto limit = std::max(kMinWait, part(it.onTimeUntil - it.arrived, kWaitPart));
-    if (aNow - it.arrived >= limit || aNow >= it.deadline) {
-      refuse(it, reasonFor(it, aNow), aNow, aEffects);
+    const auto limit = std::max(kMinWait, part(job.onTimeUntil - job.arrived, kWaitPart));
+    if (aNow - job.arrived >= limit || aNow >= job.deadline) {
+      refuse(job, reasonFor(job, aNow), aNow, aEffects);
       continue;
     }
-    left.push_back(std::move(it));
+    left.push_back(std::move(job));
   }
   mWaiting = std::move(left);
 }
@@ -403,8 +451,21 @@
       noteOutcome(*server, aOutcome, aNow);
     }
   }
+  const auto service = it->second.job.service;
+  forget(it->second.job.organisation);
   mGranted.erase(it);
-  placeWaiting(aNow, aEffects);
+  if (!mWaiting.empty()) {
+    placeFirst(service, aNow, aEffects);
+  }
+}
+
+void
+Dispatcher::forget(const OrganisationId& aOrganisation)
+{
+  const auto it = mRunningOf.find(aOrganisation);
+  if (it != mRunningOf.end() && --it->second == 0) {
+    mRunningOf.erase(it);
+  }
 }
 
 void
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -38,6 +38,9 @@
 constexpr double kLeastNeed = 0.5;
 /// Least part of the servers for short or for long prompts.
 constexpr double kLeastShare = 0.15;
+constexpr double kMostShortShare = 0.7;
+/// Servers for short streams, as a multiple of those that they need on average.
+constexpr double kShortReserve = 1.3;
 /// An answer that takes so many times its estimate, and this besides, counts as stalled.
 constexpr int kStallFactor = 4;
 constexpr Duration kStallSlack = Millis(400);
@@ -62,15 +65,21 @@
   const double needShort = aNeed.shortStreams / std::min(kStreamsPerServer, kSlotPart * slots);
   const double needLong = aNeed.longTokensPerMs / (kLongUse * model.tokensPerMs);
   if (needShort + needLong >= kLeastNeed) {
+    // Short streams are the more urgent ones: they have what they need, long prompts the rest.
+    const double owed = kShortReserve * needShort / static_cast<double>(state.servers.size());
     const double share =
-      std::clamp(needShort / (needShort + needLong), kLeastShare, 1 - kLeastShare);
+      std::clamp(std::max(needShort / (needShort + needLong), owed), kLeastShare, kMostShortShare);
     smooth(model.shortShare, share, kMixWeight);
+    divide(state);
   }
   // Mean queue of a server with random arrivals and even service times.
   const double longServers =
     std::max(1.0, static_cast<double>(state.servers.size()) * (1.0 - model.shortShare));
   const double use = std::min(aNeed.longTokensPerMs / (longServers * model.tokensPerMs), kMostUse);
   const double others = static_cast<double>(mInstances - 1) / static_cast<double>(mInstances);
+  model.streamsPerServer =
+    aNeed.shortStreams /
+    std::max(1.0, static_cast<double>(state.servers.size()) * model.shortShare);
   smooth(model.othersUnread, others * state.meanLongUnread * use / (2.0 * (1.0 - use)), kMixWeight);
 }
 
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -1,6 +1,6 @@
 #include "mustardplank/dispatch/placement.hpp"
 
-#include "mustardplank/base/hash.hpp"
+#include "mustardplank/dispatch/server_groups.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -18,16 +18,6 @@
 /// preempts.
 constexpr double kMemoryPart = 0.85;
 
-std::uint64_t
-mix(std::uint64_t aValue)
-{
-  aValue ^= aValue >> 33;
-  aValue *= 0xff51afd7ed558ccdULL;
-  aValue ^= aValue >> 33;
-  aValue *= 0xc4ceb9fe1a85ec53ULL;
-  return aValue ^ (aValue >> 33);
-}
-
 Duration
 scaled(Duration aDuration, double aFactor)
 {
@@ -96,64 +86,29 @@
   return aJob.prompt.size() >= 2 ? aJob.prompt[aJob.prompt.size() - 2].id : aJob.prompt[0].id;
 }
 
-/// Servers for prompts of one length, and the one of them that keeps the job's shared part.
-struct Homes
-{
-  std::vector<const ServerState*> group;
-  const ServerState* best = nullptr;
-};
-
-/// A failure domain's servers for short prompts are the first ones in an order that all instances
-/// know; those for long prompts are the others.
-void
-addGroup(const PlacementInput& aInput,
-         std::vector<const ServerState*>& aDomain,
-         bool aLong,
-         std::vector<const ServerState*>& aGroup)
+/// Whether the server is one of those for this prompt. Short prompts have little to read: their
+/// servers are near. Reading a long one's shared parts in each failure domain would cost more than
+/// the way.
+bool
+inGroup(const PlacementInput& aInput, const ServerState& aServer, bool aLong)
 {
-  std::sort(
-    aDomain.begin(), aDomain.end(), [](const ServerState* aLeft, const ServerState* aRight) {
-      return aLeft->server.id < aRight->server.id;
-    });
-  std::size_t shorts = aDomain.size();
-  if (aDomain.size() >= 2) {
-    const auto n = static_cast<double>(aDomain.size());
-    shorts =
-      static_cast<std::size_t>(std::clamp(std::round(n * aInput.model->shortShare), 1.0, n - 1.0));
-  }
-  for (std::size_t i = 0; i < aDomain.size(); ++i) {
-    if (aDomain.size() < 2 || (i >= shorts) == aLong) {
-      aGroup.push_back(aDomain[i]);
-    }
+  if (aLong) {
+    return aServer.servesLong;
   }
+  return aServer.servesShort && (aServer.server.domain == aInput.ownDomain || !aInput.hasOwnDomain);
 }
 
 Homes
-homesOf(const PlacementInput& aInput)
+homesFor(const PlacementInput& aInput, bool aLong)
 {
-  const bool isLong = isLongPrompt(*aInput.job);
-  std::map<FailureDomainId, std::vector<const ServerState*>> domains;
+  std::vector<const ServerState*> group;
+  group.reserve(aInput.servers->size());
   for (const auto* it : *aInput.servers) {
-    domains[it->server.domain].push_back(it);
-  }
-  Homes homes;
-  for (auto& [domain, servers] : domains) {
-    // Short prompts have little to read: their homes are near. Reading a long one's shared parts
-    // in each failure domain would cost more than the way.
-    if (isLong || domain == aInput.ownDomain || !domains.contains(aInput.ownDomain)) {
-      addGroup(aInput, servers, isLong, homes.group);
-    }
-  }
-  const auto key = mix(homeKey(*aInput.job));
-  std::uint64_t bestRank = 0;
-  for (const auto* it : homes.group) {
-    const auto rank = mix(it->idHash ^ key);
-    if (!homes.best || rank > bestRank) {
-      homes.best = it;
-      bestRank = rank;
+    if (inGroup(aInput, *it, aLong)) {
+      group.push_back(it);
     }
   }
-  return homes;
+  return homesOf(group, homeKey(*aInput.job));
 }
 
 Duration
@@ -166,7 +121,8 @@
     return aServer.server.domain == aInput.ownDomain ? aInput.costs->shortBesideLong : Duration{};
   }
   constexpr double kLeastStreams = 2.0;
-  const auto streams = std::max<double>(kLeastStreams, aServer.urgentStreams);
+  const double streams =
+    std::max({ kLeastStreams, double(aServer.urgentStreams), aInput.model->streamsPerServer });
   return scaled(aInput.costs->longBesideShort, streams);
 }
 
@@ -180,12 +136,6 @@
   return tokens;
 }
 
-bool
-contains(const std::vector<const ServerState*>& aList, const ServerState* aServer)
-{
-  return std::find(aList.begin(), aList.end(), aServer) != aList.end();
-}
-
 Duration
 domainCost(const PlacementInput& aInput, const ServerState& aServer)
 {
@@ -233,7 +183,7 @@
 {
   const auto& job = *aInput.job;
   const bool isLong = isLongPrompt(job);
-  const auto homes = aInput.engine ? homesOf(aInput) : Homes{};
+  const auto homes = aInput.engine ? homesFor(aInput, isLong) : Homes{};
   std::optional<Choice> best;
   Duration bestCost{};
   for (auto* it : *aInput.servers) {
@@ -247,14 +197,17 @@
       if (!fitsMemory(aInput, *it, it->prefixes.capacity())) {
         continue;
       }
-      const bool inGroup = contains(homes.group, it);
-      longGroup = isLong == inGroup;
-      cost += groupCost(aInput, *it, isLong, inGroup);
-      if (homes.best == it) {
+      const bool grouped = inGroup(aInput, *it, isLong);
+      longGroup = isLong == grouped;
+      cost += groupCost(aInput, *it, isLong, grouped);
+      const auto ownTokens = job.promptTokens - sharedTokens(job);
+      if (homes.first == it || homes.second == it) {
         // Other instances send requests with the same parts there too.
-        choice.unread = std::min(choice.unread, job.promptTokens - sharedTokens(job));
+        choice.unread = std::min(choice.unread, ownTokens);
+      }
+      if (homes.second == it) {
+        cost += aInput.costs->secondHome;
       }
-      const auto ownTokens = job.promptTokens - sharedTokens(job);
       const double again = std::max(0.0, static_cast<double>(choice.unread) - ownTokens);
       cost += scaled(aInput.costs->readAgainPer1000, again / 1000.0);
     }
--- /dev/null
+++ b/src/mustardplank/dispatch/server_groups.cpp
@@ -0,0 +1,68 @@
+#include "mustardplank/dispatch/server_groups.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace mustardplank::dispatch {
+
+namespace {
+
+std::uint64_t
+mix(std::uint64_t aValue)
+{
+  aValue ^= aValue >> 33;
+  aValue *= 0xff51afd7ed558ccdULL;
+  aValue ^= aValue >> 33;
+  aValue *= 0xc4ceb9fe1a85ec53ULL;
+  return aValue ^ (aValue >> 33);
+}
+
+}
+
+void
+divideServers(const std::vector<ServerState*>& aServers, double aShortShare)
+{
+  std::map<FailureDomainId, std::vector<ServerState*>> domains;
+  for (auto* it : aServers) {
+    domains[it->server.domain].push_back(it);
+  }
+  for (auto& [domain, servers] : domains) {
+    std::sort(
+      servers.begin(), servers.end(), [](const ServerState* aLeft, const ServerState* aRight) {
+        return aLeft->server.id < aRight->server.id;
+      });
+    const auto n = static_cast<double>(servers.size());
+    const auto shorts =
+      servers.size() < 2
+        ? servers.size()
+        : static_cast<std::size_t>(std::clamp(std::round(n * aShortShare), 1.0, n - 1.0));
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+      servers[i]->servesShort = i < shorts;
+      servers[i]->servesLong = i >= shorts || servers.size() < 2;
+    }
+  }
+}
+
+Homes
+homesOf(const std::vector<const ServerState*>& aGroup, std::uint64_t aKey)
+{
+  Homes homes;
+  std::uint64_t firstRank = 0;
+  std::uint64_t secondRank = 0;
+  const auto key = mix(aKey);
+  for (const auto* it : aGroup) {
+    const auto rank = mix(it->idHash ^ key);
+    if (!homes.first || rank > firstRank) {
+      homes.second = homes.first;
+      secondRank = firstRank;
+      homes.first = it;
+      firstRank = rank;
+    } else if (!homes.second || rank > secondRank) {
+      homes.second = it;
+      secondRank = rank;
+    }
+  }
+  return homes;
+}
+
+}
