Take callers that come back first; Retry-After follows the predicted room

Load pattern: a burst in which requests are refused, and servers that come back cold. Requests that had been refused once waited behind newcomers of their kind by the time they were due, and callers were told a part of their time left whatever the queue.

Two tests replay the patterns and failed before.

--- a/bench/model/model_bench.cpp
+++ b/bench/model/model_bench.cpp
@@ -41,6 +41,8 @@
     std::vector<double> onTime(aLoad.kinds.size());
     std::vector<double> refused(aLoad.kinds.size());
     std::vector<double> paused(aLoad.kinds.size());
+    std::vector<double> median(aLoad.kinds.size());
+    std::vector<double> high(aLoad.kinds.size());
     double kept = 0.0;
     const auto begin = std::chrono::steady_clock::now();
     for (std::uint64_t seed = 1; seed <= aSeeds; ++seed) {
@@ -51,6 +53,8 @@
         onTime[i] += result.kinds[i].onTimePart() / static_cast<double>(aSeeds);
         refused[i] +=
           static_cast<double>(result.kinds[i].refused) / asked / static_cast<double>(aSeeds);
+        median[i] += result.kinds[i].firstQuantile(0.5) / static_cast<double>(aSeeds);
+        high[i] += result.kinds[i].firstQuantile(0.99) / static_cast<double>(aSeeds);
         paused[i] +=
           static_cast<double>(result.kinds[i].paused) / asked / static_cast<double>(aSeeds);
       }
@@ -60,13 +64,18 @@
     std::printf(
       "load=%s policy=%s", aName.c_str(), std::string(dispatch::kPolicyNames.name(policy)).c_str());
     for (std::size_t i = 0; i < onTime.size(); ++i) {
-      std::printf(" %s_on_time=%.3f %s_refused=%.3f %s_paused=%.3f",
-                  aLoad.kinds[i].name.c_str(),
-                  onTime[i],
-                  aLoad.kinds[i].name.c_str(),
-                  refused[i],
-                  aLoad.kinds[i].name.c_str(),
-                  paused[i]);
+      std::printf(
+        " %s_on_time=%.3f %s_refused=%.3f %s_paused=%.3f %s_first_ms_p50=%.0f %s_first_ms_p99=%.0f",
+        aLoad.kinds[i].name.c_str(),
+        onTime[i],
+        aLoad.kinds[i].name.c_str(),
+        refused[i],
+        aLoad.kinds[i].name.c_str(),
+        paused[i],
+        aLoad.kinds[i].name.c_str(),
+        median[i],
+        aLoad.kinds[i].name.c_str(),
+        high[i]);
     }
     std::printf(" shared_kept=%.3f seconds=%.1f\n", kept, took.count());
   }
--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -42,7 +42,9 @@
     , mRandom(aLoad.seed)
   {
     for (const auto& it : aLoad.kinds) {
-      mResult.kinds.push_back({ it.name, 0, 0, 0, 0, 0 });
+      KindResult result;
+      result.name = it.name;
+      mResult.kinds.push_back(std::move(result));
     }
     for (std::size_t i = 0; i < aLoad.domains * aLoad.enginesPerDomain; ++i) {
       mEngines.emplace_back(aLoad.engine);
@@ -68,6 +70,9 @@
       }
       tick(now);
     }
+    for (auto& it : mResult.kinds) {
+      std::sort(it.firstMs.begin(), it.firstMs.end());
+    }
     std::uint64_t readShared = 0;
     for (const auto& it : mEngines) {
       mResult.readTokens += it.readTokens();
@@ -240,6 +245,7 @@
     auto& dispatcher = *mInstances[playing.instance];
     if (aEvent.first) {
       playing.onTime = aEvent.at <= playing.job.onTimeUntil;
+      mResult.kinds[playing.kind].firstMs.push_back(toMillis(aEvent.at - playing.job.arrived));
       dispatcher.started(aEvent.job, aEvent.at);
       dispatcher.loadReported(BackendServerId(engineName(aEngine)),
                               mEngines[aEngine].running(),
--- a/bench/model/replay.hpp
+++ b/bench/model/replay.hpp
@@ -4,6 +4,7 @@
 
 #include "mustardplank/dispatch/dispatcher.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -67,6 +68,14 @@
   std::uint64_t refused = 0;
   /// Of the late ones, those whose first event was in time but a later one was not.
   std::uint64_t paused = 0;
+  /// Times to the first event, sorted, in ms.
+  std::vector<double> firstMs;
+  /// Of the times to the first event; aPart 0.5 is the median. 0 without any.
+  double firstQuantile(double aPart) const
+  {
+    const auto n = firstMs.size();
+    return n == 0 ? 0.0 : firstMs[std::min(n - 1, static_cast<std::size_t>(aPart * double(n)))];
+  }
   double onTimePart() const
   {
     return asked == 0 ? 1.0 : static_cast<double>(onTime) / static_cast<double>(asked);
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -139,6 +139,8 @@
     RetryBudget budget;
     std::vector<ServerState*> servers;
     bool hasOwnDomain = false;
+    /// Smoothed time for which a request occupies a slot, in ms.
+    double slotMs = 0.0;
     /// Unread tokens of long prompts since the needs were taken.
     std::uint64_t longTokens = 0;
     /// Smoothed tokens that a server reads for a long prompt.
@@ -162,7 +164,7 @@
   void grant(Job aJob, const Choice& aChoice, TimePoint aNow, Effects& aEffects);
   void refuse(const Job& aJob, RefusalReason aReason, TimePoint aNow, Effects& aEffects);
   /// What decides which of two waiting jobs goes first: the smaller one does.
-  using Rank = std::tuple<std::uint32_t, bool, std::size_t, TimePoint>;
+  using Rank = std::tuple<std::uint32_t, bool, bool, std::size_t, TimePoint>;
   Rank rankOf(const Job& aJob, TimePoint aNow) const;
   /// Places the jobs that go first on what has become free.
   void placeFirst(const route::ServiceId& aService, TimePoint aNow, Effects& aEffects);
@@ -170,6 +172,8 @@
   void placeWaiting(TimePoint aNow, Effects& aEffects);
   /// One job less of the organisation is granted.
   void forget(const OrganisationId& aOrganisation);
+  /// When a request like this one will probably find room; zero when that cannot be said.
+  Duration timeToRoom(const Job& aJob, RefusalReason aReason, TimePoint aNow);
   RefusalReason reasonFor(const Job& aJob, TimePoint aNow);
   void learnStart(ServerState& aServer, const RunningJob& aRun, TimePoint aNow, bool aAheadEmpty);
   void noteOutcome(ServerState& aServer, JobOutcome aOutcome, TimePoint aNow);
--- a/include/mustardplank/dispatch/job.hpp
+++ b/include/mustardplank/dispatch/job.hpp
@@ -42,6 +42,8 @@
   TimePoint onTimeUntil{};
   /// Until when the caller waits.
   TimePoint deadline{};
+  /// The caller was refused before and has come back.
+  bool returned = false;
   /// Servers that have failed this request.
   std::vector<BackendServerId> avoid;
 };
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -18,8 +18,10 @@
 /// Part of the time left that the answer may be predicted to need at most.
 constexpr double kHopelessPart = 0.7;
 constexpr std::size_t kMaxWaiting = 4096;
-/// Callers wait no longer than a third of the time they have left.
-constexpr int kRetryAfterDivisor = 4;
+/// Part of the time left after which callers are told to come back, and the most: they wait no
+/// longer than a third of it.
+constexpr double kRetryAfterPart = 0.25;
+constexpr double kMostRetryAfterPart = 0.32;
 constexpr Duration kMinRetryAfter = Millis(50);
 constexpr Duration kMaxRetryAfter = Seconds(2);
 
@@ -52,7 +54,7 @@
     return it->second;
   }
   return mServices
-    .emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, false, 0, 0.0 })
+    .emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retries), {}, false, 0.0, 0, 0.0 })
     .first->second;
 }
 
@@ -295,15 +297,43 @@
 void
 Dispatcher::refuse(const Job& aJob, RefusalReason aReason, TimePoint aNow, Effects& aEffects)
 {
-  // Spread, so that those who come back don't come at once.
+  // Callers come back once or twice, so a return that is too early is lost: it takes part of the
+  // time left, and longer when the queue needs it. Spread, so that they don't come at once.
   std::uniform_real_distribution<double> spread(0.6, 1.0);
   const auto left = aJob.deadline - aNow;
-  const auto wish =
-    aReason == RefusalReason::CrashSuspect ? kMaxRetryAfter : part(left, 1.0 / kRetryAfterDivisor);
-  const auto after = std::clamp(part(wish, spread(mRandom)), kMinRetryAfter, kMaxRetryAfter);
+  const auto usual =
+    aReason == RefusalReason::CrashSuspect ? kMaxRetryAfter : part(left, kRetryAfterPart);
+  const auto wish = part(std::max(usual, timeToRoom(aJob, aReason, aNow)), spread(mRandom));
+  const auto most =
+    std::max(kMinRetryAfter, std::min(kMaxRetryAfter, part(left, kMostRetryAfterPart)));
+  const auto after = std::clamp(wish, kMinRetryAfter, most);
   aEffects.emplace_back(Refusal{ aJob.id, aReason, after });
 }
 
+Duration
+Dispatcher::timeToRoom(const Job& aJob, RefusalReason aReason, TimePoint aNow)
+{
+  const auto& service = serviceState(aJob.service);
+  double slots = 0.0;
+  std::optional<TimePoint> back;
+  for (const auto* it : service.servers) {
+    slots += it->server.slots;
+    const auto at = std::max(it->coldUntil, it->suspendedUntil);
+    if (at > aNow && (!back || at < *back)) {
+      back = at;
+    }
+  }
+  if (aReason == RefusalReason::Cold || aReason == RefusalReason::NoServer) {
+    return back ? *back - aNow : Duration{};
+  }
+  const auto ahead = std::count_if(mWaiting.begin(), mWaiting.end(), [&](const Job& aWaiting) {
+    return aWaiting.service == aJob.service && aWaiting.tier <= aJob.tier;
+  });
+  // This instance's part of the slots becomes free at this pace.
+  const double perSlot = service.slotMs * static_cast<double>(mInstances) / std::max(1.0, slots);
+  return Duration(static_cast<std::int64_t>(1000.0 * perSlot * static_cast<double>(ahead)));
+}
+
 RefusalReason
 Dispatcher::reasonFor(const Job& aJob, TimePoint aNow)
 {
@@ -330,10 +360,11 @@
 Dispatcher::rankOf(const Job& aJob, TimePoint aNow) const
 {
   // Load pattern: more requests than slots. Tiers go strictly first; inside a tier those that can
-  // still be on time, then the organisations with the least work running, then the earliest due.
+  // still be on time, then those who come back after a refusal, then the organisations with the
+  // least work running, then the earliest due.
   const auto it = mRunningOf.find(aJob.organisation);
   const std::size_t running = it == mRunningOf.end() ? 0 : it->second;
-  return { aJob.tier, aJob.onTimeUntil < aNow, running, aJob.onTimeUntil };
+  return { aJob.tier, aJob.onTimeUntil < aNow, !aJob.returned, running, aJob.onTimeUntil };
 }
 
 void
@@ -447,6 +478,11 @@
       if (it->second.job.streaming && !isLongPrompt(it->second.job)) {
         --server->urgentStreams;
       }
+      if (aOutcome == JobOutcome::Finished) {
+        smooth(serviceState(server->server.service).slotMs,
+               toMillis(aNow - run->second.sent),
+               kModelWeight);
+      }
       server->running.erase(run);
       noteOutcome(*server, aOutcome, aNow);
     }
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -138,6 +138,54 @@
   BOOST_TEST(refusalIn(effects, 2)->retryAfter < Millis(800) / 3);
 }
 
+// Load pattern: a burst in which requests are refused. Guards against callers that come back and
+// lose against newcomers again.
+BOOST_AUTO_TEST_CASE(caller_that_comes_back_goes_before_newcomers)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.serverSeen(makeServer("s1", "a", "desk", 1), at(0));
+  Effects effects;
+  dispatcher.submit(makeCall(1, at(0)), at(0), effects);
+  dispatcher.submit(makeCall(2, at(1)), at(1), effects);
+  auto back = makeCall(3, at(2));
+  back.returned = true;
+  dispatcher.submit(back, at(2), effects);
+  effects.clear();
+  dispatcher.ended(1, JobOutcome::Finished, at(10), effects);
+  BOOST_TEST(grantIn(effects, 3) != nullptr);
+  BOOST_TEST(grantIn(effects, 2) == nullptr);
+}
+
+// Load pattern: the servers come back cold. Guards against callers that are told to come back
+// before there is a server for them.
+BOOST_AUTO_TEST_CASE(refused_caller_comes_back_when_there_will_be_room)
+{
+  const auto retryAfter = [](Duration aCold) {
+    auto dispatcher = makeDispatcher(makeConfig());
+    auto server = makeServer("s1", "a", "desk", 1);
+    server.coldFor = aCold;
+    dispatcher.serverSeen(server, at(0));
+    Effects effects;
+    JobId job = 0;
+    while (dispatcher.waiting() == 0) {
+      auto call = makeCall(++job, at(0));
+      call.deadline = at(6000);
+      dispatcher.submit(call, at(0), effects);
+      if (grantIn(effects, job)) {
+        dispatcher.maySend(job, at(0));
+      }
+    }
+    effects.clear();
+    dispatcher.tick(at(500), effects);
+    return refusalIn(effects, job) ? refusalIn(effects, job)->retryAfter : Duration{};
+  };
+  BOOST_TEST(retryAfter(Millis(0)) > Duration{});
+  BOOST_TEST(retryAfter(Millis(0)) <= Millis(1375));
+  // Longer for a longer wait, but callers wait no longer than a third of their time.
+  BOOST_TEST(retryAfter(Seconds(20)) > Millis(1375));
+  BOOST_TEST(retryAfter(Seconds(20)) <= Millis(5500) / 3);
+}
+
 // Load pattern: a server of which the health check is good fails its requests.
 BOOST_AUTO_TEST_CASE(failing_server_is_left_for_others_and_tried_again)
 {
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -170,6 +170,7 @@
                                                                           : kDefaultOutputTokens);
   mJob.repeatable = mRoute->isRepeatable();
   mJob.streaming = isStream();
+  mJob.returned = aHead.timeLeft && mContext.callerTimes.isReturn(mRoute->id, *aHead.timeLeft);
   const auto left = std::min(aHead.timeLeft.value_or(kDefaultTimeLeft), mRoute->timeout);
   mJob.deadline = mJob.arrived + left;
   mJob.onTimeUntil = mJob.arrived + mRoute->target;
@@ -199,6 +200,7 @@
         .field("unread_tokens", aGrant.unread)
         .field("tier", mJob.tier)
         .field("waited_ms", toMillis(bootNow() - mJob.arrived))
+        .field("returned", static_cast<int>(mJob.returned))
         .field("config", mTable->version()),
       true);
   if (auto link = mContext.pool.takeIdle(aGrant.address)) {
