Report usage windows of instances that the store turns away or that end in an outage

Ruled out: late reports, lost claims (windows came in time, with figures too small).

Change: a window waits for those that told until shortly before it began, or until an outage; an instance that the store refuses gives its entry to another one, which writes it, or keeps it until the store is back.

The test window_does_not_wait_for_an_instance_that_is_gone is replaced: it demanded the report 4.5 s after the last word of an instance, which is the fault; the new one demands it in time to count, and at once for one gone long before. The two integration tests were not run against the old daemon.

--- a/include/mustardplank/control/board.hpp
+++ b/include/mustardplank/control/board.hpp
@@ -29,6 +29,9 @@
   /// The sender's time of day.
   std::int64_t wallMs = 0;
   bool leaving = false;
+  /// "ip:port" where the sender takes entries of instances that the store turns away; empty when
+  /// nowhere.
+  std::string address;
   /// Set when the sender holds the duties: the end of the log of claims.
   std::optional<std::uint64_t> leaseEnd;
   /// Cumulative figures of this incarnation, by usage window.
--- a/include/mustardplank/control/usage_windows.hpp
+++ b/include/mustardplank/control/usage_windows.hpp
@@ -58,6 +58,8 @@
   };
 
   std::int64_t endOf(std::uint64_t aWindow) const;
+  /// Whether the source may still tell of the window.
+  bool isAwaited(const Source& aSource, std::uint64_t aWindow, std::int64_t aWallMs) const;
   void forget();
 
   UsageWindowOptions mOptions;
@@ -66,6 +68,10 @@
   /// By window and (instance, incarnation).
   std::map<std::uint64_t, std::map<std::pair<InstanceId, std::uint64_t>, UsageCounts>> mTold;
   std::map<InstanceId, Source> mSources;
+  std::int64_t mNewestMs = 0;
+  /// The latest span in which no instance told anything: the store was out.
+  std::int64_t mOutFromMs = 0;
+  std::int64_t mOutToMs = 0;
   std::set<std::uint64_t> mDecided;
 };
 
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -26,6 +26,8 @@
   std::string metrics;
   std::string metricsPath = "/metrics";
   std::string readinessPath = "/readyz";
+  /// Where other instances post board entries, on the address of the metrics.
+  std::string boardPath = "/board";
   std::uint32_t maxConnections = 3000;
   std::size_t bufferedBytes = 256 * 1024;
   /// Lines of one in so many routine requests are written.
@@ -41,6 +43,9 @@
   std::function<void(const dispatch::CrashReport&)> crashed;
   /// Extra lines for the metrics page.
   std::function<std::string()> status;
+  /// An instance that the store turns away asks this one to write its board entry. Call aDone with
+  /// whether it is in the store.
+  std::function<void(std::string aEntry, std::function<void(bool)> aDone)> passOn;
 };
 
 /// Takes callers' requests, sends them where the dispatcher says and relays the answers. Runs on
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -90,6 +90,9 @@
       crashes.push_back(aReport);
     }
   };
+  outputs.passOn = [this](std::string aEntry, std::function<void(bool)> aDone) {
+    asio::co_spawn(io, writeFor(std::move(aEntry), std::move(aDone)), asio::detached);
+  };
   outputs.status = [this] { return statusText(); };
   return outputs;
 }
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -1,6 +1,7 @@
 #include "route_daemon_impl.hpp"
 
 #include "mustardplank/base/hash.hpp"
+#include "mustardplank/settings/parse.hpp"
 
 namespace mustardplank::daemon {
 
@@ -19,6 +20,15 @@
 constexpr Duration kHolderReadInterval = Millis(1000);
 constexpr Duration kBoardReadInterval = Millis(3000);
 constexpr Duration kBoardStep = Millis(250);
+/// How often an entry that the store refuses is given to another instance.
+constexpr Duration kPassOnInterval = Millis(1000);
+/// An append at the other instance and the way there and back.
+constexpr Duration kPassOnTimeout = Millis(800);
+/// Other instances that have told nothing for so long are not asked. Longer than the times for
+/// which the store turns single instances away, in which this one reads nothing of them.
+constexpr std::int64_t kTakerAgeMs = 15000;
+/// Entries of other instances that are kept for the return of the store.
+constexpr std::size_t kMaxHeldEntries = 64;
 
 }
 
@@ -31,6 +41,7 @@
   entry.incarnation = incarnation;
   entry.wallMs = wallMillis();
   entry.leaving = draining;
+  entry.address = settings.admin.text();
   if (lease.holds()) {
     entry.leaseEnd = lease.end();
   }
@@ -53,6 +64,13 @@
     return;
   }
   usage.apply(*entry);
+  if (entry->instance != settings.instance) {
+    auto& [heardMs, address] = entryTakers[entry->instance];
+    if (entry->wallMs >= heardMs) {
+      heardMs = entry->wallMs;
+      address = entry->leaving ? std::string() : entry->address;
+    }
+  }
   needs[entry->instance] = { entry->wallMs, entry->needs };
   noteHolder(*entry);
   for (const auto& it : entry->crashes) {
@@ -148,9 +166,20 @@
 RouteDaemon::Impl::tell(StoreClient& aStore)
 {
   auto entry = makeEntry();
-  std::vector<control::Record> records{ { 0, {}, control::encodeEntry(entry) } };
+  const auto text = control::encodeEntry(entry);
+  std::vector<control::Record> records{ { 0, {}, text } };
+  auto held = std::exchange(heldEntries, {});
+  for (auto& [id, bytes] : held) {
+    records.push_back({ 0, {}, bytes });
+  }
   const auto result = co_await aStore.append(Topic::Board, records, std::nullopt);
   if (const auto* failure = std::get_if<Failure>(&result)) {
+    // Entries that came meanwhile are newer.
+    heldEntries.merge(held);
+    const bool passedOn = co_await tellThroughOther(text);
+    if (passedOn) {
+      co_return true;
+    }
     usage.notTold(entry.windows);
     crashes.insert(crashes.end(), entry.crashes.begin(), entry.crashes.end());
     storeBoard.failed(failure->message);
@@ -160,6 +189,72 @@
   co_return true;
 }
 
+std::optional<settings::Address>
+RouteDaemon::Impl::otherInstance()
+{
+  std::vector<std::string> addresses;
+  for (const auto& [id, taker] : entryTakers) {
+    if (!taker.second.empty() && taker.first + kTakerAgeMs >= wallMillis()) {
+      addresses.push_back(taker.second);
+    }
+  }
+  if (addresses.empty()) {
+    return std::nullopt;
+  }
+  return settings::parseAddress(addresses[random() % addresses.size()]);
+}
+
+awaitable<bool>
+RouteDaemon::Impl::tellThroughOther(const std::string& aEntry)
+{
+  const auto now = bootNow();
+  const auto other = now < nextPassOn ? std::nullopt : otherInstance();
+  if (!other) {
+    co_return false;
+  }
+  nextPassOn = now + kPassOnInterval;
+  platform::HttpExchange exchange(endpointOf(*other));
+  platform::HttpCall call;
+  call.post = true;
+  call.target = gateway::GatewayOptions{}.boardPath;
+  call.body = aEntry;
+  call.contentType = "application/cbor";
+  call.timeout = kPassOnTimeout;
+  const auto answer = co_await exchange.call(std::move(call));
+  const auto* got = std::get_if<control::HttpAnswer>(&answer);
+  const bool written = got && got->status == 200;
+  LogEvent(LogLevel::Info, "board.passed_on")
+    .field("to", other->text())
+    .field("written", static_cast<int>(written))
+    .write();
+  co_return written;
+}
+
+awaitable<void>
+RouteDaemon::Impl::writeFor(std::string aEntry, std::function<void(bool)> aDone)
+{
+  Findings findings;
+  const auto entry = control::decodeEntry(aEntry, findings);
+  if (!entry) {
+    LogEvent(LogLevel::Warning, "board.entry_refused").field("detail", findings.text()).write();
+    aDone(false);
+    co_return;
+  }
+  bool written = false;
+  // While the store is lost here too, the entry is kept: its sender may end before the store
+  // returns.
+  if (!storeBoard.isLost()) {
+    auto store = client();
+    std::vector<control::Record> records{ { 0, {}, aEntry } };
+    const auto result = co_await store.append(Topic::Board, records, std::nullopt);
+    written = std::holds_alternative<control::AppendResult>(result);
+  }
+  if (!written && (heldEntries.size() < kMaxHeldEntries || heldEntries.contains(entry->instance))) {
+    heldEntries.insert_or_assign(entry->instance, std::move(aEntry));
+  }
+  aDone(written);
+}
+
 awaitable<void>
 RouteDaemon::Impl::readBoard(StoreClient& aStore, control::Offset& aNext)
 {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -21,6 +21,8 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <functional>
+#include <random>
 #include <set>
 
 namespace mustardplank::daemon {
@@ -118,6 +120,12 @@
   Duration tellInterval() const;
   awaitable<void> boardLoop();
   awaitable<bool> tell(StoreClient& aStore);
+  /// An instance to which the store may be open although it is not to this one.
+  std::optional<settings::Address> otherInstance();
+  /// Has another instance write the entry.
+  awaitable<bool> tellThroughOther(const std::string& aEntry);
+  /// Writes an entry of another instance.
+  awaitable<void> writeFor(std::string aEntry, std::function<void(bool)> aDone);
   awaitable<void> readBoard(StoreClient& aStore, control::Offset& aNext);
 
   // Duties.
@@ -168,6 +176,11 @@
   std::vector<dispatch::CrashReport> crashes;
   std::map<InstanceId, std::pair<std::int64_t, std::map<route::ServiceId, control::ServiceNeed>>>
     needs;
+  /// Where other instances take entries, and when they were last heard of, in Unix ms.
+  std::map<InstanceId, std::pair<std::int64_t, std::string>> entryTakers;
+  TimePoint nextPassOn{};
+  /// Entries of other instances that could not be written; the latest of each.
+  std::map<InstanceId, std::string> heldEntries;
   std::map<std::uint64_t, control::ReportIntent> unreported;
   std::set<std::uint64_t> reported;
   std::optional<control::Baseline> baseline;
@@ -184,6 +197,7 @@
   Dependency platformCalls{ "platform_calls" };
   bool draining = false;
 
+  std::minstd_rand random{ std::random_device{}() };
   asio::io_context io{ 1 };
   asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
   asio::steady_timer alarmTimer{ io };
--- a/src/mustardplank/control/board.cpp
+++ b/src/mustardplank/control/board.cpp
@@ -58,6 +58,7 @@
   entry.incarnation = aObject.at("n").get<std::uint64_t>();
   entry.wallMs = aObject.at("t").get<std::int64_t>();
   entry.leaving = aObject.value("l", false);
+  entry.address = aObject.value("a", std::string());
   if (aObject.contains("h")) {
     entry.leaseEnd = aObject.at("h").get<std::uint64_t>();
   }
@@ -87,6 +88,9 @@
   if (aEntry.leaving) {
     object["l"] = true;
   }
+  if (!aEntry.address.empty()) {
+    object["a"] = aEntry.address;
+  }
   if (aEntry.leaseEnd) {
     object["h"] = *aEntry.leaseEnd;
   }
--- a/src/mustardplank/control/board_test.cpp
+++ b/src/mustardplank/control/board_test.cpp
@@ -15,6 +15,7 @@
   entry.incarnation = 77;
   entry.wallMs = 123456789;
   entry.leaving = true;
+  entry.address = "10.1.0.1:7200";
   entry.leaseEnd = 5;
   entry.windows[9][OrganisationId("one")] = 3;
   entry.crashes.push_back({ 0xffffffffffffffffULL, BackendServerId("s") });
@@ -25,6 +26,7 @@
   BOOST_TEST(back->instance.str() == "a");
   BOOST_TEST(back->incarnation == 77U);
   BOOST_TEST(back->leaving);
+  BOOST_TEST(back->address == "10.1.0.1:7200");
   BOOST_TEST(back->leaseEnd.value() == 5U);
   BOOST_TEST(back->windows.at(9).at(OrganisationId("one")) == 3U);
   BOOST_TEST(back->crashes.at(0).digest == 0xffffffffffffffffULL);
--- a/src/mustardplank/control/usage_windows.cpp
+++ b/src/mustardplank/control/usage_windows.cpp
@@ -6,8 +6,13 @@
 
 namespace {
 
-/// An instance that has told nothing for so long is not waited for.
+/// An instance that has told nothing for so long does not count as live.
 constexpr std::int64_t kLiveMs = 4000;
+/// An instance that has told nothing for so long is not waited for: longer than the store turns
+/// single instances away or is out on the days seen (9 s).
+constexpr std::int64_t kWaitedMs = 10000;
+/// Longest time between two entries of a live instance, and the way to the store.
+constexpr std::int64_t kTellMs = 2700;
 /// Differences between the clocks of instances.
 constexpr std::int64_t kClockSlackMs = 150;
 /// Time that a report needs, kept of the time in which it is due.
@@ -70,6 +75,11 @@
 void
 UsageWindows::apply(const BoardEntry& aEntry)
 {
+  if (mNewestMs > 0 && aEntry.wallMs > mNewestMs + kLiveMs) {
+    mOutFromMs = mNewestMs;
+    mOutToMs = aEntry.wallMs;
+  }
+  mNewestMs = std::max(mNewestMs, aEntry.wallMs);
   auto& source = mSources[aEntry.instance];
   if (aEntry.wallMs >= source.wallMs) {
     source = { aEntry.domain, aEntry.incarnation, aEntry.wallMs, aEntry.leaving };
@@ -106,6 +116,23 @@
   mDecided.insert(aWindow);
 }
 
+bool
+UsageWindows::isAwaited(const Source& aSource, std::uint64_t aWindow, std::int64_t aWallMs) const
+{
+  const auto end = endOf(aWindow);
+  if (aSource.leaving || aSource.wallMs >= end + kClockSlackMs) {
+    return false;
+  }
+  const auto liveUntil = aSource.wallMs + kLiveMs;
+  const bool afterOutage = liveUntil >= mOutFromMs && aWallMs < mOutToMs + kLiveMs;
+  if (afterOutage && aSource.wallMs <= mOutToMs) {
+    return true;
+  }
+  // One that was silent before the window began has hardly counted anything in it.
+  const auto start = end - millisOf(mOptions.window);
+  return aSource.wallMs + kTellMs >= start && aSource.wallMs + kWaitedMs >= aWallMs;
+}
+
 std::vector<ReportIntent>
 UsageWindows::due(std::int64_t aWallMs) const
 {
@@ -116,12 +143,10 @@
     if (mDecided.contains(window) || aWallMs < end + kClockSlackMs || aWallMs >= last) {
       continue;
     }
-    const bool allTold = std::all_of(mSources.begin(), mSources.end(), [&](const auto& aItem) {
-      const auto& source = aItem.second;
-      return source.leaving || source.wallMs + kLiveMs < aWallMs ||
-             source.wallMs >= end + kClockSlackMs;
+    const bool awaited = std::any_of(mSources.begin(), mSources.end(), [&](const auto& aItem) {
+      return isAwaited(aItem.second, window, aWallMs);
     });
-    if (!allTold && aWallMs < last - kReportMs) {
+    if (awaited && aWallMs < last - kReportMs) {
       continue;
     }
     ReportIntent intent;
--- a/src/mustardplank/control/usage_windows_test.cpp
+++ b/src/mustardplank/control/usage_windows_test.cpp
@@ -55,14 +55,37 @@
 }
 
 // Guards against a window that is never reported as one instance has gone.
-BOOST_AUTO_TEST_CASE(window_does_not_wait_for_an_instance_that_is_gone)
+BOOST_AUTO_TEST_CASE(window_does_not_wait_for_ever_for_an_instance_that_is_gone)
 {
   UsageWindows usage({});
   const auto window = usage.windowOf(kStart);
-  usage.apply(entryOf("a", kStart + 8500, { { window, { { kOne, 4 } } } }));
+  for (int told = 1500; told <= 12500; told += 1000) {
+    usage.apply(entryOf("a", kStart + told, { { window, { { kOne, 4 } } } }));
+  }
   usage.apply(entryOf("b", kStart + 4000, { { window, { { kOne, 3 } } } }));
-  BOOST_TEST(usage.due(kStart + 7000).empty());
-  BOOST_TEST(usage.due(kStart + 8600).size() == 1U);
+  BOOST_TEST(usage.due(kStart + 12400).empty());
+  BOOST_TEST(usage.due(kStart + 12600).size() == 1U);
+  // One that was gone long before is not waited for at all.
+  UsageWindows later({});
+  later.apply(entryOf("a", kStart + 5300, { { window, { { kOne, 4 } } } }));
+  later.apply(entryOf("b", kStart - 5000, {}));
+  BOOST_TEST(later.due(kStart + 5400).size() == 1U);
+}
+
+// Guards against a window reported without most of its requests: after an outage of the store the
+// first instance that told counted as the only one (186 of 356 requests on day trouble-3).
+BOOST_AUTO_TEST_CASE(window_waits_for_those_that_could_not_tell_during_an_outage)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStart);
+  usage.apply(entryOf("a", kStart - 1500, {}));
+  usage.apply(entryOf("b", kStart - 1400, {}));
+  usage.apply(entryOf("a", kStart + 6500, { { window, { { kOne, 4 } } } }));
+  BOOST_TEST(usage.due(kStart + 6600).empty());
+  usage.apply(entryOf("b", kStart + 7300, { { window, { { kOne, 5 } } } }));
+  const auto due = usage.due(kStart + 7400);
+  BOOST_TEST_REQUIRE(due.size() == 1U);
+  BOOST_TEST(due[0].counts.at(kOne) == 9U);
 }
 
 // Guards against figures that fall or double when records come late or twice.
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -106,6 +106,17 @@
     return { 404, "not found\n" };
   }
 
+  void takePost(const std::string& aPath, std::string aBody, const PageServer::Done& aDone)
+  {
+    if (aPath != context.options.boardPath || !context.outputs.passOn) {
+      aDone({ 404, "not found\n" });
+      return;
+    }
+    context.outputs.passOn(std::move(aBody), [aDone](bool aWritten) {
+      aDone(aWritten ? Page{ 200, "written\n" } : Page{ 503, "not written\n" });
+    });
+  }
+
   std::shared_ptr<Context> owner;
   Context& context;
   std::optional<Acceptor> acceptor;
@@ -145,7 +156,11 @@
     mImpl->metricsServer.emplace(
       context.io,
       endpointOf(context.options.metrics),
-      [impl = mImpl.get()](const std::string& aPath) { return impl->metricsPage(aPath); });
+      [impl = mImpl.get()](const std::string& aPath) { return impl->metricsPage(aPath); },
+      [impl =
+         mImpl.get()](const std::string& aPath, std::string aBody, const PageServer::Done& aDone) {
+        impl->takePost(aPath, std::move(aBody), aDone);
+      });
   }
   mImpl->accept();
 }
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -32,6 +32,24 @@
   }
 }
 
+/// Requests of the first organisation in all usage windows reported.
+std::uint64_t
+usageReported(RouteDeployment& aDeployment)
+{
+  std::map<std::uint64_t, std::uint64_t> windows;
+  for (const auto& it : aDeployment.store().dutyCalls()) {
+    if (it.path == "/usage") {
+      windows[it.body.at("windowId").get<std::uint64_t>()] =
+        it.body.at("counts").value("one", std::uint64_t(0));
+    }
+  }
+  std::uint64_t sum = 0;
+  for (const auto& [window, requests] : windows) {
+    sum += requests;
+  }
+  return sum;
+}
+
 }
 
 // Guards against a key or a route that works on after it was taken away, also on a connection that
@@ -182,6 +200,39 @@
   BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
 }
 
+// Guards against usage that is missed while the store turns one instance away and serves the
+// others.
+BOOST_AUTO_TEST_CASE(routes_usage_of_an_instance_turned_away_reaches_the_store)
+{
+  RouteDeployment deployment(1, 3);
+  deployment.restartOnOtherAddress(2);
+  std::this_thread::sleep_for(Millis(4500));
+  deployment.store().turnAway(true);
+  constexpr int kCalls = 20;
+  for (int i = 0; i < kCalls; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok"), 2) == 200U);
+    std::this_thread::sleep_for(Millis(100));
+  }
+  BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= kCalls; }));
+}
+
+// Guards against usage that is lost with an instance that ends while the store is out.
+BOOST_AUTO_TEST_CASE(routes_usage_of_an_instance_that_ends_in_an_outage_is_reported)
+{
+  RouteDeployment deployment(1, 3);
+  std::this_thread::sleep_for(Millis(4500));
+  deployment.store().setDown(true);
+  constexpr int kCalls = 15;
+  for (int i = 0; i < kCalls; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok"), 2) == 200U);
+    std::this_thread::sleep_for(Millis(50));
+  }
+  std::this_thread::sleep_for(Millis(1500));
+  deployment.instance(2).kill();
+  deployment.store().setDown(false);
+  BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= kCalls; }));
+}
+
 // Guards against usage that is lost, reported twice with other figures, or by two holders, while
 // the holder is killed and answers of the store are lost.
 BOOST_AUTO_TEST_CASE(routes_usage_of_a_window_is_reported_once)
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -154,13 +154,14 @@
 void
 RouteDeployment::startInstance(std::size_t aIndex)
 {
+  const auto& store = mOnOtherAddress.contains(aIndex) ? mStore->otherAddress() : mStore->address();
   const json settings{ { "mode", "routes" },
                        { "instance", "instance" + std::to_string(aIndex) },
                        { "failure_domain", "fd-a" },
                        { "callers", mCallers.at(aIndex) },
                        { "readiness", mReadiness.at(aIndex) },
                        { "admin", freeAddress() },
-                       { "store", mStore->address() },
+                       { "store", store },
                        { "orders", mStore->address() },
                        { "log_sampling", 1 },
                        { "bounds",
@@ -175,6 +176,15 @@
     mFolder + "/instance" + std::to_string(aIndex));
 }
 
+void
+RouteDeployment::restartOnOtherAddress(std::size_t aIndex)
+{
+  mOnOtherAddress.insert(aIndex);
+  mInstances.at(aIndex)->kill();
+  startInstance(aIndex);
+  awaitServing();
+}
+
 void
 RouteDeployment::configure(const std::string& aKeyOfOne, bool aWithPlain)
 {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -76,6 +77,8 @@
   std::string settingsFile(std::size_t aIndex) const;
 
   void startInstance(std::size_t aIndex);
+  /// Ends an instance and starts it with the store's second address.
+  void restartOnOtherAddress(std::size_t aIndex);
   /// Writes a configuration; version rises with each call.
   void configure(const std::string& aKeyOfOne = "key-one", bool aWithPlain = true);
   void writeServer(std::size_t aIndex,
@@ -90,6 +93,7 @@
   std::size_t arrivals(const std::string& aAttempt) const;
 
 private:
+  std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
   std::unique_ptr<StoreStandin> mStore;
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -71,6 +71,32 @@
   mAddress = standins::serveHttp(aIo, "127.0.0.1:0", [this](SocketPtr aSocket, Request& aRequest) {
     return handle(std::move(aSocket), aRequest);
   });
+  mOtherAddress =
+    standins::serveHttp(aIo, "127.0.0.1:0", [this](SocketPtr aSocket, Request& aRequest) {
+      return handleOther(std::move(aSocket), aRequest);
+    });
+}
+
+void
+StoreStandin::turnAway(bool aAway)
+{
+  const std::lock_guard lock(mMutex);
+  mAway = aAway;
+}
+
+Awaitable<bool>
+StoreStandin::handleOther(SocketPtr aSocket, Request& aRequest)
+{
+  bool away = false;
+  {
+    const std::lock_guard lock(mMutex);
+    away = mAway;
+  }
+  if (away) {
+    auto body = standins::errorBody("turned away");
+    co_return co_await standins::respond(aSocket, aRequest, 503, std::move(body));
+  }
+  co_return co_await handle(aSocket, aRequest);
 }
 
 void
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -22,6 +22,10 @@
   explicit StoreStandin(boost::asio::io_context& aIo);
 
   const std::string& address() const { return mAddress; }
+  /// A second address of the same store, which turnAway() closes alone.
+  const std::string& otherAddress() const { return mOtherAddress; }
+  /// While turned away, calls at the second address get 503.
+  void turnAway(bool aAway);
 
   /// Writes a keyed record; nothing as the value removes the key.
   void put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue);
@@ -58,6 +62,7 @@
   };
 
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<bool> handleOther(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> read(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> append(standins::SocketPtr aSocket, standins::Request& aRequest);
   std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
@@ -70,8 +75,10 @@
   std::vector<DutyCall> mDutyCalls;
   bool mDown = false;
   bool mSilent = false;
+  bool mAway = false;
   int mLoseAnswers = 0;
   std::string mAddress;
+  std::string mOtherAddress;
 };
 
 }
