--- a/bench/dispatch/dispatch_bench.cpp
+++ b/bench/dispatch/dispatch_bench.cpp
@@ -137,6 +137,11 @@
       dispatcher.ended(id, JobOutcome::Finished, kStart + Millis(200), effects);
     });
   }
+  measure("all_servers_register", aServers, 1, [&](int) {
+    auto fresh = dispatcherOf(aServers);
+    Effects none;
+    fresh.submit(jobOf(1, true, kStart), kStart, none);
+  });
   measure("entry_renewed", aServers, kRounds, [&](int aRound) {
     dispatcher.serverSeen(serverOf(static_cast<std::size_t>(aRound) % aServers), kStart);
   });
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -154,9 +154,12 @@
     bool aheadEmpty = false;
   };
 
+  /// With lists of servers that are up to date.
   ServiceState& serviceState(const route::ServiceId& aId);
+  ServiceState& stateOf(const route::ServiceId& aId);
   void divide(ServiceState& aService);
-  void rebuildLists();
+  /// Makes the services' lists of servers anew if a server has come, gone or changed.
+  void refreshLists();
   bool isUsable(const ServerState& aServer) const;
   PlacementInput inputFor(const Job& aJob, ServiceState& aService, TimePoint aNow) const;
   std::optional<Choice> pick(const Job& aJob, TimePoint aNow);
@@ -184,6 +187,7 @@
   route::RouteTablePtr mTable;
   std::map<BackendServerId, std::unique_ptr<ServerState>> mServers;
   std::map<route::ServiceId, ServiceState> mServices;
+  bool mListsStale = false;
   std::set<FailureDomainId> mEvacuated;
   std::size_t mInstances = 1;
   std::unordered_map<JobId, GrantedJob> mGranted;
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -43,11 +43,18 @@
 Dispatcher::setConfig(route::RouteTablePtr aTable)
 {
   mTable = std::move(aTable);
-  rebuildLists();
+  mListsStale = true;
 }
 
 Dispatcher::ServiceState&
 Dispatcher::serviceState(const route::ServiceId& aId)
+{
+  refreshLists();
+  return stateOf(aId);
+}
+
+Dispatcher::ServiceState&
+Dispatcher::stateOf(const route::ServiceId& aId)
 {
   const auto it = mServices.find(aId);
   if (it != mServices.end()) {
@@ -87,7 +94,7 @@
   known->server = aServer;
   known->coldUntil = aNow + aServer.coldFor;
   if (moved) {
-    rebuildLists();
+    mListsStale = true;
   }
 }
 
@@ -95,7 +102,7 @@
 Dispatcher::serverGone(const BackendServerId& aId)
 {
   if (mServers.erase(aId) > 0) {
-    rebuildLists();
+    mListsStale = true;
   }
 }
 
@@ -103,7 +110,7 @@
 Dispatcher::setEvacuated(std::set<FailureDomainId> aDomains)
 {
   mEvacuated = std::move(aDomains);
-  rebuildLists();
+  mListsStale = true;
 }
 
 void
@@ -119,8 +126,14 @@
 }
 
 void
-Dispatcher::rebuildLists()
+Dispatcher::refreshLists()
 {
+  // Load pattern: thousands of servers that register within seconds. The lists are made once for
+  // all that came together.
+  if (!mListsStale) {
+    return;
+  }
+  mListsStale = false;
   for (auto& [id, service] : mServices) {
     service.servers.clear();
   }
@@ -133,7 +146,7 @@
       }
     }
     if (isUsable(*server)) {
-      serviceState(server->server.service).servers.push_back(server.get());
+      stateOf(server->server.service).servers.push_back(server.get());
     }
   }
   for (auto& [id, service] : mServices) {
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -165,6 +165,7 @@
 std::map<route::ServiceId, ServiceNeed>
 Dispatcher::takeNeeds(TimePoint aNow)
 {
+  refreshLists();
   std::map<route::ServiceId, ServiceNeed> needs;
   const double elapsed = std::max(1.0, toMillis(aNow - mNeedsTaken));
   for (auto& [id, service] : mServices) {
