--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -70,6 +70,9 @@
 {
   LogAppend,
   LogAppendFailure,
+  LogRead,
+  LogReadFailure,
+  EntryPassedOn,
   LogRecordSkipped,
   OwnerChange,
   ServerOrder,
@@ -80,9 +83,12 @@
   RefusedConnection,
 };
 
-inline constexpr NameTable<Event, 10> kEventNames{ { {
+inline constexpr NameTable<Event, 13> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
+  { Event::LogRead, "log_reads" },
+  { Event::LogReadFailure, "log_read_failures" },
+  { Event::EntryPassedOn, "board_entries_passed_on" },
   { Event::LogRecordSkipped, "log_records_skipped" },
   { Event::OwnerChange, "owner_changes" },
   { Event::ServerOrder, "server_orders" },
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -314,7 +314,8 @@
          "somebody else's change.\n\"mustardplankctl COMMAND --help\" explains one command. Start "
          "with \"mustardplankctl status\".\n\"mustardplankctl explain ID FILE...\" names the cause "
          "of a "
-         "failed request from saved logs of mode \"routes\".\n";
+         "failed request from saved logs of mode \"routes\"; \"mustardplankctl status --instance "
+         "IP:PORT\" asks one instance of that mode.\n";
 }
 
 std::string
--- a/src/ctl/run.cpp
+++ b/src/ctl/run.cpp
@@ -1,6 +1,7 @@
 #include "run.hpp"
 
 #include "explain.hpp"
+#include "instance_status.hpp"
 
 #include <utility>
 
@@ -54,6 +55,9 @@
   if (!aArguments.empty() && aArguments.front() == "explain") {
     return runExplain(aArguments, aOut, aErrors);
   }
+  if (aArguments.size() >= 2 && aArguments[0] == "status" && aArguments[1] == "--instance") {
+    return runInstanceStatus(aArguments, aOut, aErrors);
+  }
   return leaf::try_handle_all(
     [&]() -> leaf::result<ExitCode> { return tryRun(aArguments, aEnvironment, aOut, aErrors); },
     [&](const CtlError& aError) {
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -178,11 +178,16 @@
 {
   std::ostringstream out;
   out << "config " << (table ? table->version() : 0) << "\n"
-      << "active " << gateway.active() << " waiting " << dispatcher.waiting() << "\n"
+      << "active " << gateway.active() << " waiting " << dispatcher.waiting() << " draining "
+      << (draining ? "yes" : "no") << "\n"
+      << "instances " << usage.live(wallMillis()).size() << " shares divided by " << mostInstances
+      << "\n"
       << "lease " << (lease.holds() ? "held" : "not held") << " end " << lease.end() << "\n"
       << "store config " << (storeConfig.isLost() ? "lost" : "ok") << " servers "
       << (storeServers.isLost() ? "lost" : "ok") << " board "
-      << (storeBoard.isLost() ? "lost" : "ok") << "\n";
+      << (storeBoard.isLost() ? "lost" : "ok") << " entries kept for others " << heldEntries.size()
+      << "\n"
+      << "duty calls " << (platformCalls.isLost() ? "lost" : "ok") << "\n";
   for (const auto& it : dispatcher.servers(bootNow())) {
     out << "server " << it.id.str() << " service " << it.service.str() << " domain "
         << it.domain.str() << " state " << it.state << " running " << it.running << "\n";
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -223,6 +223,9 @@
   const auto answer = co_await exchange.call(std::move(call));
   const auto* got = std::get_if<control::HttpAnswer>(&answer);
   const bool written = got && got->status == 200;
+  if (written) {
+    metrics.count(metrics::Event::EntryPassedOn);
+  }
   LogEvent(LogLevel::Info, "board.passed_on")
     .field("to", other->text())
     .field("written", static_cast<int>(written))
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -59,6 +59,7 @@
     LogEvent(LogLevel::Info, lease.holds() ? "lease.taken" : "lease.lost")
       .field("end", lease.end())
       .write();
+    metrics.count(metrics::Event::OwnerChange);
     metrics.set(metrics::Gauge::LeasesHeld, lease.holds() ? 1 : 0);
     boardDue = true;
   }
@@ -142,6 +143,7 @@
     }
     unreported.erase(window);
     reported.insert(window);
+    metrics.count(metrics::Event::UsageReport);
     LogEvent(LogLevel::Info, "usage.reported")
       .field("window", window)
       .field("fence", who->fence)
@@ -326,6 +328,7 @@
     auto call = adapter::storeDialect().order(it, *who);
     const auto answer = co_await callDuty(aExchange, std::move(call));
     orders.answered(it, answer, bootNow());
+    metrics.count(metrics::Event::ServerOrder);
     LogEvent(LogLevel::Info, "servers.ordered")
       .field("service", it.service.str())
       .field("domain", it.domain.str())
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -87,7 +87,7 @@
 struct RouteDaemon::Impl
 {
   explicit Impl(settings::RouteSettings aSettings);
-  StoreClient client() { return { endpointOf(settings.store), adapter::storeDialect() }; }
+  StoreClient client() { return { endpointOf(settings.store), adapter::storeDialect(), metrics }; }
   gateway::GatewayOutputs makeOutputs();
 
   // Alarms.
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -9,8 +9,10 @@
 StoreClient::read(control::Topic aTopic, control::Offset aFrom, Duration aWait)
 {
   auto call = mDialect.read(aTopic, aFrom, aWait);
+  mMetrics.count(metrics::Event::LogRead);
   const auto answer = co_await mExchange.call(std::move(call));
   if (const auto* failure = std::get_if<Failure>(&answer)) {
+    mMetrics.count(metrics::Event::LogReadFailure);
     co_return *failure;
   }
   co_return mDialect.decodeRead(aTopic, aFrom, std::get<control::HttpAnswer>(answer));
@@ -24,8 +26,10 @@
   bool first = true;
   do {
     auto call = mDialect.newest(aTopic, after);
+    mMetrics.count(metrics::Event::LogRead);
     const auto answer = co_await mExchange.call(std::move(call));
     if (const auto* failure = std::get_if<Failure>(&answer)) {
+      mMetrics.count(metrics::Event::LogReadFailure);
       co_return *failure;
     }
     auto page = mDialect.decodeNewest(std::get<control::HttpAnswer>(answer));
@@ -55,8 +59,10 @@
                     std::optional<control::Offset> aAt)
 {
   auto call = mDialect.append(aTopic, aRecords, aAt);
+  mMetrics.count(metrics::Event::LogAppend);
   const auto answer = co_await mExchange.call(std::move(call));
   if (const auto* failure = std::get_if<Failure>(&answer)) {
+    mMetrics.count(metrics::Event::LogAppendFailure);
     co_return *failure;
   }
   co_return mDialect.decodeAppend(std::get<control::HttpAnswer>(answer));
--- a/src/daemon/store_client.hpp
+++ b/src/daemon/store_client.hpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/base/clock.hpp"
 #include "mustardplank/control/store.hpp"
+#include "mustardplank/metrics/metrics.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -29,9 +30,12 @@
 class StoreClient
 {
 public:
-  StoreClient(boost::asio::ip::tcp::endpoint aEndpoint, const control::StoreDialect& aDialect)
+  StoreClient(boost::asio::ip::tcp::endpoint aEndpoint,
+              const control::StoreDialect& aDialect,
+              metrics::Metrics& aMetrics)
     : mExchange(std::move(aEndpoint))
     , mDialect(aDialect)
+    , mMetrics(aMetrics)
   {
   }
 
@@ -49,6 +53,7 @@
 private:
   platform::HttpExchange mExchange;
   const control::StoreDialect& mDialect;
+  metrics::Metrics& mMetrics;
 };
 
 }
