--- a/src/ctl/instance_status.cpp
+++ b/src/ctl/instance_status.cpp
@@ -45,11 +45,11 @@
   beast::error_code error;
   // Timeouts of a stream hold for asynchronous calls only.
   stream.expires_after(kTimeout);
-  const auto finish = [&](beast::error_code ec, std::size_t) { error = ec; };
+  const auto finish = [&](beast::error_code aError, std::size_t) { error = aError; };
   stream.async_connect(
-    { asio::ip::make_address_v4(address->ip), address->port }, [&](beast::error_code ec) {
-      error = ec;
-      if (ec) {
+    { asio::ip::make_address_v4(address->ip), address->port }, [&](beast::error_code aError) {
+      error = aError;
+      if (aError) {
         return;
       }
       http::async_write(stream, request, [&](beast::error_code aWritten, std::size_t) {
--- a/src/mustardplank/control/usage_windows.cpp
+++ b/src/mustardplank/control/usage_windows.cpp
@@ -143,9 +143,10 @@
     if (mDecided.contains(window) || aWallMs < end + kClockSlackMs || aWallMs >= last) {
       continue;
     }
-    const bool awaited = std::any_of(mSources.begin(), mSources.end(), [&](const auto& aItem) {
-      return isAwaited(aItem.second, window, aWallMs);
-    });
+    const bool awaited =
+      std::any_of(mSources.begin(), mSources.end(), [&, number = window](const auto& aItem) {
+        return isAwaited(aItem.second, number, aWallMs);
+      });
     if (awaited && aWallMs < last - kReportMs) {
       continue;
     }
