Ask a lost store at growing pauses

Change: 200 ms after a first failure, then doubled up to 1 s. An older entry that another instance kept no longer replaces newer needs.

--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -71,7 +71,9 @@
       address = entry->leaving ? std::string() : entry->address;
     }
   }
-  needs[entry->instance] = { entry->wallMs, entry->needs };
+  if (auto& known = needs[entry->instance]; entry->wallMs >= known.first) {
+    known = { entry->wallMs, entry->needs };
+  }
   noteHolder(*entry);
   for (const auto& it : entry->crashes) {
     dispatcher.reportCrash(it, bootNow());
@@ -138,6 +140,7 @@
 RouteDaemon::Impl::boardLoop()
 {
   auto store = client();
+  RetryPause retryPause(kRetryPause, kMostRetryPause);
   control::Offset next = 0;
   TimePoint lastTold{};
   TimePoint lastRead{};
@@ -148,9 +151,10 @@
       boardDue = false;
       const bool told = co_await tell(store);
       if (!told) {
-        co_await pauseFor(kRetryPause);
+        co_await pauseFor(retryPause.next());
         continue;
       }
+      retryPause.reset();
       lastTold = now;
     }
     const auto interval = lease.holds() ? kHolderReadInterval : kBoardReadInterval;
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -6,6 +6,7 @@
 #include "mustardplank/base/alarm_queue.hpp"
 #include "mustardplank/base/clock.hpp"
 #include "mustardplank/base/log_event.hpp"
+#include "mustardplank/base/retry_pause.hpp"
 #include "mustardplank/control/board.hpp"
 #include "mustardplank/control/duty_lease.hpp"
 #include "mustardplank/control/server_orders.hpp"
@@ -33,8 +34,10 @@
 using control::FailureKind;
 using control::Topic;
 
-/// Pause after a call that failed.
+/// Pause after a call that failed, and the longest one in an outage: the return of the store is
+/// noticed within a second, the bounds on changes count from three seconds after it.
 inline constexpr Duration kRetryPause = Millis(200);
+inline constexpr Duration kMostRetryPause = Millis(1000);
 
 inline asio::ip::tcp::endpoint
 endpointOf(const settings::Address& aAddress)
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -82,17 +82,19 @@
 RouteDaemon::Impl::followOperators()
 {
   auto store = client();
+  RetryPause retryPause(kRetryPause, kMostRetryPause);
   std::optional<control::Offset> next;
   for (;;) {
     if (!next) {
       auto page = co_await store.newest(Topic::Operators);
       if (auto* records = std::get_if<control::NewestPage>(&page)) {
         storeConfig.succeeded();
+        retryPause.reset();
         replaceOperators(records->records);
         next = records->end;
       } else {
         storeConfig.failed(std::get<Failure>(page).message);
-        co_await pauseFor(kRetryPause);
+        co_await pauseFor(retryPause.next());
       }
       continue;
     }
@@ -101,6 +103,7 @@
     auto chunk = co_await store.read(Topic::Operators, *next, wait);
     if (auto* records = std::get_if<control::Chunk>(&chunk)) {
       storeConfig.succeeded();
+      retryPause.reset();
       for (const auto& it : records->records) {
         applyOperator(it);
         next = it.offset + 1;
@@ -113,7 +116,7 @@
       continue;
     }
     storeConfig.failed(failure.message);
-    co_await pauseFor(kRetryPause);
+    co_await pauseFor(retryPause.next());
   }
 }
 
@@ -166,6 +169,7 @@
 RouteDaemon::Impl::followServers()
 {
   auto store = client();
+  RetryPause retryPause(kRetryPause, kMostRetryPause);
   const auto& dialect = store.dialect();
   std::optional<control::Offset> next;
   for (;;) {
@@ -174,12 +178,13 @@
       if (auto* records = std::get_if<control::NewestPage>(&page)) {
         const auto now = bootNow();
         storeServers.succeeded();
+        retryPause.reset();
         registry.readSucceeded(now);
         applyServers(registry.replace(records->records, dialect, now));
         next = records->end;
       } else {
         storeServers.failed(std::get<Failure>(page).message);
-        co_await pauseFor(kRetryPause);
+        co_await pauseFor(retryPause.next());
       }
       continue;
     }
@@ -188,6 +193,7 @@
     if (auto* records = std::get_if<control::Chunk>(&chunk)) {
       const auto now = bootNow();
       storeServers.succeeded();
+      retryPause.reset();
       registry.readSucceeded(now);
       applyServers(registry.apply(records->records, dialect, now));
       if (!records->records.empty()) {
@@ -202,7 +208,7 @@
       continue;
     }
     storeServers.failed(failure.message);
-    co_await pauseFor(kRetryPause);
+    co_await pauseFor(retryPause.next());
   }
 }
 
