Take ages from the boot clock and windows from a time shared by the instances

A clock that jumps ahead made updates of the holder of the duties look seconds old, so that another instance claimed a lease that was held (fences 32 then 1, holders A, B, A); usage was counted in wrong windows. Ruled out: expired records (offsets of the claims log never fall) and the incarnation.

Change: an update counts from the moment it was read; leases observe the end of the claims log then, which can only delay a claim. SharedClock advances with the boot clock, follows small corrections of the local time and takes the median of three other instances' times (GET /clock). Incarnations are random; updates carry a sequence number.

--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -25,10 +25,12 @@
 {
   InstanceId instance;
   FailureDomainId domain;
-  /// Differs for each start of the process.
+  /// Random for each start of the process, as its time of day may be that of an earlier start.
   std::uint64_t incarnation = 0;
-  /// The sender's wall clock, in Unix milliseconds.
-  std::int64_t wallMs = 0;
+  /// Rises with each update of an incarnation; updates may arrive late or in another order.
+  std::uint64_t sequence = 0;
+  /// The sender's SharedClock, in Unix milliseconds: its counts of earlier windows are complete.
+  std::int64_t countedToMs = 0;
   /// The sender is shutting down.
   bool leaving = false;
   /// "ip:port" at which the sender accepts the updates of instances whose calls the store rejects,
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -29,6 +29,8 @@
   /// Path on adminAddress to which other instances POST board entries: status records that
   /// instances share through the store.
   std::string boardPath = "/board";
+  /// Path on adminAddress at which other instances GET the shared time.
+  std::string clockPath = "/clock";
   /// Further caller connections are closed when accepted.
   std::uint32_t maxCallerConnections = 3000;
   /// Unsent bytes for one caller above which reading from its backend server is paused.
@@ -49,6 +51,8 @@
   std::function<void(const dispatch::CrashReport&)> onConnectionLost;
   /// Text of the /status page.
   std::function<std::string()> makeStatusPage;
+  /// Time of day on which the instances agree, in Unix milliseconds.
+  std::function<std::int64_t()> sharedTimeMs;
   /// Writes the board entry of another instance whose own writes the store rejects. aDone must be
   /// called with whether the entry is in the store.
   std::function<void(std::string aEntry, std::function<void(bool)> aDone)> writeBoardEntry;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -48,6 +48,13 @@
   return options;
 }
 
+std::uint64_t
+randomId()
+{
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1)(device);
+}
+
 control::DutyLeaseOptions
 leaseOptions(const settings::RouteSettings& aSettings)
 {
@@ -61,7 +68,7 @@
 
 RouteDaemon::Impl::Impl(settings::RouteSettings aSettings)
   : settings(std::move(aSettings))
-  , incarnation(static_cast<std::uint64_t>(wallMillis()))
+  , incarnation(randomId())
   , dispatcher(dispatcherOptions(settings))
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
@@ -82,7 +89,7 @@
 {
   gateway::GatewayCallbacks callbacks;
   callbacks.onResponseStarted = [this](const OrganisationId& aOrganisation) {
-    usage.count(aOrganisation, wallMillis());
+    usage.count(aOrganisation, clock.now(bootNow()));
   };
   callbacks.onConnectionLost = [this](const dispatch::CrashReport& aReport) {
     dispatcher.reportCrash(aReport, bootNow());
@@ -94,6 +101,7 @@
     asio::co_spawn(io, writeFor(std::move(aEntry), std::move(aDone)), asio::detached);
   };
   callbacks.makeStatusPage = [this] { return statusText(); };
+  callbacks.sharedTimeMs = [this] { return clock.now(bootNow()); };
   return callbacks;
 }
 
@@ -180,7 +188,7 @@
   out << "config " << (table ? table->version() : 0) << "\n"
       << "active " << gateway.activeRequestCount() << " waiting " << dispatcher.waitingCount()
       << " draining " << (draining ? "yes" : "no") << "\n"
-      << "instances " << usage.liveInstances(wallMillis()).size() << " shares divided by "
+      << "instances " << usage.liveInstances(bootNow()).size() << " shares divided by "
       << mostInstances << "\n"
       << "lease " << (lease.holdsDuties() ? "held" : "not held") << " end " << lease.logEnd()
       << "\n"
@@ -208,6 +216,7 @@
   spawn(followOperators());
   spawn(followServers());
   spawn(boardLoop());
+  spawn(clockLoop());
   spawn(leaseLoop());
   spawn(usageLoop());
   spawn(orderLoop());
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -3,6 +3,8 @@
 #include "mustardplank/base/hash.hpp"
 #include "mustardplank/settings/parse.hpp"
 
+#include <charconv>
+
 namespace mustardplank::daemon {
 
 namespace {
@@ -24,9 +26,14 @@
 constexpr Duration kPassOnInterval = Millis(1000);
 /// An append at the other instance and the way there and back.
 constexpr Duration kPassOnTimeout = Millis(800);
-/// Other instances that have told nothing for so long are not asked. Longer than the times for
-/// which the store turns single instances away, in which this one reads nothing of them.
-constexpr std::int64_t kTakerAgeMs = 15000;
+/// Other instances of which nothing was read for this long are not asked to relay. Longer than the
+/// times for which the store turns single instances away, in which this one reads no updates.
+constexpr Duration kRelayMemory = Seconds(15);
+/// How often the shared clock is compared with that of other instances, and with how many of them.
+constexpr Duration kClockInterval = Seconds(5);
+constexpr Duration kFirstClockInterval = Millis(100);
+constexpr std::size_t kClockPeers = 3;
+constexpr Duration kClockTimeout = Millis(400);
 /// Entries of other instances that are kept for the return of the store.
 constexpr std::size_t kMaxHeldEntries = 64;
 
@@ -39,7 +46,8 @@
   entry.instance = settings.instance;
   entry.domain = settings.failureDomain;
   entry.incarnation = incarnation;
-  entry.wallMs = wallMillis();
+  entry.sequence = ++updateCount;
+  entry.countedToMs = clock.now(bootNow());
   entry.leaving = draining;
   entry.relayAddress = settings.admin.text();
   if (lease.holdsDuties()) {
@@ -63,41 +71,37 @@
       .write();
     return;
   }
-  usage.apply(*entry);
+  const auto now = bootNow();
+  usage.apply(*entry, now);
   if (entry->instance != settings.instance) {
-    auto& [heardMs, address] = entryTakers[entry->instance];
-    if (entry->wallMs >= heardMs) {
-      heardMs = entry->wallMs;
-      address = entry->leaving ? std::string() : entry->relayAddress;
-    }
-  }
-  if (auto& known = needs[entry->instance]; entry->wallMs >= known.first) {
-    known = { entry->wallMs, entry->needs };
+    relays[entry->instance] = { now, entry->leaving ? std::string() : entry->relayAddress };
   }
-  noteHolder(*entry);
+  needs[entry->instance] = { now, entry->needs };
+  noteHolder(*entry, now);
   for (const auto& it : entry->crashes) {
-    dispatcher.reportCrash(it, bootNow());
+    dispatcher.reportCrash(it, now);
   }
 }
 
 void
-RouteDaemon::Impl::noteHolder(const control::InstanceUpdate& aEntry)
+RouteDaemon::Impl::noteHolder(const control::InstanceUpdate& aEntry, TimePoint aNow)
 {
-  const auto age = Millis(std::max<std::int64_t>(wallMillis() - aEntry.wallMs, 0));
   if (aEntry.instance == settings.instance || !aEntry.claimsLogEnd) {
     return;
   }
+  // The update may be old, but its age is known to no clock: counted as new, it delays a claim and
+  // never allows one too early.
   if (aEntry.leaving) {
-    lease.observeRelease(*aEntry.claimsLogEnd, bootNow() - age);
+    lease.observeRelease(*aEntry.claimsLogEnd, aNow);
   } else {
-    lease.observeEnd(*aEntry.claimsLogEnd, bootNow() - age);
+    lease.observeEnd(*aEntry.claimsLogEnd, aNow);
   }
 }
 
 void
 RouteDaemon::Impl::countInstances()
 {
-  auto live = usage.liveInstances(wallMillis());
+  auto live = usage.liveInstances(bootNow());
   live[settings.instance] = settings.failureDomain;
   lease.setRank(std::min(rankAmong(live), kMostRank));
   // Those that are cut off from the store send requests too: shares follow the largest number
@@ -197,9 +201,9 @@
 RouteDaemon::Impl::otherInstance()
 {
   std::vector<std::string> addresses;
-  for (const auto& [id, taker] : entryTakers) {
-    if (!taker.second.empty() && taker.first + kTakerAgeMs >= wallMillis()) {
-      addresses.push_back(taker.second);
+  for (const auto& [id, relay] : relays) {
+    if (!relay.address.empty() && relay.receivedAt + kRelayMemory >= bootNow()) {
+      addresses.push_back(relay.address);
     }
   }
   if (addresses.empty()) {
@@ -279,4 +283,59 @@
   countInstances();
 }
 
+awaitable<void>
+RouteDaemon::Impl::clockLoop()
+{
+  for (;;) {
+    if (clock.observeLocal(wallMillis(), bootNow())) {
+      LogEvent(LogLevel::Warning, "clock.jumped")
+        .field("by_ms", -toMillis(clock.localError()))
+        .write();
+    }
+    std::vector<std::pair<InstanceId, std::string>> peers;
+    for (const auto& [id, relay] : relays) {
+      if (!relay.address.empty() && relay.receivedAt + kRelayMemory >= bootNow()) {
+        peers.emplace_back(id, relay.address);
+      }
+    }
+    std::shuffle(peers.begin(), peers.end(), random);
+    peers.resize(std::min(peers.size(), kClockPeers));
+    for (const auto& [id, address] : peers) {
+      co_await compareClock(id, address);
+    }
+    // Updates of the others have to be read first: a process that has just started may have a wrong
+    // time.
+    co_await pauseFor(peers.empty() ? kFirstClockInterval : kClockInterval);
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::compareClock(InstanceId aPeer, std::string aAddress)
+{
+  const auto address = settings::parseAddress(aAddress);
+  if (!address) {
+    co_return;
+  }
+  platform::HttpClient exchange(endpointOf(*address));
+  platform::HttpRequest call;
+  call.target = gateway::GatewayOptions{}.clockPath;
+  call.timeout = kClockTimeout;
+  const auto sentAt = bootNow();
+  const auto answer = co_await exchange.send(std::move(call));
+  const auto* got = std::get_if<control::HttpResponse>(&answer);
+  std::int64_t peerMs = 0;
+  if (!got || got->status != 200 ||
+      std::from_chars(got->body.data(), got->body.data() + got->body.size(), peerMs).ec !=
+        std::errc{}) {
+    co_return;
+  }
+  const auto change = clock.observePeer(aPeer, peerMs, sentAt, bootNow());
+  if (change != Duration{}) {
+    LogEvent(LogLevel::Warning, "clock.set")
+      .field("by_ms", toMillis(change))
+      .field("peer", aPeer.str())
+      .write();
+  }
+}
+
 }
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -127,7 +127,7 @@
   auto pending = unreported;
   for (const auto& [window, intent] : pending) {
     const auto last = (static_cast<std::int64_t>(window) + 1) * windowMs + lateMs;
-    if (wallMillis() >= last) {
+    if (clock.now(bootNow()) >= last) {
       unreported.erase(window);
       reported.insert(window);
       continue;
@@ -175,7 +175,7 @@
       }
       current = true;
     }
-    const auto due = usage.dueIntents(wallMillis());
+    const auto due = usage.dueIntents(clock.now(bootNow()), bootNow());
     for (const auto& intent : due) {
       if (!holder()) {
         break;
@@ -198,10 +198,10 @@
 RouteDaemon::Impl::needOf(const route::ServiceId& aService) const
 {
   control::ServiceDemand sum;
-  const auto now = wallMillis();
-  for (const auto& [id, told] : needs) {
-    const auto it = told.second.find(aService);
-    if (it != told.second.end() && told.first + kNeedAgeMs >= now) {
+  const auto now = bootNow();
+  for (const auto& [id, known] : needs) {
+    const auto it = known.services.find(aService);
+    if (it != known.services.end() && known.receivedAt + kNeedMemory >= now) {
       sum.shortStreams += it->second.shortStreams;
       sum.longTokensPerMs += it->second.longTokensPerMs;
     }
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -11,6 +11,7 @@
 #include "mustardplank/control/records.hpp"
 #include "mustardplank/control/server_order_planner.hpp"
 #include "mustardplank/control/server_registry.hpp"
+#include "mustardplank/control/shared_clock.hpp"
 #include "mustardplank/control/usage_windows.hpp"
 #include "mustardplank/dispatch/dispatcher.hpp"
 #include "mustardplank/gateway/gateway.hpp"
@@ -113,8 +114,8 @@
   // Board.
   control::InstanceUpdate makeEntry();
   void applyEntry(const control::Record& aRecord);
-  /// Old entries, read at the start, say nothing of who holdsDuties the duties now.
-  void noteHolder(const control::InstanceUpdate& aEntry);
+  /// Tells the duty lease of an update received at aNow from the holder of the duties.
+  void noteHolder(const control::InstanceUpdate& aEntry, TimePoint aNow);
   void countInstances();
   /// This instance's place in an order that differs between deployments' instances but is the same
   /// for all.
@@ -131,6 +132,10 @@
   awaitable<void> writeFor(std::string aEntry, std::function<void(bool)> aDone);
   awaitable<void> readBoard(StoreClient& aStore, control::Offset& aNext);
 
+  // Time of day.
+  awaitable<void> clockLoop();
+  awaitable<void> compareClock(InstanceId aPeer, std::string aAddress);
+
   // Duties.
   awaitable<void> leaseLoop();
   awaitable<void> renewLease(StoreClient& aStore, control::Offset aAt);
@@ -161,11 +166,27 @@
   /// How long the number of instances seen is kept.
   static constexpr Duration kInstanceMemory = Seconds(20);
   /// Needs older than this are not counted.
-  static constexpr std::int64_t kNeedAgeMs = 5000;
+  static constexpr Duration kNeedMemory = Seconds(5);
+
+  /// Another instance that writes updates for those that the store rejects.
+  struct Relay
+  {
+    TimePoint receivedAt{};
+    /// Empty while it accepts none.
+    std::string address;
+  };
+  struct Needs
+  {
+    TimePoint receivedAt{};
+    std::map<route::ServiceId, control::ServiceDemand> services;
+  };
 
   settings::RouteSettings settings;
   std::uint64_t incarnation;
+  /// Updates made so far.
+  std::uint64_t updateCount = 0;
   TimePoint startedAt = bootNow();
+  control::SharedClock clock{ wallMillis(), bootNow() };
   AlarmQueue alarms;
   metrics::Metrics metrics;
   dispatch::Dispatcher dispatcher;
@@ -177,10 +198,8 @@
   std::set<FailureDomainId> domainsOut;
   std::map<BackendServerId, std::string> serverTexts;
   std::vector<dispatch::CrashReport> crashes;
-  std::map<InstanceId, std::pair<std::int64_t, std::map<route::ServiceId, control::ServiceDemand>>>
-    needs;
-  /// Where other instances take entries, and when they were last heard of, in Unix ms.
-  std::map<InstanceId, std::pair<std::int64_t, std::string>> entryTakers;
+  std::map<InstanceId, Needs> needs;
+  std::map<InstanceId, Relay> relays;
   TimePoint nextPassOn{};
   /// Entries of other instances that could not be written; the latest of each.
   std::map<InstanceId, std::string> heldEntries;
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -56,7 +56,8 @@
   update.instance = InstanceId(aObject.at("i").get<std::string>());
   update.domain = FailureDomainId(aObject.at("d").get<std::string>());
   update.incarnation = aObject.at("n").get<std::uint64_t>();
-  update.wallMs = aObject.at("t").get<std::int64_t>();
+  update.sequence = aObject.value("q", std::uint64_t(0));
+  update.countedToMs = aObject.at("t").get<std::int64_t>();
   update.leaving = aObject.value("l", false);
   update.relayAddress = aObject.value("a", std::string());
   if (aObject.contains("h")) {
@@ -84,7 +85,8 @@
   json object{ { "i", aUpdate.instance.str() },
                { "d", aUpdate.domain.str() },
                { "n", aUpdate.incarnation },
-               { "t", aUpdate.wallMs } };
+               { "q", aUpdate.sequence },
+               { "t", aUpdate.countedToMs } };
   if (aUpdate.leaving) {
     object["l"] = true;
   }
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -13,7 +13,8 @@
   update.instance = InstanceId("a");
   update.domain = FailureDomainId("fd");
   update.incarnation = 77;
-  update.wallMs = 123456789;
+  update.sequence = 12;
+  update.countedToMs = 123456789;
   update.leaving = true;
   update.relayAddress = "10.1.0.1:7200";
   update.claimsLogEnd = 5;
@@ -25,6 +26,8 @@
   BOOST_TEST_REQUIRE(decoded.has_value());
   BOOST_TEST(decoded->instance.str() == "a");
   BOOST_TEST(decoded->incarnation == 77U);
+  BOOST_TEST(decoded->sequence == 12U);
+  BOOST_TEST(decoded->countedToMs == 123456789);
   BOOST_TEST(decoded->leaving);
   BOOST_TEST(decoded->relayAddress == "10.1.0.1:7200");
   BOOST_TEST(decoded->claimsLogEnd.value() == 5U);
--- a/src/mustardplank/control/usage_windows.cpp
+++ b/src/mustardplank/control/usage_windows.cpp
@@ -6,18 +6,20 @@
 
 namespace {
 
-/// An instance that has published no update for this long does not count as live.
-constexpr std::int64_t kLivenessTimeoutMs = 4000;
+/// An instance of which no update was received for this long does not count as live.
+constexpr Duration kLivenessTimeout = Millis(4000);
 /// Except after an outage (isAwaited()), a window does not wait for an instance that has published
 /// no update for longer than this. Above the longest time for which the store is down or rejects
 /// the calls of one instance (9 s).
-constexpr std::int64_t kMaxSilenceMs = 10000;
+constexpr Duration kMaxSilence = Millis(10000);
 /// Longest time between two updates of a live instance, plus the delay of the write to the store.
 constexpr std::int64_t kMaxUpdateDelayMs = 2700;
-/// Allowance for clock differences between instances.
+/// Allowance for differences between the instances' shared clocks.
 constexpr std::int64_t kClockSlackMs = 150;
 /// Time reserved for the report itself before its deadline.
 constexpr std::int64_t kReportTimeMs = 2500;
+/// Ended incarnations remembered for each instance.
+constexpr std::size_t kMaxEndedIncarnations = 16;
 /// Number of windows whose counts are kept; the numbers of final windows (mFinal) are kept for four
 /// times as many.
 constexpr std::size_t kMaxWindows = 64;
@@ -36,9 +38,9 @@
 }
 
 std::uint64_t
-UsageWindows::windowOf(std::int64_t aWallMs) const
+UsageWindows::windowOf(std::int64_t aTimeMs) const
 {
-  return static_cast<std::uint64_t>(aWallMs / millisOf(mOptions.window));
+  return static_cast<std::uint64_t>(aTimeMs / millisOf(mOptions.window));
 }
 
 std::int64_t
@@ -48,9 +50,9 @@
 }
 
 void
-UsageWindows::count(const OrganisationId& aOrganisation, std::int64_t aWallMs)
+UsageWindows::count(const OrganisationId& aOrganisation, std::int64_t aTimeMs)
 {
-  const auto window = windowOf(aWallMs);
+  const auto window = windowOf(aTimeMs);
   ++mOwn[window][aOrganisation];
   mUnpublished.insert(window);
 }
@@ -75,17 +77,36 @@
 }
 
 void
-UsageWindows::apply(const InstanceUpdate& aUpdate)
+UsageWindows::noteLastUpdate(const InstanceUpdate& aUpdate, TimePoint aNow)
 {
-  if (mNewestUpdateMs > 0 && aUpdate.wallMs > mNewestUpdateMs + kLivenessTimeoutMs) {
-    mOutageFromMs = mNewestUpdateMs;
-    mOutageToMs = aUpdate.wallMs;
-  }
-  mNewestUpdateMs = std::max(mNewestUpdateMs, aUpdate.wallMs);
   auto& last = mLastUpdates[aUpdate.instance];
-  if (aUpdate.wallMs >= last.wallMs) {
-    last = { aUpdate.domain, aUpdate.incarnation, aUpdate.wallMs, aUpdate.leaving };
+  const bool sameIncarnation = aUpdate.incarnation == last.incarnation;
+  if (last.ended.contains(aUpdate.incarnation) ||
+      (sameIncarnation && aUpdate.sequence < last.sequence)) {
+    return;
+  }
+  if (!sameIncarnation) {
+    last.ended.insert(last.incarnation);
+    if (last.ended.size() > kMaxEndedIncarnations) {
+      last.ended.clear();
+    }
+  }
+  last.domain = aUpdate.domain;
+  last.incarnation = aUpdate.incarnation;
+  last.sequence = aUpdate.sequence;
+  last.countedToMs = aUpdate.countedToMs;
+  last.receivedAt = aNow;
+  last.leaving = aUpdate.leaving;
+}
+
+void
+UsageWindows::apply(const InstanceUpdate& aUpdate, TimePoint aNow)
+{
+  if (mNewestUpdateAt && aNow > *mNewestUpdateAt + kLivenessTimeout) {
+    mOutage = Outage{ *mNewestUpdateAt, aNow };
   }
+  mNewestUpdateAt = std::max(mNewestUpdateAt.value_or(aNow), aNow);
+  noteLastUpdate(aUpdate, aNow);
   for (const auto& [window, counts] : aUpdate.windows) {
     auto& published = mPublished[window][{ aUpdate.instance, aUpdate.incarnation }];
     // Counts are cumulative, so the larger one is the later one, in whatever order records arrive.
@@ -119,42 +140,41 @@
 }
 
 bool
-UsageWindows::isAwaited(const LastUpdate& aLastUpdate,
-                        std::uint64_t aWindow,
-                        std::int64_t aWallMs) const
+UsageWindows::isAwaited(const LastUpdate& aLastUpdate, std::uint64_t aWindow, TimePoint aNow) const
 {
   const auto end = endOf(aWindow);
-  if (aLastUpdate.leaving || aLastUpdate.wallMs >= end + kClockSlackMs) {
+  if (aLastUpdate.leaving || aLastUpdate.countedToMs >= end + kClockSlackMs) {
     return false;
   }
-  const auto liveUntil = aLastUpdate.wallMs + kLivenessTimeoutMs;
-  const bool afterOutage = liveUntil >= mOutageFromMs && aWallMs < mOutageToMs + kLivenessTimeoutMs;
-  // Until kLivenessTimeoutMs after an outage, a window waits for each instance that was live when
+  // Until kLivenessTimeout after an outage, a window waits for each instance that was live when
   // the outage began and has published no update since its end.
-  if (afterOutage && aLastUpdate.wallMs <= mOutageToMs) {
+  const bool afterOutage = mOutage &&
+                           aLastUpdate.receivedAt + kLivenessTimeout >= mOutage->from &&
+                           aNow < mOutage->to + kLivenessTimeout;
+  if (afterOutage && aLastUpdate.receivedAt < mOutage->to) {
     return true;
   }
   // An instance whose updates ended before the window began has counted hardly anything in it.
   const auto start = end - millisOf(mOptions.window);
-  return aLastUpdate.wallMs + kMaxUpdateDelayMs >= start &&
-         aLastUpdate.wallMs + kMaxSilenceMs >= aWallMs;
+  return aLastUpdate.countedToMs + kMaxUpdateDelayMs >= start &&
+         aLastUpdate.receivedAt + kMaxSilence >= aNow;
 }
 
 std::vector<ReportIntent>
-UsageWindows::dueIntents(std::int64_t aWallMs) const
+UsageWindows::dueIntents(std::int64_t aTimeMs, TimePoint aNow) const
 {
   std::vector<ReportIntent> intents;
   for (const auto& [window, countsByRun] : mPublished) {
     const auto end = endOf(window);
     const auto deadline = end + millisOf(mOptions.reportWithin);
-    if (mFinal.contains(window) || aWallMs < end + kClockSlackMs || aWallMs >= deadline) {
+    if (mFinal.contains(window) || aTimeMs < end + kClockSlackMs || aTimeMs >= deadline) {
       continue;
     }
     const bool awaited = std::any_of(
       mLastUpdates.begin(), mLastUpdates.end(), [&, number = window](const auto& aItem) {
-        return isAwaited(aItem.second, number, aWallMs);
+        return isAwaited(aItem.second, number, aNow);
       });
-    if (awaited && aWallMs < deadline - kReportTimeMs) {
+    if (awaited && aTimeMs < deadline - kReportTimeMs) {
       continue;
     }
     ReportIntent intent;
@@ -170,11 +190,11 @@
 }
 
 std::map<InstanceId, FailureDomainId>
-UsageWindows::liveInstances(std::int64_t aWallMs) const
+UsageWindows::liveInstances(TimePoint aNow) const
 {
   std::map<InstanceId, FailureDomainId> instances;
   for (const auto& [id, last] : mLastUpdates) {
-    if (!last.leaving && last.wallMs + kLivenessTimeoutMs >= aWallMs) {
+    if (!last.leaving && last.receivedAt + kLivenessTimeout >= aNow) {
       instances[id] = last.domain;
     }
   }
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -101,6 +101,9 @@
     if (aPath == context.options.metricsPath) {
       return { 200, context.metrics.scrape() };
     }
+    if (aPath == context.options.clockPath && context.callbacks.sharedTimeMs) {
+      return { 200, std::to_string(context.callbacks.sharedTimeMs()) };
+    }
     if (aPath == "/status" && context.callbacks.makeStatusPage) {
       return { 200, context.callbacks.makeStatusPage() };
     }
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -113,8 +113,9 @@
   mStream.close();
 }
 
-RouteDeployment::RouteDeployment(std::size_t aServers, std::size_t aInstances)
-  : mWork(mIo.get_executor())
+RouteDeployment::RouteDeployment(std::size_t aServers, std::size_t aInstances, Clocks aClocks)
+  : mClocks(aClocks)
+  , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
 {
@@ -151,6 +152,21 @@
   return mFolder + "/settings" + std::to_string(aIndex) + ".json";
 }
 
+std::string
+RouteDeployment::clockFile(std::size_t aIndex) const
+{
+  return mFolder + "/clock" + std::to_string(aIndex);
+}
+
+void
+RouteDeployment::shiftClock(std::size_t aIndex, Millis aBy)
+{
+  // Padded, so that each write replaces the whole text.
+  std::string text = std::to_string(aBy.count());
+  text.resize(16, ' ');
+  std::ofstream(clockFile(aIndex), std::ios::in | std::ios::out) << text;
+}
+
 void
 RouteDeployment::startInstance(std::size_t aIndex)
 {
@@ -170,10 +186,18 @@
                            { "stop_grace_s", 5.0 },
                            { "lease_ms", 3000 } } } };
   std::ofstream(settingsFile(aIndex)) << settings.dump();
+  std::map<std::string, std::string> environment;
+  if (mClocks == Clocks::Adjustable) {
+    std::ofstream(clockFile(aIndex), std::ios::app);
+    environment["LD_PRELOAD"] =
+      std::string(BUILD_DIR) + "/test/support/libmustardplank_clock_shim.so";
+    environment["MUSTARDPLANK_TEST_CLOCK"] = clockFile(aIndex);
+  }
   mInstances.at(aIndex) = std::make_unique<support::ChildProcess>(
     std::string(BUILD_DIR) + "/src/daemon/mustardplankd",
     std::vector<std::string>{ "--settings", settingsFile(aIndex) },
-    mFolder + "/instance" + std::to_string(aIndex));
+    mFolder + "/instance" + std::to_string(aIndex),
+    environment);
 }
 
 void
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -58,6 +58,13 @@
   std::string mPartial;
 };
 
+/// Whether the instances' times of day can be set by RouteDeployment::shiftClock().
+enum class Clocks
+{
+  OfTheMachine,
+  Adjustable,
+};
+
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
@@ -66,7 +73,9 @@
 class RouteDeployment
 {
 public:
-  RouteDeployment(std::size_t aServers, std::size_t aInstances);
+  RouteDeployment(std::size_t aServers,
+                  std::size_t aInstances,
+                  Clocks aClocks = Clocks::OfTheMachine);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -77,6 +86,8 @@
   std::string settingsFile(std::size_t aIndex) const;
 
   void startInstance(std::size_t aIndex);
+  /// From now on the instance's time of day is off by aBy.
+  void shiftClock(std::size_t aIndex, Millis aBy);
   /// Ends an instance and starts it with the store's second address.
   void restartOnOtherAddress(std::size_t aIndex);
   /// Writes a configuration; version rises with each call.
@@ -93,6 +104,9 @@
   std::size_t arrivals(const std::string& aAttempt) const;
 
 private:
+  std::string clockFile(std::size_t aIndex) const;
+
+  Clocks mClocks;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/env.hpp>
+#include <boost/process/environment.hpp>
 #include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
@@ -46,15 +48,21 @@
 
 ChildProcess::ChildProcess(const std::string& aProgram,
                            const std::vector<std::string>& aArguments,
-                           std::string aLog)
+                           std::string aLog,
+                           const std::map<std::string, std::string>& aEnvironment)
   : mImpl(std::make_unique<Impl>())
 {
   mImpl->log = std::move(aLog);
   // A test that ends in any way leaves no process behind.
   const auto endWithParent =
     bp::extend::on_exec_setup([](auto&) { prctl(PR_SET_PDEATHSIG, SIGKILL); });
+  bp::environment environment = boost::this_process::environment();
+  for (const auto& [name, value] : aEnvironment) {
+    environment[name] = value;
+  }
   mImpl->child = bp::child(aProgram,
                            bp::args(aArguments),
+                           environment,
                            bp::std_in<bp::null, bp::std_out> mImpl->log + ".out",
                            bp::std_err > mImpl->log + ".err",
                            endWithParent);
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/base/time.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -13,10 +14,12 @@
 class ChildProcess
 {
 public:
-  /// Standard output and error go to the files aLog + ".out" and aLog + ".err".
+  /// Standard output and error go to the files aLog + ".out" and aLog + ".err". aEnvironment is
+  /// added to that of this process.
   ChildProcess(const std::string& aProgram,
                const std::vector<std::string>& aArguments,
-               std::string aLog);
+               std::string aLog,
+               const std::map<std::string, std::string>& aEnvironment = {});
   ~ChildProcess();
   ChildProcess(ChildProcess&&) noexcept;
   ChildProcess& operator=(ChildProcess&&) noexcept;
