--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -40,15 +40,18 @@
   State,
   /// Claims and renewals of the duties (DutyLease).
   Claims,
+  /// Agents of each failure domain (agent::Directory); keyed, the newest record of each key counts.
+  Agents,
 };
 
-inline constexpr NameTable<Topic, 6> kTopicNames{ { {
+inline constexpr NameTable<Topic, 7> kTopicNames{ { {
   { Topic::Operators, "operators" },
   { Topic::Servers, "servers" },
   { Topic::InstanceUpdates, "board" },
   { Topic::ReportIntents, "reports" },
   { Topic::State, "state" },
   { Topic::Claims, "claims" },
+  { Topic::Agents, "agents" },
 } } };
 
 /// One record of a log.
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mustardplank::gateway {
@@ -31,6 +32,8 @@
   std::string boardPath = "/board";
   /// Path on adminAddress at which other instances GET the shared time.
   std::string clockPath = "/clock";
+  /// Path on adminAddress to which other instances POST requests for changes of the store.
+  std::string syncPath = "/sync";
   /// Further caller connections are closed when accepted.
   std::uint32_t maxCallerConnections = 3000;
   /// Unsent bytes for one caller above which reading from its backend server is paused.
@@ -40,6 +43,9 @@
   std::uint32_t logSamplingInterval = 16;
 };
 
+/// Sends the reply to an instance that asks for changes; nothing if its request is malformed.
+using SyncResponse = std::function<void(std::optional<std::string> aReply)>;
+
 /// Calls from the gateway to the rest of the process.
 struct GatewayCallbacks
 {
@@ -53,6 +59,8 @@
   std::function<std::string()> makeStatusPage;
   /// Time of day on which the instances agree, in Unix milliseconds.
   std::function<std::int64_t()> sharedTimeMs;
+  /// Another instance asks for changes of the store. aRespond may be called later.
+  std::function<void(std::string aRequest, const SyncResponse& aRespond)> receiveSync;
   /// Writes the board entry of another instance whose own writes the store rejects. aDone must be
   /// called with whether the entry is in the store.
   std::function<void(std::string aEntry, std::function<void(bool)> aDone)> writeBoardEntry;
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -27,9 +27,16 @@
   /// Bytes of messages between instances since the start.
   PeerBytesSent,
   PeerBytesReceived,
+  /// Place among the agents of the failure domain; -1 if it is none.
+  AgentSlot,
+  /// 1 while the process follows the store itself.
+  FollowsStore,
+  /// Age of what is known of the configuration and of the servers; -1 if nothing is.
+  OperatorsAgeSeconds,
+  ServersAgeSeconds,
 };
 
-inline constexpr NameTable<Gauge, 11> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 15> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -41,6 +48,10 @@
   { Gauge::LiveInstances, "live_instances" },
   { Gauge::PeerBytesSent, "peer_bytes_sent" },
   { Gauge::PeerBytesReceived, "peer_bytes_received" },
+  { Gauge::AgentSlot, "agent_slot" },
+  { Gauge::FollowsStore, "follows_store" },
+  { Gauge::OperatorsAgeSeconds, "configuration_age_seconds" },
+  { Gauge::ServersAgeSeconds, "servers_age_seconds" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -72,6 +83,11 @@
   LogAppendFailure,
   LogRead,
   LogReadFailure,
+  /// Reads of the store by an instance that no agent has told of changes for too long.
+  DirectRead,
+  /// Requests to agents, and those without a reply.
+  Sync,
+  SyncFailure,
   EntryPassedOn,
   LogRecordSkipped,
   OwnerChange,
@@ -83,11 +99,14 @@
   RefusedConnection,
 };
 
-inline constexpr NameTable<Event, 13> kEventNames{ { {
+inline constexpr NameTable<Event, 16> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
   { Event::LogReadFailure, "log_read_failures" },
+  { Event::DirectRead, "direct_reads" },
+  { Event::Sync, "agent_syncs" },
+  { Event::SyncFailure, "agent_sync_failures" },
   { Event::EntryPassedOn, "board_entries_passed_on" },
   { Event::LogRecordSkipped, "log_records_skipped" },
   { Event::OwnerChange, "owner_changes" },
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -4,6 +4,7 @@
 #include "mustardplank/dispatch/placement.hpp"
 #include "mustardplank/settings/settings.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <string_view>
 
@@ -42,6 +43,18 @@
   Duration stopGrace = Seconds(8);
   /// A leaving server serves at least this long after it has said so.
   Duration serverDrain = Seconds(2);
+  /// A change of the configuration is in force on every instance within this time.
+  Duration configApply = Seconds(2);
+  /// A key that was taken away is refused everywhere within this time.
+  Duration keyRevocation = Seconds(5);
+  /// A failure domain that was taken out gets no requests after this time.
+  Duration evacuation = Seconds(5);
+
+  /// The shortest time within which a change in the store has to be known to every instance.
+  Duration shortest() const
+  {
+    return std::min({ serverDrain, configApply, keyRevocation, evacuation });
+  }
 };
 
 /// Everything a daemon in mode "routes" reads from its settings file.
@@ -64,6 +77,11 @@
   bool orderServers = true;
   RouteBounds bounds;
   LogLevel logLevel = LogLevel::Info;
+  /// Instances of each failure domain that follow the store for the others; 0: every instance
+  /// follows it itself.
+  std::uint32_t domainAgents = 2;
+  /// Share of a processor core that the process may use; instances with more become agents first.
+  double processorShare = 0.25;
   /// One in so many routine requests is logged.
   std::uint32_t logSampling = 16;
 };
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -17,10 +17,15 @@
 constexpr Duration kMinDrain = Millis(2600);
 /// Kept of the grace period for the end of the process.
 constexpr Duration kStopMargin = Millis(500);
-/// Instances assumed while none has been heard of: shares are then small.
-constexpr std::size_t kAssumedInstances = 12;
-/// Records of the board are read in pages; a reader that starts reads what is kept.
-constexpr std::size_t kMaxCrashesTold = 64;
+/// Instances assumed until their number is known: shares are then small.
+constexpr std::size_t kAssumedInstances = 400;
+/// Reads of the store are too rare below this bound on changes to shorten them further.
+constexpr Duration kMinChangeBound = Millis(500);
+/// Time without a read of the servers' entries, in parts of the bound on changes, that counts as an
+/// outage.
+constexpr double kOutagePart = 0.9;
+/// How long handing over the last counts may take at the end.
+constexpr Duration kHandOverTime = Millis(600);
 
 dispatch::DispatcherOptions
 dispatcherOptions(const settings::RouteSettings& aSettings)
@@ -48,6 +53,35 @@
   return options;
 }
 
+Duration
+changeBound(const settings::RouteSettings& aSettings)
+{
+  return std::max<Duration>(aSettings.bounds.shortest(), kMinChangeBound);
+}
+
+Duration
+outageThreshold(const settings::RouteSettings& aSettings)
+{
+  const auto bound = static_cast<double>(changeBound(aSettings).count());
+  return std::max(control::ServerRegistry::kOutageThreshold,
+                  Duration(static_cast<std::int64_t>(kOutagePart * bound)));
+}
+
+agent::SourcePlannerOptions
+plannerOptions(const settings::RouteSettings& aSettings)
+{
+  agent::SourcePlannerOptions options;
+  options.instance = aSettings.instance;
+  options.domain = aSettings.failureDomain;
+  options.address = aSettings.admin.text();
+  options.changeBound = changeBound(aSettings);
+  options.agentsPerDomain = aSettings.domainAgents;
+  options.processorShare = aSettings.processorShare;
+  options.firstStart = aSettings.firstStart;
+  options.seed = stableHash(aSettings.instance.str());
+  return options;
+}
+
 std::uint64_t
 randomId()
 {
@@ -70,6 +104,14 @@
   : settings(std::move(aSettings))
   , incarnation(randomId())
   , dispatcher(dispatcherOptions(settings))
+  , planner(plannerOptions(settings), bootNow())
+  , serversView(adapter::storeDialect().serverDigest)
+  , syncServer(operatorsView,
+               serversView,
+               relay,
+               incarnation,
+               [this] { return makeSyncState(); })
+  , registry(outageThreshold(settings))
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
   , orders({})
@@ -92,14 +134,15 @@
     usage.count(aOrganisation, clock.now(bootNow()));
   };
   callbacks.onConnectionLost = [this](const dispatch::CrashReport& aReport) {
-    dispatcher.reportCrash(aReport, bootNow());
-    if (crashes.size() < kMaxCrashesTold) {
-      crashes.push_back(aReport);
-    }
+    noteCrash(aReport);
+    outbox.addCrash(aReport);
   };
   callbacks.writeBoardEntry = [this](std::string aEntry, std::function<void(bool)> aDone) {
     asio::co_spawn(io, writeFor(std::move(aEntry), std::move(aDone)), asio::detached);
   };
+  callbacks.receiveSync = [this](std::string aRequest, const gateway::SyncResponse& aRespond) {
+    receiveSync(std::move(aRequest), aRespond);
+  };
   callbacks.makeStatusPage = [this] { return statusText(); };
   callbacks.sharedTimeMs = [this] { return clock.now(bootNow()); };
   return callbacks;
@@ -132,6 +175,7 @@
     dispatcher.tick(bootNow(), effects);
     gateway.applyEffects(effects);
     applyServers(registry.tick(bootNow()));
+    noteRole();
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
     metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waitingCount()));
     metrics.set(metrics::Gauge::CallerConnections, static_cast<double>(gateway.connectionCount()));
@@ -151,6 +195,7 @@
   gateway.drain();
   LogEvent(LogLevel::Info, "daemon.stopping").field("active", gateway.activeRequestCount()).write();
   asio::co_spawn(io, drainLoop(), asio::detached);
+  asio::co_spawn(io, leaveDirectory(), asio::detached);
 }
 
 awaitable<void>
@@ -162,9 +207,30 @@
   while (bootNow() < last && gateway.activeRequestCount() > 0) {
     co_await pauseFor(Millis(50));
   }
+  asio::co_spawn(io, handOver(), [this](const std::exception_ptr&) { io.stop(); });
+  co_await pauseFor(kHandOverTime);
   io.stop();
 }
 
+awaitable<void>
+RouteDaemon::Impl::leaveDirectory()
+{
+  if (auto agents = planner.listWithoutSelf()) {
+    auto store = client();
+    co_await claimAgency(store, std::move(*agents));
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::handOver()
+{
+  if (!outbox.hasNews(usage)) {
+    co_return;
+  }
+  auto store = client();
+  co_await publish(store);
+}
+
 void
 RouteDaemon::Impl::awaitSignals()
 {
@@ -181,6 +247,32 @@
   });
 }
 
+std::string
+RouteDaemon::Impl::agentStatus() const
+{
+  const auto now = bootNow();
+  std::ostringstream out;
+  const auto age = [&](const agent::KeyedView& aView) {
+    const auto known = aView.age(now);
+    return known ? std::to_string(duration_cast<Millis>(*known).count()) : std::string("none");
+  };
+  const auto slot = planner.slot();
+  out << "agents of " << settings.failureDomain.str();
+  if (const auto it = planner.directory().domains.find(settings.failureDomain);
+      it != planner.directory().domains.end()) {
+    for (const auto& agent : it->second) {
+      out << " " << agent.instance.str();
+    }
+  }
+  out << "\n"
+      << "agent slot " << (slot ? std::to_string(*slot) : std::string("none")) << " follows store "
+      << (planner.followsStore(now) ? "yes" : "no") << " requests held "
+      << syncServer.heldCount() << "\n"
+      << "age_ms configuration " << age(operatorsView) << " servers " << age(serversView)
+      << " limit " << duration_cast<Millis>(planner.maxAge()).count() << "\n";
+  return out.str();
+}
+
 std::string
 RouteDaemon::Impl::statusText() const
 {
@@ -188,14 +280,15 @@
   out << "config " << (table ? table->version() : 0) << "\n"
       << "active " << gateway.activeRequestCount() << " waiting " << dispatcher.waitingCount()
       << " draining " << (draining ? "yes" : "no") << "\n"
-      << "instances " << usage.liveInstances(bootNow()).size() << " shares divided by "
-      << mostInstances << "\n"
+      << "instances " << (digest ? digest->instances : 0) << " shares divided by " << mostInstances
+      << "\n"
       << "lease " << (lease.holdsDuties() ? "held" : "not held") << " end " << lease.logEnd()
       << "\n"
       << "store config " << (storeConfig.isLost() ? "lost" : "ok") << " servers "
       << (storeServers.isLost() ? "lost" : "ok") << " board "
-      << (storeBoard.isLost() ? "lost" : "ok") << " entries kept for others " << heldEntries.size()
-      << "\n"
+      << (storeBoard.isLost() ? "lost" : "ok") << " updates of others not written "
+      << relay.unwritten().size() << "\n"
+      << agentStatus()
       << "duty calls " << (platformCalls.isLost() ? "lost" : "ok") << "\n";
   for (const auto& it : dispatcher.serverStatuses(bootNow())) {
     out << "server " << it.id.str() << " service " << it.service.str() << " domain "
@@ -215,6 +308,9 @@
   };
   spawn(followOperators());
   spawn(followServers());
+  spawn(refreshLoop());
+  spawn(directoryLoop());
+  spawn(syncLoop());
   spawn(boardLoop());
   spawn(clockLoop());
   spawn(leaseLoop());
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -1,70 +1,54 @@
 #include "route_daemon_impl.hpp"
 
 #include "mustardplank/base/hash.hpp"
-#include "mustardplank/settings/parse.hpp"
 
-#include <charconv>
+#include <algorithm>
 
 namespace mustardplank::daemon {
 
 namespace {
 
-/// Instances beyond this place try together: with many of them the last would wait too long.
-constexpr std::size_t kMostRank = 7;
-/// Part of a usage window's figures that may be lost when an instance is killed; sets how often the
-/// instances tell theirs.
+/// Agents beyond this place try together: with many of them the last would wait too long.
+constexpr std::size_t kMaxDutyRank = 7;
+/// Part of a usage window's figures that may be lost when an instance is killed; sets how often an
+/// instance without agents publishes its own.
 constexpr double kUsageAtRisk = 0.04;
-constexpr Duration kLeastTellInterval = Millis(1000);
-constexpr Duration kMostTellInterval = Millis(2500);
-/// An instance with nothing to tell says that it lives.
-constexpr Duration kBoardIdle = Millis(2500);
-/// How often the board is read by the holder of the duties, and by the others.
+constexpr Duration kMinPublishInterval = Millis(1000);
+constexpr Duration kMaxPublishInterval = Millis(2500);
+/// An instance with nothing to publish says that it is alive.
+constexpr Duration kIdlePublishInterval = Millis(2000);
+/// How often the board is read by the holder of the duties, and by the others that read it.
 constexpr Duration kHolderReadInterval = Millis(1000);
-constexpr Duration kBoardReadInterval = Millis(3000);
+constexpr Duration kBoardReadInterval = Millis(2000);
 constexpr Duration kBoardStep = Millis(250);
-/// How often an entry that the store refuses is given to another instance.
-constexpr Duration kPassOnInterval = Millis(1000);
-/// An append at the other instance and the way there and back.
-constexpr Duration kPassOnTimeout = Millis(800);
-/// Other instances of which nothing was read for this long are not asked to relay. Longer than the
-/// times for which the store turns single instances away, in which this one reads no updates.
-constexpr Duration kRelayMemory = Seconds(15);
-/// How often the shared clock is compared with that of other instances, and with how many of them.
-constexpr Duration kClockInterval = Seconds(5);
-constexpr Duration kFirstClockInterval = Millis(100);
-constexpr std::size_t kClockPeers = 3;
-constexpr Duration kClockTimeout = Millis(400);
-/// Entries of other instances that are kept for the return of the store.
-constexpr std::size_t kMaxHeldEntries = 64;
+/// An instance that no agent has answered for this long publishes its updates itself.
+constexpr Duration kPublishAlone = Millis(2500);
 
 }
 
 control::InstanceUpdate
-RouteDaemon::Impl::makeEntry()
+RouteDaemon::Impl::makeUpdate()
 {
-  control::InstanceUpdate entry;
-  entry.instance = settings.instance;
-  entry.domain = settings.failureDomain;
-  entry.incarnation = incarnation;
-  entry.sequence = ++updateCount;
-  entry.countedToMs = clock.now(bootNow());
-  entry.leaving = draining;
-  entry.relayAddress = settings.admin.text();
+  auto update = outbox.makeUpdate(usage);
+  update.instance = settings.instance;
+  update.domain = settings.failureDomain;
+  update.incarnation = incarnation;
+  update.countedToMs = clock.now(bootNow());
+  update.leaving = draining;
+  update.relayAddress = settings.admin.text();
   if (lease.holdsDuties()) {
-    entry.claimsLogEnd = lease.logEnd();
+    update.claimsLogEnd = lease.logEnd();
   }
-  entry.windows = usage.takeUnpublished();
-  entry.crashes = std::exchange(crashes, {});
-  entry.needs = dispatcher.takeDemands(bootNow());
-  return entry;
+  update.needs = dispatcher.takeDemands(bootNow());
+  return update;
 }
 
 void
-RouteDaemon::Impl::applyEntry(const control::Record& aRecord)
+RouteDaemon::Impl::applyUpdate(const control::Record& aRecord)
 {
   Findings findings;
-  const auto entry = control::decodeUpdate(aRecord.value.value_or(std::string()), findings);
-  if (!entry) {
+  const auto update = control::decodeUpdate(aRecord.value.value_or(std::string()), findings);
+  if (!update) {
     LogEvent(LogLevel::Warning, "board.entry_ignored")
       .field("offset", aRecord.offset)
       .field("detail", findings.text())
@@ -72,97 +56,152 @@
     return;
   }
   const auto now = bootNow();
-  usage.apply(*entry, now);
-  if (entry->instance != settings.instance) {
-    relays[entry->instance] = { now, entry->leaving ? std::string() : entry->relayAddress };
+  usage.apply(*update, now);
+  needs[update->instance] = { now, update->needs };
+  if (update->leaving || update->relayAddress.empty()) {
+    boardAddresses.erase(update->instance);
+  } else {
+    boardAddresses[update->instance] = update->relayAddress;
+  }
+  if (update->instance != settings.instance && update->claimsLogEnd) {
+    holderNote = HolderNote{ *update->claimsLogEnd, update->leaving, now };
+    noteHolder(*update->claimsLogEnd, update->leaving, now);
   }
-  needs[entry->instance] = { now, entry->needs };
-  noteHolder(*entry, now);
-  for (const auto& it : entry->crashes) {
-    dispatcher.reportCrash(it, now);
+  for (const auto& it : update->crashes) {
+    noteCrash(it);
   }
 }
 
 void
-RouteDaemon::Impl::noteHolder(const control::InstanceUpdate& aEntry, TimePoint aNow)
+RouteDaemon::Impl::noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow)
 {
-  if (aEntry.instance == settings.instance || !aEntry.claimsLogEnd) {
-    return;
-  }
   // The update may be old, but its age is known to no clock: counted as new, it delays a claim and
   // never allows one too early.
-  if (aEntry.leaving) {
-    lease.observeRelease(*aEntry.claimsLogEnd, aNow);
+  if (aLeaving) {
+    lease.observeRelease(aClaimsLogEnd, aNow);
   } else {
-    lease.observeEnd(*aEntry.claimsLogEnd, aNow);
+    lease.observeEnd(aClaimsLogEnd, aNow);
   }
 }
 
 void
-RouteDaemon::Impl::countInstances()
+RouteDaemon::Impl::noteCrash(const dispatch::CrashReport& aReport)
 {
-  auto live = usage.liveInstances(bootNow());
+  dispatcher.reportCrash(aReport, bootNow());
+  syncServer.addCrash(aReport);
+}
+
+agent::BoardDigest
+RouteDaemon::Impl::makeDigest() const
+{
+  agent::BoardDigest sum;
+  const auto now = bootNow();
+  auto live = usage.liveInstances(now);
   live[settings.instance] = settings.failureDomain;
-  lease.setRank(std::min(rankAmong(live), kMostRank));
+  sum.instances = live.size();
+  for (const auto& [instance, known] : needs) {
+    if (known.receivedAt + kNeedMemory < now) {
+      continue;
+    }
+    for (const auto& [service, need] : known.services) {
+      auto& total = sum.needs[service];
+      total.shortStreams += need.shortStreams;
+      total.longTokensPerMs += need.longTokensPerMs;
+    }
+  }
+  if (lease.holdsDuties()) {
+    sum.holder = agent::BoardDigest::Holder{ lease.logEnd(), draining, Duration{} };
+  } else if (holderNote) {
+    sum.holder = agent::BoardDigest::Holder{ holderNote->claimsLogEnd,
+                                             holderNote->leaving,
+                                             now - holderNote->receivedAt };
+  }
+  return sum;
+}
+
+void
+RouteDaemon::Impl::applyDigest(agent::BoardDigest aDigest, TimePoint aNow)
+{
+  digest = std::move(aDigest);
+  digestAt = aNow;
   // Those that are cut off from the store send requests too: shares follow the largest number
   // seen lately.
-  const auto now = bootNow();
-  if (live.size() >= mostInstances || now - mostInstancesAt > kInstanceMemory) {
-    mostInstances = live.size();
-    mostInstancesAt = now;
+  if (digest->instances >= mostInstances || aNow - mostInstancesAt > kInstanceMemory) {
+    mostInstances = std::max<std::size_t>(digest->instances, 1);
+    mostInstancesAt = aNow;
   }
   dispatcher.setInstanceCount(mostInstances);
+  lease.setRank(std::min(dutyRank(), kMaxDutyRank));
+  if (const auto& holder = digest->holder; holder && !lease.holdsDuties()) {
+    noteHolder(holder->claimsLogEnd, holder->leaving, aNow - holder->age);
+  }
   if (table) {
     for (const auto& [id, service] : table->config().services) {
-      dispatcher.setDemand(id, needOf(id));
+      const auto need = digest->needs.find(id);
+      dispatcher.setDemand(
+        id, need == digest->needs.end() ? control::ServiceDemand{} : need->second);
     }
   }
-  metrics.set(metrics::Gauge::LiveInstances, static_cast<double>(live.size()));
+  metrics.set(metrics::Gauge::LiveInstances, static_cast<double>(digest->instances));
 }
 
 std::size_t
-RouteDaemon::Impl::rankAmong(const std::map<InstanceId, FailureDomainId>& aLive) const
+RouteDaemon::Impl::dutyRank() const
 {
   const auto own = stableHash(settings.instance.str());
+  if (settings.domainAgents == 0) {
+    const auto live = usage.liveInstances(bootNow());
+    return static_cast<std::size_t>(
+      std::count_if(live.begin(), live.end(), [&](const auto& aItem) {
+        return stableHash(aItem.first.str()) < own;
+      }));
+  }
+  // First agents go first, as they read the board anyway.
+  const auto ownSlot = planner.slot().value_or(settings.domainAgents);
   std::size_t rank = 0;
-  for (const auto& [id, domain] : aLive) {
-    rank += stableHash(id.str()) < own ? 1 : 0;
+  for (const auto& [domain, agents] : planner.directory().domains) {
+    for (std::size_t slot = 0; slot < agents.size(); ++slot) {
+      const auto hash = stableHash(agents[slot].instance.str());
+      rank += std::pair(slot, hash) < std::pair(ownSlot, own) ? 1 : 0;
+    }
   }
   return rank;
 }
 
-Duration
-RouteDaemon::Impl::tellInterval() const
+bool
+RouteDaemon::Impl::readsBoard(TimePoint aNow) const
 {
-  const double window = static_cast<double>(settings.bounds.usageWindow.count());
-  const Duration interval(static_cast<std::int64_t>(
-    kUsageAtRisk * window * static_cast<double>(std::max<std::size_t>(mostInstances, 1))));
-  return std::clamp(interval, kLeastTellInterval, kMostTellInterval);
+  return planner.followsStore(aNow) || lease.holdsDuties();
 }
 
 awaitable<void>
 RouteDaemon::Impl::boardLoop()
 {
   auto store = client();
-  RetryPause retryPause(kRetryPause, kMostRetryPause);
+  RetryPause retryPause(kRetryPause, kMaxRetryPause);
   control::Offset next = 0;
-  TimePoint lastTold{};
+  TimePoint lastPublished{};
   TimePoint lastRead{};
   for (;;) {
     const auto now = bootNow();
-    const bool news = usage.hasUnpublished() || !crashes.empty();
-    if (boardDue || (news && now - lastTold >= tellInterval()) || now - lastTold >= kBoardIdle) {
+    const bool alone = now - std::max(lastSyncAt, startedAt) >= kPublishAlone;
+    const bool publishes = planner.followsStore(now) || alone;
+    const bool news = outbox.hasNews(usage) || !relay.unwritten().empty();
+    const auto interval = settings.domainAgents == 0 ? publishInterval() : kMinPublishInterval;
+    const bool due =
+      (news && now - lastPublished >= interval) || now - lastPublished >= kIdlePublishInterval;
+    if (publishes && (boardDue || due)) {
       boardDue = false;
-      const bool told = co_await tell(store);
-      if (!told) {
+      const bool published = co_await publish(store);
+      if (!published) {
         co_await pauseFor(retryPause.next());
         continue;
       }
       retryPause.reset();
-      lastTold = now;
+      lastPublished = now;
     }
-    const auto interval = lease.holdsDuties() ? kHolderReadInterval : kBoardReadInterval;
-    if (now - lastRead >= interval) {
+    const auto readInterval = lease.holdsDuties() ? kHolderReadInterval : kBoardReadInterval;
+    if (readsBoard(now) && now - lastRead >= readInterval) {
       co_await readBoard(store, next);
       lastRead = now;
     }
@@ -170,100 +209,49 @@
   }
 }
 
+Duration
+RouteDaemon::Impl::publishInterval() const
+{
+  const double window = static_cast<double>(settings.bounds.usageWindow.count());
+  const Duration interval(static_cast<std::int64_t>(
+    kUsageAtRisk * window * static_cast<double>(std::max<std::size_t>(mostInstances, 1))));
+  return std::clamp<Duration>(interval, kMinPublishInterval, kMaxPublishInterval);
+}
+
 awaitable<bool>
-RouteDaemon::Impl::tell(StoreClient& aStore)
+RouteDaemon::Impl::publish(StoreClient& aStore)
 {
-  auto entry = makeEntry();
-  const auto text = control::encodeUpdate(entry);
-  std::vector<control::Record> records{ { 0, {}, text } };
-  auto held = std::exchange(heldEntries, {});
-  for (auto& [id, bytes] : held) {
-    records.push_back({ 0, {}, bytes });
+  const auto update = makeUpdate();
+  lastUpdateSentAt = bootNow();
+  std::vector<control::Record> records{ { 0, {}, control::encodeUpdate(update) } };
+  auto items = relay.takeDue(bootNow());
+  for (const auto& it : items) {
+    records.push_back({ 0, {}, it.bytes });
   }
   const auto result = co_await aStore.append(Topic::InstanceUpdates, records, std::nullopt);
   if (const auto* failure = std::get_if<Failure>(&result)) {
-    // Entries that came meanwhile are newer.
-    heldEntries.merge(held);
-    const bool passedOn = co_await tellThroughOther(text);
-    if (passedOn) {
-      co_return true;
-    }
-    usage.markUnpublished(entry.windows);
-    crashes.insert(crashes.end(), entry.crashes.begin(), entry.crashes.end());
     storeBoard.failed(failure->message);
     co_return false;
   }
   storeBoard.succeeded();
+  outbox.acknowledge(update.sequence);
+  relay.recordWritten(items, bootNow());
   co_return true;
 }
 
-std::optional<settings::Address>
-RouteDaemon::Impl::otherInstance()
-{
-  std::vector<std::string> addresses;
-  for (const auto& [id, relay] : relays) {
-    if (!relay.address.empty() && relay.receivedAt + kRelayMemory >= bootNow()) {
-      addresses.push_back(relay.address);
-    }
-  }
-  if (addresses.empty()) {
-    return std::nullopt;
-  }
-  return settings::parseAddress(addresses[random() % addresses.size()]);
-}
-
-awaitable<bool>
-RouteDaemon::Impl::tellThroughOther(const std::string& aEntry)
-{
-  const auto now = bootNow();
-  const auto other = now < nextPassOn ? std::nullopt : otherInstance();
-  if (!other) {
-    co_return false;
-  }
-  nextPassOn = now + kPassOnInterval;
-  platform::HttpClient exchange(endpointOf(*other));
-  platform::HttpRequest call;
-  call.post = true;
-  call.target = gateway::GatewayOptions{}.boardPath;
-  call.body = aEntry;
-  call.contentType = "application/cbor";
-  call.timeout = kPassOnTimeout;
-  const auto answer = co_await exchange.send(std::move(call));
-  const auto* got = std::get_if<control::HttpResponse>(&answer);
-  const bool written = got && got->status == 200;
-  if (written) {
-    metrics.count(metrics::Event::EntryPassedOn);
-  }
-  LogEvent(LogLevel::Info, "board.passed_on")
-    .field("to", other->text())
-    .field("written", static_cast<int>(written))
-    .write();
-  co_return written;
-}
-
 awaitable<void>
 RouteDaemon::Impl::writeFor(std::string aEntry, std::function<void(bool)> aDone)
 {
   Findings findings;
-  const auto entry = control::decodeUpdate(aEntry, findings);
-  if (!entry) {
+  const auto update = control::decodeUpdate(aEntry, findings);
+  if (!update) {
     LogEvent(LogLevel::Warning, "board.entry_refused").field("detail", findings.text()).write();
     aDone(false);
     co_return;
   }
-  bool written = false;
-  // While the store is lost here too, the entry is kept: its sender may end before the store
-  // returns.
-  if (!storeBoard.isLost()) {
-    auto store = client();
-    std::vector<control::Record> records{ { 0, {}, aEntry } };
-    const auto result = co_await store.append(Topic::InstanceUpdates, records, std::nullopt);
-    written = std::holds_alternative<control::AppendResult>(result);
-  }
-  if (!written && (heldEntries.size() < kMaxHeldEntries || heldEntries.contains(entry->instance))) {
-    heldEntries.insert_or_assign(entry->instance, std::move(aEntry));
-  }
-  aDone(written);
+  relay.accept(*update, std::move(aEntry), bootNow());
+  // It is written later; the sender repeats it until it can write itself.
+  aDone(false);
 }
 
 awaitable<void>
@@ -277,65 +265,10 @@
     co_return;
   }
   for (const auto& it : std::get<control::RecordBatch>(chunk).records) {
-    applyEntry(it);
+    applyUpdate(it);
     aNext = it.offset + 1;
   }
-  countInstances();
-}
-
-awaitable<void>
-RouteDaemon::Impl::clockLoop()
-{
-  for (;;) {
-    if (clock.observeLocal(wallMillis(), bootNow())) {
-      LogEvent(LogLevel::Warning, "clock.jumped")
-        .field("by_ms", -toMillis(clock.localError()))
-        .write();
-    }
-    std::vector<std::pair<InstanceId, std::string>> peers;
-    for (const auto& [id, relay] : relays) {
-      if (!relay.address.empty() && relay.receivedAt + kRelayMemory >= bootNow()) {
-        peers.emplace_back(id, relay.address);
-      }
-    }
-    std::shuffle(peers.begin(), peers.end(), random);
-    peers.resize(std::min(peers.size(), kClockPeers));
-    for (const auto& [id, address] : peers) {
-      co_await compareClock(id, address);
-    }
-    // Updates of the others have to be read first: a process that has just started may have a wrong
-    // time.
-    co_await pauseFor(peers.empty() ? kFirstClockInterval : kClockInterval);
-  }
-}
-
-awaitable<void>
-RouteDaemon::Impl::compareClock(InstanceId aPeer, std::string aAddress)
-{
-  const auto address = settings::parseAddress(aAddress);
-  if (!address) {
-    co_return;
-  }
-  platform::HttpClient exchange(endpointOf(*address));
-  platform::HttpRequest call;
-  call.target = gateway::GatewayOptions{}.clockPath;
-  call.timeout = kClockTimeout;
-  const auto sentAt = bootNow();
-  const auto answer = co_await exchange.send(std::move(call));
-  const auto* got = std::get_if<control::HttpResponse>(&answer);
-  std::int64_t peerMs = 0;
-  if (!got || got->status != 200 ||
-      std::from_chars(got->body.data(), got->body.data() + got->body.size(), peerMs).ec !=
-        std::errc{}) {
-    co_return;
-  }
-  const auto change = clock.observePeer(aPeer, peerMs, sentAt, bootNow());
-  if (change != Duration{}) {
-    LogEvent(LogLevel::Warning, "clock.set")
-      .field("by_ms", toMillis(change))
-      .field("peer", aPeer.str())
-      .write();
-  }
+  applyDigest(makeDigest(), bootNow());
 }
 
 }
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -35,7 +35,8 @@
     co_await pauseFor(Millis(static_cast<int>(stableHash(settings.instance.str()) % 500)));
   }
   while (!draining) {
-    if (const auto at = lease.dueAppendOffset(bootNow())) {
+    const auto at = lease.dueAppendOffset(bootNow());
+    if (at && (planner.isAgent() || lease.holdsDuties())) {
       co_await renewLease(store, *at);
     }
     co_await pauseFor(kLeaseStep);
@@ -197,16 +198,11 @@
 control::ServiceDemand
 RouteDaemon::Impl::needOf(const route::ServiceId& aService) const
 {
-  control::ServiceDemand sum;
-  const auto now = bootNow();
-  for (const auto& [id, known] : needs) {
-    const auto it = known.services.find(aService);
-    if (it != known.services.end() && known.receivedAt + kNeedMemory >= now) {
-      sum.shortStreams += it->second.shortStreams;
-      sum.longTokensPerMs += it->second.longTokensPerMs;
-    }
+  if (!digest) {
+    return {};
   }
-  return sum;
+  const auto it = digest->needs.find(aService);
+  return it == digest->needs.end() ? control::ServiceDemand{} : it->second;
 }
 
 std::vector<FailureDomainId>
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -1,8 +1,12 @@
 #pragma once
 
+#include "notifier.hpp"
 #include "route_daemon.hpp"
 #include "store_client.hpp"
 
+#include "mustardplank/agent/source_planner.hpp"
+#include "mustardplank/agent/sync_server.hpp"
+#include "mustardplank/agent/update_relay.hpp"
 #include "mustardplank/base/alarm_queue.hpp"
 #include "mustardplank/base/clock.hpp"
 #include "mustardplank/base/log_event.hpp"
@@ -12,6 +16,7 @@
 #include "mustardplank/control/server_order_planner.hpp"
 #include "mustardplank/control/server_registry.hpp"
 #include "mustardplank/control/shared_clock.hpp"
+#include "mustardplank/control/update_outbox.hpp"
 #include "mustardplank/control/usage_windows.hpp"
 #include "mustardplank/dispatch/dispatcher.hpp"
 #include "mustardplank/gateway/gateway.hpp"
@@ -38,7 +43,7 @@
 /// Pause after a call that failed, and the longest one in an outage: the return of the store is
 /// noticed within a second, the bounds on changes count from three seconds after it.
 inline constexpr Duration kRetryPause = Millis(200);
-inline constexpr Duration kMostRetryPause = Millis(1000);
+inline constexpr Duration kMaxRetryPause = Millis(1000);
 
 inline asio::ip::tcp::endpoint
 endpointOf(const settings::Address& aAddress)
@@ -86,8 +91,8 @@
   TimePoint mSince{};
 };
 
-/// Everything runs on the thread of io. What follows the store, the board and the duties stands in
-/// files of their own.
+/// Everything runs on the thread of io. What follows the store, the agents, the board and the
+/// duties stands in files of their own.
 struct RouteDaemon::Impl
 {
   explicit Impl(settings::RouteSettings aSettings);
@@ -99,42 +104,71 @@
   awaitable<void> tickLoop();
 
   // Configuration.
+  void applyOperators(const std::vector<control::Record>& aChanges);
   void applyOperator(const control::Record& aRecord);
   void applyConfig(route::Config aConfig, control::Offset aOffset);
-  void replaceOperators(const std::vector<control::Record>& aRecords);
   awaitable<void> followOperators();
 
   // Backend servers.
+  void applyServerRecords(const std::vector<control::Record>& aChanges, TimePoint aConfirmedAt);
   void applyServers(const std::vector<control::ServerEvent>& aEvents);
   void applyServer(const control::ServerUpdated& aEvent);
   void applyServer(const control::ServerRemoved& aEvent);
-  Duration serversPause() const;
   awaitable<void> followServers();
 
+  // Reading the store.
+  /// Reads the changes of a log, waiting up to aWait for the first one. False when it failed.
+  awaitable<bool> readOperators(StoreClient& aStore, Duration aWait);
+  awaitable<bool> readServers(StoreClient& aStore, Duration aWait);
+  /// Fills aView from the store; returns the changes, or nothing when the store cannot be read.
+  awaitable<std::optional<std::vector<control::Record>>> readLog(StoreClient& aStore,
+                                                                 Topic aTopic,
+                                                                 agent::KeyedView& aView,
+                                                                 Duration aWait,
+                                                                 Dependency& aDependency);
+  /// Reads both logs when no agent has stated their changes for too long.
+  awaitable<void> refreshLoop();
+
+  // Agents.
+  /// Reads the directory of agents, and enters this instance where one is missing.
+  awaitable<void> directoryLoop();
+  awaitable<void> claimAgency(StoreClient& aStore, agent::AgentList aAgents);
+  awaitable<void> syncLoop();
+  agent::SyncRequest makeSyncRequest(const agent::SyncTarget& aTarget);
+  awaitable<void> sync(const agent::SyncTarget& aTarget);
+  void applyReply(agent::SyncReply aReply, TimePoint aSentAt, TimePoint aReceivedAt);
+  void receiveSync(std::string aRequest, const gateway::SyncResponse& aRespond);
+  agent::SyncState makeSyncState();
+  void answerSyncs();
+  /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
+  void noteRole();
+
   // Board.
-  control::InstanceUpdate makeEntry();
-  void applyEntry(const control::Record& aRecord);
-  /// Tells the duty lease of an update received at aNow from the holder of the duties.
-  void noteHolder(const control::InstanceUpdate& aEntry, TimePoint aNow);
-  void countInstances();
-  /// This instance's place in an order that differs between deployments' instances but is the same
-  /// for all.
-  std::size_t rankAmong(const std::map<InstanceId, FailureDomainId>& aLive) const;
-  /// The more instances there are, the smaller the part of a window that is lost with one.
-  Duration tellInterval() const;
+  control::InstanceUpdate makeUpdate();
+  void applyUpdate(const control::Record& aRecord);
+  /// Tells the duty lease of the end of the claims log that its holder stated at aNow.
+  void noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow);
+  void noteCrash(const dispatch::CrashReport& aReport);
+  /// Sums up what this instance has read of the board.
+  agent::BoardDigest makeDigest() const;
+  /// Uses the digest of an agent, or the own one.
+  void applyDigest(agent::BoardDigest aDigest, TimePoint aNow);
+  /// This instance's place in the order in which agents claim the duties.
+  std::size_t dutyRank() const;
+  bool readsBoard(TimePoint aNow) const;
+  /// The more instances without agents there are, the smaller the part of a window that is lost
+  /// with one.
+  Duration publishInterval() const;
   awaitable<void> boardLoop();
-  awaitable<bool> tell(StoreClient& aStore);
-  /// An instance to which the store may be open although it is not to this one.
-  std::optional<settings::Address> otherInstance();
-  /// Has another instance write the entry.
-  awaitable<bool> tellThroughOther(const std::string& aEntry);
-  /// Writes an entry of another instance.
+  awaitable<bool> publish(StoreClient& aStore);
+  /// Writes an update of an instance that does not know agents.
   awaitable<void> writeFor(std::string aEntry, std::function<void(bool)> aDone);
   awaitable<void> readBoard(StoreClient& aStore, control::Offset& aNext);
 
   // Time of day.
   awaitable<void> clockLoop();
   awaitable<void> compareClock(InstanceId aPeer, std::string aAddress);
+  std::vector<agent::Agent> clockPeers() const;
 
   // Duties.
   awaitable<void> leaseLoop();
@@ -159,8 +193,12 @@
   // Start and stop.
   void terminate();
   awaitable<void> drainLoop();
+  awaitable<void> leaveDirectory();
+  /// Publishes the last counts.
+  awaitable<void> handOver();
   void awaitSignals();
   std::string statusText() const;
+  std::string agentStatus() const;
   void run();
 
   /// How long the number of instances seen is kept.
@@ -168,41 +206,55 @@
   /// Needs older than this are not counted.
   static constexpr Duration kNeedMemory = Seconds(5);
 
-  /// Another instance that writes updates for those that the store rejects.
-  struct Relay
+  struct Needs
   {
     TimePoint receivedAt{};
-    /// Empty while it accepts none.
-    std::string address;
+    std::map<route::ServiceId, control::ServiceDemand> services;
   };
-  struct Needs
+  /// What the holder of the duties stated last.
+  struct HolderNote
   {
+    control::Offset claimsLogEnd = 0;
+    bool leaving = false;
     TimePoint receivedAt{};
-    std::map<route::ServiceId, control::ServiceDemand> services;
   };
 
   settings::RouteSettings settings;
   std::uint64_t incarnation;
-  /// Updates made so far.
-  std::uint64_t updateCount = 0;
   TimePoint startedAt = bootNow();
   control::SharedClock clock{ wallMillis(), bootNow() };
   AlarmQueue alarms;
   metrics::Metrics metrics;
   dispatch::Dispatcher dispatcher;
+
+  agent::SourcePlanner planner;
+  agent::KeyedView operatorsView;
+  agent::KeyedView serversView;
+  agent::UpdateRelay relay;
+  agent::SyncServer syncServer;
+  std::map<InstanceId, std::unique_ptr<platform::HttpClient>> syncClients;
+  /// Of the agent's process that answered last.
+  std::uint64_t agentIncarnation = 0;
+  std::uint64_t crashesSeen = 0;
+  std::optional<agent::BoardDigest> digest;
+  TimePoint digestAt{};
+  TimePoint lastSyncAt{};
+  TimePoint lastUpdateSentAt{};
+  bool followed = false;
+  bool wasAgent = false;
+
   control::ServerRegistry registry;
   control::DutyLease lease;
   control::UsageWindows usage;
+  control::UpdateOutbox outbox;
   control::ServerOrderPlanner orders;
   route::RouteTablePtr table;
   std::set<FailureDomainId> domainsOut;
   std::map<BackendServerId, std::string> serverTexts;
-  std::vector<dispatch::CrashReport> crashes;
   std::map<InstanceId, Needs> needs;
-  std::map<InstanceId, Relay> relays;
-  TimePoint nextPassOn{};
-  /// Entries of other instances that could not be written; the latest of each.
-  std::map<InstanceId, std::string> heldEntries;
+  /// Where instances answer others ("ip:port"), as far as this one reads the board.
+  std::map<InstanceId, std::string> boardAddresses;
+  std::optional<HolderNote> holderNote;
   std::map<std::uint64_t, control::ReportIntent> unreported;
   std::set<std::uint64_t> reported;
   std::optional<control::Baseline> baseline;
@@ -216,13 +268,20 @@
   Dependency storeConfig{ "store_config" };
   Dependency storeServers{ "store_servers" };
   Dependency storeBoard{ "store_board" };
+  Dependency agentContact{ "agents" };
   Dependency platformCalls{ "platform_calls" };
   bool draining = false;
 
   std::minstd_rand random{ std::random_device{}() };
   asio::io_context io{ 1 };
+  /// The decision whether to follow the store, or whom to ask, may have changed.
+  Notifier operatorsDue{ io };
+  Notifier serversDue{ io };
+  Notifier refreshDue{ io };
+  Notifier syncDue{ io };
   asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
   asio::steady_timer alarmTimer{ io };
+  std::optional<AlarmQueue::Id> syncAlarm;
   gateway::Gateway gateway;
 };
 
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -4,16 +4,21 @@
 
 namespace {
 
-/// Longest wait of a read for the next change of the configuration. A connection that has gone
-/// silent delays a change by this and the call's timeout.
-constexpr Duration kConfigWait = Millis(1800);
-/// Part of the time for which a leaving server still serves after which its entry is read at the
-/// latest: each entry changes about once a second, and each read has its price.
-constexpr double kServersPausePart = 0.55;
+/// Longest wait of a read for the first change of the servers' entries, which change all the time.
 constexpr Duration kServersWait = Millis(400);
+/// How long a loop that has nothing to do waits to be notified.
+constexpr Duration kIdleWait = Seconds(60);
 
 }
 
+void
+RouteDaemon::Impl::applyOperators(const std::vector<control::Record>& aChanges)
+{
+  for (const auto& it : aChanges) {
+    applyOperator(it);
+  }
+}
+
 void
 RouteDaemon::Impl::applyOperator(const control::Record& aRecord)
 {
@@ -61,63 +66,11 @@
 }
 
 void
-RouteDaemon::Impl::replaceOperators(const std::vector<control::Record>& aRecords)
+RouteDaemon::Impl::applyServerRecords(const std::vector<control::Record>& aChanges,
+                                      TimePoint aConfirmedAt)
 {
-  std::set<FailureDomainId> out;
-  for (const auto& it : aRecords) {
-    applyOperator(it);
-    Findings findings;
-    const auto record = adapter::storeDialect().decodeOperator(it, findings);
-    if (const auto* domain = record ? std::get_if<control::DomainStatus>(&*record) : nullptr) {
-      if (domain->takenOut) {
-        out.insert(domain->domain);
-      }
-    }
-  }
-  domainsOut = std::move(out);
-  dispatcher.setEvacuatedDomains(domainsOut);
-}
-
-awaitable<void>
-RouteDaemon::Impl::followOperators()
-{
-  auto store = client();
-  RetryPause retryPause(kRetryPause, kMostRetryPause);
-  std::optional<control::Offset> next;
-  for (;;) {
-    if (!next) {
-      auto page = co_await store.newest(Topic::Operators);
-      if (auto* records = std::get_if<control::NewestPage>(&page)) {
-        storeConfig.succeeded();
-        retryPause.reset();
-        replaceOperators(records->records);
-        next = records->logEnd;
-      } else {
-        storeConfig.failed(std::get<Failure>(page).message);
-        co_await pauseFor(retryPause.next());
-      }
-      continue;
-    }
-    // A store that was lost is asked without waiting: a call sent before its return gets no answer.
-    const auto wait = storeConfig.isLost() ? Duration{} : kConfigWait;
-    auto chunk = co_await store.read(Topic::Operators, *next, wait);
-    if (auto* records = std::get_if<control::RecordBatch>(&chunk)) {
-      storeConfig.succeeded();
-      retryPause.reset();
-      for (const auto& it : records->records) {
-        applyOperator(it);
-        next = it.offset + 1;
-      }
-      continue;
-    }
-    const auto& failure = std::get<Failure>(chunk);
-    if (failure.kind == FailureKind::LogTruncated) {
-      next.reset();
-      continue;
-    }
-    storeConfig.failed(failure.message);
-    co_await pauseFor(retryPause.next());
-  }
+  registry.recordRead(aConfirmedAt);
+  applyServers(registry.apply(aChanges, adapter::storeDialect(), bootNow()));
 }
 
 void
@@ -158,57 +111,140 @@
   gateway.closeIdleConnections(aEvent.address);
 }
 
-Duration
-RouteDaemon::Impl::serversPause() const
+awaitable<std::optional<std::vector<control::Record>>>
+RouteDaemon::Impl::readLog(StoreClient& aStore,
+                           Topic aTopic,
+                           agent::KeyedView& aView,
+                           Duration aWait,
+                           Dependency& aDependency)
+{
+  const auto sentAt = bootNow();
+  if (aView.isKnown()) {
+    auto answer = co_await aStore.read(aTopic, aView.next(), aWait);
+    if (auto* batch = std::get_if<control::RecordBatch>(&answer)) {
+      aDependency.succeeded();
+      planner.recordStoreCall(true, bootNow());
+      const auto next =
+        batch->records.empty() ? aView.next() : batch->records.back().offset + 1;
+      // An answer without records was given when the wait was over.
+      const bool waited = batch->records.empty() && bootNow() - sentAt >= aWait;
+      const bool complete = next >= batch->logEnd;
+      auto changes = aView.apply(std::move(batch->records), next);
+      if (complete) {
+        aView.confirm(waited ? sentAt + aWait : sentAt);
+      }
+      co_return changes;
+    }
+    const auto& failure = std::get<Failure>(answer);
+    if (failure.kind != FailureKind::LogTruncated) {
+      aDependency.failed(failure.message);
+      planner.recordStoreCall(false, bootNow());
+      co_return std::nullopt;
+    }
+  }
+  auto page = co_await aStore.newest(aTopic);
+  auto* newest = std::get_if<control::NewestPage>(&page);
+  planner.recordStoreCall(newest != nullptr, bootNow());
+  if (!newest) {
+    aDependency.failed(std::get<Failure>(page).message);
+    co_return std::nullopt;
+  }
+  aDependency.succeeded();
+  auto changes = aView.replace(std::move(newest->records), newest->logEnd);
+  aView.confirm(sentAt);
+  co_return changes;
+}
+
+awaitable<bool>
+RouteDaemon::Impl::readOperators(StoreClient& aStore, Duration aWait)
 {
-  const auto drain = static_cast<double>(settings.bounds.serverDrain.count());
-  return Duration(static_cast<std::int64_t>(kServersPausePart * drain));
+  const auto changes =
+    co_await readLog(aStore, Topic::Operators, operatorsView, aWait, storeConfig);
+  if (!changes) {
+    co_return false;
+  }
+  applyOperators(*changes);
+  answerSyncs();
+  co_return true;
+}
+
+awaitable<bool>
+RouteDaemon::Impl::readServers(StoreClient& aStore, Duration aWait)
+{
+  const auto sentAt = bootNow();
+  const auto changes =
+    co_await readLog(aStore, Topic::Servers, serversView, aWait, storeServers);
+  if (!changes) {
+    co_return false;
+  }
+  applyServerRecords(*changes, sentAt);
+  answerSyncs();
+  co_return true;
 }
 
 awaitable<void>
-RouteDaemon::Impl::followServers()
+RouteDaemon::Impl::followOperators()
 {
   auto store = client();
-  RetryPause retryPause(kRetryPause, kMostRetryPause);
-  const auto& dialect = store.dialect();
-  std::optional<control::Offset> next;
+  RetryPause retryPause(kRetryPause, kMaxRetryPause);
   for (;;) {
-    if (!next) {
-      auto page = co_await store.newest(Topic::Servers);
-      if (auto* records = std::get_if<control::NewestPage>(&page)) {
-        const auto now = bootNow();
-        storeServers.succeeded();
-        retryPause.reset();
-        registry.recordRead(now);
-        applyServers(registry.applyFullList(records->records, dialect, now));
-        next = records->logEnd;
-      } else {
-        storeServers.failed(std::get<Failure>(page).message);
-        co_await pauseFor(retryPause.next());
-      }
+    if (!planner.followsStore(bootNow())) {
+      co_await operatorsDue.wait(kIdleWait);
       continue;
     }
-    const auto wait = storeServers.isLost() ? Duration{} : kServersWait;
-    auto chunk = co_await store.read(Topic::Servers, *next, wait);
-    if (auto* records = std::get_if<control::RecordBatch>(&chunk)) {
-      const auto now = bootNow();
-      storeServers.succeeded();
+    // A store that was lost is asked without waiting: a call sent before its return gets no answer.
+    const bool read =
+      co_await readOperators(store, storeConfig.isLost() ? Duration{} : planner.readWait());
+    if (read) {
       retryPause.reset();
-      registry.recordRead(now);
-      applyServers(registry.apply(records->records, dialect, now));
-      if (!records->records.empty()) {
-        next = records->records.back().offset + 1;
-      }
-      co_await pauseFor(serversPause());
+    } else {
+      co_await pauseFor(retryPause.next());
+    }
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::followServers()
+{
+  auto store = client();
+  RetryPause retryPause(kRetryPause, kMaxRetryPause);
+  for (;;) {
+    if (!planner.followsStore(bootNow())) {
+      co_await serversDue.wait(kIdleWait);
       continue;
     }
-    const auto& failure = std::get<Failure>(chunk);
-    if (failure.kind == FailureKind::LogTruncated) {
-      next.reset();
+    const bool read =
+      co_await readServers(store, storeServers.isLost() ? Duration{} : kServersWait);
+    if (read) {
+      retryPause.reset();
+      co_await pauseFor(planner.readPause());
+    } else {
+      co_await pauseFor(retryPause.next());
+    }
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::refreshLoop()
+{
+  // A connection of its own: those of the other loops may have gone silent.
+  auto store = client();
+  for (;;) {
+    const auto now = bootNow();
+    const bool operatorsOld = planner.isDirectReadDue(operatorsView.age(now), now);
+    const bool serversOld = planner.isDirectReadDue(serversView.age(now), now);
+    if (!operatorsOld && !serversOld) {
+      co_await refreshDue.wait(kIdleWait);
       continue;
     }
-    storeServers.failed(failure.message);
-    co_await pauseFor(retryPause.next());
+    metrics.count(metrics::Event::DirectRead);
+    bool read = true;
+    if (operatorsOld) {
+      read = co_await readOperators(store, Duration{});
+    }
+    if (read && serversOld) {
+      co_await readServers(store, Duration{});
+    }
   }
 }
 
--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/base/log_event.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace mustardplank::control {
@@ -9,10 +10,10 @@
 void
 ServerRegistry::recordRead(TimePoint aNow)
 {
-  if (mLastReadAt && aNow - *mLastReadAt > kOutageThreshold) {
+  if (mLastReadAt && aNow - *mLastReadAt > mOutageThreshold) {
     mGraceUntil = aNow + kReappearGrace;
   }
-  mLastReadAt = aNow;
+  mLastReadAt = std::max(mLastReadAt.value_or(aNow), aNow);
 }
 
 void
--- a/src/mustardplank/platform/http_client.cpp
+++ b/src/mustardplank/platform/http_client.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <optional>
+
 namespace mustardplank::platform {
 
 namespace asio = boost::asio;
@@ -100,9 +102,18 @@
   beast::flat_buffer buf;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
-  const auto [readError, read] = co_await http::async_read(*stream, buf, parser, kAwaitTuple);
-  if (readError) {
-    co_return Failure{ FailureKind::Unknown, "read: " + readError.message() };
+  parser.eager(true);
+  std::optional<TimePoint> begunAt;
+  while (!parser.is_done()) {
+    const auto [readError, n] = co_await http::async_read_some(*stream, buf, parser, kAwaitTuple);
+    if (readError) {
+      co_return Failure{ FailureKind::Unknown, "read: " + readError.message() };
+    }
+    begunAt = begunAt.value_or(bootNow());
+    if (bootNow() > *begunAt + kMaxResponseTime) {
+      co_return Failure{ FailureKind::Unknown, "read: the response does not end" };
+    }
+    stream->expires_after(kProgressTimeout);
   }
   auto response = parser.release();
   if (response.keep_alive() && mIdle.size() < kMaxIdleConnections) {
--- a/src/mustardplank/platform/http_client_test.cpp
+++ b/src/mustardplank/platform/http_client_test.cpp
@@ -4,9 +4,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <chrono>
+#include <string>
+#include <thread>
 
 using namespace mustardplank;
 using namespace mustardplank::platform;
@@ -49,4 +53,53 @@
   BOOST_TEST(ec == asio::error::connection_reset);
 }
 
+// Guards against a large response over a slow link that is given up and requested again for ever:
+// the limit counted from the request to the last byte.
+BOOST_AUTO_TEST_CASE(response_that_makes_progress_may_take_longer_than_the_timeout)
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::array<char, 4096> buf{};
+    socket.read_some(asio::buffer(buf));
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n")));
+    for (int i = 0; i < 6; ++i) {
+      std::this_thread::sleep_for(Millis(40));
+      asio::write(socket, asio::buffer(std::string("x")));
+    }
+  });
+  HttpClient client(acceptor.local_endpoint());
+  bool failed = true;
+  asio::co_spawn(io, sendOnce(client, failed), asio::detached);
+  io.run();
+  server.join();
+  BOOST_TEST(!failed);
+}
+
+// Guards against a peer that never sends the rest: a response without progress is given up.
+BOOST_AUTO_TEST_CASE(response_without_progress_is_given_up)
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+  std::thread server([&] {
+    auto socket = acceptor.accept();
+    std::array<char, 4096> buf{};
+    socket.read_some(asio::buffer(buf));
+    asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nx")));
+    boost::system::error_code ec;
+    while (!ec) {
+      socket.read_some(asio::buffer(buf), ec);
+    }
+  });
+  HttpClient client(acceptor.local_endpoint());
+  bool failed = false;
+  const auto start = std::chrono::steady_clock::now();
+  asio::co_spawn(io, sendOnce(client, failed), asio::detached);
+  io.run();
+  server.join();
+  BOOST_TEST(failed);
+  BOOST_TEST((std::chrono::steady_clock::now() - start < 2 * HttpClient::kProgressTimeout));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -12,6 +12,10 @@
 
 constexpr double kHourSeconds = 3600.0;
 constexpr Millis kMaxTimeout = std::chrono::hours(1);
+/// A shorter bound on changes could not be kept by reading the store.
+constexpr Millis kMinChangeBound = Millis(500);
+constexpr std::uint32_t kMaxDomainAgents = 8;
+constexpr double kMaxProcessorShare = 1024.0;
 
 void
 readBounds(const JsonNode& aNode,
@@ -30,6 +34,9 @@
   reader.millis("lease_ms", aBounds.lease, Millis(100), kMaxTimeout);
   reader.seconds("stop_grace_s", aBounds.stopGrace, 0.0, kHourSeconds);
   reader.millis("server_drain_ms", aBounds.serverDrain, Millis(0), kMaxTimeout);
+  reader.millis("config_apply_ms", aBounds.configApply, kMinChangeBound, kMaxTimeout);
+  reader.millis("key_revocation_ms", aBounds.keyRevocation, kMinChangeBound, kMaxTimeout);
+  reader.millis("evacuation_ms", aBounds.evacuation, kMinChangeBound, kMaxTimeout);
   reader.finish();
 }
 
@@ -78,6 +85,8 @@
   reader.boolean("report_usage", settings.reportUsage);
   reader.boolean("order_servers", settings.orderServers);
   reader.enumeration("log_level", settings.logLevel, kLogLevelNames);
+  reader.integer("domain_agents", settings.domainAgents, 0, kMaxDomainAgents);
+  reader.real("processor_share", settings.processorShare, 0.001, kMaxProcessorShare);
   reader.integer("log_sampling", settings.logSampling, 1, 1'000'000);
   if (const auto* node = reader.object("bounds", Presence::Optional)) {
     readBounds(*node, aFileName, aFindings, settings.bounds);
