--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -95,6 +95,8 @@
 
   /// A list of agents that is to replace the one of this failure domain in the directory.
   std::optional<AgentList> dueClaim(TimePoint aNow);
+  /// The list was not written, or it is not known whether it was: the directory is read again first.
+  void recordClaimFailure(TimePoint aNow);
   /// The list without this instance, which is stopping; nothing if it is no agent.
   std::optional<AgentList> listWithoutSelf() const;
 
@@ -140,8 +142,12 @@
   TimePoint mStandInUntil{};
   bool mStoreLost = false;
   RetryPause mStorePause;
+  /// An instance that has just started leaves the store to its agents until then.
+  TimePoint mFirstReadAt;
   TimePoint mDirectReadAt;
   std::size_t mDomainInstances = 1;
+  /// The directory is as read last, as far as known.
+  bool mDirectoryCurrent = false;
   std::optional<TimePoint> mVacantSince;
   bool mSyncedOnce = false;
   bool mAskOtherDomain = false;
--- a/include/mustardplank/agent/sync_messages.hpp
+++ b/include/mustardplank/agent/sync_messages.hpp
@@ -50,6 +50,8 @@
   control::Offset directoryEnd = 0;
   /// How long the agent may hold back the reply while it has no changes.
   Duration maxHold{};
+  /// The sender asks for instances with which to compare its clock.
+  bool wantsPeers = false;
   /// Encoded InstanceUpdates of the sender, or of instances that handed theirs to it.
   std::vector<std::string> updates;
 };
@@ -87,6 +89,8 @@
   control::Offset directoryEnd = 0;
   /// Instances of the failure domain of the agent, itself included.
   std::size_t domainInstances = 0;
+  /// Some live instances, if the request asks for them.
+  std::vector<Agent> peers;
 };
 
 /// A LogReply's part in encoded form, so that one encoding serves many replies.
--- a/include/mustardplank/agent/sync_server.hpp
+++ b/include/mustardplank/agent/sync_server.hpp
@@ -22,6 +22,8 @@
   std::optional<BoardDigest> digest;
   std::vector<InstanceId> reached;
   const Directory* directory = nullptr;
+  /// Some live instances, for those that ask for them.
+  std::vector<Agent> peers;
 };
 
 /// Answers the SyncRequests of other instances: at once if something has changed since the
@@ -30,7 +32,7 @@
 {
 public:
   using Respond = std::function<void(std::string aReply)>;
-  using MakeState = std::function<SyncState()>;
+  using MakeState = std::function<SyncState(bool aWithPeers)>;
 
   /// Requests that are held back at the same time; further ones are answered at once.
   static constexpr std::size_t kMaxHeld = 1024;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -110,7 +110,7 @@
                serversView,
                relay,
                incarnation,
-               [this] { return makeSyncState(); })
+               [this](bool aWithPeers) { return makeSyncState(aWithPeers); })
   , registry(outageThreshold(settings))
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -2,6 +2,9 @@
 
 #include "mustardplank/settings/parse.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace mustardplank::daemon {
 
 namespace {
@@ -17,6 +20,8 @@
 constexpr Duration kUpdateInterval = Millis(1000);
 /// Updates of other instances that are handed on in one request.
 constexpr std::size_t kMaxHandedOn = 256;
+/// Instances that are stated to one that asks for some.
+constexpr std::size_t kMaxPeersStated = 5;
 
 }
 
@@ -66,7 +71,7 @@
   planner.recordStoreCall(appended != nullptr, bootNow());
   if (!appended || !appended->appended) {
     // Another instance was faster, or the answer was lost: the directory shows which.
-    planner.recordDirectoryFailure(bootNow());
+    planner.recordClaimFailure(bootNow());
     co_return;
   }
   directory.domains[settings.failureDomain] = std::move(aAgents);
@@ -141,6 +146,7 @@
   request.crashesSeen = crashesSeen;
   request.directoryEnd = planner.directory().logEnd;
   request.maxHold = aTarget.hold;
+  request.wantsPeers = std::exchange(wantsPeers, false);
   if (outbox.hasNews(usage) || draining || now - lastUpdateSentAt >= kUpdateInterval) {
     request.updates.push_back(control::encodeUpdate(makeUpdate()));
     lastUpdateSentAt = now;
@@ -226,6 +232,11 @@
   for (const auto& it : aReply.crashes) {
     noteCrash(it);
   }
+  for (auto& it : aReply.peers) {
+    if (it.instance != settings.instance) {
+      contacts[it.instance] = { std::move(it.address), aReceivedAt };
+    }
+  }
   agentIncarnation = aReply.incarnation;
   crashesSeen = aReply.crashesSeen;
   for (const auto& [process, sequence] : aReply.published) {
@@ -244,7 +255,7 @@
 }
 
 agent::SyncState
-RouteDaemon::Impl::makeSyncState()
+RouteDaemon::Impl::makeSyncState(bool aWithPeers)
 {
   const auto now = bootNow();
   agent::SyncState state;
@@ -257,6 +268,11 @@
   }
   state.reached = planner.reachedAgents(now);
   state.directory = &planner.directory();
+  if (aWithPeers) {
+    state.peers = clockPeers();
+    std::shuffle(state.peers.begin(), state.peers.end(), random);
+    state.peers.resize(std::min(state.peers.size(), kMaxPeersStated));
+  }
   return state;
 }
 
@@ -281,6 +297,7 @@
       continue;
     }
     senders.push_back({ update->instance, update->incarnation });
+    noteContact(*update);
     for (const auto& crash : update->crashes) {
       noteCrash(crash);
     }
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -58,11 +58,7 @@
   const auto now = bootNow();
   usage.apply(*update, now);
   needs[update->instance] = { now, update->needs };
-  if (update->leaving || update->relayAddress.empty()) {
-    boardAddresses.erase(update->instance);
-  } else {
-    boardAddresses[update->instance] = update->relayAddress;
-  }
+  noteContact(*update);
   if (update->instance != settings.instance && update->claimsLogEnd) {
     holderNote = HolderNote{ *update->claimsLogEnd, update->leaving, now };
     noteHolder(*update->claimsLogEnd, update->leaving, now);
@@ -72,6 +68,17 @@
   }
 }
 
+void
+RouteDaemon::Impl::noteContact(const control::InstanceUpdate& aUpdate)
+{
+  if (aUpdate.leaving || aUpdate.relayAddress.empty() ||
+      aUpdate.instance == settings.instance) {
+    contacts.erase(aUpdate.instance);
+  } else {
+    contacts[aUpdate.instance] = { aUpdate.relayAddress, bootNow() };
+  }
+}
+
 void
 RouteDaemon::Impl::noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow)
 {
--- a/src/daemon/route_daemon_clock.cpp
+++ b/src/daemon/route_daemon_clock.cpp
@@ -12,23 +12,35 @@
 /// How often the shared clock is compared with that of other instances, and with how many of them.
 constexpr Duration kClockInterval = Seconds(5);
 constexpr Duration kFirstClockInterval = Millis(100);
+/// Time after the start for which an instance that knows few others looks for them often.
+constexpr Duration kFirstClockTime = Seconds(3);
 constexpr std::size_t kClockPeers = 3;
+/// An instance that was not heard of for this long is not asked.
+constexpr Duration kContactMemory = Seconds(15);
 constexpr Duration kClockTimeout = Millis(400);
 
 }
 
 std::vector<agent::Agent>
-RouteDaemon::Impl::clockPeers() const
+RouteDaemon::Impl::clockPeers()
 {
-  std::vector<agent::Agent> peers;
+  const auto now = bootNow();
+  std::erase_if(contacts,
+                [&](const auto& aItem) { return aItem.second.heardAt + kContactMemory < now; });
+  std::map<InstanceId, std::string> addresses;
   for (const auto& [domain, agents] : planner.directory().domains) {
-    peers.insert(peers.end(), agents.begin(), agents.end());
+    for (const auto& it : agents) {
+      addresses[it.instance] = it.address;
+    }
   }
-  for (const auto& [instance, address] : boardAddresses) {
+  for (const auto& [instance, contact] : contacts) {
+    addresses[instance] = contact.address;
+  }
+  addresses.erase(settings.instance);
+  std::vector<agent::Agent> peers;
+  for (const auto& [instance, address] : addresses) {
     peers.push_back({ instance, address });
   }
-  std::erase_if(peers,
-                [&](const auto& aPeer) { return aPeer.instance == settings.instance; });
   return peers;
 }
 
@@ -41,6 +53,7 @@
         .field("by_ms", -toMillis(clock.localError()))
         .write();
     }
+    wantsPeers = true;
     auto peers = clockPeers();
     std::shuffle(peers.begin(), peers.end(), random);
     peers.resize(std::min(peers.size(), kClockPeers));
@@ -48,7 +61,9 @@
       co_await compareClock(it.instance, it.address);
     }
     // The others have to become known first: a process that has just started may have a wrong time.
-    co_await pauseFor(peers.empty() ? kFirstClockInterval : kClockInterval);
+    co_await pauseFor(peers.size() < kClockPeers && bootNow() < startedAt + kFirstClockTime
+                        ? kFirstClockInterval
+                        : kClockInterval);
   }
 }
 
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -138,7 +138,7 @@
   awaitable<void> sync(const agent::SyncTarget& aTarget);
   void applyReply(agent::SyncReply aReply, TimePoint aSentAt, TimePoint aReceivedAt);
   void receiveSync(std::string aRequest, const gateway::SyncResponse& aRespond);
-  agent::SyncState makeSyncState();
+  agent::SyncState makeSyncState(bool aWithPeers);
   void answerSyncs();
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
@@ -146,6 +146,7 @@
   // Board.
   control::InstanceUpdate makeUpdate();
   void applyUpdate(const control::Record& aRecord);
+  void noteContact(const control::InstanceUpdate& aUpdate);
   /// Tells the duty lease of the end of the claims log that its holder stated at aNow.
   void noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow);
   void noteCrash(const dispatch::CrashReport& aReport);
@@ -168,7 +169,8 @@
   // Time of day.
   awaitable<void> clockLoop();
   awaitable<void> compareClock(InstanceId aPeer, std::string aAddress);
-  std::vector<agent::Agent> clockPeers() const;
+  /// Instances with which to compare the clock; some of them may be gone.
+  std::vector<agent::Agent> clockPeers();
 
   // Duties.
   awaitable<void> leaseLoop();
@@ -252,8 +254,14 @@
   std::set<FailureDomainId> domainsOut;
   std::map<BackendServerId, std::string> serverTexts;
   std::map<InstanceId, Needs> needs;
-  /// Where instances answer others ("ip:port"), as far as this one reads the board.
-  std::map<InstanceId, std::string> boardAddresses;
+  /// Where an instance answers others, and when it was last heard of.
+  struct Contact
+  {
+    std::string address;
+    TimePoint heardAt{};
+  };
+  std::map<InstanceId, Contact> contacts;
+  bool wantsPeers = true;
   std::optional<HolderNote> holderNote;
   std::map<std::uint64_t, control::ReportIntent> unreported;
   std::set<std::uint64_t> reported;
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -43,6 +43,8 @@
 constexpr Duration kVacantDirectoryPause = Millis(700);
 constexpr Duration kAgentDirectoryPause = Seconds(10);
 constexpr Duration kDirectoryRetry = Millis(400);
+/// Several instances may claim at once: they read the directory again spread over this time.
+constexpr Duration kClaimRetry = Millis(200);
 
 /// An instance that starts gives its agents this long, and a part of the spread, before it reads
 /// the store itself.
@@ -66,13 +68,14 @@
   , mStartedAt(aNow)
   , mDirectoryReadAt(aNow)
   , mStorePause(kFirstReadPause, kMaxReadPause)
+  , mFirstReadAt(aNow)
   , mDirectReadAt(aNow)
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.seed % 2147483646 + 1))
 {
   if (mOptions.agentsPerDomain == 0) {
     return;
   }
-  mDirectReadAt = aNow + kStartReadDelay + part(kStartReadSpread, random());
+  mFirstReadAt = aNow + kStartReadDelay + part(kStartReadSpread, random());
   const bool strong = mOptions.processorShare >= kStrongShare;
   if (mOptions.firstStart && !strong) {
     mDirectoryReadAt = aNow + kFirstDirectoryDelay + part(kFirstDirectorySpread, random());
@@ -121,6 +124,7 @@
 SourcePlanner::setDirectory(Directory aDirectory, TimePoint aNow)
 {
   mDirectory = std::move(aDirectory);
+  mDirectoryCurrent = true;
   for (const auto& [domain, agents] : mDirectory.domains) {
     for (const auto& it : agents) {
       mHealth.try_emplace(it.instance, Health{ 0, false, aNow, aNow, aNow, std::nullopt });
@@ -344,6 +348,9 @@
   if (mOptions.agentsPerDomain == 0) {
     return false;
   }
+  if (!aAge && aNow < mFirstReadAt) {
+    return false;
+  }
   const bool isOld = !aAge || *aAge >= maxAge();
   return isOld && aNow >= mDirectReadAt;
 }
@@ -380,7 +387,7 @@
 std::optional<AgentList>
 SourcePlanner::dueClaim(TimePoint aNow)
 {
-  if (mOptions.agentsPerDomain == 0 || mStoreLost) {
+  if (mOptions.agentsPerDomain == 0 || mStoreLost || !mDirectoryCurrent) {
     return std::nullopt;
   }
   AgentList wanted;
@@ -404,6 +411,13 @@
   return wanted;
 }
 
+void
+SourcePlanner::recordClaimFailure(TimePoint aNow)
+{
+  mDirectoryCurrent = false;
+  mDirectoryReadAt = aNow + part(kClaimRetry, random());
+}
+
 std::optional<AgentList>
 SourcePlanner::listWithoutSelf() const
 {
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -153,6 +153,7 @@
   request.crashesSeen = aObject.value("c", std::uint64_t(0));
   request.directoryEnd = aObject.value("e", control::Offset(0));
   request.maxHold = durationOf(aObject.at("h"));
+  request.wantsPeers = aObject.value("w", false);
   for (const auto& it : aObject.value("u", json::array())) {
     request.updates.push_back(bytesOf(it));
   }
@@ -190,6 +191,10 @@
   }
   reply.directoryEnd = aObject.value("e", control::Offset(0));
   reply.domainInstances = aObject.value("m", std::size_t(0));
+  if (const auto it = aObject.find("q"); it != aObject.end()) {
+    Findings findings;
+    reply.peers = decodeAgents(bytesOf(*it), findings).value_or(AgentList());
+  }
   return reply;
 }
 
@@ -244,6 +249,9 @@
                { "c", aRequest.crashesSeen },
                { "e", aRequest.directoryEnd },
                { "h", microsOf(aRequest.maxHold) } };
+  if (aRequest.wantsPeers) {
+    object["w"] = true;
+  }
   if (aRequest.operatorsNext) {
     object["o"] = *aRequest.operatorsNext;
   }
@@ -295,6 +303,9 @@
   for (const auto& it : aReply.reached) {
     object["r"].push_back(it.str());
   }
+  if (!aReply.peers.empty()) {
+    object["q"] = binary(encodeAgents(aReply.peers));
+  }
   if (aReply.agents) {
     object["a"] = binary(encodeAgents(*aReply.agents));
   }
--- a/src/mustardplank/agent/sync_server.cpp
+++ b/src/mustardplank/agent/sync_server.cpp
@@ -112,7 +112,7 @@
 SyncServer::makeReply(const Held& aHeld, TimePoint aNow)
 {
   const auto& request = aHeld.request;
-  auto state = mMakeState();
+  auto state = mMakeState(request.wantsPeers);
   SyncReply reply;
   reply.agent = state.instance;
   reply.incarnation = mIncarnation;
@@ -138,6 +138,7 @@
   reply.crashesSeen = mCrashCount;
   reply.digest = std::move(state.digest);
   reply.reached = std::move(state.reached);
+  reply.peers = std::move(state.peers);
   reply.domainInstances = mRelay.instanceCount(aNow) + 1;
   if (state.directory) {
     reply.directoryEnd = state.directory->logEnd;
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -133,6 +133,7 @@
   for (std::size_t i = 0; i < aInstances; ++i) {
     mCallers.push_back(freeAddress());
     mReadiness.push_back(freeAddress());
+    mAdmin.push_back(freeAddress());
     startInstance(i);
   }
   awaitServing();
@@ -176,7 +177,7 @@
                        { "failure_domain", "fd-a" },
                        { "callers", mCallers.at(aIndex) },
                        { "readiness", mReadiness.at(aIndex) },
-                       { "admin", freeAddress() },
+                       { "admin", mAdmin.at(aIndex) },
                        { "store", store },
                        { "orders", mStore->address() },
                        { "log_sampling", 1 },
@@ -269,12 +270,29 @@
   }
 }
 
+std::string
+RouteDeployment::adminPage(std::size_t aIndex, const std::string& aPath) const
+{
+  try {
+    CallerConnection connection(mAdmin.at(aIndex));
+    Call call;
+    call.method = "GET";
+    call.path = aPath;
+    call.body = "";
+    return connection.call(call).body();
+  } catch (const boost::system::system_error&) {
+    return {};
+  }
+}
+
 void
 RouteDeployment::awaitServing()
 {
   for (std::size_t i = 0; i < mCallers.size(); ++i) {
     const bool serving = support::waitUntil(kServingBound, [&] {
-      if (readinessStatus(i) != 200) {
+      // Until it knows the number of instances, its share of the retry budget is about none.
+      if (readinessStatus(i) != 200 ||
+          adminPage(i, "/status").find("instances 0 ") != std::string::npos) {
         return false;
       }
       CallerConnection connection(mCallers[i]);
@@ -283,7 +301,7 @@
       return connection.call(call).result_int() == 200;
     });
     if (!serving) {
-      throw std::runtime_error("an instance does not serve: " + mInstances[i]->output() +
+      throw std::runtime_error("an instance does not serve: " + adminPage(i, "/status") + mInstances[i]->output() +
                                mInstances[i]->errors());
     }
   }
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -99,6 +99,8 @@
   /// Waits until every instance serves requests.
   void awaitServing();
   int readinessStatus(std::size_t aIndex = 0);
+  /// Answer of the instance's admin address; empty if there is none.
+  std::string adminPage(std::size_t aIndex, const std::string& aPath) const;
 
   /// Arrivals of an attempt at all servers.
   std::size_t arrivals(const std::string& aAttempt) const;
@@ -115,6 +117,7 @@
   std::vector<std::unique_ptr<support::ChildProcess>> mInstances;
   std::vector<std::string> mCallers;
   std::vector<std::string> mReadiness;
+  std::vector<std::string> mAdmin;
   std::string mFolder;
   int mVersion = 0;
   std::thread mThread;
