--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -77,6 +77,8 @@
 
   /// The agent to ask now; nothing if none is to be asked at the moment.
   std::optional<SyncTarget> nextSync(TimePoint aNow);
+  /// When nextSync() is to be called again after it has named no agent.
+  TimePoint nextSyncAt(TimePoint aNow) const;
   void recordSync(const InstanceId& aAgent, const SyncResult& aResult, TimePoint aNow);
   /// Another agent has asked this instance.
   void recordContact(const InstanceId& aInstance, TimePoint aNow);
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -12,8 +12,6 @@
 constexpr Duration kDirectoryStep = Millis(250);
 /// Between two requests to agents, whatever came of the first.
 constexpr Duration kMinSyncPause = Millis(30);
-/// How long a loop that has no agent to ask waits to be notified.
-constexpr Duration kIdleSyncWait = Millis(500);
 /// How long a reply may take beyond the hold.
 constexpr Duration kSyncTimeout = Millis(400);
 /// How often an update without news is handed to an agent.
@@ -124,7 +122,7 @@
       co_await sync(*target);
       co_await pauseFor(kMinSyncPause);
     } else {
-      co_await syncDue.wait(kIdleSyncWait);
+      co_await syncDue.wait(planner.nextSyncAt(bootNow()) - bootNow());
     }
   }
 }
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -23,7 +23,11 @@
 /// How often a second agent that follows the store asks the first one.
 constexpr Duration kProbeInterval = Millis(1000);
 constexpr Duration kMinSyncRetry = Millis(200);
+constexpr Duration kStartSyncRetry = Millis(40);
 constexpr Duration kMaxSyncRetry = Seconds(3);
+/// Bounds of the time after which an instance that asks no agent looks for one again.
+constexpr Duration kMinIdle = Millis(20);
+constexpr Duration kMaxIdle = Millis(500);
 /// Contact with an agent counts for this long.
 constexpr Duration kContactMemory = Seconds(3);
 
@@ -273,6 +277,18 @@
   return SyncTarget{ std::move(*agent), probe ? Duration{} : syncHold() };
 }
 
+TimePoint
+SourcePlanner::nextSyncAt(TimePoint aNow) const
+{
+  auto next = aNow + kMaxIdle;
+  for (const auto& it : ownAgents()) {
+    if (!isSelf(it)) {
+      next = std::min(next, mHealth.at(it.instance).retryAt);
+    }
+  }
+  return std::max(next, aNow + kMinIdle);
+}
+
 void
 SourcePlanner::recordSync(const InstanceId& aAgent, const SyncResult& aResult, TimePoint aNow)
 {
@@ -297,8 +313,10 @@
       }
     }
   } else {
-    const auto pause = std::min<Duration>(kMinSyncRetry * (1 << std::min(health.failures, 5U)),
-                                          kMaxSyncRetry);
+    // Agents that start together with this instance accept connections within moments.
+    const auto first = aNow < mStartedAt + kStartGrace ? kStartSyncRetry : kMinSyncRetry;
+    const auto pause =
+      std::min<Duration>(first * (1 << std::min(health.failures, 5U)), kMaxSyncRetry);
     ++health.failures;
     health.retryAt = aNow + pause;
   }
