--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -44,6 +44,7 @@
             .write();
         }
         noteRole();
+        syncDue.notify();
       } else {
         planner.recordDirectoryFailure(bootNow());
       }
