--- a/include/mustardplank/agent/keyed_view.hpp
+++ b/include/mustardplank/agent/keyed_view.hpp
@@ -40,13 +40,26 @@
   /// aDigest: StoreDialect::serverDigest() or the like; nullptr if every record is a change.
   explicit KeyedView(Digest aDigest = nullptr);
 
-  /// Replaces everything by the newest record of each key. Returns the differences as records.
+  /// Replaces everything by the newest record of each key, unless more is known already. Returns
+  /// the differences as records.
   std::vector<control::Record> replace(std::vector<control::Record> aRecords, control::Offset aEnd);
   /// Applies the records that follow, up to aEnd. Returns those that are changes.
   std::vector<control::Record> apply(std::vector<control::Record> aRecords, control::Offset aEnd);
   /// Applies what another instance has handed on. Returns the changes.
   std::vector<control::Record> apply(LogPart aPart);
 
+  /// When a request to the store was sent, and its response received.
+  struct ReadTimes
+  {
+    TimePoint sentAt{};
+    TimePoint receivedAt{};
+    /// How long the store was to wait for the first record.
+    Duration wait{};
+  };
+  /// Applies a response to a read from next() on, and confirms what it shows to be complete.
+  /// Returns the changes.
+  std::vector<control::Record> applyRead(control::RecordBatch aBatch, const ReadTimes& aTimes);
+
   /// All changes of the log made before aAt are contained.
   void confirm(TimePoint aAt);
   /// Time since the moment up to which all changes are contained; nothing before the first one.
@@ -70,8 +83,16 @@
     std::optional<std::string> value;
   };
 
+  enum class Renewals
+  {
+    /// The entry keeps its offset, so that the renewal is not handed on.
+    Skip,
+    /// The entry takes the renewal's offset: changes between the two may have been missed.
+    Store,
+  };
+
   /// Stores the record; returns whether it is a change.
-  bool store(const control::Record& aRecord);
+  bool store(const control::Record& aRecord, Renewals aRenewals);
   void forgetRemovals();
 
   Digest mDigest;
--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -80,8 +80,8 @@
   /// When nextSync() is to be called again after it has named no agent.
   TimePoint nextSyncAt(TimePoint aNow) const;
   void recordSync(const InstanceId& aAgent, const SyncResult& aResult, TimePoint aNow);
-  /// Another agent has asked this instance.
-  void recordContact(const InstanceId& aInstance, TimePoint aNow);
+  /// Another instance has asked this one; aDirectoryEnd is its Directory::logEnd.
+  void recordContact(const InstanceId& aInstance, control::Offset aDirectoryEnd, TimePoint aNow);
   /// Agents with which this instance had contact within the last seconds.
   std::vector<InstanceId> reachedAgents(TimePoint aNow) const;
 
@@ -143,6 +143,9 @@
   /// Until then the second agent follows the store although the first is well again.
   TimePoint mStandInUntil{};
   bool mStoreLost = false;
+  unsigned mStoreFailures = 0;
+  /// The agent that answered last had no fresh knowledge either.
+  bool mAgentsStale = false;
   RetryPause mStorePause;
   /// An instance that has just started leaves the store to its agents until then.
   TimePoint mFirstReadAt;
--- a/include/mustardplank/agent/sync_messages.hpp
+++ b/include/mustardplank/agent/sync_messages.hpp
@@ -93,6 +93,16 @@
   std::vector<Agent> peers;
 };
 
+/// Up to which moment, on the clock of the receiver, the part of a reply is complete: what was
+/// known when the reply was sent was known before the time that its way took.
+TimePoint
+confirmationTime(const LogReply& aLog, Duration aHeld, TimePoint aSentAt, TimePoint aReceivedAt);
+
+/// Whether an agent with this reply is no source of changes at the moment: it cannot read the store
+/// itself, is stopping, or knows nothing newer than aMaxAge.
+bool
+isStale(const SyncReply& aReply, Duration aMaxAge);
+
 /// A LogReply's part in encoded form, so that one encoding serves many replies.
 std::string
 encodePart(const LogPart& aPart);
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -198,16 +198,12 @@
 void
 RouteDaemon::Impl::applyReply(agent::SyncReply aReply, TimePoint aSentAt, TimePoint aReceivedAt)
 {
-  // What was true when the reply was sent was true before the time that its way took.
-  const auto way = std::max<Duration>(aReceivedAt - aSentAt - aReply.held, Duration{});
   const auto confirmedAt = [&](const agent::LogReply& aLog) {
-    return aReceivedAt - way - aLog.age;
+    return agent::confirmationTime(aLog, aReply.held, aSentAt, aReceivedAt);
   };
   agent::SyncResult result;
   result.answered = true;
-  result.isStale = aReply.storeLost || aReply.leaving || !aReply.operators || !aReply.servers ||
-                   aReply.operators->age >= planner.maxAge() ||
-                   aReply.servers->age >= planner.maxAge();
+  result.isStale = agent::isStale(aReply, planner.maxAge());
   result.reached = std::move(aReply.reached);
   planner.recordSync(aReply.agent, result, aReceivedAt);
   planner.setDomainInstances(aReply.domainInstances);
@@ -286,7 +282,7 @@
     return;
   }
   const auto now = bootNow();
-  planner.recordContact(request->instance, now);
+  planner.recordContact(request->instance, request->directoryEnd, now);
   std::vector<agent::UpdateRelay::Process> senders;
   for (auto& it : request->updates) {
     Findings ignored;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -124,16 +124,7 @@
     if (auto* batch = std::get_if<control::RecordBatch>(&answer)) {
       aDependency.succeeded();
       planner.recordStoreCall(true, bootNow());
-      const auto next =
-        batch->records.empty() ? aView.next() : batch->records.back().offset + 1;
-      // An answer without records was given when the wait was over.
-      const bool waited = batch->records.empty() && bootNow() - sentAt >= aWait;
-      const bool complete = next >= batch->logEnd;
-      auto changes = aView.apply(std::move(batch->records), next);
-      if (complete) {
-        aView.confirm(waited ? sentAt + aWait : sentAt);
-      }
-      co_return changes;
+      co_return aView.applyRead(std::move(*batch), { sentAt, bootNow(), aWait });
     }
     const auto& failure = std::get<Failure>(answer);
     if (failure.kind != FailureKind::LogTruncated) {
--- a/src/mustardplank/agent/keyed_view.cpp
+++ b/src/mustardplank/agent/keyed_view.cpp
@@ -15,20 +15,21 @@
 }
 
 bool
-KeyedView::store(const Record& aRecord)
+KeyedView::store(const Record& aRecord, Renewals aRenewals)
 {
   const auto known = mEntries.find(aRecord.key);
+  bool isChange = true;
   if (known != mEntries.end()) {
     auto& entry = known->second;
     if (aRecord.offset <= entry.offset) {
       return false;
     }
     if (entry.value.has_value() == aRecord.value.has_value()) {
-      const bool renewal =
-        !aRecord.value || (mDigest && mDigest({ 0, aRecord.key, entry.value }) == mDigest(aRecord));
-      if (renewal) {
-        return false;
-      }
+      isChange =
+        aRecord.value && (!mDigest || mDigest({ 0, aRecord.key, entry.value }) != mDigest(aRecord));
+    }
+    if (!isChange && aRenewals == Renewals::Skip) {
+      return false;
     }
     mByOffset.erase(entry.offset);
     mRemovals -= entry.value ? 0 : 1;
@@ -39,7 +40,7 @@
   mByOffset[aRecord.offset] = aRecord.key;
   mRemovals += aRecord.value ? 0 : 1;
   mLastChange = std::max(mLastChange, aRecord.offset + 1);
-  return true;
+  return isChange;
 }
 
 void
@@ -62,33 +63,34 @@
 KeyedView::replace(std::vector<Record> aRecords, Offset aEnd)
 {
   std::vector<Record> changes;
+  if (mKnown && aEnd < mNext) {
+    return changes;
+  }
   std::set<std::string> present;
   for (const auto& it : aRecords) {
     if (it.value) {
       present.insert(it.key);
     }
   }
-  // Which offsets the removals had is not known: they are given the last one that is not taken.
-  Offset removedAt = aEnd;
   std::vector<std::string> removed;
   for (const auto& [key, entry] : mEntries) {
-    if (entry.value && !present.contains(key) && entry.offset < aEnd) {
+    if (entry.value && !present.contains(key)) {
       removed.push_back(key);
     }
   }
   for (const auto& it : removed) {
-    auto& entry = mEntries[it];
-    mByOffset.erase(entry.offset);
+    mByOffset.erase(mEntries[it].offset);
     mEntries.erase(it);
-    changes.push_back({ removedAt, it, std::nullopt });
+    changes.push_back({ aEnd, it, std::nullopt });
   }
   for (auto& it : aRecords) {
-    if (it.value && store(it)) {
+    if (it.value && store(it, Renewals::Store)) {
       changes.push_back(std::move(it));
     }
   }
-  // Others that lack these removals need everything.
-  if (!removed.empty() || !mKnown) {
+  // The changes between what was known and this list are not known one by one: others that lack
+  // them need the list.
+  if (!mKnown || mNext < aEnd || !changes.empty()) {
     mCompleteFrom = std::max(mCompleteFrom, aEnd);
     mLastChange = std::max(mLastChange, aEnd);
   }
@@ -101,8 +103,10 @@
 KeyedView::apply(std::vector<Record> aRecords, Offset aEnd)
 {
   std::vector<Record> changes;
+  const auto known = mNext;
   for (auto& it : aRecords) {
-    if (store(it)) {
+    // Records below what is known are contained, and may have been replaced or removed since.
+    if (it.offset >= known && store(it, Renewals::Skip)) {
       changes.push_back(std::move(it));
     }
   }
@@ -114,14 +118,23 @@
 std::vector<Record>
 KeyedView::apply(LogPart aPart)
 {
-  if (aPart.full) {
-    // A part that is older than what is known says nothing of newer records.
-    if (mKnown && aPart.next < mNext) {
-      return {};
-    }
-    return replace(std::move(aPart.records), aPart.next);
+  return aPart.full ? replace(std::move(aPart.records), aPart.next)
+                    : apply(std::move(aPart.records), aPart.next);
+}
+
+std::vector<Record>
+KeyedView::applyRead(control::RecordBatch aBatch, const ReadTimes& aTimes)
+{
+  const auto next = aBatch.records.empty() ? mNext : aBatch.records.back().offset + 1;
+  // A response without records was given when the wait was over.
+  const bool waited =
+    aBatch.records.empty() && aTimes.receivedAt - aTimes.sentAt >= aTimes.wait;
+  const bool complete = next >= aBatch.logEnd;
+  auto changes = apply(std::move(aBatch.records), next);
+  if (complete) {
+    confirm(waited ? aTimes.sentAt + aTimes.wait : aTimes.sentAt);
   }
-  return apply(std::move(aPart.records), aPart.next);
+  return changes;
 }
 
 void
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -45,7 +45,7 @@
 /// Pauses between reads of the directory: while it names no agent for this failure domain, and
 /// else.
 constexpr Duration kVacantDirectoryPause = Millis(700);
-constexpr Duration kAgentDirectoryPause = Seconds(10);
+constexpr Duration kAgentDirectoryPause = Seconds(5);
 constexpr Duration kDirectoryRetry = Millis(400);
 /// Several instances may claim at once: they read the directory again spread over this time.
 constexpr Duration kClaimRetry = Millis(200);
@@ -56,8 +56,11 @@
 constexpr Duration kStartReadSpread = Seconds(2);
 constexpr Duration kFirstReadPause = Millis(200);
 constexpr Duration kMaxReadPause = Millis(1000);
-/// While the store is lost, the instances of a failure domain together try it about this often.
+/// While the store is lost to all, the instances of a failure domain together try it about this
+/// often. So many failures in a row of one instance mean the same if it hears of no agent.
+constexpr unsigned kFailuresOfOutage = 4;
 constexpr Duration kLostReadInterval = Millis(500);
+constexpr Duration kMaxLostReadSpread = Millis(2500);
 
 Duration
 part(Duration aDuration, double aPart)
@@ -300,6 +303,7 @@
   if (aResult.answered) {
     health.failures = 0;
     health.isStale = aResult.isStale;
+    mAgentsStale = aResult.isStale;
     health.contactAt = aNow;
     const bool standsIn = followsStore(aNow) && slot().value_or(0) > 0;
     health.retryAt = standsIn ? aNow + kProbeInterval : aNow;
@@ -339,8 +343,13 @@
 }
 
 void
-SourcePlanner::recordContact(const InstanceId& aInstance, TimePoint aNow)
+SourcePlanner::recordContact(const InstanceId& aInstance,
+                             control::Offset aDirectoryEnd,
+                             TimePoint aNow)
 {
+  if (aDirectoryEnd > mDirectory.logEnd) {
+    mDirectoryReadAt = std::min(mDirectoryReadAt, aNow);
+  }
   if (const auto it = mHealth.find(aInstance); it != mHealth.end()) {
     it->second.contactAt = aNow;
   }
@@ -379,13 +388,17 @@
   mStoreLost = !aSucceeded;
   if (aSucceeded) {
     mStorePause.reset();
+    mStoreFailures = 0;
     mDirectReadAt = aNow;
     return;
   }
+  ++mStoreFailures;
   auto pause = mStorePause.next();
-  if (!isAgent()) {
-    pause = std::max(pause,
-                     part(kLostReadInterval * static_cast<int>(mDomainInstances), 0.5 + random()));
+  const bool others = mAgentsStale || mStoreFailures >= kFailuresOfOutage;
+  if (!isAgent() && others) {
+    const auto spread = std::min(kLostReadInterval * static_cast<int>(mDomainInstances),
+                                 kMaxLostReadSpread);
+    pause = std::max(pause, part(spread, 0.5 + random()));
   }
   mDirectReadAt = aNow + pause;
 }
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <stdexcept>
 
@@ -222,6 +223,20 @@
 
 }
 
+TimePoint
+confirmationTime(const LogReply& aLog, Duration aHeld, TimePoint aSentAt, TimePoint aReceivedAt)
+{
+  const auto way = std::max<Duration>(aReceivedAt - aSentAt - aHeld, Duration{});
+  return aReceivedAt - way - aLog.age;
+}
+
+bool
+isStale(const SyncReply& aReply, Duration aMaxAge)
+{
+  return aReply.storeLost || aReply.leaving || !aReply.operators || !aReply.servers ||
+         aReply.operators->age >= aMaxAge || aReply.servers->age >= aMaxAge;
+}
+
 std::string
 encodePart(const LogPart& aPart)
 {
