--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -34,6 +34,8 @@
   double coldTolerance = 0.0;
   /// Multiple of Service::coldRate up to which a cold server gets requests.
   double coldRateFactor = 1.0;
+  /// Age of the server list above which requests wait for a newer one.
+  Duration maxServerListAge = Duration::max();
   std::uint64_t seed = 1;
 };
 
@@ -94,6 +96,10 @@
   void updateServer(const route::BackendServer& aServer, TimePoint aNow);
   /// Removes a server that has stopped or whose registry entry has expired.
   void removeServer(const BackendServerId& aId);
+  /// Age of the server list from which a newer one is being fetched.
+  void setServerListRefreshAge(Duration aAge) { mServerListRefreshAge = aAge; }
+  /// All changes of servers made before aAt are applied.
+  void confirmServers(TimePoint aAt);
   /// Sets the failure domains that get no new requests.
   void setEvacuatedDomains(std::set<FailureDomainId> aDomains);
   /// Sets the number of instances that share the retry budgets and servers.
@@ -169,6 +175,12 @@
   void updateServerGroups(ServiceState& aService);
   /// Rebuilds the services' server lists if a server was added, removed or changed.
   void refreshServerLists();
+  /// Whether requests wait for a newer server list.
+  ///
+  /// Load pattern: the process was paused for seconds, or got no processor time, under load. Servers
+  /// may have left meanwhile; a newer list is there within moments. While the store is silent the
+  /// list that is known serves.
+  bool awaitsServerList(TimePoint aNow);
   /// Neither draining nor in an evacuated failure domain.
   bool isUsable(const ServerState& aServer) const;
   PlacementInput makePlacementInput(const Job& aJob, ServiceState& aService, TimePoint aNow) const;
@@ -209,6 +221,11 @@
   std::map<BackendServerId, std::unique_ptr<ServerState>> mServers;
   std::map<route::ServiceId, ServiceState> mServices;
   bool mServerListsStale = false;
+  /// Nothing until the first confirmServers().
+  std::optional<TimePoint> mServersConfirmedAt;
+  Duration mServerListRefreshAge = Duration::max();
+  /// When the server list was first seen to be older than that.
+  std::optional<TimePoint> mServerListOldSince;
   std::set<FailureDomainId> mEvacuatedDomains;
   std::size_t mInstanceCount = 1;
   std::unordered_map<JobId, GrantedJob> mGranted;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -24,6 +24,9 @@
 /// Time without a read of the servers' entries, in parts of the bound on changes, that counts as an
 /// outage.
 constexpr double kOutagePart = 0.9;
+/// Part of the time for which a leaving server still serves; requests wait for a newer list when
+/// that of the servers is older.
+constexpr double kMaxServerListPart = 0.9;
 /// How long handing over the last counts may take at the end.
 constexpr Duration kHandOverTime = Millis(600);
 
@@ -38,6 +41,8 @@
                           aSettings.bounds.retrySlack };
   options.coldRateFactor = aSettings.bounds.coldOverage;
   options.coldTolerance = aSettings.bounds.coldTolerance;
+  const auto bound = static_cast<double>(aSettings.bounds.serverDrain.count());
+  options.maxServerListAge = Duration(static_cast<std::int64_t>(kMaxServerListPart * bound));
   options.seed = stableHash(aSettings.instance.str());
   return options;
 }
@@ -124,6 +129,7 @@
             makeOutputs())
 {
   dispatcher.setInstanceCount(kAssumedInstances);
+  dispatcher.setServerListRefreshAge(planner.maxAge());
 }
 
 gateway::GatewayCallbacks
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -71,6 +71,10 @@
 {
   registry.recordRead(aConfirmedAt);
   applyServers(registry.apply(aChanges, adapter::storeDialect(), bootNow()));
+  const auto now = bootNow();
+  if (const auto age = serversView.age(now)) {
+    dispatcher.confirmServers(now - *age);
+  }
 }
 
 void
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -15,6 +15,8 @@
 /// until its deadline.
 constexpr double kMaxEstimateShare = 0.7;
 constexpr std::size_t kMaxWaitingJobs = 4096;
+/// Requests do not wait for a newer server list after it has been asked for this long ago.
+constexpr Duration kServerListWait = Millis(250);
 
 }
 
@@ -91,6 +93,24 @@
   }
 }
 
+void
+Dispatcher::confirmServers(TimePoint aAt)
+{
+  mServersConfirmedAt = std::max(mServersConfirmedAt.value_or(aAt), aAt);
+}
+
+bool
+Dispatcher::awaitsServerList(TimePoint aNow)
+{
+  if (!mServersConfirmedAt || aNow - *mServersConfirmedAt <= mServerListRefreshAge) {
+    mServerListOldSince.reset();
+    return false;
+  }
+  mServerListOldSince = mServerListOldSince.value_or(aNow);
+  return aNow - *mServersConfirmedAt > mOptions.maxServerListAge &&
+         aNow - *mServerListOldSince < kServerListWait;
+}
+
 void
 Dispatcher::setEvacuatedDomains(std::set<FailureDomainId> aDomains)
 {
@@ -209,10 +229,11 @@
 void
 Dispatcher::submit(Job aJob, TimePoint aNow, Effects& aEffects)
 {
-  if (tryPlace(aJob, aNow, aEffects)) {
+  const bool waits = awaitsServerList(aNow);
+  if (!waits && tryPlace(aJob, aNow, aEffects)) {
     return;
   }
-  const auto reason = refusalReason(aJob, aNow);
+  const auto reason = waits ? RefusalReason::Overloaded : refusalReason(aJob, aNow);
   if (reason == RefusalReason::NoServer || mWaiting.size() >= kMaxWaitingJobs) {
     refuse(aJob, reason, aNow, aEffects);
     return;
@@ -288,7 +309,8 @@
     return false;
   }
   auto* server = findServer(it->second.server);
-  if (!server || server->server.startTimeMs != it->second.serverStartTimeMs || !isUsable(*server)) {
+  if (!server || server->server.startTimeMs != it->second.serverStartTimeMs || !isUsable(*server) ||
+      awaitsServerList(aNow)) {
     return false;
   }
   if (server->coldUntil > aNow) {
@@ -366,7 +388,7 @@
   const auto service = it->second.job.service;
   decrementGranted(it->second.job.organisation);
   mGranted.erase(it);
-  if (!mWaiting.empty()) {
+  if (!mWaiting.empty() && !awaitsServerList(aNow)) {
     placeWaitingOfService(service, aNow, aEffects);
   }
 }
@@ -385,7 +407,9 @@
 {
   updateFailureRates(aNow);
   mCrashSuspects.expire(aNow);
-  placeOrRefuseWaiting(aNow, aEffects);
+  if (!awaitsServerList(aNow)) {
+    placeOrRefuseWaiting(aNow, aEffects);
+  }
 }
 
 void
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -372,4 +372,56 @@
   BOOST_TEST(granted == 9);
 }
 
+// Guards against a process that was paused for seconds and then sends requests to a server that has
+// left meanwhile: they wait for the server list, which is read anew within moments.
+BOOST_AUTO_TEST_CASE(requests_wait_for_the_server_list_after_a_pause)
+{
+  DispatcherOptions options;
+  options.domain = FailureDomainId("a");
+  options.maxServerListAge = Millis(1800);
+  Dispatcher dispatcher(options);
+  dispatcher.setServerListRefreshAge(Millis(1500));
+  dispatcher.setRouteTable(std::make_shared<route::RouteTable>(makeConfig()));
+  dispatcher.updateServer(makeServer("left", "a"), atMillis(0));
+  dispatcher.confirmServers(atMillis(0));
+  Effects effects;
+  dispatcher.submit(makeEngineJob(1, 300, 1, atMillis(100)), atMillis(100), effects);
+  BOOST_TEST(effects.size() == 1U);
+  // The process was paused between the grant and the send, and a request came meanwhile.
+  BOOST_TEST(!dispatcher.confirmSend(1, atMillis(6000)));
+  dispatcher.endJob(1, JobOutcome::Cancelled, atMillis(6000), effects);
+  effects.clear();
+  dispatcher.submit(makeEngineJob(2, 300, 2, atMillis(6000)), atMillis(6000), effects);
+  BOOST_TEST(effects.empty());
+  dispatcher.removeServer(BackendServerId("left"));
+  dispatcher.updateServer(makeServer("new", "a"), atMillis(6015));
+  dispatcher.confirmServers(atMillis(6010));
+  dispatcher.tick(atMillis(6020), effects);
+  BOOST_TEST_REQUIRE(effects.size() == 1U);
+  BOOST_TEST(std::get<Grant>(effects[0]).server.str() == "new");
+}
+
+// Guards against an outage of the store that stops the service: a process that was running has
+// asked for a newer list in vain.
+BOOST_AUTO_TEST_CASE(requests_do_not_wait_for_a_store_that_is_silent)
+{
+  DispatcherOptions options;
+  options.domain = FailureDomainId("a");
+  options.maxServerListAge = Millis(1800);
+  Dispatcher dispatcher(options);
+  dispatcher.setServerListRefreshAge(Millis(1500));
+  dispatcher.setRouteTable(std::make_shared<route::RouteTable>(makeConfig()));
+  dispatcher.updateServer(makeServer("s", "a"), atMillis(0));
+  dispatcher.confirmServers(atMillis(0));
+  JobId id = 0;
+  for (int now = 0; now < 10000; now += 100) {
+    Effects effects;
+    dispatcher.tick(atMillis(now), effects);
+    dispatcher.submit(makeEngineJob(++id, 300, 1, atMillis(now)), atMillis(now), effects);
+    BOOST_TEST(effects.size() == 1U);
+    BOOST_TEST(dispatcher.confirmSend(id, atMillis(now)));
+    dispatcher.endJob(id, JobOutcome::Finished, atMillis(now), effects);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
