--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -243,9 +243,7 @@
   if (aReply.digest && !readsBoard(aReceivedAt)) {
     applyDigest(std::move(*aReply.digest), aReceivedAt);
   }
-  if (!result.isStale) {
-    lastSyncAt = aReceivedAt;
-  }
+  lastSyncAt = aReceivedAt;
   answerSyncs();
 }
 
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kHolderReadInterval = Millis(1000);
 constexpr Duration kBoardReadInterval = Millis(2000);
 constexpr Duration kBoardStep = Millis(250);
+/// Longest pause after an update that could not be written.
+constexpr Duration kMaxPublishRetryPause = Seconds(2);
 /// An instance that no agent has answered for this long publishes its updates itself.
 constexpr Duration kPublishAlone = Millis(2500);
 
@@ -185,7 +187,7 @@
 RouteDaemon::Impl::boardLoop()
 {
   auto store = client();
-  RetryPause retryPause(kRetryPause, kMaxRetryPause);
+  RetryPause retryPause(kRetryPause, kMaxPublishRetryPause);
   control::Offset next = 0;
   TimePoint lastPublished{};
   TimePoint lastRead{};
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -60,7 +60,7 @@
 /// often. So many failures in a row of one instance mean the same if it hears of no agent.
 constexpr unsigned kFailuresOfOutage = 4;
 constexpr Duration kLostReadInterval = Millis(500);
-constexpr Duration kMaxLostReadSpread = Millis(2500);
+constexpr Duration kMaxLostReadSpread = Seconds(4);
 
 Duration
 part(Duration aDuration, double aPart)
@@ -332,12 +332,13 @@
     }
   }
   const auto& agents = ownAgents();
-  const bool allBad = std::all_of(agents.begin(), agents.end(), [&](const auto& aOwn) {
-    return isSelf(aOwn) || isBad(aOwn);
+  // Agents that answer state changes of their list, also while they cannot read the store.
+  const bool allSilent = std::all_of(agents.begin(), agents.end(), [&](const auto& aOwn) {
+    return isSelf(aOwn) || mHealth.at(aOwn.instance).failures > 0;
   });
-  if (allBad && !isAgent() && mDirectoryReadAt == TimePoint::max()) {
+  if (allSilent && !isAgent() && mDirectoryReadAt == TimePoint::max()) {
     mDirectoryReadAt = aNow + part(kReplaceAfter, 0.5 + random());
-  } else if (!allBad && !isAgent() && agents.size() >= mOptions.agentsPerDomain) {
+  } else if (!allSilent && !isAgent() && agents.size() >= mOptions.agentsPerDomain) {
     mDirectoryReadAt = TimePoint::max();
   }
 }
