--- a/bench/model/engine_model.cpp
+++ b/bench/model/engine_model.cpp
@@ -62,6 +62,9 @@
 {
   std::vector<EngineEvent> events;
   while (mNow < aUntil && !(mRunning.empty() && mWaiting.empty())) {
+    const auto expired = [this](const Run& aRun) { return aRun.job.deadline <= mNow; };
+    std::erase_if(mWaiting, expired);
+    std::erase_if(mRunning, expired);
     admit();
     std::uint32_t chunk = mParameters.chunkTokens;
     std::uint32_t read = 0;
--- a/bench/model/model_bench.cpp
+++ b/bench/model/model_bench.cpp
@@ -31,6 +31,21 @@
   loads["grown_burst"].bursts = { { 0, 2.5, 2.0, 8.0 } };
   loads["grown_loss"] = loads["grown_burst"];
   loads["grown_loss"].losses = { { 3.0, 0, 1.0 } };
+  loads["large"] = largeLoad();
+  loads["large_burst"] = largeLoad();
+  loads["large_burst"].bursts = { { 0, 1.9, 2.5, 11.5 }, { 0, 1.6, 8.3, 11.7 } };
+  loads["large_loss"] = loads["large_burst"];
+  loads["large_loss"].losses = {
+    { 4.5, 0, 0.28 }, { 4.5, 1, 0.28 }, { 4.5, 2, 0.28 }, { 4.5, 4, 0.28 }, { 5.5, 3, 1.0 },
+  };
+  for (const int age : { 0, 100, 300, 600 }) {
+    for (const char* name : { "large_burst", "large_loss" }) {
+      auto& load = loads[name + ("_table" + std::to_string(age))];
+      load = loads[name];
+      load.tableInterval = age == 0 ? Millis(2) : Millis(100);
+      load.tableAge = Millis(age);
+    }
+  }
   return loads;
 }
 
--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -1,6 +1,7 @@
 #include "replay.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -268,8 +269,26 @@
     carryOut(instance, effects, aEvent.at);
   }
 
+  /// Engines drop what is past its deadline; the instance gives it up.
+  void giveUp(TimePoint aNow)
+  {
+    for (auto it = mPlaying.begin(); it != mPlaying.end();) {
+      const auto [id, playing] = *it;
+      if (playing.job.deadline > aNow) {
+        ++it;
+        continue;
+      }
+      ++mResult.kinds[playing.kind].late;
+      it = mPlaying.erase(it);
+      dispatch::Effects effects;
+      mInstances[playing.instance]->endJob(id, dispatch::JobOutcome::Cancelled, aNow, effects);
+      carryOut(playing.instance, effects, aNow);
+    }
+  }
+
   void tick(TimePoint aNow)
   {
+    giveUp(aNow);
     if (aNow >= mNextTick) {
       mNextTick = aNow + kTick;
       for (std::size_t i = 0; i < mInstances.size(); ++i) {
@@ -278,6 +297,10 @@
         carryOut(i, effects, aNow);
       }
     }
+    if (mLoad.tableInterval > Duration{} && aNow >= mNextTable) {
+      mNextTable = aNow + mLoad.tableInterval;
+      shareLoads(aNow);
+    }
     if (aNow >= mNextNeed) {
       mNextNeed = aNow + kNeedInterval;
       dispatch::ServiceDemand sum;
@@ -292,7 +315,46 @@
     }
   }
 
+  /// Each instance learns what the others had on each engine some time ago.
+  void shareLoads(TimePoint aNow)
+  {
+    Snapshot snapshot;
+    snapshot.at = aNow;
+    for (auto& it : mInstances) {
+      snapshot.loads.push_back(it->ownLoads());
+    }
+    mSnapshots.push_back(std::move(snapshot));
+    while (mSnapshots.size() > 1 && mSnapshots[1].at + mLoad.tableAge <= aNow) {
+      mSnapshots.pop_front();
+    }
+    const auto& known = mSnapshots.front();
+    if (known.at + mLoad.tableAge > aNow) {
+      return;
+    }
+    dispatch::InstanceLoads sum;
+    for (const auto& loads : known.loads) {
+      for (const auto& [server, load] : loads) {
+        sum[server] += load;
+      }
+    }
+    for (std::size_t i = 0; i < mInstances.size(); ++i) {
+      auto others = sum;
+      for (const auto& [server, load] : known.loads[i]) {
+        others[server] -= load;
+      }
+      mInstances[i]->setOthersLoads(others, aNow);
+    }
+  }
+
+  struct Snapshot
+  {
+    TimePoint at{};
+    std::vector<dispatch::InstanceLoads> loads;
+  };
+
   const Load& mLoad;
+  std::deque<Snapshot> mSnapshots;
+  TimePoint mNextTable = kStart;
   std::mt19937_64 mRandom;
   std::vector<Engine> mEngines;
   std::map<std::string, std::size_t> mEngineByName;
@@ -329,6 +391,26 @@
   return load;
 }
 
+Load
+largeLoad()
+{
+  Load load;
+  Kind review{
+    "review", 259, 1, 2520, 3780, 2890, 2038, 52, Millis(500), Millis(400), Millis(4000)
+  };
+  Kind summary{
+    "summary", 199, 0, 119, 79, 628, 1047, 291, Millis(250), Millis(250), Millis(10000)
+  };
+  load.kinds = { review, summary };
+  load.engine.slots = 16;
+  load.engine.memoryTokens = 330222;
+  load.domains = 5;
+  load.enginesPerDomain = 25;
+  load.instancesPerDomain = 39;
+  load.seconds = 14;
+  return load;
+}
+
 Load
 grownLoad()
 {
--- a/bench/model/replay.hpp
+++ b/bench/model/replay.hpp
@@ -57,6 +57,9 @@
   std::size_t instancesPerDomain = 2;
   EngineParameters engine;
   std::uint64_t seed = 1;
+  /// How often each instance learns the load of the others, and how old that is; 0: never.
+  Duration tableInterval{};
+  Duration tableAge{};
 };
 
 struct KindResult
@@ -112,6 +115,10 @@
 Load
 permitLoad();
 
+/// The same kinds of request before 125 small engines in five domains and 195 instances.
+Load
+largeLoad();
+
 /// The same kinds of request before 141 small engines and 60 instances.
 Load
 grownLoad();
--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -25,6 +25,10 @@
   /// Delay from the claim to the first call, so that calls of the former holder that are still in
   /// flight end first.
   Duration takeoverDelay = Millis(300);
+  /// Time without a report of the holder after which others read the log's end, and the ranks that
+  /// do.
+  Duration observeAfter = Millis(1400);
+  std::size_t maxObservers = 2;
   /// Delay between the claims of instances of consecutive ranks, so that one claims at a time.
   Duration rankDelay = Millis(300);
 };
@@ -53,6 +57,15 @@
 
   /// The holder reported aEnd as the end of the log.
   void observeEnd(Offset aEnd, TimePoint aNow);
+  /// Whether the holder has been silent for so long that the log's end should be read.
+  ///
+  /// Load pattern: the holder is killed or cut off just after a renewal that it has not reported. A
+  /// claim at the end that it reported last would fail, and wait for another ttl.
+  bool isObservationDue(TimePoint aNow) const;
+  /// The log was read, and ended at aEnd at some time after aSentAt.
+  void observeLog(Offset aEnd, TimePoint aSentAt);
+  /// The log could not be read.
+  void recordObservationFailure(TimePoint aNow) { mLastReadAt = aNow; }
   /// The holder released the duties when the log ended at aEnd: another instance may claim
   /// without waiting for the ttl.
   void observeRelease(Offset aEnd, TimePoint aNow);
@@ -96,6 +109,8 @@
   /// The next append may be made half a renewInterval later; moved back where one may be made at
   /// once.
   TimePoint mLastAttemptAt{};
+  /// When the log's end was last read, or could not be.
+  TimePoint mLastReadAt{};
   /// When this process, or an earlier one on the same machine, may have made its last
   /// call.
   std::optional<TimePoint> mLastCallAt;
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/dispatch/crash_suspects.hpp"
 #include "mustardplank/dispatch/domain_health.hpp"
+#include "mustardplank/dispatch/instance_load.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/placement.hpp"
 #include "mustardplank/dispatch/retry_budget.hpp"
@@ -92,6 +93,9 @@
   explicit Dispatcher(DispatcherOptions aOptions);
 
   void setRouteTable(route::RouteTablePtr aTable);
+  /// Time for which the load of the other instances counts.
+  static constexpr Duration kLoadMemory = Millis(600);
+
   /// Adds a server or applies its changed registry entry.
   void updateServer(const route::BackendServer& aServer, TimePoint aNow);
   /// Removes a server that has stopped or whose registry entry has expired.
@@ -105,6 +109,14 @@
   /// Sets the number of instances that share the retry budgets and servers.
   void setInstanceCount(std::size_t aInstances);
 
+  /// Load that this instance places on the servers.
+  InstanceLoads ownLoads() const;
+  /// Changes whenever ownLoads() may have changed.
+  std::uint64_t loadVersion() const { return mLoadVersion; }
+  /// Sets the load of the other instances, as it was about at aAt; servers that are not named have
+  /// none. It counts for kLoadMemory.
+  void setOthersLoads(const InstanceLoads& aLoads, TimePoint aAt);
+
   /// Sets the demand for a service, summed over all instances. Every instance gets the same sum, so
   /// that all divide the servers alike.
   void setDemand(const route::ServiceId& aService, const ServiceDemand& aDemand);
@@ -189,6 +201,12 @@
   /// Grants the job, or refuses it if its predicted time to the first event is too close to the
   /// deadline; false if no server can accept it.
   bool tryPlace(Job& aJob, TimePoint aNow, Effects& aEffects);
+  /// Whether a newcomer is refused as it would be late even at the best server.
+  ///
+  /// Load pattern: a burst of long prompts with a third of the engines gone. Requests that are late
+  /// anyway would make those behind them late as well.
+  bool knowsOthersLoads(TimePoint aNow) const;
+  bool wouldBeLate(const Job& aJob, const Choice& aChoice, TimePoint aNow) const;
   void grant(Job aJob, const Choice& aChoice, TimePoint aNow, Effects& aEffects);
   void refuse(const Job& aJob, RefusalReason aReason, TimePoint aNow, Effects& aEffects);
   /// Sort key of waiting jobs: the job with the smallest one is placed first.
@@ -233,6 +251,8 @@
   std::map<OrganisationId, std::size_t> mGrantedByOrganisation;
   std::vector<Job> mWaiting;
   TimePoint mDemandsTakenAt{};
+  std::uint64_t mLoadVersion = 0;
+  std::optional<TimePoint> mOthersLoadsAt;
   CrashSuspects mCrashSuspects;
   std::minstd_rand mRandom;
 };
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -37,8 +37,12 @@
   /// Per KiB sent to another failure domain, for the price of that traffic.
   Duration crossDomainPerKib = Millis(2);
   /// Per 1,000 shared tokens that a server has to prefill because it is not a preferred server,
-  /// which is assumed to cache them, besides the time of the prefill itself.
-  Duration duplicatePrefillPer1000Tokens = Millis(30);
+  /// which is assumed to cache them, besides the time of the prefill itself. Under load it delays
+  /// all requests behind it.
+  Duration duplicatePrefillPer1000Tokens = Millis(100);
+  /// The same while the load of the other instances is known, so that a queue at the preferred
+  /// servers is seen and a request that would be late there can be refused.
+  Duration duplicatePrefillPer1000TokensKnown = Millis(400);
   /// The secondary preferred server of a shared part. It is used only when the primary one is this
   /// much slower, so that it never prefills the part under light load.
   Duration secondaryPreferredServer = Millis(200);
@@ -69,6 +73,8 @@
   double shortServerShare = 0.4;
   /// Mean prompt tokens of other instances' long prompts that wait for prefill at a server.
   double otherInstancesPrefillTokens = 0.0;
+  /// Smoothed time from grant to end of finished requests.
+  double meanSlotOccupancyMs = 0.0;
   /// Mean short streams of all instances on each server for short prompts.
   double streamsPerShortServer = 0.0;
 };
@@ -97,6 +103,8 @@
   TimePoint now{};
   /// Requests per second that this instance may send to one cold server.
   std::size_t coldRateLimit = 1;
+  /// ServerState::others holds the load of the other instances.
+  bool knowsOthersLoads = false;
 };
 
 /// Whether a prompt is long enough to delay other streams on the same engine.
@@ -108,9 +116,9 @@
 countUncachedTokens(const Job& aJob, const ServerState& aServer);
 
 /// Predicted time to the first event when the server has to prefill aPrefillTokens.
-/// aIncludesOtherInstances: adds the long prompts of other instances that may wait on the server.
-/// choosePredicted() sets it for a long prompt on a server for long prompts, and for a short prompt
-/// on a server outside its group.
+/// aIncludesOtherInstances: adds the long prompts of other instances that may wait on the server,
+/// where their load is not known. choosePredicted() sets it for a long prompt on a server for long
+/// prompts, and for a short prompt on a server outside its group.
 Duration
 predictTimeToFirstEvent(const PlacementInput& aInput,
                         const ServerState& aServer,
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -3,6 +3,7 @@
 #include "mustardplank/base/hash.hpp"
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/dispatch/cold_rate_limiter.hpp"
+#include "mustardplank/dispatch/instance_load.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/prefix_cache_model.hpp"
 #include "mustardplank/route/model.hpp"
@@ -62,6 +63,9 @@
   /// Requests of this instance when that report arrived.
   std::uint32_t ownRunningAtReport = 0;
 
+  /// Load of the other instances on the server, as stated by them.
+  InstanceLoad others{};
+
   /// Smoothed ratio of observed to predicted time to the first event; above 1 is slow.
   double slowness = 1.0;
   /// Smoothed share of recent requests that failed, from 0 to 1. Decays over time, and is raised to
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -36,6 +36,9 @@
   }
   while (!draining) {
     const auto at = lease.dueAppendOffset(bootNow());
+    if (!at && planner.isAgent() && lease.isObservationDue(bootNow())) {
+      co_await observeClaims(store);
+    }
     if (at && (planner.isAgent() || lease.holdsDuties())) {
       co_await renewLease(store, *at);
     }
@@ -43,6 +46,18 @@
   }
 }
 
+awaitable<void>
+RouteDaemon::Impl::observeClaims(StoreClient& aStore)
+{
+  const auto sentAt = bootNow();
+  auto answer = co_await aStore.read(Topic::Claims, lease.logEnd(), Duration{});
+  if (const auto* batch = std::get_if<control::RecordBatch>(&answer)) {
+    lease.observeLog(batch->logEnd, sentAt);
+  } else {
+    lease.recordObservationFailure(sentAt);
+  }
+}
+
 awaitable<void>
 RouteDaemon::Impl::renewLease(StoreClient& aStore, control::Offset aAt)
 {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -174,6 +174,8 @@
 
   // Duties.
   awaitable<void> leaseLoop();
+  /// Reads the end of the claims log.
+  awaitable<void> observeClaims(StoreClient& aStore);
   awaitable<void> renewLease(StoreClient& aStore, control::Offset aAt);
   std::optional<control::DutyHolder> holder() const;
   awaitable<control::DutyResult> callDuty(platform::HttpClient& aExchange,
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -24,6 +24,24 @@
   }
 }
 
+bool
+DutyLease::isObservationDue(TimePoint aNow) const
+{
+  return !mStopped && !mFence && mRank < mOptions.maxObservers &&
+         aNow - mObservedAt >= mOptions.observeAfter && aNow - mLastReadAt >= mOptions.observeAfter;
+}
+
+void
+DutyLease::observeLog(Offset aEnd, TimePoint aSentAt)
+{
+  mLastReadAt = aSentAt;
+  // An end that is known already says that nobody has renewed since it was observed.
+  if (!mFence && aEnd > mLogEnd) {
+    mLogEnd = aEnd;
+    mObservedAt = std::max(mObservedAt, aSentAt);
+  }
+}
+
 void
 DutyLease::dropLease(Offset aEnd, TimePoint aNow)
 {
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -91,6 +91,44 @@
   BOOST_TEST(lease.dueAppendOffset(at(1300)).value() == 7U);
 }
 
+// Guards against a takeover that takes two leases: the holder ends just after a renewal of which
+// nobody has heard, so that a claim at the end that it reported fails.
+BOOST_AUTO_TEST_CASE(observer_reads_the_log_of_a_silent_holder)
+{
+  Log log;
+  DutyLease holder({}, true, at(0));
+  DutyLease observer({}, false, at(0));
+  step(holder, log, at(0));
+  observer.observeEnd(holder.logEnd(), at(100));
+  BOOST_TEST(!observer.isObservationDue(at(1000)));
+  step(holder, log, at(1100));
+  // The holder is gone.
+  int claimedAtMs = 0;
+  for (int now = 1200; now < 12000 && claimedAtMs == 0; now += 100) {
+    if (observer.isObservationDue(at(now))) {
+      observer.observeLog(log.end, at(now));
+    }
+    step(observer, log, at(now));
+    claimedAtMs = observer.holdsDuties() ? now : 0;
+  }
+  BOOST_TEST(claimedAtMs >= 1100 + 3000);
+  BOOST_TEST(claimedAtMs <= 1100 + 3000 + 500);
+}
+
+// Guards against a read that counts as news of the holder although nothing was renewed.
+BOOST_AUTO_TEST_CASE(reading_the_known_end_does_not_delay_a_claim)
+{
+  Log log;
+  log.end = 7;
+  DutyLease observer({}, false, at(0));
+  observer.observeEnd(7, at(0));
+  for (int now = 0; now < 3000; now += 100) {
+    observer.observeLog(7, at(now));
+    BOOST_TEST(!observer.dueAppendOffset(at(now)).has_value());
+  }
+  BOOST_TEST(observer.dueAppendOffset(at(3000)).value() == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(own_renewal_whose_answer_was_lost_keeps_the_duties)
 {
   Log log;
@@ -227,6 +265,9 @@
           if (lease.holdsDuties() && &other != &lease && chance(30)) {
             other.observeEnd(lease.logEnd(), at(now));
           }
+          if (&other != &lease && other.isObservationDue(at(now)) && chance(50)) {
+            other.observeLog(log.end, at(now));
+          }
         }
         if (const auto fence = lease.fenceIfActive(at(now))) {
           lease.recordCall(at(now));
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -14,6 +14,10 @@
 /// A job is refused if its predicted time to the first event exceeds this share of the time left
 /// until its deadline.
 constexpr double kMaxEstimateShare = 0.7;
+/// A newcomer with a long prompt is refused if the known load makes its estimate exceed this share
+/// of the time left until its target. The rest is for requests that are granted elsewhere at the
+/// same time.
+constexpr double kMaxEstimateShareOfTarget = 0.8;
 constexpr std::size_t kMaxWaitingJobs = 4096;
 /// Requests do not wait for a newer server list after it has been asked for this long ago.
 constexpr Duration kServerListWait = Millis(250);
@@ -203,6 +207,7 @@
     }
   }
   input.now = aNow;
+  input.knowsOthersLoads = knowsOthersLoads(aNow);
   const auto* service = mTable ? mTable->findService(aJob.service) : nullptr;
   input.hasEngine = service && service->engine.has_value();
   const double rate = service ? service->coldRate : 0.0;
@@ -252,10 +257,33 @@
     refuse(aJob, RefusalReason::Overloaded, aNow, aEffects);
     return true;
   }
+  if (wouldBeLate(aJob, *choice, aNow)) {
+    refuse(aJob, RefusalReason::Overloaded, aNow, aEffects);
+    return true;
+  }
   grant(std::move(aJob), *choice, aNow, aEffects);
   return true;
 }
 
+bool
+Dispatcher::wouldBeLate(const Job& aJob, const Choice& aChoice, TimePoint aNow) const
+{
+  if (!knowsOthersLoads(aNow) || !isLongPrompt(aJob) || aJob.callerRetry) {
+    return false;
+  }
+  const bool isBusy = aChoice.server->pendingPrefillTokens > 0 ||
+                      aChoice.server->others.pendingPrefillTokens > 0.0 ||
+                      aChoice.server->others.running > 0.0;
+  return isBusy &&
+         aChoice.estimate > scaleDuration(aJob.targetDeadline - aNow, kMaxEstimateShareOfTarget);
+}
+
+bool
+Dispatcher::knowsOthersLoads(TimePoint aNow) const
+{
+  return mOthersLoadsAt && aNow - *mOthersLoadsAt < kLoadMemory;
+}
+
 void
 Dispatcher::grant(Job aJob, const Choice& aChoice, TimePoint aNow, Effects& aEffects)
 {
@@ -296,6 +324,7 @@
   server.prefixCache.recordPrompt(aJob.prompt);
   const auto id = aJob.id;
   ++mGrantedByOrganisation[aJob.organisation];
+  ++mLoadVersion;
   granted.job = std::move(aJob);
   mGranted.emplace(id, std::move(granted));
   aEffects.emplace_back(std::move(effect));
@@ -337,6 +366,7 @@
     return;
   }
   run->second.started = true;
+  ++mLoadVersion;
   server->pendingPrefillTokens -= run->second.prefillTokens;
   refreshAndGetState(server->server.service).domains[server->server.domain].recordSuccess();
   learnFromFirstEvent(*server, run->second, aNow, it->second.queueWasEmpty);
@@ -377,11 +407,12 @@
         --server->shortStreams;
       }
       if (aOutcome == JobOutcome::Finished) {
-        smooth(refreshAndGetState(server->server.service).meanSlotOccupancyMs,
-               toMillis(aNow - run->second.sent),
-               kModelSmoothingWeight);
+        auto& state = refreshAndGetState(server->server.service);
+        smooth(state.meanSlotOccupancyMs, toMillis(aNow - run->second.sent), kModelSmoothingWeight);
+        state.model.meanSlotOccupancyMs = state.meanSlotOccupancyMs;
       }
       server->running.erase(run);
+      ++mLoadVersion;
       recordOutcome(*server, aOutcome, aNow);
     }
   }
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -183,6 +183,31 @@
   }
 }
 
+InstanceLoads
+Dispatcher::ownLoads() const
+{
+  InstanceLoads loads;
+  for (const auto& [id, server] : mServers) {
+    if (!server->running.empty()) {
+      loads[static_cast<ServerKey>(server->idHash)] = {
+        static_cast<double>(server->running.size()),
+        static_cast<double>(server->pendingPrefillTokens)
+      };
+    }
+  }
+  return loads;
+}
+
+void
+Dispatcher::setOthersLoads(const InstanceLoads& aLoads, TimePoint aAt)
+{
+  mOthersLoadsAt = aAt;
+  for (auto& [id, server] : mServers) {
+    const auto it = aLoads.find(static_cast<ServerKey>(server->idHash));
+    server->others = it == aLoads.end() ? InstanceLoad{} : it->second;
+  }
+}
+
 std::map<route::ServiceId, ServiceDemand>
 Dispatcher::takeDemands(TimePoint aNow)
 {
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -30,6 +30,9 @@
 estimateActiveRequests(const ServerState& aServer, const PlacementInput& aInput)
 {
   const double own = static_cast<double>(aServer.running.size());
+  if (aInput.knowsOthersLoads) {
+    return own + aServer.others.running;
+  }
   const auto age = aInput.now - aServer.reportedAt;
   if (aServer.reportedAt == TimePoint{} || age >= kMaxReportAge) {
     return own;
@@ -47,8 +50,9 @@
          aJob.excludedServers.end();
 }
 
+/// aQueues: the server may get requests beyond its slots, as many as it has slots.
 bool
-canAcceptRequest(const PlacementInput& aInput, const ServerState& aServer)
+canAcceptRequest(const PlacementInput& aInput, const ServerState& aServer, bool aQueues)
 {
   if (aServer.suspendedUntil > aInput.now) {
     return false;
@@ -60,10 +64,18 @@
       !aServer.coldLimiter.canAcquire(aInput.now, aInput.coldRateLimit)) {
     return false;
   }
-  if (estimateActiveRequests(aServer, aInput) >= aServer.server.slots) {
-    return false;
-  }
-  return true;
+  const double limit = (aQueues ? 2.0 : 1.0) * aServer.server.slots;
+  return estimateActiveRequests(aServer, aInput) < limit;
+}
+
+/// Time until a slot is free, when all are taken.
+Duration
+slotWait(const PlacementInput& aInput, const ServerState& aServer)
+{
+  const double slots = std::max(1U, aServer.server.slots);
+  const double ahead = std::max(0.0, estimateActiveRequests(aServer, aInput) - slots + 1.0);
+  const double waitMs = ahead * aInput.model->meanSlotOccupancyMs / slots;
+  return Duration(static_cast<std::int64_t>(1000.0 * waitMs));
 }
 
 bool
@@ -183,11 +195,15 @@
       estimateActiveRequests(aServer, aInput) / std::max(1U, aServer.server.slots);
     return scaled(aInput.model->meanResponseTime, (1.0 + 2.0 * load) * aServer.slowness);
   }
-  const double others = aIncludesOtherInstances ? aInput.model->otherInstancesPrefillTokens : 0.0;
+  double others = aIncludesOtherInstances ? aInput.model->otherInstancesPrefillTokens : 0.0;
+  if (aInput.knowsOthersLoads) {
+    others = aServer.others.pendingPrefillTokens;
+  }
   const double queuedTokens = static_cast<double>(aServer.pendingPrefillTokens) + others;
   const double prefillMs = (queuedTokens + aPrefillTokens) / aInput.model->prefillTokensPerMs;
   const auto prefillTime = Duration(static_cast<std::int64_t>(1000.0 * prefillMs));
-  return scaled(aInput.model->baseTimeToFirstEvent + prefillTime, aServer.slowness);
+  return scaled(aInput.model->baseTimeToFirstEvent + prefillTime, aServer.slowness) +
+         slotWait(aInput, aServer);
 }
 
 std::optional<Choice>
@@ -197,10 +213,15 @@
   const bool isLong = isLongPrompt(job);
   const auto preferredServers =
     aInput.hasEngine ? preferredServersFor(aInput, isLong) : PreferredServers{};
+  const auto duplicateCost = aInput.knowsOthersLoads
+                               ? aInput.costs->duplicatePrefillPer1000TokensKnown
+                               : aInput.costs->duplicatePrefillPer1000Tokens;
   std::optional<Choice> best;
   Duration bestCost{};
   for (auto* it : *aInput.servers) {
-    if (isExcluded(job, *it) || !canAcceptRequest(aInput, *it)) {
+    const bool preferred = preferredServers.primary == it || preferredServers.secondary == it;
+    if (isExcluded(job, *it) ||
+        !canAcceptRequest(aInput, *it, preferred && aInput.knowsOthersLoads)) {
       continue;
     }
     Choice choice{ it, {}, countUncachedTokens(job, *it) };
@@ -214,7 +235,7 @@
       includesOtherInstances = isLong == inGroup;
       cost += groupCost(aInput, *it, isLong, inGroup);
       const auto ownTokens = job.promptTokens - sharedTokens(job);
-      if (preferredServers.primary == it || preferredServers.secondary == it) {
+      if (preferred) {
         // Other instances send requests with the shared parts there too, so these are assumed to be
         // cached.
         choice.prefillTokens = std::min(choice.prefillTokens, ownTokens);
@@ -223,7 +244,7 @@
         cost += aInput.costs->secondaryPreferredServer;
       }
       const double duplicate = std::max(0.0, static_cast<double>(choice.prefillTokens) - ownTokens);
-      cost += scaled(aInput.costs->duplicatePrefillPer1000Tokens, duplicate / 1000.0);
+      cost += scaled(duplicateCost, duplicate / 1000.0);
     }
     choice.estimate =
       predictTimeToFirstEvent(aInput, *it, choice.prefillTokens, includesOtherInstances);
@@ -266,7 +287,7 @@
 {
   std::vector<ServerState*> servers;
   for (auto* it : *aInput.servers) {
-    if (!isExcluded(*aInput.job, *it) && canAcceptRequest(aInput, *it)) {
+    if (!isExcluded(*aInput.job, *it) && canAcceptRequest(aInput, *it, false)) {
       servers.push_back(it);
     }
   }
