--- a/include/mustardplank/agent/sync_messages.hpp
+++ b/include/mustardplank/agent/sync_messages.hpp
@@ -28,7 +28,7 @@
     /// End of Topic::Claims that it stated.
     control::Offset claimsLogEnd = 0;
     bool leaving = false;
-    /// Time since the agent read that.
+    /// Time since its last renewal.
     Duration age{};
   };
   std::optional<Holder> holder;
--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -55,8 +55,8 @@
   /// aFirstStart: the whole system starts for the first time, so no instance has made a call yet.
   DutyLease(DutyLeaseOptions aOptions, bool aFirstStart, TimePoint aNow);
 
-  /// The holder reported aEnd as the end of the log.
-  void observeEnd(Offset aEnd, TimePoint aNow);
+  /// The holder reported aEnd as the end of the log after a renewal at aRenewedAt or before.
+  void observeEnd(Offset aEnd, TimePoint aRenewedAt);
   /// Whether the holder has been silent for so long that the log's end should be read.
   ///
   /// Load pattern: the holder is killed or cut off just after a renewal that it has not reported. A
@@ -91,6 +91,8 @@
   /// True from a successful claim until another instance's append is seen, even if the lease has
   /// expired; see fenceIfActive().
   bool holdsDuties() const { return mFence.has_value(); }
+  /// When the last claim or renewal that succeeded was sent.
+  TimePoint renewedAt() const { return mRenewedAt; }
   /// End of the log, as far as known here.
   Offset logEnd() const { return mLogEnd; }
 
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -40,6 +40,7 @@
   update.relayAddress = settings.admin.text();
   if (lease.holdsDuties()) {
     update.claimsLogEnd = lease.logEnd();
+    update.renewalAge = bootNow() - lease.renewedAt();
   }
   update.needs = dispatcher.takeDemands(bootNow());
   return update;
@@ -62,8 +63,11 @@
   needs[update->instance] = { now, update->needs };
   noteContact(*update);
   if (update->instance != settings.instance && update->claimsLogEnd) {
-    holderNote = HolderNote{ *update->claimsLogEnd, update->leaving, now };
-    noteHolder(*update->claimsLogEnd, update->leaving, now);
+    // How long the update was on its way is known to no clock: counted from its arrival, the renewal
+    // seems later than it was, which delays a claim and never allows one too early.
+    const auto renewedAt = now - update->renewalAge;
+    holderNote = HolderNote{ *update->claimsLogEnd, update->leaving, renewedAt };
+    noteHolder(*update->claimsLogEnd, update->leaving, renewedAt);
   }
   for (const auto& it : update->crashes) {
     noteCrash(it);
@@ -82,14 +86,12 @@
 }
 
 void
-RouteDaemon::Impl::noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow)
+RouteDaemon::Impl::noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aRenewedAt)
 {
-  // The update may be old, but its age is known to no clock: counted as new, it delays a claim and
-  // never allows one too early.
   if (aLeaving) {
-    lease.observeRelease(aClaimsLogEnd, aNow);
+    lease.observeRelease(aClaimsLogEnd, aRenewedAt);
   } else {
-    lease.observeEnd(aClaimsLogEnd, aNow);
+    lease.observeEnd(aClaimsLogEnd, aRenewedAt);
   }
 }
 
@@ -119,11 +121,11 @@
     }
   }
   if (lease.holdsDuties()) {
-    sum.holder = agent::BoardDigest::Holder{ lease.logEnd(), draining, Duration{} };
+    sum.holder = agent::BoardDigest::Holder{ lease.logEnd(), draining, now - lease.renewedAt() };
   } else if (holderNote) {
     sum.holder = agent::BoardDigest::Holder{ holderNote->claimsLogEnd,
                                              holderNote->leaving,
-                                             now - holderNote->receivedAt };
+                                             now - holderNote->renewedAt };
   }
   return sum;
 }
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -147,8 +147,8 @@
   control::InstanceUpdate makeUpdate();
   void applyUpdate(const control::Record& aRecord);
   void noteContact(const control::InstanceUpdate& aUpdate);
-  /// Tells the duty lease of the end of the claims log that its holder stated at aNow.
-  void noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aNow);
+  /// Tells the duty lease of the end of the claims log after the holder's renewal at aRenewedAt.
+  void noteHolder(control::Offset aClaimsLogEnd, bool aLeaving, TimePoint aRenewedAt);
   void noteCrash(const dispatch::CrashReport& aReport);
   /// Sums up what this instance has read of the board.
   agent::BoardDigest makeDigest() const;
@@ -220,7 +220,7 @@
   {
     control::Offset claimsLogEnd = 0;
     bool leaving = false;
-    TimePoint receivedAt{};
+    TimePoint renewedAt{};
   };
 
   settings::RouteSettings settings;
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -15,12 +15,12 @@
 }
 
 void
-DutyLease::observeEnd(Offset aEnd, TimePoint aNow)
+DutyLease::observeEnd(Offset aEnd, TimePoint aRenewedAt)
 {
   if (aEnd > mLogEnd) {
-    dropLease(aEnd, aNow);
+    dropLease(aEnd, aRenewedAt);
   } else if (aEnd == mLogEnd && !mFence) {
-    mObservedAt = std::max(mObservedAt, aNow);
+    mObservedAt = std::max(mObservedAt, aRenewedAt);
   }
 }
 
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -115,6 +115,23 @@
   BOOST_TEST(claimedAtMs <= 1100 + 3000 + 500);
 }
 
+// Guards against a holder that the store turns away: its updates reach the others through an agent
+// and must not keep them from taking over.
+BOOST_AUTO_TEST_CASE(updates_of_a_holder_that_cannot_renew_do_not_delay_a_takeover)
+{
+  Log log;
+  DutyLease holder({}, true, at(0));
+  DutyLease observer({}, false, at(0));
+  step(holder, log, at(0));
+  int claimedAtMs = 0;
+  for (int now = 100; now < 9000 && claimedAtMs == 0; now += 100) {
+    observer.observeEnd(holder.logEnd(), std::max(holder.renewedAt(), at(0)));
+    step(observer, log, at(now));
+    claimedAtMs = observer.holdsDuties() ? now : 0;
+  }
+  BOOST_TEST(claimedAtMs == 3000);
+}
+
 // Guards against a read that counts as news of the holder although nothing was renewed.
 BOOST_AUTO_TEST_CASE(reading_the_known_end_does_not_delay_a_claim)
 {
@@ -263,7 +280,10 @@
         }
         for (auto& other : leases) {
           if (lease.holdsDuties() && &other != &lease && chance(30)) {
-            other.observeEnd(lease.logEnd(), at(now));
+            // The age of the renewal is stated; how long the update was on its way is not known.
+            const auto way = Millis(random() % 1500);
+            const auto renewedAt = chance(50) ? lease.renewedAt() + way : at(now);
+            other.observeEnd(lease.logEnd(), std::min(renewedAt, at(now)));
           }
           if (&other != &lease && other.isObservationDue(at(now)) && chance(50)) {
             other.observeLog(log.end, at(now));
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -62,6 +62,7 @@
   update.relayAddress = aObject.value("a", std::string());
   if (aObject.contains("h")) {
     update.claimsLogEnd = aObject.at("h").get<std::uint64_t>();
+    update.renewalAge = Millis(aObject.value("r", std::int64_t(0)));
   }
   for (const auto& it : aObject.value("w", json::array())) {
     update.windows[it.at(0).get<std::uint64_t>()] = countsFromJson(it.at(1));
@@ -95,6 +96,7 @@
   }
   if (aUpdate.claimsLogEnd) {
     object["h"] = *aUpdate.claimsLogEnd;
+    object["r"] = duration_cast<Millis>(aUpdate.renewalAge).count();
   }
   for (const auto& [window, counts] : aUpdate.windows) {
     object["w"].push_back(json::array({ window, countsToJson(counts) }));
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -18,6 +18,7 @@
   update.leaving = true;
   update.relayAddress = "10.1.0.1:7200";
   update.claimsLogEnd = 5;
+  update.renewalAge = Millis(1500);
   update.windows[9][OrganisationId("one")] = 3;
   update.crashes.push_back({ 0xffffffffffffffffULL, BackendServerId("s") });
   update.needs[route::ServiceId("svc")] = { 1.5, 2.5 };
@@ -31,6 +32,7 @@
   BOOST_TEST(decoded->leaving);
   BOOST_TEST(decoded->relayAddress == "10.1.0.1:7200");
   BOOST_TEST(decoded->claimsLogEnd.value() == 5U);
+  BOOST_TEST((decoded->renewalAge == Millis(1500)));
   BOOST_TEST(decoded->windows.at(9).at(OrganisationId("one")) == 3U);
   BOOST_TEST(decoded->crashes.at(0).digest == 0xffffffffffffffffULL);
   BOOST_TEST(decoded->needs.at(route::ServiceId("svc")).longTokensPerMs == 2.5);
