--- /dev/null
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "mustardplank/agent/directory.hpp"
+#include "mustardplank/agent/load_messages.hpp"
+#include "mustardplank/base/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mustardplank::agent {
+
+struct Datagram
+{
+  /// "ip:port".
+  std::string address;
+  std::string bytes;
+};
+
+/// Tells this instance which load the others place on each server, some hundredths of a second ago.
+/// Does no I/O; times are of the boot clock. Messages may be lost, doubled or reordered: each one
+/// replaces what it is about.
+///
+/// Load pattern: hundreds of instances before a hundred engines. Each instance sees too few
+/// responses to know the queues of the engines from them, so that bursts pile up at some engines
+/// while others are idle. Instances report their load to the agents of their failure domain, agents
+/// exchange the sums of their domains and return the total: messages grow with the number of
+/// instances and of servers, not with their product. The first agent sends; the second one does
+/// while it hears nothing from the first. Without agents there is no table, and placement goes by
+/// what the instance sees itself.
+class LoadExchange
+{
+public:
+  LoadExchange(InstanceId aInstance,
+               FailureDomainId aDomain,
+               std::string aAddress,
+               std::uint64_t aIncarnation);
+
+  void setDirectory(const Directory& aDirectory);
+  /// The load that this instance places on servers has changed.
+  void setOwnLoads(dispatch::InstanceLoads aLoads);
+  void receive(const LoadMessage& aMessage, TimePoint aNow);
+  /// Datagrams that are to be sent now.
+  std::vector<Datagram> takeDue(TimePoint aNow);
+  /// When takeDue() has something next.
+  TimePoint nextAt(TimePoint aNow) const;
+  /// Load of the other instances, if it is known anew since the last call.
+  std::optional<dispatch::InstanceLoads> takeOthersLoads();
+
+private:
+  struct Member
+  {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    std::string address;
+    dispatch::InstanceLoads loads;
+    TimePoint receivedAt{};
+  };
+  struct RemoteDomain
+  {
+    dispatch::InstanceLoads loads;
+    TimePoint receivedAt{};
+  };
+
+  void apply(const LoadReport& aReport, TimePoint aNow);
+  void apply(const DomainLoads& aLoads, TimePoint aNow);
+  void apply(const LoadTable& aTable, TimePoint aNow);
+  /// This instance is to send tables: it is the first agent, or has heard no table from those before
+  /// it.
+  bool sendsTables(TimePoint aNow) const;
+  void expire(TimePoint aNow);
+  /// Sum over the instances of this failure domain.
+  dispatch::InstanceLoads domainLoads() const;
+  void addReports(std::vector<Datagram>& aOut, TimePoint aNow);
+  void addDomainLoads(std::vector<Datagram>& aOut, TimePoint aNow);
+  void addTables(std::vector<Datagram>& aOut, TimePoint aNow);
+
+  InstanceId mInstance;
+  FailureDomainId mDomain;
+  std::string mAddress;
+  std::uint64_t mIncarnation;
+  /// Of this failure domain, without this instance.
+  AgentList mOwnAgents;
+  AgentList mOtherAgents;
+  std::optional<std::size_t> mSlot;
+
+  dispatch::InstanceLoads mOwnLoads;
+  bool mOwnChanged = false;
+  std::uint64_t mSequence = 0;
+  /// Reports that a table may contain, by sequence number.
+  std::deque<std::pair<std::uint64_t, dispatch::InstanceLoads>> mReported;
+  TimePoint mReportedAt{};
+
+  std::map<InstanceId, Member> mMembers;
+  std::map<FailureDomainId, RemoteDomain> mRemoteDomains;
+  bool mDomainChanged = false;
+  TimePoint mDomainSentAt{};
+  bool mTotalChanged = false;
+  TimePoint mTableSentAt{};
+
+  /// The latest table, as received.
+  dispatch::InstanceLoads mTable;
+  std::optional<TimePoint> mTableReceivedAt;
+  std::optional<dispatch::InstanceLoads> mOthersLoads;
+};
+
+}
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "mustardplank/route/table.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -111,6 +112,8 @@
 
   /// Load that this instance places on the servers.
   InstanceLoads ownLoads() const;
+  /// Called whenever ownLoads() may have changed.
+  void setLoadListener(std::function<void()> aListener) { mLoadListener = std::move(aListener); }
   /// Changes whenever ownLoads() may have changed.
   std::uint64_t loadVersion() const { return mLoadVersion; }
   /// Sets the load of the other instances, as it was about at aAt; servers that are not named have
@@ -206,6 +209,7 @@
   /// Load pattern: a burst of long prompts with a third of the engines gone. Requests that are late
   /// anyway would make those behind them late as well.
   bool knowsOthersLoads(TimePoint aNow) const;
+  void noteLoadChange();
   bool wouldBeLate(const Job& aJob, const Choice& aChoice, TimePoint aNow) const;
   void grant(Job aJob, const Choice& aChoice, TimePoint aNow, Effects& aEffects);
   void refuse(const Job& aJob, RefusalReason aReason, TimePoint aNow, Effects& aEffects);
@@ -252,6 +256,7 @@
   std::vector<Job> mWaiting;
   TimePoint mDemandsTakenAt{};
   std::uint64_t mLoadVersion = 0;
+  std::function<void()> mLoadListener;
   std::optional<TimePoint> mOthersLoadsAt;
   CrashSuspects mCrashSuspects;
   std::minstd_rand mRandom;
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -88,6 +88,9 @@
   /// Requests to agents, and those without a reply.
   Sync,
   SyncFailure,
+  /// Datagrams about the load of servers sent, and malformed ones received.
+  LoadMessage,
+  LoadMessageIgnored,
   EntryPassedOn,
   LogRecordSkipped,
   OwnerChange,
@@ -99,7 +102,7 @@
   RefusedConnection,
 };
 
-inline constexpr NameTable<Event, 16> kEventNames{ { {
+inline constexpr NameTable<Event, 18> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -107,6 +110,8 @@
   { Event::DirectRead, "direct_reads" },
   { Event::Sync, "agent_syncs" },
   { Event::SyncFailure, "agent_sync_failures" },
+  { Event::LoadMessage, "load_messages" },
+  { Event::LoadMessageIgnored, "load_messages_ignored" },
   { Event::EntryPassedOn, "board_entries_passed_on" },
   { Event::LogRecordSkipped, "log_records_skipped" },
   { Event::OwnerChange, "owner_changes" },
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -116,6 +116,7 @@
                relay,
                incarnation,
                [this](bool aWithPeers) { return makeSyncState(aWithPeers); })
+  , loads(settings.instance, settings.failureDomain, settings.admin.text(), incarnation)
   , registry(outageThreshold(settings))
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
@@ -309,6 +310,7 @@
   gateway.start();
   alarms.onEarlier([this] { armAlarms(); });
   awaitSignals();
+  openLoadSocket();
   const auto spawn = [this](awaitable<void> aLoop) {
     asio::co_spawn(io, std::move(aLoop), asio::detached);
   };
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -92,6 +92,10 @@
       .field("directory_end", planner.directory().logEnd)
       .write();
   }
+  if (loadDirectoryEnd != planner.directory().logEnd) {
+    loadDirectoryEnd = planner.directory().logEnd;
+    loads.setDirectory(planner.directory());
+  }
   if (follows != followed) {
     followed = follows;
     LogEvent(LogLevel::Info, follows ? "agent.follows_store" : "agent.stands_by")
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -4,6 +4,7 @@
 #include "route_daemon.hpp"
 #include "store_client.hpp"
 
+#include "mustardplank/agent/load_exchange.hpp"
 #include "mustardplank/agent/source_planner.hpp"
 #include "mustardplank/agent/sync_server.hpp"
 #include "mustardplank/agent/update_relay.hpp"
@@ -25,6 +26,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
@@ -143,6 +145,14 @@
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
 
+  // Loads of servers.
+  void openLoadSocket();
+  awaitable<void> receiveLoads();
+  /// Sends what is due, and hands the load of the other instances to the dispatcher.
+  void exchangeLoads();
+  /// exchangeLoads() runs at aAt or earlier.
+  void armLoadAlarm(TimePoint aAt);
+
   // Board.
   control::InstanceUpdate makeUpdate();
   void applyUpdate(const control::Record& aRecord);
@@ -246,6 +256,11 @@
   TimePoint lastUpdateSentAt{};
   bool followed = false;
   bool wasAgent = false;
+  agent::LoadExchange loads;
+  std::uint64_t sentLoadVersion = 0;
+  /// Directory::logEnd of the agents that the exchange of loads knows.
+  control::Offset loadDirectoryEnd = 0;
+  std::optional<AlarmQueue::Id> loadAlarm;
 
   control::ServerRegistry registry;
   control::DutyLease lease;
@@ -292,6 +307,7 @@
   asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
   asio::steady_timer alarmTimer{ io };
   std::optional<AlarmQueue::Id> syncAlarm;
+  asio::ip::udp::socket loadSocket{ io };
   gateway::Gateway gateway;
 };
 
--- /dev/null
+++ b/src/daemon/route_daemon_loads.cpp
@@ -0,0 +1,115 @@
+#include "route_daemon_impl.hpp"
+
+#include "mustardplank/settings/parse.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+
+#include <array>
+
+namespace mustardplank::daemon {
+
+namespace {
+
+constexpr std::size_t kMaxDatagramBytes = 64 * 1024;
+/// Changes of the own load are collected for this long.
+constexpr Duration kCollectTime = Millis(10);
+
+}
+
+void
+RouteDaemon::Impl::openLoadSocket()
+{
+  if (settings.domainAgents == 0) {
+    return;
+  }
+  boost::system::error_code ec;
+  const auto endpoint = endpointOf(settings.admin);
+  const asio::ip::udp::endpoint address(endpoint.address(), endpoint.port());
+  loadSocket.open(address.protocol(), ec);
+  if (!ec) {
+    loadSocket.bind(address, ec);
+  }
+  if (!ec) {
+    loadSocket.non_blocking(true, ec);
+  }
+  if (ec) {
+    LogEvent(LogLevel::Error, "loads.no_socket").field("detail", ec.message()).write();
+    loadSocket.close(ec);
+    return;
+  }
+  dispatcher.setLoadListener([this] { armLoadAlarm(bootNow() + kCollectTime); });
+  asio::co_spawn(io, receiveLoads(), asio::detached);
+  exchangeLoads();
+}
+
+awaitable<void>
+RouteDaemon::Impl::receiveLoads()
+{
+  std::vector<char> buf(kMaxDatagramBytes);
+  while (loadSocket.is_open()) {
+    asio::ip::udp::endpoint sender;
+    boost::system::error_code ec;
+    const auto n = co_await loadSocket.async_receive_from(
+      asio::buffer(buf), sender, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      // An earlier datagram to a port on which nobody listens.
+      continue;
+    }
+    Findings findings;
+    const auto message = agent::decodeLoadMessage(std::string(buf.data(), n), findings);
+    if (!message) {
+      metrics.count(metrics::Event::LoadMessageIgnored);
+      continue;
+    }
+    loads.receive(*message, bootNow());
+    exchangeLoads();
+  }
+}
+
+void
+RouteDaemon::Impl::exchangeLoads()
+{
+  const auto now = bootNow();
+  if (dispatcher.loadVersion() != sentLoadVersion) {
+    sentLoadVersion = dispatcher.loadVersion();
+    loads.setOwnLoads(dispatcher.ownLoads());
+  }
+  for (const auto& it : loads.takeDue(now)) {
+    const auto address = settings::parseAddress(it.address);
+    if (!address) {
+      continue;
+    }
+    const auto endpoint = endpointOf(*address);
+    // What cannot be sent at once is dropped, as newer loads follow.
+    boost::system::error_code ec;
+    loadSocket.send_to(asio::buffer(it.bytes),
+                       asio::ip::udp::endpoint(endpoint.address(), endpoint.port()),
+                       0,
+                       ec);
+    metrics.count(metrics::Event::LoadMessage);
+  }
+  if (const auto others = loads.takeOthersLoads()) {
+    dispatcher.setOthersLoads(*others, now);
+  }
+  armLoadAlarm(loads.nextAt(now));
+}
+
+void
+RouteDaemon::Impl::armLoadAlarm(TimePoint aAt)
+{
+  if (loadAlarm && loadAlarm->first <= aAt) {
+    return;
+  }
+  if (loadAlarm) {
+    alarms.cancel(*loadAlarm);
+  }
+  loadAlarm = alarms.set(aAt, [this] {
+    loadAlarm.reset();
+    exchangeLoads();
+  });
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -0,0 +1,272 @@
+#include "mustardplank/agent/load_exchange.hpp"
+
+#include <algorithm>
+
+namespace mustardplank::agent {
+
+using dispatch::InstanceLoads;
+
+namespace {
+
+/// Changes within these times go into one datagram.
+constexpr Duration kReportInterval = Millis(15);
+constexpr Duration kDomainInterval = Millis(25);
+constexpr Duration kTableInterval = Millis(40);
+/// What has not changed is repeated this often, in case a datagram was lost.
+constexpr Duration kRepeatInterval = Millis(300);
+/// Nothing was heard of an instance, a failure domain or a table for so long: it no longer counts.
+constexpr Duration kMemberMemory = Millis(1500);
+constexpr Duration kDomainMemory = Millis(1500);
+constexpr Duration kTableMemory = Millis(700);
+/// Reports that are kept to subtract them from tables.
+constexpr std::size_t kMaxReported = 64;
+/// Servers in one datagram, at about 11 bytes each.
+constexpr std::size_t kMaxServersPerDatagram = 100;
+
+void
+add(InstanceLoads& aSum, const InstanceLoads& aLoads)
+{
+  for (const auto& [server, load] : aLoads) {
+    aSum[server] += load;
+  }
+}
+
+/// Leaves out servers without load; a difference of values of different age may be negative.
+InstanceLoads
+difference(InstanceLoads aSum, const InstanceLoads& aLoads)
+{
+  for (const auto& [server, load] : aLoads) {
+    aSum[server] -= load;
+  }
+  for (auto& [server, load] : aSum) {
+    load.running = std::max(0.0, load.running);
+    load.pendingPrefillTokens = std::max(0.0, load.pendingPrefillTokens);
+  }
+  std::erase_if(aSum, [](const auto& aItem) {
+    return aItem.second.running <= 0.0 && aItem.second.pendingPrefillTokens <= 0.0;
+  });
+  return aSum;
+}
+
+}
+
+LoadExchange::LoadExchange(InstanceId aInstance,
+                           FailureDomainId aDomain,
+                           std::string aAddress,
+                           std::uint64_t aIncarnation)
+  : mInstance(std::move(aInstance))
+  , mDomain(std::move(aDomain))
+  , mAddress(std::move(aAddress))
+  , mIncarnation(aIncarnation)
+{
+}
+
+void
+LoadExchange::setDirectory(const Directory& aDirectory)
+{
+  mOwnAgents.clear();
+  mOtherAgents.clear();
+  mSlot.reset();
+  for (const auto& [domain, agents] : aDirectory.domains) {
+    for (std::size_t slot = 0; slot < agents.size(); ++slot) {
+      if (agents[slot].instance == mInstance) {
+        mSlot = slot;
+      } else {
+        (domain == mDomain ? mOwnAgents : mOtherAgents).push_back(agents[slot]);
+      }
+    }
+  }
+}
+
+void
+LoadExchange::setOwnLoads(InstanceLoads aLoads)
+{
+  if (aLoads == mOwnLoads) {
+    return;
+  }
+  mOwnLoads = std::move(aLoads);
+  mOwnChanged = true;
+  mDomainChanged = true;
+  mTotalChanged = true;
+}
+
+void
+LoadExchange::receive(const LoadMessage& aMessage, TimePoint aNow)
+{
+  std::visit([&](const auto& aInner) { apply(aInner, aNow); }, aMessage);
+}
+
+void
+LoadExchange::apply(const LoadReport& aReport, TimePoint aNow)
+{
+  if (!mSlot) {
+    return;
+  }
+  auto& member = mMembers[aReport.instance];
+  if (member.incarnation == aReport.incarnation && aReport.sequence < member.sequence) {
+    return;
+  }
+  if (member.incarnation != aReport.incarnation) {
+    member.loads.clear();
+  }
+  auto loads = member.loads;
+  mergePart(loads, aReport.load);
+  const bool changed = loads != member.loads;
+  member = { aReport.incarnation, aReport.sequence, aReport.address, std::move(loads), aNow };
+  mDomainChanged = mDomainChanged || changed;
+  mTotalChanged = mTotalChanged || changed;
+}
+
+void
+LoadExchange::apply(const DomainLoads& aLoads, TimePoint aNow)
+{
+  if (!mSlot || aLoads.domain == mDomain) {
+    return;
+  }
+  auto& remote = mRemoteDomains[aLoads.domain];
+  auto loads = remote.loads;
+  mergePart(loads, aLoads.load);
+  mTotalChanged = mTotalChanged || loads != remote.loads;
+  remote = { std::move(loads), aNow };
+}
+
+void
+LoadExchange::apply(const LoadTable& aTable, TimePoint aNow)
+{
+  mergePart(mTable, aTable.load);
+  mTableReceivedAt = aNow;
+  const auto own = std::find_if(mReported.begin(), mReported.end(), [&](const auto& aReported) {
+    return aReported.first == aTable.sequence;
+  });
+  mOthersLoads = difference(mTable, own == mReported.end() ? InstanceLoads{} : own->second);
+}
+
+bool
+LoadExchange::sendsTables(TimePoint aNow) const
+{
+  return mSlot && (*mSlot == 0 || !mTableReceivedAt || aNow - *mTableReceivedAt >= kTableMemory);
+}
+
+void
+LoadExchange::expire(TimePoint aNow)
+{
+  const auto members = std::erase_if(mMembers, [&](const auto& aItem) {
+    return aNow - aItem.second.receivedAt >= kMemberMemory;
+  });
+  const auto domains = std::erase_if(mRemoteDomains, [&](const auto& aItem) {
+    return aNow - aItem.second.receivedAt >= kDomainMemory;
+  });
+  mDomainChanged = mDomainChanged || members > 0;
+  mTotalChanged = mTotalChanged || members > 0 || domains > 0;
+}
+
+InstanceLoads
+LoadExchange::domainLoads() const
+{
+  auto sum = mOwnLoads;
+  for (const auto& [instance, member] : mMembers) {
+    add(sum, member.loads);
+  }
+  return sum;
+}
+
+void
+LoadExchange::addReports(std::vector<Datagram>& aOut, TimePoint aNow)
+{
+  const bool due = mOwnChanged ? aNow - mReportedAt >= kReportInterval
+                               : aNow - mReportedAt >= kRepeatInterval;
+  if (!due) {
+    return;
+  }
+  mOwnChanged = false;
+  mReportedAt = aNow;
+  mReported.emplace_back(++mSequence, mOwnLoads);
+  if (mReported.size() > kMaxReported) {
+    mReported.pop_front();
+  }
+  for (const auto& part : splitLoads(mOwnLoads, kMaxServersPerDatagram)) {
+    const auto bytes =
+      encodeLoadMessage(LoadReport{ mInstance, mIncarnation, mSequence, mAddress, part });
+    for (const auto& it : mOwnAgents) {
+      aOut.push_back({ it.address, bytes });
+    }
+  }
+}
+
+void
+LoadExchange::addDomainLoads(std::vector<Datagram>& aOut, TimePoint aNow)
+{
+  const bool due = mDomainChanged ? aNow - mDomainSentAt >= kDomainInterval
+                                  : aNow - mDomainSentAt >= kRepeatInterval;
+  if (!due) {
+    return;
+  }
+  mDomainChanged = false;
+  mDomainSentAt = aNow;
+  for (const auto& part : splitLoads(domainLoads(), kMaxServersPerDatagram)) {
+    const auto bytes = encodeLoadMessage(DomainLoads{ mDomain, part });
+    for (const auto& it : mOtherAgents) {
+      aOut.push_back({ it.address, bytes });
+    }
+  }
+}
+
+void
+LoadExchange::addTables(std::vector<Datagram>& aOut, TimePoint aNow)
+{
+  const bool due =
+    mTotalChanged ? aNow - mTableSentAt >= kTableInterval : aNow - mTableSentAt >= kRepeatInterval;
+  if (!due) {
+    return;
+  }
+  mTotalChanged = false;
+  mTableSentAt = aNow;
+  auto total = domainLoads();
+  for (const auto& [domain, remote] : mRemoteDomains) {
+    add(total, remote.loads);
+  }
+  mOthersLoads = difference(total, mOwnLoads);
+  for (const auto& part : splitLoads(total, kMaxServersPerDatagram)) {
+    for (const auto& [instance, member] : mMembers) {
+      aOut.push_back(
+        { member.address, encodeLoadMessage(LoadTable{ mInstance, member.sequence, part }) });
+    }
+  }
+}
+
+std::vector<Datagram>
+LoadExchange::takeDue(TimePoint aNow)
+{
+  std::vector<Datagram> out;
+  addReports(out, aNow);
+  if (mSlot) {
+    expire(aNow);
+  }
+  if (sendsTables(aNow)) {
+    addDomainLoads(out, aNow);
+    addTables(out, aNow);
+  }
+  return out;
+}
+
+TimePoint
+LoadExchange::nextAt(TimePoint aNow) const
+{
+  const auto due = [](bool aChanged, TimePoint aLast, Duration aInterval) {
+    return aLast + (aChanged ? aInterval : kRepeatInterval);
+  };
+  auto next = due(mOwnChanged, mReportedAt, kReportInterval);
+  if (sendsTables(aNow)) {
+    next = std::min(next, due(mDomainChanged, mDomainSentAt, kDomainInterval));
+    next = std::min(next, due(mTotalChanged, mTableSentAt, kTableInterval));
+  }
+  return std::max(next, aNow);
+}
+
+std::optional<InstanceLoads>
+LoadExchange::takeOthersLoads()
+{
+  return std::exchange(mOthersLoads, std::nullopt);
+}
+
+}
--- /dev/null
+++ b/src/mustardplank/agent/load_exchange_test.cpp
@@ -0,0 +1,224 @@
+#include "mustardplank/agent/load_exchange.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace mustardplank;
+using namespace mustardplank::agent;
+using dispatch::InstanceLoads;
+
+namespace {
+
+TimePoint
+at(int aMillis)
+{
+  return TimePoint(Seconds(100)) + Millis(aMillis);
+}
+
+/// Instances "DOMAIN-INDEX"; the first two of each failure domain are its agents.
+class Network
+{
+public:
+  Network(std::size_t aDomains, std::size_t aInstances)
+  {
+    for (std::size_t d = 0; d < aDomains; ++d) {
+      const auto domain = std::to_string(d);
+      for (std::size_t i = 0; i < aInstances; ++i) {
+        const auto name = domain + "-" + std::to_string(i);
+        if (i < 2) {
+          mDirectory.domains[FailureDomainId(domain)].push_back({ InstanceId(name), name });
+        }
+        mInstances[name] = std::make_unique<LoadExchange>(
+          InstanceId(name), FailureDomainId(domain), name, ++mIncarnations);
+      }
+    }
+    for (auto& [name, instance] : mInstances) {
+      instance->setDirectory(mDirectory);
+    }
+  }
+
+  LoadExchange& instance(const std::string& aName) { return *mInstances.at(aName); }
+  void setLoads(const std::string& aName, InstanceLoads aLoads)
+  {
+    mLoads[aName] = aLoads;
+    instance(aName).setOwnLoads(std::move(aLoads));
+  }
+  void kill(const std::string& aName)
+  {
+    mInstances.erase(aName);
+    mLoads.erase(aName);
+    mKnown.erase(aName);
+  }
+  /// Part of the datagrams that are lost, in percent.
+  void setLoss(unsigned aPercent) { mLoss = aPercent; }
+
+  void play(int aFromMs, int aToMs)
+  {
+    for (int now = aFromMs; now < aToMs; now += 5) {
+      std::vector<Datagram> sent;
+      for (auto& [name, instance] : mInstances) {
+        if (instance->nextAt(at(now)) <= at(now)) {
+          for (auto& it : instance->takeDue(at(now))) {
+            sent.push_back(std::move(it));
+          }
+        }
+      }
+      for (const auto& it : sent) {
+        const auto to = mInstances.find(it.address);
+        if (to == mInstances.end() || mRandom() % 100 < mLoss) {
+          continue;
+        }
+        Findings findings;
+        const auto message = decodeLoadMessage(it.bytes, findings);
+        BOOST_TEST_REQUIRE(message.has_value());
+        BOOST_TEST(it.bytes.size() < 1400U);
+        to->second->receive(*message, at(now));
+        ++mDatagrams;
+      }
+      for (auto& [name, instance] : mInstances) {
+        if (auto others = instance->takeOthersLoads()) {
+          mKnown[name] = std::move(*others);
+        }
+      }
+    }
+  }
+
+  /// What the others of an instance really have.
+  InstanceLoads others(const std::string& aName) const
+  {
+    InstanceLoads sum;
+    for (const auto& [name, loads] : mLoads) {
+      if (name != aName) {
+        for (const auto& [server, load] : loads) {
+          sum[server] += load;
+        }
+      }
+    }
+    std::erase_if(sum, [](const auto& aItem) { return aItem.second.running == 0.0; });
+    return sum;
+  }
+  const InstanceLoads& known(const std::string& aName) { return mKnown[aName]; }
+  void checkAll()
+  {
+    for (const auto& [name, instance] : mInstances) {
+      BOOST_TEST((known(name) == others(name)), name << " knows another load than there is");
+    }
+  }
+  std::size_t datagrams() const { return mDatagrams; }
+
+private:
+  Directory mDirectory;
+  std::uint64_t mIncarnations = 0;
+  std::map<std::string, std::unique_ptr<LoadExchange>> mInstances;
+  std::map<std::string, InstanceLoads> mLoads;
+  std::map<std::string, InstanceLoads> mKnown;
+  std::mt19937 mRandom{ 1 };
+  unsigned mLoss = 0;
+  std::size_t mDatagrams = 0;
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(load_exchange)
+
+BOOST_AUTO_TEST_CASE(every_instance_knows_the_load_of_the_others)
+{
+  Network network(3, 4);
+  network.setLoads("0-3", { { 7, { 2, 3000 } } });
+  network.setLoads("1-2", { { 7, { 1, 500 } }, { 8, { 4, 0 } } });
+  network.setLoads("2-0", { { 9, { 3, 100 } } });
+  network.play(0, 200);
+  network.checkAll();
+  network.setLoads("0-3", {});
+  network.setLoads("2-1", { { 7, { 5, 50 } } });
+  network.play(200, 400);
+  network.checkAll();
+}
+
+// Guards against knowledge that stays wrong when datagrams are lost.
+BOOST_AUTO_TEST_CASE(lost_datagrams_are_made_up_for)
+{
+  Network network(3, 4);
+  network.setLoss(30);
+  for (int i = 0; i < 20; ++i) {
+    network.setLoads("1-" + std::to_string(i % 4), { { 7, { double(i), 10.0 * i } } });
+    network.play(i * 100, (i + 1) * 100);
+  }
+  network.play(2000, 5000);
+  network.checkAll();
+}
+
+// Guards against a failure domain without knowledge while its first agent is gone.
+BOOST_AUTO_TEST_CASE(second_agent_takes_over_within_a_second)
+{
+  Network network(2, 4);
+  network.setLoads("0-3", { { 7, { 2, 3000 } } });
+  network.play(0, 500);
+  network.kill("0-0");
+  network.play(500, 1500);
+  network.setLoads("0-3", { { 7, { 1, 100 } } });
+  network.setLoads("1-3", { { 7, { 6, 100 } } });
+  network.play(1500, 1700);
+  network.checkAll();
+}
+
+// Guards against the load of an instance that has ended and counts for ever.
+BOOST_AUTO_TEST_CASE(load_of_an_instance_that_is_gone_is_forgotten)
+{
+  Network network(2, 4);
+  network.setLoads("0-3", { { 7, { 2, 3000 } } });
+  network.play(0, 500);
+  network.kill("0-3");
+  network.play(500, 3500);
+  network.checkAll();
+}
+
+// Messages grow with the instances and the servers, not with their product: 195 instances with
+// changing load on 125 servers.
+BOOST_AUTO_TEST_CASE(datagrams_of_a_large_fleet_are_bounded)
+{
+  constexpr std::size_t kDomains = 5;
+  constexpr std::size_t kInstances = 39;
+  Network network(kDomains, kInstances);
+  std::mt19937 random(1);
+  for (int now = 0; now < 2000; now += 50) {
+    for (std::size_t d = 0; d < kDomains; ++d) {
+      for (std::size_t i = 0; i < kInstances; ++i) {
+        InstanceLoads loads;
+        for (int n = 0; n < 3; ++n) {
+          loads[static_cast<dispatch::ServerKey>(random() % 125)] = { 1, 2000 };
+        }
+        network.setLoads(std::to_string(d) + "-" + std::to_string(i), std::move(loads));
+      }
+    }
+    network.play(now, now + 50);
+  }
+  network.play(2000, 2100);
+  network.checkAll();
+  const double perInstanceAndSecond =
+    static_cast<double>(network.datagrams()) / 2.1 / (kDomains * kInstances);
+  BOOST_TEST(perInstanceAndSecond < 100.0);
+}
+
+BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected_with_a_finding)
+{
+  const LoadReport report{ InstanceId("a"), 1, 2, "10.0.0.1:7200", { 0, 1, { { 7, { 2, 30 } } } } };
+  const auto bytes = encodeLoadMessage(report);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    Findings findings;
+    BOOST_TEST(!decodeLoadMessage(bytes.substr(0, size), findings).has_value());
+    BOOST_TEST(!findings.empty());
+  }
+  std::mt19937 random(1);
+  for (int i = 0; i < 20000; ++i) {
+    auto changed = bytes;
+    changed[random() % changed.size()] = static_cast<char>(random());
+    Findings findings;
+    decodeLoadMessage(changed, findings);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/mustardplank/agent/load_messages.cpp
@@ -0,0 +1,164 @@
+#include "mustardplank/agent/load_messages.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <exception>
+#include <stdexcept>
+
+namespace mustardplank::agent {
+
+using dispatch::InstanceLoads;
+using dispatch::ServerKey;
+using nlohmann::json;
+
+namespace {
+
+/// First element of an encoded message.
+enum class Kind
+{
+  Report = 1,
+  Domain = 2,
+  Table = 3,
+};
+
+std::uint64_t
+rounded(double aValue)
+{
+  return static_cast<std::uint64_t>(std::llround(std::max(0.0, aValue)));
+}
+
+/// Part, parts, and then key, running requests and pending tokens of each server.
+json
+partToJson(const LoadPart& aPart)
+{
+  auto row = json::array({ aPart.part, aPart.parts });
+  for (const auto& [server, load] : aPart.loads) {
+    row.push_back(server);
+    row.push_back(rounded(load.running));
+    row.push_back(rounded(load.pendingPrefillTokens));
+  }
+  return row;
+}
+
+LoadPart
+partFromJson(const json& aRow)
+{
+  constexpr std::size_t kHeaderFields = 2;
+  constexpr std::size_t kServerFields = 3;
+  LoadPart part;
+  part.part = aRow.at(0).get<std::uint32_t>();
+  part.parts = aRow.at(1).get<std::uint32_t>();
+  if (part.parts == 0 || part.part >= part.parts ||
+      (aRow.size() - kHeaderFields) % kServerFields != 0) {
+    throw std::invalid_argument("a malformed part of a load");
+  }
+  for (std::size_t i = kHeaderFields; i < aRow.size(); i += kServerFields) {
+    part.loads[aRow[i].get<ServerKey>()] = { static_cast<double>(aRow[i + 1].get<std::uint64_t>()),
+                                             static_cast<double>(
+                                               aRow[i + 2].get<std::uint64_t>()) };
+  }
+  return part;
+}
+
+json
+toJson(const LoadReport& aReport)
+{
+  return json::array({ Kind::Report,
+                       aReport.instance.str(),
+                       aReport.incarnation,
+                       aReport.sequence,
+                       aReport.address,
+                       partToJson(aReport.load) });
+}
+
+json
+toJson(const DomainLoads& aLoads)
+{
+  return json::array({ Kind::Domain, aLoads.domain.str(), partToJson(aLoads.load) });
+}
+
+json
+toJson(const LoadTable& aTable)
+{
+  return json::array(
+    { Kind::Table, aTable.agent.str(), aTable.sequence, partToJson(aTable.load) });
+}
+
+LoadMessage
+messageFromJson(const json& aRow)
+{
+  switch (aRow.at(0).get<Kind>()) {
+    case Kind::Report: {
+      LoadReport report;
+      report.instance = InstanceId(aRow.at(1).get<std::string>());
+      report.incarnation = aRow.at(2).get<std::uint64_t>();
+      report.sequence = aRow.at(3).get<std::uint64_t>();
+      report.address = aRow.at(4).get<std::string>();
+      report.load = partFromJson(aRow.at(5));
+      return report;
+    }
+    case Kind::Domain:
+      return DomainLoads{ FailureDomainId(aRow.at(1).get<std::string>()),
+                          partFromJson(aRow.at(2)) };
+    case Kind::Table: {
+      LoadTable table;
+      table.agent = InstanceId(aRow.at(1).get<std::string>());
+      table.sequence = aRow.at(2).get<std::uint64_t>();
+      table.load = partFromJson(aRow.at(3));
+      return table;
+    }
+  }
+  throw std::invalid_argument("an unknown kind of message");
+}
+
+}
+
+std::vector<LoadPart>
+splitLoads(const InstanceLoads& aLoads, std::size_t aMaxServers)
+{
+  const auto count = std::max<std::size_t>(1, (aLoads.size() + aMaxServers - 1) / aMaxServers);
+  std::vector<LoadPart> parts(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    parts[i].part = static_cast<std::uint32_t>(i);
+    parts[i].parts = static_cast<std::uint32_t>(count);
+  }
+  for (const auto& [server, load] : aLoads) {
+    parts[server % count].loads[server] = load;
+  }
+  return parts;
+}
+
+void
+mergePart(InstanceLoads& aLoads, const LoadPart& aPart)
+{
+  std::erase_if(aLoads,
+                [&](const auto& aItem) { return aItem.first % aPart.parts == aPart.part; });
+  for (const auto& [server, load] : aPart.loads) {
+    if (server % aPart.parts == aPart.part) {
+      aLoads[server] = load;
+    }
+  }
+}
+
+std::string
+encodeLoadMessage(const LoadMessage& aMessage)
+{
+  std::string bytes;
+  json::to_cbor(std::visit([](const auto& aInner) { return toJson(aInner); }, aMessage), bytes);
+  return bytes;
+}
+
+std::optional<LoadMessage>
+decodeLoadMessage(const std::string& aBytes, Findings& aFindings)
+{
+  try {
+    return messageFromJson(json::from_cbor(aBytes));
+  } catch (const std::exception& aError) {
+    aFindings.add("load message", aError.what());
+    return std::nullopt;
+  }
+}
+
+}
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -278,6 +278,15 @@
          aChoice.estimate > scaleDuration(aJob.targetDeadline - aNow, kMaxEstimateShareOfTarget);
 }
 
+void
+Dispatcher::noteLoadChange()
+{
+  ++mLoadVersion;
+  if (mLoadListener) {
+    mLoadListener();
+  }
+}
+
 bool
 Dispatcher::knowsOthersLoads(TimePoint aNow) const
 {
@@ -324,7 +333,7 @@
   server.prefixCache.recordPrompt(aJob.prompt);
   const auto id = aJob.id;
   ++mGrantedByOrganisation[aJob.organisation];
-  ++mLoadVersion;
+  noteLoadChange();
   granted.job = std::move(aJob);
   mGranted.emplace(id, std::move(granted));
   aEffects.emplace_back(std::move(effect));
@@ -366,7 +375,7 @@
     return;
   }
   run->second.started = true;
-  ++mLoadVersion;
+  noteLoadChange();
   server->pendingPrefillTokens -= run->second.prefillTokens;
   refreshAndGetState(server->server.service).domains[server->server.domain].recordSuccess();
   learnFromFirstEvent(*server, run->second, aNow, it->second.queueWasEmpty);
@@ -412,7 +421,7 @@
         state.model.meanSlotOccupancyMs = state.meanSlotOccupancyMs;
       }
       server->running.erase(run);
-      ++mLoadVersion;
+      noteLoadChange();
       recordOutcome(*server, aOutcome, aNow);
     }
   }
