--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -69,8 +69,8 @@
   void apply(const LoadReport& aReport, TimePoint aNow);
   void apply(const DomainLoads& aLoads, TimePoint aNow);
   void apply(const LoadTable& aTable, TimePoint aNow);
-  /// This instance is to send tables: it is the first agent, or has heard no table from those before
-  /// it.
+  /// This instance is to send tables: it is the first agent, or has heard no table from those
+  /// before it.
   bool sendsTables(TimePoint aNow) const;
   void expire(TimePoint aNow);
   /// Sum over the instances of this failure domain.
--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -97,7 +97,8 @@
 
   /// A list of agents that is to replace the one of this failure domain in the directory.
   std::optional<AgentList> dueClaim(TimePoint aNow);
-  /// The list was not written, or it is not known whether it was: the directory is read again first.
+  /// The list was not written, or it is not known whether it was: the directory is read again
+  /// first.
   void recordClaimFailure(TimePoint aNow);
   /// The list without this instance, which is stopping; nothing if it is no agent.
   std::optional<AgentList> listWithoutSelf() const;
--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -39,8 +39,8 @@
   std::string relayAddress;
   /// End of Topic::Claims as the sender knows it; set only while the sender holds the duties.
   std::optional<std::uint64_t> claimsLogEnd;
-  /// Time from the sender's last renewal to the update: an update of a holder that cannot renew does
-  /// not keep others from claiming the duties.
+  /// Time from the sender's last renewal to the update: an update of a holder that cannot renew
+  /// does not keep others from claiming the duties.
   Duration renewalAge{};
   /// Cumulative counts of this incarnation, by number of the usage window.
   std::map<std::uint64_t, UsageCounts> windows;
--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -34,8 +34,8 @@
 public:
   /// Time after an outage within which an entry may reappear.
   static constexpr Duration kReappearGrace = Millis(2000);
-  /// Time without a successful read after which the next read counts as the end of an outage, unless
-  /// reads are further apart than usual; see the constructor.
+  /// Time without a successful read after which the next read counts as the end of an outage,
+  /// unless reads are further apart than usual; see the constructor.
   static constexpr Duration kOutageThreshold = Millis(2500);
 
   /// aOutageThreshold is above the longest time between two reads while the store is well.
@@ -53,8 +53,8 @@
   std::vector<ServerEvent> applyFullList(const std::vector<Record>& aRecords,
                                          const StoreDialect& aDialect,
                                          TimePoint aNow);
-  /// A read of the store succeeded, by this instance or one that hands on what it reads. Call before
-  /// apply() or applyFullList().
+  /// A read of the store succeeded, by this instance or one that hands on what it reads. Call
+  /// before apply() or applyFullList().
   void recordRead(TimePoint aNow);
   /// Removes servers whose entries have not reappeared within the grace period.
   std::vector<ServerEvent> tick(TimePoint aNow);
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -192,9 +192,9 @@
   void refreshServerLists();
   /// Whether requests wait for a newer server list.
   ///
-  /// Load pattern: the process was paused for seconds, or got no processor time, under load. Servers
-  /// may have left meanwhile; a newer list is there within moments. While the store is silent the
-  /// list that is known serves.
+  /// Load pattern: the process was paused for seconds, or got no processor time, under load.
+  /// Servers may have left meanwhile; a newer list is there within moments. While the store is
+  /// silent the list that is known serves.
   bool awaitsServerList(TimePoint aNow);
   /// Neither draining nor in an evacuated failure domain.
   bool isUsable(const ServerState& aServer) const;
--- a/include/mustardplank/dispatch/instance_load.hpp
+++ b/include/mustardplank/dispatch/instance_load.hpp
@@ -29,8 +29,8 @@
   }
 };
 
-/// Identifies a server in messages about load: the low half of the hash of its id, which is equal on
-/// all instances.
+/// Identifies a server in messages about load: the low half of the hash of its id, which is equal
+/// on all instances.
 using ServerKey = std::uint32_t;
 
 /// Loads of the servers that have any.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -273,8 +273,8 @@
   }
   out << "\n"
       << "agent slot " << (slot ? std::to_string(*slot) : std::string("none")) << " follows store "
-      << (planner.followsStore(now) ? "yes" : "no") << " requests held "
-      << syncServer.heldCount() << "\n"
+      << (planner.followsStore(now) ? "yes" : "no") << " requests held " << syncServer.heldCount()
+      << "\n"
       << "age_ms configuration " << age(operatorsView) << " servers " << age(serversView)
       << " limit " << duration_cast<Millis>(planner.maxAge()).count() << "\n";
   return out.str();
@@ -295,8 +295,7 @@
       << (storeServers.isLost() ? "lost" : "ok") << " board "
       << (storeBoard.isLost() ? "lost" : "ok") << " updates of others not written "
       << relay.unwritten().size() << "\n"
-      << agentStatus()
-      << "duty calls " << (platformCalls.isLost() ? "lost" : "ok") << "\n";
+      << agentStatus() << "duty calls " << (platformCalls.isLost() ? "lost" : "ok") << "\n";
   for (const auto& it : dispatcher.serverStatuses(bootNow())) {
     out << "server " << it.id.str() << " service " << it.service.str() << " domain "
         << it.domain.str() << " state " << it.state << " running " << it.running << "\n";
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -62,9 +62,9 @@
 RouteDaemon::Impl::claimAgency(StoreClient& aStore, agent::AgentList aAgents)
 {
   auto directory = planner.directory();
-  std::vector<control::Record> records{ { 0,
-                                          settings.failureDomain.str(),
-                                          agent::encodeAgents(aAgents) } };
+  std::vector<control::Record> records{
+    { 0, settings.failureDomain.str(), agent::encodeAgents(aAgents) }
+  };
   const auto result = co_await aStore.append(Topic::Agents, records, directory.logEnd);
   const auto* appended = std::get_if<control::AppendResult>(&result);
   planner.recordStoreCall(appended != nullptr, bootNow());
@@ -301,10 +301,9 @@
     relay.accept(*update, std::move(it), now);
   }
   request->updates.clear();
-  syncServer.receive(std::move(*request),
-                     std::move(senders),
-                     now,
-                     [aRespond](std::string aReply) { aRespond(std::move(aReply)); });
+  syncServer.receive(std::move(*request), std::move(senders), now, [aRespond](std::string aReply) {
+    aRespond(std::move(aReply));
+  });
   answerSyncs();
 }
 
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -63,8 +63,8 @@
   needs[update->instance] = { now, update->needs };
   noteContact(*update);
   if (update->instance != settings.instance && update->claimsLogEnd) {
-    // How long the update was on its way is known to no clock: counted from its arrival, the renewal
-    // seems later than it was, which delays a claim and never allows one too early.
+    // How long the update was on its way is known to no clock: counted from its arrival, the
+    // renewal seems later than it was, which delays a claim and never allows one too early.
     const auto renewedAt = now - update->renewalAge;
     holderNote = HolderNote{ *update->claimsLogEnd, update->leaving, renewedAt };
     noteHolder(*update->claimsLogEnd, update->leaving, renewedAt);
@@ -77,8 +77,7 @@
 void
 RouteDaemon::Impl::noteContact(const control::InstanceUpdate& aUpdate)
 {
-  if (aUpdate.leaving || aUpdate.relayAddress.empty() ||
-      aUpdate.instance == settings.instance) {
+  if (aUpdate.leaving || aUpdate.relayAddress.empty() || aUpdate.instance == settings.instance) {
     contacts.erase(aUpdate.instance);
   } else {
     contacts[aUpdate.instance] = { aUpdate.relayAddress, bootNow() };
@@ -149,8 +148,8 @@
   if (table) {
     for (const auto& [id, service] : table->config().services) {
       const auto need = digest->needs.find(id);
-      dispatcher.setDemand(
-        id, need == digest->needs.end() ? control::ServiceDemand{} : need->second);
+      dispatcher.setDemand(id,
+                           need == digest->needs.end() ? control::ServiceDemand{} : need->second);
     }
   }
   metrics.set(metrics::Gauge::LiveInstances, static_cast<double>(digest->instances));
@@ -162,10 +161,9 @@
   const auto own = stableHash(settings.instance.str());
   if (settings.domainAgents == 0) {
     const auto live = usage.liveInstances(bootNow());
-    return static_cast<std::size_t>(
-      std::count_if(live.begin(), live.end(), [&](const auto& aItem) {
-        return stableHash(aItem.first.str()) < own;
-      }));
+    return static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [&](const auto& aItem) {
+      return stableHash(aItem.first.str()) < own;
+    }));
   }
   // First agents go first, as they read the board anyway.
   const auto ownSlot = planner.slot().value_or(settings.domainAgents);
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -85,10 +85,8 @@
     const auto endpoint = endpointOf(*address);
     // What cannot be sent at once is dropped, as newer loads follow.
     boost::system::error_code ec;
-    loadSocket.send_to(asio::buffer(it.bytes),
-                       asio::ip::udp::endpoint(endpoint.address(), endpoint.port()),
-                       0,
-                       ec);
+    loadSocket.send_to(
+      asio::buffer(it.bytes), asio::ip::udp::endpoint(endpoint.address(), endpoint.port()), 0, ec);
     metrics.count(metrics::Event::LoadMessage);
   }
   if (const auto others = loads.takeOthersLoads()) {
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -167,8 +167,7 @@
 RouteDaemon::Impl::readServers(StoreClient& aStore, Duration aWait)
 {
   const auto sentAt = bootNow();
-  const auto changes =
-    co_await readLog(aStore, Topic::Servers, serversView, aWait, storeServers);
+  const auto changes = co_await readLog(aStore, Topic::Servers, serversView, aWait, storeServers);
   if (!changes) {
     co_return false;
   }
--- a/src/mustardplank/agent/directory.cpp
+++ b/src/mustardplank/agent/directory.cpp
@@ -31,8 +31,7 @@
     }
     AgentList agents;
     for (const auto& it : list) {
-      agents.push_back(
-        { InstanceId(it.at(0).get<std::string>()), it.at(1).get<std::string>() });
+      agents.push_back({ InstanceId(it.at(0).get<std::string>()), it.at(1).get<std::string>() });
     }
     return agents;
   } catch (const std::exception& aError) {
--- a/src/mustardplank/agent/keyed_view.cpp
+++ b/src/mustardplank/agent/keyed_view.cpp
@@ -127,8 +127,7 @@
 {
   const auto next = aBatch.records.empty() ? mNext : aBatch.records.back().offset + 1;
   // A response without records was given when the wait was over.
-  const bool waited =
-    aBatch.records.empty() && aTimes.receivedAt - aTimes.sentAt >= aTimes.wait;
+  const bool waited = aBatch.records.empty() && aTimes.receivedAt - aTimes.sentAt >= aTimes.wait;
   const bool complete = next >= aBatch.logEnd;
   auto changes = apply(std::move(aBatch.records), next);
   if (complete) {
--- a/src/mustardplank/agent/keyed_view_test.cpp
+++ b/src/mustardplank/agent/keyed_view_test.cpp
@@ -190,8 +190,8 @@
         }
         case 5: {
           const auto n = random() % members.size();
-          auto part = agent.changesSince(
-            members[n].isKnown() ? std::optional(members[n].next()) : std::nullopt);
+          auto part = agent.changesSince(members[n].isKnown() ? std::optional(members[n].next())
+                                                              : std::nullopt);
           if (random() % 3 == 0) {
             late.emplace_back(n, std::move(part));
           } else {
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -150,9 +150,8 @@
 void
 LoadExchange::expire(TimePoint aNow)
 {
-  const auto members = std::erase_if(mMembers, [&](const auto& aItem) {
-    return aNow - aItem.second.receivedAt >= kMemberMemory;
-  });
+  const auto members = std::erase_if(
+    mMembers, [&](const auto& aItem) { return aNow - aItem.second.receivedAt >= kMemberMemory; });
   const auto domains = std::erase_if(mRemoteDomains, [&](const auto& aItem) {
     return aNow - aItem.second.receivedAt >= kDomainMemory;
   });
@@ -173,8 +172,8 @@
 void
 LoadExchange::addReports(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  const bool due = mOwnChanged ? aNow - mReportedAt >= kReportInterval
-                               : aNow - mReportedAt >= kRepeatInterval;
+  const bool due =
+    mOwnChanged ? aNow - mReportedAt >= kReportInterval : aNow - mReportedAt >= kRepeatInterval;
   if (!due) {
     return;
   }
--- a/src/mustardplank/agent/load_messages.cpp
+++ b/src/mustardplank/agent/load_messages.cpp
@@ -82,8 +82,7 @@
 json
 toJson(const LoadTable& aTable)
 {
-  return json::array(
-    { Kind::Table, aTable.agent.str(), aTable.sequence, partToJson(aTable.load) });
+  return json::array({ Kind::Table, aTable.agent.str(), aTable.sequence, partToJson(aTable.load) });
 }
 
 LoadMessage
@@ -133,8 +132,7 @@
 void
 mergePart(InstanceLoads& aLoads, const LoadPart& aPart)
 {
-  std::erase_if(aLoads,
-                [&](const auto& aItem) { return aItem.first % aPart.parts == aPart.part; });
+  std::erase_if(aLoads, [&](const auto& aItem) { return aItem.first % aPart.parts == aPart.part; });
   for (const auto& [server, load] : aPart.loads) {
     if (server % aPart.parts == aPart.part) {
       aLoads[server] = load;
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -239,10 +239,10 @@
   if (others.empty()) {
     return std::nullopt;
   }
-  const auto bad =
-    std::partition(others.begin(), others.end(), [&](const auto* aAgent) { return !isBad(*aAgent); });
-  const auto count = bad == others.begin() ? others.size()
-                                           : static_cast<std::size_t>(bad - others.begin());
+  const auto bad = std::partition(
+    others.begin(), others.end(), [&](const auto* aAgent) { return !isBad(*aAgent); });
+  const auto count =
+    bad == others.begin() ? others.size() : static_cast<std::size_t>(bad - others.begin());
   return *others[mRandom() % count];
 }
 
@@ -397,8 +397,8 @@
   auto pause = mStorePause.next();
   const bool others = mAgentsStale || mStoreFailures >= kFailuresOfOutage;
   if (!isAgent() && others) {
-    const auto spread = std::min(kLostReadInterval * static_cast<int>(mDomainInstances),
-                                 kMaxLostReadSpread);
+    const auto spread =
+      std::min(kLostReadInterval * static_cast<int>(mDomainInstances), kMaxLostReadSpread);
     pause = std::max(pause, part(spread, 0.5 + random()));
   }
   mDirectReadAt = aNow + pause;
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -258,12 +258,9 @@
 std::string
 encodeRequest(const SyncRequest& aRequest)
 {
-  json object{ { "i", aRequest.instance.str() },
-               { "d", aRequest.domain.str() },
-               { "n", aRequest.agentIncarnation },
-               { "c", aRequest.crashesSeen },
-               { "e", aRequest.directoryEnd },
-               { "h", microsOf(aRequest.maxHold) } };
+  json object{ { "i", aRequest.instance.str() },   { "d", aRequest.domain.str() },
+               { "n", aRequest.agentIncarnation }, { "c", aRequest.crashesSeen },
+               { "e", aRequest.directoryEnd },     { "h", microsOf(aRequest.maxHold) } };
   if (aRequest.wantsPeers) {
     object["w"] = true;
   }
@@ -288,12 +285,9 @@
 std::string
 encodeReply(const SyncReply& aReply, const EncodedParts& aParts)
 {
-  json object{ { "i", aReply.agent.str() },
-               { "n", aReply.incarnation },
-               { "h", microsOf(aReply.held) },
-               { "e", aReply.directoryEnd },
-               { "m", aReply.domainInstances },
-               { "cn", aReply.crashesSeen } };
+  json object{ { "i", aReply.agent.str() },     { "n", aReply.incarnation },
+               { "h", microsOf(aReply.held) },  { "e", aReply.directoryEnd },
+               { "m", aReply.domainInstances }, { "cn", aReply.crashesSeen } };
   if (aReply.storeLost) {
     object["x"] = true;
   }
--- a/src/mustardplank/agent/sync_messages_test.cpp
+++ b/src/mustardplank/agent/sync_messages_test.cpp
@@ -17,8 +17,8 @@
   reply.incarnation = 77;
   reply.storeLost = true;
   reply.held = Millis(250);
-  reply.operators = LogReply{ { true, { { 4, "config", std::string("\0\xff text", 7) } }, 9 },
-                              Millis(40) };
+  reply.operators =
+    LogReply{ { true, { { 4, "config", std::string("\0\xff text", 7) } }, 9 }, Millis(40) };
   reply.servers = LogReply{ { false, { { 5, "gone", std::nullopt } }, 12 }, Millis(700) };
   reply.published[5] = 6;
   reply.crashes.push_back({ 0xffffffffffffffffULL, BackendServerId("s") });
--- a/src/mustardplank/agent/sync_server.cpp
+++ b/src/mustardplank/agent/sync_server.cpp
@@ -132,8 +132,8 @@
     reply.published[it.incarnation] = mRelay.writtenSequence(it);
   }
   const auto crashesSeen = request.agentIncarnation == mIncarnation ? request.crashesSeen : 0;
-  const auto count = std::min<std::uint64_t>(mCrashCount - std::min(crashesSeen, mCrashCount),
-                                             mCrashes.size());
+  const auto count =
+    std::min<std::uint64_t>(mCrashCount - std::min(crashesSeen, mCrashCount), mCrashes.size());
   reply.crashes.assign(mCrashes.end() - static_cast<std::ptrdiff_t>(count), mCrashes.end());
   reply.crashesSeen = mCrashCount;
   reply.digest = std::move(state.digest);
--- a/src/mustardplank/agent/update_relay.cpp
+++ b/src/mustardplank/agent/update_relay.cpp
@@ -32,9 +32,8 @@
 std::vector<UpdateRelay::Item>
 UpdateRelay::takeDue(TimePoint aNow)
 {
-  std::erase_if(mProcesses, [&](const auto& aItem) {
-    return aItem.second.acceptedAt + kMemory < aNow;
-  });
+  std::erase_if(mProcesses,
+                [&](const auto& aItem) { return aItem.second.acceptedAt + kMemory < aNow; });
   std::vector<Item> due;
   for (const auto& [process, state] : mProcesses) {
     const bool isDue = state.hasNews || aNow - state.writtenAt >= kIdleInterval;
--- a/src/mustardplank/control/shared_clock_test.cpp
+++ b/src/mustardplank/control/shared_clock_test.cpp
@@ -129,9 +129,8 @@
         }
         if (step - startedAt[i] > 10) {
           BOOST_REQUIRE_MESSAGE(distance(clocks[i].now(now), trueMs) <= 300,
-                                "instance " << i << " is off by "
-                                            << clocks[i].now(now) - trueMs << " ms, seed "
-                                            << seed);
+                                "instance " << i << " is off by " << clocks[i].now(now) - trueMs
+                                            << " ms, seed " << seed);
         }
       }
     }
--- a/src/mustardplank/control/usage_windows.cpp
+++ b/src/mustardplank/control/usage_windows.cpp
@@ -148,8 +148,7 @@
   }
   // Until kLivenessTimeout after an outage, a window waits for each instance that was live when
   // the outage began and has published no update since its end.
-  const bool afterOutage = mOutage &&
-                           aLastUpdate.receivedAt + kLivenessTimeout >= mOutage->from &&
+  const bool afterOutage = mOutage && aLastUpdate.receivedAt + kLivenessTimeout >= mOutage->from &&
                            aNow < mOutage->to + kLivenessTimeout;
   if (afterOutage && aLastUpdate.receivedAt < mOutage->to) {
     return true;
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -189,10 +189,9 @@
   InstanceLoads loads;
   for (const auto& [id, server] : mServers) {
     if (!server->running.empty()) {
-      loads[static_cast<ServerKey>(server->idHash)] = {
-        static_cast<double>(server->running.size()),
-        static_cast<double>(server->pendingPrefillTokens)
-      };
+      loads[static_cast<ServerKey>(server->idHash)] = { static_cast<double>(server->running.size()),
+                                                        static_cast<double>(
+                                                          server->pendingPrefillTokens) };
     }
   }
   return loads;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -115,10 +115,11 @@
                        const AdminServer::ResponseCallback& aRespond)
   {
     if (aPath == context.options.syncPath && context.callbacks.receiveSync) {
-      context.callbacks.receiveSync(std::move(aBody), [aRespond](std::optional<std::string> aReply) {
-        aRespond(aReply ? AdminResponse{ 200, std::move(*aReply) }
-                        : AdminResponse{ 400, "malformed request\n" });
-      });
+      context.callbacks.receiveSync(
+        std::move(aBody), [aRespond](std::optional<std::string> aReply) {
+          aRespond(aReply ? AdminResponse{ 200, std::move(*aReply) }
+                          : AdminResponse{ 400, "malformed request\n" });
+        });
       return;
     }
     if (aPath != context.options.boardPath || !context.callbacks.writeBoardEntry) {
--- a/test/agents/simulation.cpp
+++ b/test/agents/simulation.cpp
@@ -133,7 +133,8 @@
       mNow += kStep;
       deliver();
       if (pick(100) < 2) {
-        mLog.append("k" + std::to_string(pick(8)), std::to_string(mNow.time_since_epoch().count()), mNow);
+        mLog.append(
+          "k" + std::to_string(pick(8)), std::to_string(mNow.time_since_epoch().count()), mNow);
       }
       if (mOptions.faults && mNow < calmFrom && pick(1000) < 6) {
         fault();
@@ -190,7 +191,7 @@
   {
     const auto it = mInstances.find(aName);
     return it != mInstances.end() && it->second->incarnation == aIncarnation ? it->second.get()
-                                                                            : nullptr;
+                                                                             : nullptr;
   }
   /// Runs aAction at the process, when it is not frozen; never if the process is gone.
   void arrive(const std::string& aName, std::uint64_t aIncarnation, std::function<void()> aAction)
@@ -293,7 +294,8 @@
         }
         control::RecordBatch batch;
         batch.logEnd = mLog.end();
-        batch.records.assign(mLog.records.begin() + static_cast<std::ptrdiff_t>(std::min(from, mLog.end())),
+        batch.records.assign(mLog.records.begin() +
+                               static_cast<std::ptrdiff_t>(std::min(from, mLog.end())),
                              mLog.records.end());
         return [this, batch, sentAt, aLoop](Instance& aCaller) {
           // The model's store does not wait for records.
@@ -309,7 +311,8 @@
   void afterRead(Instance& aCaller, LoopName aLoop)
   {
     aCaller.planner.recordStoreCall(true, mNow);
-    aCaller.loops[aLoop].notBefore = mNow + (aLoop == Follow ? aCaller.planner.readPause() : kLoopPause);
+    aCaller.loops[aLoop].notBefore =
+      mNow + (aLoop == Follow ? aCaller.planner.readPause() : kLoopPause);
     aCaller.server.answerDue(mNow);
   }
 
@@ -420,15 +423,16 @@
     const auto agentIncarnation = agentIt->second->incarnation;
     schedule(mNow + delay(), [this, from, to, caller, agentIncarnation, number, bytes] {
       arrive(to, agentIncarnation, [this, from, to, caller, agentIncarnation, number, bytes] {
-        receive(*find(to, agentIncarnation), bytes, [this, from, to, caller, number](std::string aReply) {
-          auto* instance = find(from, caller);
-          if (!instance || isCut(to, from) || pick(300) == 0) {
-            return;
-          }
-          respond(*instance, Sync, number, mNow + delay(), [this, aReply](Instance& aCaller) {
-            applyReply(aCaller, aReply);
+        receive(
+          *find(to, agentIncarnation), bytes, [this, from, to, caller, number](std::string aReply) {
+            auto* instance = find(from, caller);
+            if (!instance || isCut(to, from) || pick(300) == 0) {
+              return;
+            }
+            respond(*instance, Sync, number, mNow + delay(), [this, aReply](Instance& aCaller) {
+              applyReply(aCaller, aReply);
+            });
           });
-        });
       });
     });
   }
@@ -624,15 +628,14 @@
   void violation(const Instance& aInstance, const std::string& aText)
   {
     std::ostringstream out;
-    out << "seed " << mOptions.seed << " at "
-        << duration_cast<Millis>(mNow - startTime()).count() << " ms, "
-        << aInstance.options.instance.str() << ": " << aText;
+    out << "seed " << mOptions.seed << " at " << duration_cast<Millis>(mNow - startTime()).count()
+        << " ms, " << aInstance.options.instance.str() << ": " << aText;
     mResult.violations.push_back(out.str());
   }
   void check(Instance& aInstance)
   {
-    const bool reaches = mNow >= aInstance.frozenUntil && mNow >= aInstance.cutUntil &&
-                         mNow >= mStoreSilentUntil;
+    const bool reaches =
+      mNow >= aInstance.frozenUntil && mNow >= aInstance.cutUntil && mNow >= mStoreSilentUntil;
     if (!reaches) {
       aInstance.inTouchSince = mNow;
     }
--- a/test/agents/simulation_test.cpp
+++ b/test/agents/simulation_test.cpp
@@ -31,8 +31,8 @@
 
 BOOST_AUTO_TEST_SUITE(agents_simulation)
 
-// Guards against instances that miss a change, state their knowledge as newer than it is, or lose an
-// update, under mixed faults of instances, network and store.
+// Guards against instances that miss a change, state their knowledge as newer than it is, or lose
+// an update, under mixed faults of instances, network and store.
 BOOST_AUTO_TEST_CASE(random_faults_break_no_promise)
 {
   const auto first = fromEnvironment("MUSTARDPLANK_FIRST_SEED", 1);
@@ -85,8 +85,8 @@
     options.domains = 2;
     options.instancesPerDomain = 20;
     const auto result = play(options);
-    const double callsPerSecond = static_cast<double>(result.calmCalls) * 1e6 /
-                                  static_cast<double>(result.calmLength.count());
+    const double callsPerSecond =
+      static_cast<double>(result.calmCalls) * 1e6 / static_cast<double>(result.calmLength.count());
     BOOST_TEST(callsPerSecond < 2 * 2.5, "seed " << seed << ": " << callsPerSecond);
   }
 }
--- a/test/routes/clocks_test.cpp
+++ b/test/routes/clocks_test.cpp
@@ -74,10 +74,9 @@
   for (const auto& [window, calls] : aCalls) {
     const double tolerance = 0.05 * static_cast<double>(calls) + 2.0;
     BOOST_TEST(reported.contains(window), "window " << window << " was not reported");
-    BOOST_TEST(std::abs(static_cast<double>(reported[window]) - static_cast<double>(calls)) <=
-                 tolerance,
-               "window " << window << ": " << reported[window] << " reported, " << calls
-                         << " called");
+    BOOST_TEST(
+      std::abs(static_cast<double>(reported[window]) - static_cast<double>(calls)) <= tolerance,
+      "window " << window << ": " << reported[window] << " reported, " << calls << " called");
   }
 }
 
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -301,8 +301,8 @@
       return connection.call(call).result_int() == 200;
     });
     if (!serving) {
-      throw std::runtime_error("an instance does not serve: " + adminPage(i, "/status") + mInstances[i]->output() +
-                               mInstances[i]->errors());
+      throw std::runtime_error("an instance does not serve: " + adminPage(i, "/status") +
+                               mInstances[i]->output() + mInstances[i]->errors());
     }
   }
 }
--- a/test/support/clock_shim/clock_shim.cpp
+++ b/test/support/clock_shim/clock_shim.cpp
@@ -1,5 +1,5 @@
-// Preloaded into a process under test: shifts its time of day by the milliseconds that stand as text
-// in the file named by MUSTARDPLANK_TEST_CLOCK, and leaves all other clocks alone.
+// Preloaded into a process under test: shifts its time of day by the milliseconds that stand as
+// text in the file named by MUSTARDPLANK_TEST_CLOCK, and leaves all other clocks alone.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <unistd.h>
