Accept load messages only from senders that the directory names

Any process that reaches the UDP port could state loads. Tables and loads of failure domains now come from agents in the directory, a report only from the address that it names, and an agent keeps at most 1,024 instances. Test: load_exchange/messages_of_others_than_agents_are_ignored.

--- a/include/mustardplank/agent/directory.hpp
+++ b/include/mustardplank/agent/directory.hpp
@@ -30,6 +30,9 @@
   std::map<FailureDomainId, AgentList> domains;
   /// End of Topic::Agents at which this was read; a changed list is appended there.
   control::Offset logEnd = 0;
+
+  /// Whether an agent of the failure domain has the address, "ip:port".
+  bool names(const FailureDomainId& aDomain, const std::string& aAddress) const;
 };
 
 /// Encodes as CBOR, as the other encoders here do.
--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -21,9 +21,9 @@
   std::string bytes;
 };
 
-/// Tells this instance which load the others place on each server, some hundredths of a second ago.
-/// Does no I/O; times are of the boot clock. Messages may be lost, doubled or reordered: each one
-/// replaces what it is about.
+/// Collects the load that the other instances placed on each server some hundredths of a second
+/// ago. Does no I/O; times are of the boot clock. Messages may be lost, doubled or reordered: each
+/// one replaces what it is about.
 ///
 /// Load pattern: hundreds of instances before a hundred engines. Each instance sees too few
 /// responses to know the queues of the engines from them, so that bursts pile up at some engines
@@ -43,7 +43,9 @@
   void setDirectory(const Directory& aDirectory);
   /// The load that this instance places on servers has changed.
   void setOwnLoads(dispatch::InstanceLoads aLoads);
-  void receive(const LoadMessage& aMessage, TimePoint aNow);
+  /// Returns false for a message that aSender, an "ip:port", may not send: tables and loads of
+  /// failure domains come from agents in the directory, a report from the address it names.
+  bool receive(const LoadMessage& aMessage, const std::string& aSender, TimePoint aNow);
   /// Datagrams that are to be sent now.
   std::vector<Datagram> takeDue(TimePoint aNow);
   /// When takeDue() has something next.
@@ -66,10 +68,13 @@
     TimePoint receivedAt{};
   };
 
+  bool mayAccept(const LoadReport& aReport, const std::string& aSender) const;
+  bool mayAccept(const DomainLoads& aLoads, const std::string& aSender) const;
+  bool mayAccept(const LoadTable& aTable, const std::string& aSender) const;
   void apply(const LoadReport& aReport, TimePoint aNow);
   void apply(const DomainLoads& aLoads, TimePoint aNow);
   void apply(const LoadTable& aTable, TimePoint aNow);
-  /// This instance is to send tables: it is the first agent, or has heard no table from those
+  /// This instance is to send tables: it is the first agent, or has received no table from those
   /// before it.
   bool sendsTables(TimePoint aNow) const;
   void expire(TimePoint aNow);
@@ -86,6 +91,7 @@
   /// Of this failure domain, without this instance.
   AgentList mOwnAgents;
   AgentList mOtherAgents;
+  Directory mDirectory;
   std::optional<std::size_t> mSlot;
 
   dispatch::InstanceLoads mOwnLoads;
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -60,11 +60,11 @@
     }
     Findings findings;
     const auto message = agent::decodeLoadMessage(std::string(buf.data(), n), findings);
-    if (!message) {
+    const auto address = sender.address().to_string() + ":" + std::to_string(sender.port());
+    if (!message || !loads.receive(*message, address, bootNow())) {
       metrics.count(metrics::Event::LoadMessageIgnored);
       continue;
     }
-    loads.receive(*message, bootNow());
     exchangeLoads();
   }
 }
--- a/src/mustardplank/agent/directory.cpp
+++ b/src/mustardplank/agent/directory.cpp
@@ -2,12 +2,23 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace mustardplank::agent {
 
 using nlohmann::json;
 
+bool
+Directory::names(const FailureDomainId& aDomain, const std::string& aAddress) const
+{
+  const auto it = domains.find(aDomain);
+  return it != domains.end() &&
+         std::any_of(it->second.begin(), it->second.end(), [&](const auto& aAgent) {
+           return aAgent.address == aAddress;
+         });
+}
+
 std::string
 encodeAgents(const AgentList& aAgents)
 {
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -14,10 +14,13 @@
 constexpr Duration kTableInterval = Millis(40);
 /// What has not changed is repeated this often, in case a datagram was lost.
 constexpr Duration kRepeatInterval = Millis(300);
-/// Nothing was heard of an instance, a failure domain or a table for so long: it no longer counts.
+/// The loads of an instance or failure domain, and a table, count for this long after the last
+/// message.
 constexpr Duration kMemberMemory = Millis(1500);
 constexpr Duration kDomainMemory = Millis(1500);
 constexpr Duration kTableMemory = Millis(700);
+/// Instances of a failure domain whose loads an agent keeps.
+constexpr std::size_t kMaxMembers = 1024;
 /// Reports that are kept to subtract them from tables.
 constexpr std::size_t kMaxReported = 64;
 /// Servers in one datagram, at about 11 bytes each.
@@ -64,6 +67,7 @@
 void
 LoadExchange::setDirectory(const Directory& aDirectory)
 {
+  mDirectory = aDirectory;
   mOwnAgents.clear();
   mOtherAgents.clear();
   mSlot.reset();
@@ -90,10 +94,37 @@
   mTotalChanged = true;
 }
 
-void
-LoadExchange::receive(const LoadMessage& aMessage, TimePoint aNow)
+bool
+LoadExchange::receive(const LoadMessage& aMessage, const std::string& aSender, TimePoint aNow)
+{
+  return std::visit(
+    [&](const auto& aInner) {
+      if (!mayAccept(aInner, aSender)) {
+        return false;
+      }
+      apply(aInner, aNow);
+      return true;
+    },
+    aMessage);
+}
+
+bool
+LoadExchange::mayAccept(const LoadReport& aReport, const std::string& aSender) const
+{
+  return aReport.address == aSender &&
+         (mMembers.contains(aReport.instance) || mMembers.size() < kMaxMembers);
+}
+
+bool
+LoadExchange::mayAccept(const DomainLoads& aLoads, const std::string& aSender) const
+{
+  return mDirectory.names(aLoads.domain, aSender);
+}
+
+bool
+LoadExchange::mayAccept(const LoadTable& /*aTable*/, const std::string& aSender) const
 {
-  std::visit([&](const auto& aInner) { apply(aInner, aNow); }, aMessage);
+  return mDirectory.names(mDomain, aSender);
 }
 
 void
--- a/src/mustardplank/agent/load_exchange_test.cpp
+++ b/src/mustardplank/agent/load_exchange_test.cpp
@@ -58,15 +58,15 @@
   void play(int aFromMs, int aToMs)
   {
     for (int now = aFromMs; now < aToMs; now += 5) {
-      std::vector<Datagram> sent;
+      std::vector<std::pair<std::string, Datagram>> sent;
       for (auto& [name, instance] : mInstances) {
         if (instance->nextAt(at(now)) <= at(now)) {
           for (auto& it : instance->takeDue(at(now))) {
-            sent.push_back(std::move(it));
+            sent.emplace_back(name, std::move(it));
           }
         }
       }
-      for (const auto& it : sent) {
+      for (const auto& [sender, it] : sent) {
         const auto to = mInstances.find(it.address);
         if (to == mInstances.end() || mRandom() % 100 < mLoss) {
           continue;
@@ -75,7 +75,7 @@
         const auto message = decodeLoadMessage(it.bytes, findings);
         BOOST_TEST_REQUIRE(message.has_value());
         BOOST_TEST(it.bytes.size() < 1400U);
-        to->second->receive(*message, at(now));
+        BOOST_TEST(to->second->receive(*message, sender, at(now)));
         ++mDatagrams;
       }
       for (auto& [name, instance] : mInstances) {
@@ -221,4 +221,25 @@
   }
 }
 
+// Guards against forged datagrams: what no agent of the directory sent changes nothing, and a
+// report makes nobody else receive tables.
+BOOST_AUTO_TEST_CASE(messages_of_others_than_agents_are_ignored)
+{
+  Network network(2, 3);
+  const InstanceLoads loads{ { 7, { 3.0, 100.0 } } };
+  auto& member = network.instance("0-2");
+  const LoadTable table{ InstanceId("0-0"), 0, { 0, 1, loads } };
+  BOOST_TEST(!member.receive(table, "elsewhere", at(0)));
+  BOOST_TEST(!member.receive(table, "1-0", at(0)));
+  BOOST_TEST(!member.takeOthersLoads().has_value());
+  BOOST_TEST(member.receive(table, "0-1", at(0)));
+  BOOST_TEST(member.takeOthersLoads().has_value());
+  auto& agent = network.instance("0-0");
+  const DomainLoads domain{ FailureDomainId("1"), { 0, 1, loads } };
+  BOOST_TEST(!agent.receive(domain, "1-2", at(0)));
+  BOOST_TEST(agent.receive(domain, "1-1", at(0)));
+  const LoadReport report{ InstanceId("0-2"), 1, 1, "victim", { 0, 1, loads } };
+  BOOST_TEST(!agent.receive(report, "0-2", at(0)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
