--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -55,7 +55,7 @@
 /// Load pattern: hundreds of instances, each of which needs every change within seconds, before a
 /// store whose calls are limited and have a price. The first agent of a failure domain reads the
 /// store; a second one takes over within a second when the first is silent or cut off. No instance
-/// depends on an agent: one that has heard of no change for too long reads the store itself,
+/// depends on an agent: one whose knowledge is too old reads the store itself,
 /// and one that the store rejects asks agents of other failure domains.
 class SourcePlanner
 {
--- a/include/mustardplank/agent/sync_messages.hpp
+++ b/include/mustardplank/agent/sync_messages.hpp
@@ -14,7 +14,7 @@
 
 namespace mustardplank::agent {
 
-/// What all instances tell each other through Topic::InstanceUpdates, summed up by an agent that
+/// What all instances publish through Topic::InstanceUpdates, summed up by an agent that
 /// reads it.
 struct BoardDigest
 {
--- a/include/mustardplank/agent/update_relay.hpp
+++ b/include/mustardplank/agent/update_relay.hpp
@@ -22,7 +22,7 @@
 public:
   /// Processes whose updates are kept.
   static constexpr std::size_t kMaxProcesses = 1024;
-  /// An update without news is written when the last one of its process is this old, so that the
+  /// An update without changes is written when the last one of its process is this old, so that the
   /// others see that the instance is alive.
   static constexpr Duration kIdleInterval = Millis(2000);
   /// A process that has handed over no update for this long is forgotten.
@@ -63,7 +63,7 @@
   {
     std::uint64_t sequence = 0;
     std::string bytes;
-    bool hasNews = false;
+    bool hasChanges = false;
     std::uint64_t written = 0;
     TimePoint writtenAt{};
     TimePoint acceptedAt{};
--- a/include/mustardplank/control/update_outbox.hpp
+++ b/include/mustardplank/control/update_outbox.hpp
@@ -29,7 +29,7 @@
   /// The update with this sequence number, and so all before it, is in the store.
   void acknowledge(std::uint64_t aSequence);
   /// Whether the next update has anything that is not in the store.
-  bool hasNews(const UsageWindows& aUsage) const;
+  bool hasUnpublished(const UsageWindows& aUsage) const;
 
 private:
   /// Counts of a window, and the update in which they were last changed.
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -56,7 +56,7 @@
   std::uint32_t prefillTokens = 0;
 };
 
-/// The caller is to be told that the request was not run.
+/// The caller is informed that the request was not run.
 struct Refusal
 {
   JobId job = 0;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -235,7 +235,7 @@
 awaitable<void>
 RouteDaemon::Impl::handOver()
 {
-  if (!outbox.hasNews(usage)) {
+  if (!outbox.hasUnpublished(usage)) {
     co_return;
   }
   auto store = client();
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -14,7 +14,7 @@
 constexpr Duration kMinSyncPause = Millis(30);
 /// How long a reply may take beyond the hold.
 constexpr Duration kSyncTimeout = Millis(400);
-/// How often an update without news is handed to an agent.
+/// How often an update without changes is handed to an agent.
 constexpr Duration kUpdateInterval = Millis(1000);
 /// Updates of other instances that are handed on in one request.
 constexpr std::size_t kMaxHandedOn = 256;
@@ -150,7 +150,7 @@
   request.directoryEnd = planner.directory().logEnd;
   request.maxHold = aTarget.hold;
   request.wantsPeers = std::exchange(wantsPeers, false);
-  if (outbox.hasNews(usage) || draining || now - lastUpdateSentAt >= kUpdateInterval) {
+  if (outbox.hasUnpublished(usage) || draining || now - lastUpdateSentAt >= kUpdateInterval) {
     request.updates.push_back(control::encodeUpdate(makeUpdate()));
     lastUpdateSentAt = now;
   }
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -195,10 +195,10 @@
     const auto now = bootNow();
     const bool alone = now - std::max(lastSyncAt, startedAt) >= kPublishAlone;
     const bool publishes = planner.followsStore(now) || alone;
-    const bool news = outbox.hasNews(usage) || !relay.unwritten().empty();
+    const bool unpublished = outbox.hasUnpublished(usage) || !relay.unwritten().empty();
     const auto interval = settings.domainAgents == 0 ? publishInterval() : kMinPublishInterval;
-    const bool due =
-      (news && now - lastPublished >= interval) || now - lastPublished >= kIdlePublishInterval;
+    const bool due = (unpublished && now - lastPublished >= interval) ||
+                     now - lastPublished >= kIdlePublishInterval;
     if (publishes && (boardDue || due)) {
       boardDue = false;
       const bool published = co_await publish(store);
--- a/src/daemon/route_daemon_clock.cpp
+++ b/src/daemon/route_daemon_clock.cpp
@@ -15,7 +15,7 @@
 /// Time after the start for which an instance that knows few others looks for them often.
 constexpr Duration kFirstClockTime = Seconds(3);
 constexpr std::size_t kClockPeers = 3;
-/// An instance that was not heard of for this long is not asked.
+/// An instance without contact for this long is not asked.
 constexpr Duration kContactMemory = Seconds(15);
 constexpr Duration kClockTimeout = Millis(400);
 
@@ -25,8 +25,8 @@
 RouteDaemon::Impl::clockPeers()
 {
   const auto now = bootNow();
-  std::erase_if(contacts,
-                [&](const auto& aItem) { return aItem.second.heardAt + kContactMemory < now; });
+  std::erase_if(
+    contacts, [&](const auto& aItem) { return aItem.second.lastContactAt + kContactMemory < now; });
   std::map<InstanceId, std::string> addresses;
   for (const auto& [domain, agents] : planner.directory().domains) {
     for (const auto& it : agents) {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -271,11 +271,11 @@
   std::set<FailureDomainId> domainsOut;
   std::map<BackendServerId, std::string> serverTexts;
   std::map<InstanceId, Needs> needs;
-  /// Where an instance answers others, and when it was last heard of.
+  /// Where an instance answers others, and the time of the last contact.
   struct Contact
   {
     std::string address;
-    TimePoint heardAt{};
+    TimePoint lastContactAt{};
   };
   std::map<InstanceId, Contact> contacts;
   bool wantsPeers = true;
@@ -286,7 +286,7 @@
   /// While the system starts for the first time.
   control::Baseline startBaseline;
   std::set<BackendServerId> baselineServers;
-  /// The others are to be told at once.
+  /// The next update is to be published at once.
   bool boardDue = false;
   std::size_t mostInstances = 1;
   TimePoint mostInstancesAt{};
--- a/src/mustardplank/agent/sync_server.cpp
+++ b/src/mustardplank/agent/sync_server.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxCachedParts = 4;
 
 bool
-hasNews(const KeyedView& aView, std::optional<Offset> aFrom)
+hasChangesSince(const KeyedView& aView, std::optional<Offset> aFrom)
 {
   return aView.isKnown() && (!aFrom || aView.lastChange() > *aFrom);
 }
@@ -53,8 +53,8 @@
 SyncServer::hasChanges(const SyncRequest& aRequest) const
 {
   const auto crashesSeen = aRequest.agentIncarnation == mIncarnation ? aRequest.crashesSeen : 0;
-  return hasNews(mOperators, aRequest.operatorsNext) || hasNews(mServers, aRequest.serversNext) ||
-         crashesSeen < mCrashCount;
+  return hasChangesSince(mOperators, aRequest.operatorsNext) ||
+         hasChangesSince(mServers, aRequest.serversNext) || crashesSeen < mCrashCount;
 }
 
 void
--- a/src/mustardplank/agent/update_relay.cpp
+++ b/src/mustardplank/agent/update_relay.cpp
@@ -26,7 +26,7 @@
   }
   state.sequence = aUpdate.sequence;
   state.bytes = std::move(aBytes);
-  state.hasNews = !aUpdate.windows.empty() || !aUpdate.crashes.empty() || aUpdate.leaving;
+  state.hasChanges = !aUpdate.windows.empty() || !aUpdate.crashes.empty() || aUpdate.leaving;
 }
 
 std::vector<UpdateRelay::Item>
@@ -36,7 +36,7 @@
                 [&](const auto& aItem) { return aItem.second.acceptedAt + kMemory < aNow; });
   std::vector<Item> due;
   for (const auto& [process, state] : mProcesses) {
-    const bool isDue = state.hasNews || aNow - state.writtenAt >= kIdleInterval;
+    const bool isDue = state.hasChanges || aNow - state.writtenAt >= kIdleInterval;
     if (state.sequence > state.written && isDue) {
       due.push_back({ process, state.sequence, state.bytes });
     }
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -92,7 +92,7 @@
 }
 
 // Guards against a takeover that takes two leases: the holder ends just after a renewal of which
-// nobody has heard, so that a claim at the end that it reported fails.
+// nobody has received, so that a claim at the end that it reported fails.
 BOOST_AUTO_TEST_CASE(observer_reads_the_log_of_a_silent_holder)
 {
   Log log;
@@ -132,7 +132,7 @@
   BOOST_TEST(claimedAtMs == 3000);
 }
 
-// Guards against a read that counts as news of the holder although nothing was renewed.
+// Guards against a read that counts as a renewal by the holder although nothing was renewed.
 BOOST_AUTO_TEST_CASE(reading_the_known_end_does_not_delay_a_claim)
 {
   Log log;
--- a/src/mustardplank/control/update_outbox.cpp
+++ b/src/mustardplank/control/update_outbox.cpp
@@ -45,7 +45,7 @@
 }
 
 bool
-UpdateOutbox::hasNews(const UsageWindows& aUsage) const
+UpdateOutbox::hasUnpublished(const UsageWindows& aUsage) const
 {
   return aUsage.hasUnpublished() || !mWindows.empty() || !mCrashes.empty();
 }
--- a/src/mustardplank/control/update_outbox_test.cpp
+++ b/src/mustardplank/control/update_outbox_test.cpp
@@ -24,7 +24,7 @@
   const auto first = outbox.makeUpdate(usage);
   const auto window = usage.windowOf(kStartMs);
   BOOST_TEST(first.windows.at(window).at(kOne) == 1U);
-  BOOST_TEST(outbox.hasNews(usage));
+  BOOST_TEST(outbox.hasUnpublished(usage));
   usage.count(kOne, kStartMs + 100);
   usage.count(kOne, kStartMs + 5000);
   const auto second = outbox.makeUpdate(usage);
@@ -35,7 +35,7 @@
   outbox.acknowledge(first.sequence);
   BOOST_TEST(outbox.makeUpdate(usage).windows.size() == 2U);
   outbox.acknowledge(second.sequence);
-  BOOST_TEST(!outbox.hasNews(usage));
+  BOOST_TEST(!outbox.hasUnpublished(usage));
   BOOST_TEST(outbox.makeUpdate(usage).windows.empty());
 }
 
@@ -60,10 +60,10 @@
   usage.count(kOne, kStartMs);
   const auto full = outbox.makeUpdate(usage);
   outbox.acknowledge(empty.sequence);
-  BOOST_TEST(outbox.hasNews(usage));
+  BOOST_TEST(outbox.hasUnpublished(usage));
   outbox.acknowledge(full.sequence);
   outbox.acknowledge(empty.sequence);
-  BOOST_TEST(!outbox.hasNews(usage));
+  BOOST_TEST(!outbox.hasUnpublished(usage));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/agents/simulation.cpp
+++ b/test/agents/simulation.cpp
@@ -280,7 +280,7 @@
       aInstance,
       aLoop,
       aWait,
-      [this, known, from, sentAt, aWait, aLoop]() -> std::function<void(Instance&)> {
+      [this, known, from, sentAt, aLoop]() -> std::function<void(Instance&)> {
         if (!known) {
           std::vector<Record> list;
           for (const auto& [key, record] : mLog.newest) {
@@ -585,7 +585,7 @@
         mCuts[{ any().options.instance.str(), any().options.instance.str() }] = until;
         break;
       case 4: {
-        // One instance hears nobody, or is heard by nobody.
+        // One instance receives nothing, or nothing from it is received.
         const auto name = any().options.instance.str();
         const bool inbound = pick(2) == 0;
         for (const auto& [other, instance] : mInstances) {
@@ -654,7 +654,7 @@
     // Calm instances are in touch again some time after a disruption.
     const auto bound = mOptions.changeBound + Millis(5000);
     if (mNow - aInstance.inTouchSince > bound && (!age || *age > mOptions.changeBound)) {
-      violation(aInstance, "has not heard of changes within the bound");
+      violation(aInstance, "did not receive changes within the bound");
     }
     if (aInstance.acknowledged > mWritten[aInstance.incarnation]) {
       violation(aInstance, "an acknowledged update is not in the store");
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -189,7 +189,8 @@
   std::ofstream(settingsFile(aIndex)) << settings.dump();
   std::map<std::string, std::string> environment;
   if (mClocks == Clocks::Adjustable) {
-    std::ofstream(clockFile(aIndex), std::ios::app);
+    // The file has to be there before the process starts.
+    const std::ofstream created(clockFile(aIndex), std::ios::app);
     environment["LD_PRELOAD"] =
       std::string(BUILD_DIR) + "/test/support/libmustardplank_clock_shim.so";
     environment["MUSTARDPLANK_TEST_CLOCK"] = clockFile(aIndex);
