--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -223,6 +223,12 @@
   config["routes"].push_back(routeJson("events", "streaming", 1, false, false));
   config["routes"].push_back(routeJson("resume", "streaming", 2, true, false));
   config["routes"].push_back(routeJson("open", "idempotent", 1, false, true));
+  for (std::size_t i = 0; i < mMoreRoutes; ++i) {
+    auto route = routeJson("twice", "idempotent", 2, false, false);
+    route["name"] = "more" + std::to_string(i);
+    route["hostname"] = "host" + std::to_string(i) + ".example";
+    config["routes"].push_back(std::move(route));
+  }
   config["services"] =
     json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
   config["limits"] = { { "maxHeaderBytes", 8192 },
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -92,6 +92,8 @@
   void restartOnOtherAddress(std::size_t aIndex);
   /// Writes a configuration; version rises with each call.
   void configure(const std::string& aKeyOfOne = "key-one", bool aWithPlain = true);
+  /// Routes that configure() adds under other host names.
+  void setMoreRoutes(std::size_t aCount) { mMoreRoutes = aCount; }
   void writeServer(std::size_t aIndex,
                    const std::string& aState = "ready",
                    const std::string& aMore = "");
@@ -120,6 +122,7 @@
   std::vector<std::string> mAdmin;
   std::string mFolder;
   int mVersion = 0;
+  std::size_t mMoreRoutes = 0;
   std::thread mThread;
 };
 
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -1,9 +1,15 @@
 #include "store_standin.hpp"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
+#include <sstream>
+#include <string_view>
+
 namespace mustardplank::routes {
 
 namespace http = boost::beast::http;
@@ -154,6 +160,47 @@
   log.records.clear();
 }
 
+void
+StoreStandin::setReadRate(std::size_t aBytesPerSecond)
+{
+  const std::lock_guard lock(mMutex);
+  mReadRate = aBytesPerSecond;
+}
+
+std::int64_t
+StoreStandin::reserveRead(std::size_t aBytes)
+{
+  const std::lock_guard lock(mMutex);
+  if (mReadRate == 0) {
+    return 0;
+  }
+  const auto now = static_cast<double>(standins::ledgerMillis());
+  mReadUntilMs = std::max(mReadUntilMs, now) +
+                 1000.0 * static_cast<double>(aBytes) / static_cast<double>(mReadRate);
+  return static_cast<std::int64_t>(mReadUntilMs - now);
+}
+
+Awaitable<bool>
+StoreStandin::respondPaced(SocketPtr aSocket, const Request& aRequest, std::string aBody)
+{
+  constexpr std::size_t kPieceBytes = 16 * 1024;
+  http::response<http::string_body> response{ http::status::ok, 11 };
+  response.set(http::field::content_type, "application/json");
+  response.body() = std::move(aBody);
+  response.keep_alive(aRequest.keep_alive());
+  response.prepare_payload();
+  std::ostringstream stream;
+  stream << response;
+  const std::string text = stream.str();
+  for (std::size_t at = 0; at < text.size(); at += kPieceBytes) {
+    const auto piece = std::string_view(text).substr(at, kPieceBytes);
+    co_await standins::sleepMillis(reserveRead(piece.size()));
+    co_await boost::asio::async_write(
+      *aSocket, boost::asio::buffer(piece), boost::asio::use_awaitable);
+  }
+  co_return true;
+}
+
 void
 StoreStandin::loseAnswers(int aCount)
 {
@@ -243,7 +290,7 @@
       const std::lock_guard lock(mMutex);
       page = newestPage(queryText(aRequest, "topic"));
     }
-    co_return co_await standins::respond(aSocket, aRequest, 200, std::move(page));
+    co_return co_await respondPaced(aSocket, aRequest, page.dump());
   }
   DutyCall call;
   call.path = path;
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -35,6 +35,8 @@
   void setSilent(bool aSilent);
   /// Forgets all records of a topic but the newest of each key.
   void compact(const std::string& aTopic);
+  /// All reads of whole topics together get this many bytes a second; 0: as many as there are.
+  void setReadRate(std::size_t aBytesPerSecond);
   /// Answers of the next so many appends are lost after they took effect.
   void loseAnswers(int aCount);
 
@@ -65,6 +67,11 @@
   standins::Awaitable<bool> handleOther(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> read(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> append(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<bool> respondPaced(standins::SocketPtr aSocket,
+                                         const standins::Request& aRequest,
+                                         std::string aBody);
+  /// Reserves the time for some bytes and returns how long to wait, in ms.
+  std::int64_t reserveRead(std::size_t aBytes);
   std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
   std::uint64_t endOf(const std::string& aTopic) const;
   nlohmann::json newestPage(const std::string& aTopic) const;
@@ -77,6 +84,9 @@
   bool mSilent = false;
   bool mAway = false;
   int mLoseAnswers = 0;
+  std::size_t mReadRate = 0;
+  /// When the bytes that were sent are through, in ms of ledgerMillis().
+  double mReadUntilMs = 0.0;
   std::string mAddress;
   std::string mOtherAddress;
 };
