--- a/include/mustardplank/control/server_order_planner.hpp
+++ b/include/mustardplank/control/server_order_planner.hpp
@@ -57,6 +57,9 @@
   ServiceDemand need;
   /// Servers when the system first started.
   std::map<FailureDomainId, std::uint32_t> baseline;
+  /// Servers of the first start may exist that have not registered yet. As the count of an order is
+  /// that of all servers of a kind, an order for regular ones would remove them.
+  bool serversStillRegister = false;
 };
 
 /// Decides how many servers of each kind (regular or preemptible) a service has in each failure
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -323,6 +323,7 @@
     input.domains = domainsOf(service);
     input.servers = &registry.servers();
     input.need = needOf(id);
+    input.serversStillRegister = !baseline && bootNow() < startedAt + kBaselineTime;
     const auto& known = currentBaseline();
     if (const auto it = known.find(id); it != known.end()) {
       input.baseline = it->second;
--- a/src/mustardplank/control/server_order_planner.cpp
+++ b/src/mustardplank/control/server_order_planner.cpp
@@ -123,6 +123,9 @@
   std::uint32_t regularToPlace = mOptions.minRegular;
   for (const auto& domain : domainsByPrice(aInput)) {
     const auto present = supply[domain];
+    if (!usePreemptible && aInput.serversStillRegister) {
+      continue;
+    }
     if (!usePreemptible) {
       const auto count =
         std::clamp(std::max(baselineOf(aInput, domain), neededPerDomain), limits.min, limits.max);
@@ -137,6 +140,9 @@
                   { { service.id, domain, true }, preemptible, present.preemptible },
                   limits.bootTime,
                   aNow);
+    if (aInput.serversStillRegister) {
+      continue;
+    }
     const auto maxAdded = limits.max - std::min(limits.max, present.regular + present.preemptible);
     const auto added = std::min(substitutes, maxAdded);
     substitutes -= added;
--- a/src/mustardplank/control/server_order_planner_test.cpp
+++ b/src/mustardplank/control/server_order_planner_test.cpp
@@ -185,4 +185,24 @@
   }
 }
 
+// Load pattern: the first start, at which servers register over some seconds. Guards against the
+// fault in which an order for one regular server more than the two known ones removed the other 22
+// of a failure domain.
+BOOST_AUTO_TEST_CASE(regular_servers_are_not_ordered_while_servers_register)
+{
+  Fixture fixture;
+  fixture.servers.clear();
+  fixture.add(kA, 1, false);
+  fixture.input.baseline = { { kA, 1 } };
+  fixture.input.serversStillRegister = true;
+  for (const double preemptiblePrice : { 0.18, 1.0 }) {
+    fixture.service.scaling->preemptiblePrice = preemptiblePrice;
+    for (const auto& domain : fixture.input.domains) {
+      BOOST_TEST(Fixture::countFor(fixture.decide(at(0)), domain, false) == -1);
+    }
+  }
+  fixture.input.serversStillRegister = false;
+  BOOST_TEST(Fixture::countFor(fixture.decide(at(1)), kA, false) > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
