Compress with zlib: the deflate of Boost.Beast 1.81 damages memory

Ruled out by reading: the stop itself, connections of callers and servers, held answers of agents.

zlib (zlib1g-dev, from the registry) takes its place; the format on the wire stays raw deflate.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,7 @@
 
 packages="g++ cmake ninja-build ccache lld clang-format clang-tidy
 libboost1.81-all-dev libwebsocketpp-dev nlohmann-json3-dev liblog4cplus-dev prometheus-cpp-dev
-libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libssl-dev curl ca-certificates"
+libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libssl-dev zlib1g-dev curl ca-certificates"
 
 missing=""
 for package in $packages; do
--- a/src/mustardplank/agent/compression.cpp
+++ b/src/mustardplank/agent/compression.cpp
@@ -1,67 +1,73 @@
 #include "compression.hpp"
 
-#include <boost/beast/zlib/deflate_stream.hpp>
-#include <boost/beast/zlib/inflate_stream.hpp>
+#include <zlib.h>
 
-namespace mustardplank::agent {
+#include <algorithm>
 
-namespace zlib = boost::beast::zlib;
+namespace mustardplank::agent {
 
 namespace {
 
 /// Speed matters more than size: an agent compresses while others wait for it.
 constexpr int kLevel = 3;
-constexpr int kWindowBits = 15;
+/// Negative: without a header, as older builds of the instances expect.
+constexpr int kWindowBits = -15;
 constexpr int kMemoryLevel = 8;
 constexpr std::size_t kMinOutputBytes = 4096;
 
+Bytef*
+bytesOf(const char* aData)
+{
+  // zlib does not write to its input, whose pointer is not const for historical reasons.
+  return reinterpret_cast<Bytef*>(const_cast<char*>(aData));
+}
+
 }
 
 std::string
 compress(std::string_view aBytes)
 {
-  zlib::deflate_stream stream;
-  stream.reset(kLevel, kWindowBits, kMemoryLevel, zlib::Strategy::normal);
-  std::string out(stream.upper_bound(aBytes.size()) + kMinOutputBytes, '\0');
-  zlib::z_params params;
-  params.next_in = aBytes.data();
-  params.avail_in = aBytes.size();
-  params.next_out = out.data();
-  params.avail_out = out.size();
-  boost::system::error_code ec;
-  stream.write(params, zlib::Flush::finish, ec);
-  out.resize(params.total_out);
+  z_stream stream{};
+  if (deflateInit2(&stream, kLevel, Z_DEFLATED, kWindowBits, kMemoryLevel, Z_DEFAULT_STRATEGY) !=
+      Z_OK) {
+    return {};
+  }
+  std::string out(deflateBound(&stream, aBytes.size()) + kMinOutputBytes, '\0');
+  stream.next_in = bytesOf(aBytes.data());
+  stream.avail_in = static_cast<uInt>(aBytes.size());
+  stream.next_out = bytesOf(out.data());
+  stream.avail_out = static_cast<uInt>(out.size());
+  const bool complete = deflate(&stream, Z_FINISH) == Z_STREAM_END;
+  out.resize(complete ? stream.total_out : 0);
+  deflateEnd(&stream);
   return out;
 }
 
 std::optional<std::string>
 decompress(std::string_view aBytes, std::size_t aMaxSize)
 {
-  zlib::inflate_stream stream;
+  z_stream stream{};
+  if (inflateInit2(&stream, kWindowBits) != Z_OK) {
+    return std::nullopt;
+  }
+  stream.next_in = bytesOf(aBytes.data());
+  stream.avail_in = static_cast<uInt>(aBytes.size());
   std::string out;
-  zlib::z_params params;
-  params.next_in = aBytes.data();
-  params.avail_in = aBytes.size();
-  for (;;) {
+  int result = Z_OK;
+  while (result == Z_OK) {
     const auto size = out.size();
     const auto room = std::min(std::max(kMinOutputBytes, size), aMaxSize - size);
     if (room == 0) {
-      return std::nullopt;
+      break;
     }
     out.resize(size + room);
-    params.next_out = out.data() + size;
-    params.avail_out = room;
-    boost::system::error_code ec;
-    stream.write(params, zlib::Flush::sync, ec);
-    out.resize(size + room - params.avail_out);
-    if (ec == zlib::error::end_of_stream) {
-      return out;
-    }
-    // Without progress the input is truncated.
-    if ((ec && ec != zlib::error::need_buffers) || out.size() == size) {
-      return std::nullopt;
-    }
+    stream.next_out = bytesOf(out.data()) + size;
+    stream.avail_out = static_cast<uInt>(room);
+    result = inflate(&stream, Z_NO_FLUSH);
+    out.resize(size + room - stream.avail_out);
   }
+  inflateEnd(&stream);
+  return result == Z_STREAM_END ? std::optional(std::move(out)) : std::nullopt;
 }
 
 }
