ORDER: log how an answer shows its end and what was left of its last event

Cause: the lines of a request do not name the framing of the server's answer, and a stream that ends inside an event is logged as routine, so that the hypotheses of the incident cannot be told apart.

Change: the end of a request names framing (length, chunked, connection_close, no_body) and unfinished_bytes; with such bytes the lines of the request are always written. No other behaviour changes.

Seen: with a stand-in that breaks off a stream, request.answered status=200 framing=connection_close unfinished_bytes=8.

--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -220,7 +220,7 @@
     }
     mHeadDelivered = true;
     updateIdleExpiry();
-    if (mListener && !mListener->onResponseHead(message.result_int(), message.base())) {
+    if (mListener && !mListener->onResponseHead(message.result_int(), message.base(), framing())) {
       mSkippingResponse = true;
     }
     if (!mRequestActive) {
@@ -261,6 +261,18 @@
   mReusableUntil = bootNow() + idleTimeout - kIdleExpiryMargin;
 }
 
+BodyFraming
+BackendConnection::framing() const
+{
+  if (mParser->chunked()) {
+    return BodyFraming::Chunked;
+  }
+  if (mParser->content_length()) {
+    return BodyFraming::Length;
+  }
+  return mParser->need_eof() ? BodyFraming::ConnectionClose : BodyFraming::NoBody;
+}
+
 void
 BackendConnection::completeResponse()
 {
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "body_framing.hpp"
+
 #include "mustardplank/base/name_table.hpp"
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/gateway/types.hpp"
@@ -40,7 +42,7 @@
 public:
   virtual ~ResponseListener() = default;
   /// Returns false if the response belongs to another request; the connection then skips it.
-  virtual bool onResponseHead(unsigned aStatus, Fields& aFields) = 0;
+  virtual bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) = 0;
   virtual void onResponseBody(std::string_view aBytes) = 0;
   virtual void onResponseEnd() = 0;
   virtual void onResponseFailure(ResponseFailure aFailure) = 0;
@@ -90,6 +92,7 @@
   void closeAndRelease();
   void resetParser();
   void updateIdleExpiry();
+  BodyFraming framing() const;
 
   Socket mSocket;
   std::string mAddress;
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -467,11 +467,14 @@
     .field("server", std::string_view(mGrant ? mGrant->server.str() : std::string("none")))
     .field("sends", mSendCount)
     .field("events", mEventSplitter.eventCount())
+    .field("framing", mSendCount > 0 ? kBodyFramingNames.name(mResponseFraming) : "none")
+    .field("unfinished_bytes", mUnfinishedEventBytes)
     .field("total_ms", toMillis(now - mJob.arrived))
     .field("first_ms", mResponseStarted ? toMillis(mResponseStartedAt - mJob.arrived) : -1.0)
     .field("config", mTable ? mTable->version() : 0);
   const bool succeeded = aStatus / 100 == 2 && aReason == "complete";
-  log(event, succeeded || aReason == "caller_left");
+  const bool isRoutine = succeeded && mUnfinishedEventBytes == 0;
+  log(event, isRoutine || aReason == "caller_left");
   if (mRecorder && succeeded) {
     mRecorder->requestTime(now - mJob.arrived);
   }
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -43,7 +43,7 @@
   void onCallerWritable();
   bool isDone() const { return mDone; }
 
-  bool onResponseHead(unsigned aStatus, Fields& aFields) override;
+  bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
   void onResponseBody(std::string_view aBytes) override;
   void onResponseEnd() override;
   void onResponseFailure(ResponseFailure aFailure) override;
@@ -136,6 +136,9 @@
   unsigned mResponseStatus = 0;
   Fields mResponseFields;
   std::string mResponseBody;
+  BodyFraming mResponseFraming = BodyFraming::NoBody;
+  /// Bytes after the last complete event when the server's stream ended.
+  std::size_t mUnfinishedEventBytes = 0;
   bool mResponseStreamed = false;
   bool mResponseHeadSent = false;
   bool mResponseStarted = false;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -57,7 +57,7 @@
 }
 
 bool
-Exchange::onResponseHead(unsigned aStatus, Fields& aFields)
+Exchange::onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming)
 {
   const auto head = mContext.dialect.parseResponseHead(aStatus, aFields);
   if (!head.attemptId.empty() && head.attemptId != mRequestHead.attemptId) {
@@ -65,6 +65,7 @@
   }
   const auto now = bootNow();
   mResponseStatus = aStatus;
+  mResponseFraming = aFraming;
   if (head.load) {
     mContext.dispatcher.recordReportedLoad(
       mGrant->server, head.load->running, head.load->waiting, now);
@@ -204,6 +205,7 @@
   }
   if (mResponseStreamed) {
     const auto remainder = mEventSplitter.takeRemainder();
+    mUnfinishedEventBytes = remainder.size();
     if (!mResponseHeadSent) {
       writeResponseHead(mResponseStatus, mResponseFields, true);
     }
@@ -245,7 +247,7 @@
     mContext.callbacks.onConnectionLost({ mRequestDigest, mGrant->server });
   }
   mResponseBody.clear();
-  mEventSplitter.takeRemainder();
+  mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
   const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
   const auto* reason = failureReason(aFailure);
   if (retryOnOtherServer(outcome, false, reason)) {
