--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -170,6 +170,57 @@
   BOOST_TEST(deployment.arrivals(call.attempt) == 1U);
 }
 
+// Guards against a stream that ends inside an event and is passed on as complete.
+BOOST_AUTO_TEST_CASE(routes_stream_that_ends_inside_an_event_does_not_look_complete)
+{
+  RouteDeployment deployment(2, 1);
+  for (const auto* mode : { "open_broken2", "open_reset2", "torn2" }) {
+    BOOST_TEST_CONTEXT(mode)
+    {
+      const auto call = callOf(std::string("/events/") + mode);
+      CallerConnection connection(deployment.callers());
+      BOOST_CHECK_THROW(connection.call(call), boost::system::system_error);
+      BOOST_TEST(connection.partialBody() == "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+      BOOST_TEST(deployment.arrivals(call.attempt) == 1U);
+    }
+  }
+  for (const std::string framing : { "connection_close", "chunked" }) {
+    const auto field = "framing=" + framing + " unfinished_bytes=8";
+    BOOST_TEST(waitUntil(Millis(2000), [&] {
+      return deployment.instance(0).output().find(field) != std::string::npos;
+    }));
+  }
+  for (const auto* mode : { "open_broken0", "torn0", "open_stream0" }) {
+    const auto answer = callOnce(deployment, callOf(std::string("/events/") + mode));
+    BOOST_TEST(answer.result_int() == 502U, mode);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(routes_stream_that_ends_inside_an_event_is_resumed_where_that_is_allowed)
+{
+  RouteDeployment deployment(2, 1);
+  for (const auto* mode : { "open_broken2", "open_reset2", "torn2", "open_broken0" }) {
+    BOOST_TEST_CONTEXT(mode)
+    {
+      const auto call = callOf(std::string("/resume/") + mode);
+      std::string expected;
+      for (int i = 1; i <= 6; ++i) {
+        expected += "id: " + std::to_string(i) + "\ndata: t" + std::to_string(i) + "\n\n";
+      }
+      BOOST_TEST(callOnce(deployment, call).body() == expected);
+      BOOST_TEST(deployment.arrivals(call.attempt) == 2U);
+    }
+  }
+}
+
+// Guards against a sound stream that is broken off as it has neither a length nor chunks.
+BOOST_AUTO_TEST_CASE(routes_stream_that_ends_with_its_connection_arrives_whole)
+{
+  RouteDeployment deployment(1, 1);
+  const auto answer = callOnce(deployment, callOf("/events/open_stream3"));
+  BOOST_TEST(answer.body() == "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\nid: 3\ndata: t3\n\n");
+}
+
 // Guards against the fault in which the error of the server that was to go on with a stream was
 // written into the stream.
 BOOST_AUTO_TEST_CASE(routes_error_of_the_resuming_server_stays_out_of_the_stream)
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -96,19 +96,8 @@
   if (mReplaced || (!expected.empty() && expected != mId)) {
     co_return co_await writeText(aSocket, answerText(421, attempt, "X-Instance-Id: other\r\n", ""));
   }
-  if (mode.starts_with("stream")) {
-    co_return co_await stream(aSocket, aRequest, std::atoi(mode.c_str() + 6), StreamEnd::Complete);
-  }
-  if (mode.starts_with("broken")) {
-    co_return co_await stream(
-      aSocket, aRequest, std::atoi(mode.c_str() + 6), StreamEnd::ConnectionClosed);
-  }
-  if (mode.starts_with("trickle")) {
-    co_return co_await stream(aSocket, aRequest, std::atoi(mode.c_str() + 7), StreamEnd::Trickle);
-  }
-  if (mode.starts_with("slow")) {
-    co_return co_await stream(
-      aSocket, aRequest, std::atoi(mode.c_str() + 4), StreamEnd::Complete, 600);
+  if (const auto plan = streamPlan(mode)) {
+    co_return co_await stream(aSocket, aRequest, *plan);
   }
   if (mFailing && mode.starts_with("endless_")) {
     co_await writeEndlessly(aSocket, attempt, mode.substr(8));
@@ -116,7 +105,7 @@
   }
   if (mode == "no_resume") {
     if (std::string(aRequest["Last-Event-Id"]).empty()) {
-      co_return co_await stream(aSocket, aRequest, 2, StreamEnd::ConnectionClosed);
+      co_return co_await stream(aSocket, aRequest, { 2, StreamEnd::ConnectionClosed });
     }
     co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
   }
@@ -198,40 +187,74 @@
   ++mCancelled;
 }
 
+std::optional<ServerStandin::StreamPlan>
+ServerStandin::streamPlan(const std::string& aMode)
+{
+  static const std::pair<std::string, StreamPlan> kPlans[] = {
+    { "stream", { 0, StreamEnd::Complete } },
+    { "broken", { 0, StreamEnd::ConnectionClosed } },
+    { "torn", { 0, StreamEnd::LastChunk } },
+    { "trickle", { 0, StreamEnd::Trickle } },
+    { "slow", { 0, StreamEnd::Complete, 600 } },
+    { "open_stream", { 0, StreamEnd::Complete, 50, Framing::None } },
+    { "open_broken", { 0, StreamEnd::ConnectionClosed, 50, Framing::None } },
+    { "open_reset", { 0, StreamEnd::ConnectionReset, 50, Framing::None } },
+  };
+  for (const auto& [name, plan] : kPlans) {
+    if (aMode.starts_with(name)) {
+      auto result = plan;
+      result.events = std::atoi(aMode.c_str() + name.size());
+      return result;
+    }
+  }
+  return std::nullopt;
+}
+
 Awaitable<bool>
-ServerStandin::stream(SocketPtr aSocket,
-                      Request& aRequest,
-                      int aEvents,
-                      StreamEnd aEnd,
-                      int aPauseMs)
+ServerStandin::stream(SocketPtr aSocket, Request& aRequest, StreamPlan aPlan)
 {
   constexpr int kTotal = 6;
+  const bool chunked = aPlan.framing == Framing::Chunked;
+  const auto framed = [&](const std::string& aText) { return chunked ? chunkText(aText) : aText; };
   const std::string last(aRequest["Last-Event-Id"]);
-  const bool breaks = aEnd != StreamEnd::Complete && last.empty() && mFailing;
-  const int total = aEnd != StreamEnd::Complete ? kTotal : aEvents;
+  const bool breaks = aPlan.end != StreamEnd::Complete && last.empty() && mFailing;
+  const int total = aPlan.end != StreamEnd::Complete ? kTotal : aPlan.events;
   std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
                      "\r\nX-Response-Signature: sig-" + mId +
-                     "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                     "\r\nContent-Type: text/event-stream\r\n" +
+                     (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
   bool open = co_await writeText(aSocket, std::move(head));
   for (int i = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && i <= total; ++i) {
-    if (breaks && i > aEvents) {
-      if (aEnd == StreamEnd::Trickle) {
+    if (breaks && i > aPlan.events) {
+      if (aPlan.end == StreamEnd::Trickle) {
         co_await trickle(aSocket);
         co_return false;
       }
-      co_await writeText(aSocket, chunkText("id: " + std::to_string(i) + "\nda"));
+      co_await writeText(aSocket, framed("id: " + std::to_string(i) + "\nda"));
+      if (aPlan.end == StreamEnd::LastChunk) {
+        co_return co_await writeText(aSocket, "0\r\n\r\n");
+      }
+      if (aPlan.end == StreamEnd::ConnectionReset) {
+        // The reset discards what the receiver has not read yet.
+        co_await standins::sleepMillis(aPlan.pauseMs);
+        aSocket->set_option(asio::socket_base::linger(true, 0));
+        aSocket->close();
+      }
       co_return false;
     }
     std::string text = "id: " + std::to_string(i);
     text += "\ndata: t" + std::to_string(i);
     text += "\n\n";
-    open = co_await writeText(aSocket, chunkText(text));
-    co_await standins::sleepMillis(aPauseMs);
+    open = co_await writeText(aSocket, framed(text));
+    co_await standins::sleepMillis(aPlan.pauseMs);
   }
   if (!open) {
     ++mCancelled;
     co_return false;
   }
+  if (!chunked) {
+    co_return false;
+  }
   co_return co_await writeText(aSocket, "0\r\n\r\n");
 }
 
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,9 @@
 ///                                                          unless the caller resumes
 ///     no_resume  like broken2, but 500 to a caller that resumes
 ///     slowN    N events, 600 ms apart
+///     tornN    N events and half of one, then the last chunk, unless the caller resumes
+///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
+///              chunks; open_reset ends with a reset of the connection
 ///     trickleN N events, then a byte every 50 ms and no further event, unless the caller resumes
 ///     endless_X  bytes until the connection is closed; X is head, interim, other (an answer to
 ///              another request), chunk, trailer, event or body
@@ -55,15 +59,29 @@
   {
     Complete,
     ConnectionClosed,
+    ConnectionReset,
+    LastChunk,
     Trickle,
   };
+  enum class Framing
+  {
+    Chunked,
+    None,
+  };
+  struct StreamPlan
+  {
+    int events = 0;
+    StreamEnd end = StreamEnd::Complete;
+    int pauseMs = 50;
+    Framing framing = Framing::Chunked;
+  };
 
+  /// Nothing if the mode is no stream.
+  static std::optional<StreamPlan> streamPlan(const std::string& aMode);
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> stream(standins::SocketPtr aSocket,
                                    standins::Request& aRequest,
-                                   int aEvents,
-                                   StreamEnd aEnd,
-                                   int aPauseMs = 50);
+                                   StreamPlan aPlan);
   standins::Awaitable<void> writeEndlessly(standins::SocketPtr aSocket,
                                            std::string aAttempt,
                                            std::string aPart);
