--- a/include/mustardplank/gateway/event_splitter.hpp
+++ b/include/mustardplank/gateway/event_splitter.hpp
@@ -20,6 +20,9 @@
   std::string takeEvents();
   /// Bytes not taken yet; after takeEvents() these are the start of an incomplete event.
   const std::string& remainder() const { return mBuffer; }
+  /// Whether the remainder holds part of an event: a field, or a line without its end. Blank lines
+  /// and comments belong to no event (HTML Living Standard, 9.2.6).
+  bool isInsideEvent() const;
   /// Returns and removes the remainder.
   std::string takeRemainder();
   /// The most recent id among the events taken; empty when none had an id.
--- a/src/mustardplank/gateway/event_splitter.cpp
+++ b/src/mustardplank/gateway/event_splitter.cpp
@@ -61,6 +61,22 @@
   return events;
 }
 
+bool
+EventSplitter::isInsideEvent() const
+{
+  bool inside = false;
+  for (std::string_view rest = mBuffer; !rest.empty();) {
+    const auto end = rest.find_first_of("\r\n");
+    if (end == std::string_view::npos) {
+      return true;
+    }
+    const auto line = rest.substr(0, end);
+    rest.remove_prefix(end + (rest.substr(end).starts_with("\r\n") ? 2 : 1));
+    inside = !line.empty() && (inside || line.front() != ':');
+  }
+  return inside;
+}
+
 std::string
 EventSplitter::takeRemainder()
 {
--- a/src/mustardplank/gateway/event_splitter_test.cpp
+++ b/src/mustardplank/gateway/event_splitter_test.cpp
@@ -36,4 +36,31 @@
   BOOST_TEST(splitter.takeEvents() == "data: y\n\n");
 }
 
+// Guards against a stream that ends inside an event and is taken for complete, and against a
+// complete one that is taken for broken off.
+BOOST_AUTO_TEST_CASE(part_of_an_event_is_told_from_blank_lines_and_comments)
+{
+  const std::pair<std::string, bool> kCases[] = {
+    { "", false },
+    { "data: a\n\n", false },
+    { "data: a\r\n\r\n", false },
+    { "data: a\r\r", false },
+    { "data: a\n\n\n", false },
+    { "data: a\n\n: comment\n", false },
+    { "data: a\n\n: comment\n\n", false },
+    { "data: a\n\n: comm", true },
+    { "data: a\n\ndata: b\n", true },
+    { "data: a\n\ndata: b\n: comment\n", true },
+    { "data: a\n\ndata: b", true },
+    { "data: a\n\ni", true },
+    { "data: a\r\ndata: b\r\n", true },
+  };
+  for (const auto& [text, inside] : kCases) {
+    EventSplitter splitter;
+    splitter.append(text);
+    splitter.takeEvents();
+    BOOST_TEST(splitter.isInsideEvent() == inside, text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -75,6 +75,9 @@
   bool retryOnOtherServer(dispatch::JobOutcome aOutcome, bool aNotExecuted, const char* aCause);
   void writeResponseHead(unsigned aStatus, Fields& aFields, bool aIsStreamed);
   void relayEvents();
+  /// Whether the stream that has ended lacks its end, however it was framed: it ends inside an
+  /// event, or without any event where only the end of the connection ends it.
+  bool isStreamBrokenOff() const;
   /// Responds without a body on the gateway's own behalf; aborts a response whose head has been
   /// sent to the caller.
   void sendLocalResponse(unsigned aStatus,
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -204,8 +204,14 @@
     return;
   }
   if (mResponseStreamed) {
+    if (isStreamBrokenOff()) {
+      onResponseFailure(mResponseFraming == BodyFraming::ConnectionClose
+                          ? ResponseFailure::ConnectionLost
+                          : ResponseFailure::Malformed);
+      return;
+    }
+    mUnfinishedEventBytes = 0;
     const auto remainder = mEventSplitter.takeRemainder();
-    mUnfinishedEventBytes = remainder.size();
     if (!mResponseHeadSent) {
       writeResponseHead(mResponseStatus, mResponseFields, true);
     }
@@ -236,6 +242,13 @@
   finishResponse();
 }
 
+bool
+Exchange::isStreamBrokenOff() const
+{
+  const bool endsWithConnection = mResponseFraming == BodyFraming::ConnectionClose;
+  return mEventSplitter.isInsideEvent() || (endsWithConnection && mEventSplitter.eventCount() == 0);
+}
+
 void
 Exchange::onResponseFailure(ResponseFailure aFailure)
 {
--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -199,18 +199,26 @@
 BOOST_AUTO_TEST_CASE(routes_stream_that_ends_inside_an_event_is_resumed_where_that_is_allowed)
 {
   RouteDeployment deployment(2, 1);
-  for (const auto* mode : { "open_broken2", "open_reset2", "torn2", "open_broken0" }) {
+  std::string whole;
+  for (int i = 1; i <= 6; ++i) {
+    whole += "id: " + std::to_string(i) + "\ndata: t" + std::to_string(i) + "\n\n";
+  }
+  for (const auto* mode : { "open_broken2", "open_reset2", "torn2" }) {
     BOOST_TEST_CONTEXT(mode)
     {
       const auto call = callOf(std::string("/resume/") + mode);
-      std::string expected;
-      for (int i = 1; i <= 6; ++i) {
-        expected += "id: " + std::to_string(i) + "\ndata: t" + std::to_string(i) + "\n\n";
-      }
-      BOOST_TEST(callOnce(deployment, call).body() == expected);
+      BOOST_TEST(callOnce(deployment, call).body() == whole);
       BOOST_TEST(deployment.arrivals(call.attempt) == 2U);
     }
   }
+  // Without an event there is no id to resume from: the other server starts anew.
+  deployment.server(0).setFailing(false);
+  for (const auto* mode : { "open_broken0", "torn0" }) {
+    for (int i = 0; i < 3; ++i) {
+      BOOST_TEST(callOnce(deployment, callOf(std::string("/resume/") + mode)).body() == whole,
+                 mode);
+    }
+  }
 }
 
 // Guards against a sound stream that is broken off as it has neither a length nor chunks.
