--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -97,7 +97,15 @@
 void
 RouteDaemon::Impl::noteCrash(const dispatch::CrashReport& aReport)
 {
-  dispatcher.reportCrash(aReport, bootNow());
+  const auto now = bootNow();
+  const bool wasSuspect = dispatcher.isCrashSuspect(aReport.digest, now);
+  dispatcher.reportCrash(aReport, now);
+  if (!wasSuspect && dispatcher.isCrashSuspect(aReport.digest, now)) {
+    LogEvent(LogLevel::Warning, "crash.request_suspected")
+      .field("digest", aReport.digest)
+      .field("server", aReport.server.str())
+      .write();
+  }
   syncServer.addCrash(aReport);
 }
 
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -92,6 +92,8 @@
   Duration stallTimeout() const;
   void checkStall();
   void recordResponseStart();
+  /// Writes what is known of a request during which the connection to its server broke.
+  void logServerLost();
   /// Marks the request as done, logs the event aEventName and releases the server.
   void finishRequest(const char* aEventName, unsigned aStatus, std::string_view aReason);
   LogEvent makeLogEvent(LogLevel aLevel, std::string_view aEventName) const;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/beast/http/field.hpp>
 
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -249,6 +250,23 @@
   return mEventSplitter.isInsideEvent() || (endsWithConnection && mEventSplitter.eventCount() == 0);
 }
 
+void
+Exchange::logServerLost()
+{
+  std::ostringstream parts;
+  parts << std::hex;
+  for (const auto& it : mJob.prompt) {
+    parts << (parts.tellp() > 0 ? "," : "") << it.id;
+  }
+  log(makeLogEvent(LogLevel::Info, "request.server_lost")
+        .field("server", mGrant->server.str())
+        .field("digest", mRequestDigest)
+        .field("events", mEventSplitter.eventCount())
+        .field("response_ms", mResponseStarted ? toMillis(bootNow() - mResponseStartedAt) : -1.0)
+        .field("prompt_parts", parts.str()),
+      false);
+}
+
 void
 Exchange::onResponseFailure(ResponseFailure aFailure)
 {
@@ -256,6 +274,9 @@
     return;
   }
   const bool lost = aFailure == ResponseFailure::ConnectionLost;
+  if (lost && mGrant) {
+    logServerLost();
+  }
   if (lost && mRequestDigest != 0 && mGrant) {
     mContext.callbacks.onConnectionLost({ mRequestDigest, mGrant->server });
   }
