BUDGET: test a prompt part that crashes server after server (failing)

Requests that share one part of their prompts and nothing else end the answer of each server they reach; the servers start again under their ids. Three instances, six servers.

--- /dev/null
+++ b/test/routes/crashes_test.cpp
@@ -0,0 +1,106 @@
+#include "deployment.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+
+using namespace mustardplank;
+using namespace mustardplank::routes;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+/// No two calls have the same body or the same last part of the prompt.
+Call
+callWithPart(const std::string& aPart)
+{
+  static int number = 0;
+  Call call;
+  call.path = "/events/stream2";
+  call.attempt = newAttempt();
+  call.body = "request " + std::to_string(++number);
+  call.fields = { { "X-Prefix-Hash",
+                    "a1:100," + aPart + ":100," + std::to_string(1000000 + number) + ":50" } };
+  return call;
+}
+
+unsigned
+statusOf(const std::string& aAddress, const Call& aCall)
+{
+  try {
+    CallerConnection connection(aAddress);
+    return connection.call(aCall).result_int();
+  } catch (const boost::system::system_error&) {
+    return 0;
+  }
+}
+
+/// A server that has crashed starts again under its id.
+class Servers
+{
+public:
+  Servers(RouteDeployment& aDeployment, std::size_t aCount)
+    : mDeployment(aDeployment)
+    , mCrashes(aCount)
+  {
+  }
+
+  void restartCrashed()
+  {
+    for (std::size_t i = 0; i < mCrashes.size(); ++i) {
+      const int crashes = mDeployment.server(i).crashes();
+      if (crashes == mCrashes[i]) {
+        continue;
+      }
+      mCrashes[i] = crashes;
+      mDeployment.writeServer(i, "ready", "{\"born\": " + std::to_string(1 + crashes) + "}");
+    }
+  }
+  int crashes() const
+  {
+    int n = 0;
+    for (const auto it : mCrashes) {
+      n += it;
+    }
+    return n;
+  }
+
+private:
+  RouteDeployment& mDeployment;
+  std::vector<int> mCrashes;
+};
+
+}
+
+// Guards against requests that share a part of their prompts, and nothing else, and crash server
+// after server at any instance; and against refusing sound requests that share their other parts.
+BOOST_AUTO_TEST_CASE(routes_prompt_part_that_crashes_servers_is_refused)
+{
+  constexpr std::size_t kServers = 6;
+  constexpr int kRequests = 30;
+  constexpr auto kPause = Millis(300);
+  constexpr auto kBound = Millis(3000);
+  RouteDeployment deployment(kServers, 3);
+  Servers servers(deployment, kServers);
+  std::optional<Clock::time_point> fifthCrash;
+  int lateArrivals = 0;
+  int unserved = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto& address = deployment.callers(static_cast<std::size_t>(i % 3));
+    const auto before = servers.crashes();
+    const auto sent = Clock::now();
+    const auto status = statusOf(address, callWithPart("dead"));
+    servers.restartCrashed();
+    const bool arrived = servers.crashes() > before;
+    BOOST_TEST((arrived || status == 503), "status " << status);
+    lateArrivals += arrived && fifthCrash && sent > *fifthCrash + kBound ? 1 : 0;
+    if (!fifthCrash && servers.crashes() >= 5) {
+      fifthCrash = Clock::now();
+    }
+    unserved += statusOf(address, callWithPart(i % 2 == 0 ? "b1" : "b2")) == 200 ? 0 : 1;
+    std::this_thread::sleep_for(kPause);
+  }
+  BOOST_TEST(lateArrivals <= 3);
+  BOOST_TEST(unserved == 0);
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -96,6 +96,11 @@
   if (mReplaced || (!expected.empty() && expected != mId)) {
     co_return co_await writeText(aSocket, answerText(421, attempt, "X-Instance-Id: other\r\n", ""));
   }
+  if (std::string(aRequest["X-Prefix-Hash"]).find("dead:") != std::string::npos) {
+    co_await stream(aSocket, aRequest, { 0, StreamEnd::ConnectionClosed });
+    ++mCrashes;
+    co_return false;
+  }
   if (const auto plan = streamPlan(mode)) {
     co_return co_await stream(aSocket, aRequest, *plan);
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -25,8 +25,10 @@
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
-///     trickleN N events, then a byte every 50 ms and no further event, unless the caller resumes
-///     endless_X  bytes until the connection is closed; X is head, interim, other (an answer to
+///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
+///     mode. trickleN N events, then a byte every 50 ms and no further event, unless the caller
+///     resumes endless_X  bytes until the connection is closed; X is head, interim, other (an
+///     answer to
 ///              another request), chunk, trailer, event or body
 class ServerStandin
 {
@@ -46,6 +48,8 @@
   std::vector<Arrival> arrivals() const;
   /// Requests whose connection the system closed before they had ended.
   int cancelled() const { return mCancelled; }
+  /// Requests with the prompt part "dead".
+  int crashes() const { return mCrashes; }
   /// Bytes written for the modes endless_X.
   std::size_t endlessBytes() const { return mEndlessBytes; }
   /// Answers with 421, as another server that has got the address.
@@ -93,6 +97,7 @@
   mutable std::mutex mMutex;
   std::vector<Arrival> mArrivals;
   std::atomic<int> mCancelled{ 0 };
+  std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
   std::atomic<bool> mReplaced{ false };
   std::atomic<bool> mFailing{ true };
