--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardplank/agent/datagram.hpp"
 #include "mustardplank/agent/directory.hpp"
 #include "mustardplank/agent/load_messages.hpp"
 #include "mustardplank/base/time.hpp"
@@ -14,13 +15,6 @@
 
 namespace mustardplank::agent {
 
-struct Datagram
-{
-  /// "ip:port".
-  std::string address;
-  std::string bytes;
-};
-
 /// Collects the load that the other instances placed on each server some hundredths of a second
 /// ago. Does no I/O; times are of the boot clock. Messages may be lost, doubled or reordered: each
 /// one replaces what it is about.
@@ -50,6 +44,12 @@
   std::vector<Datagram> takeDue(TimePoint aNow);
   /// When takeDue() has something next.
   TimePoint nextAt(TimePoint aNow) const;
+  /// Addresses, "ip:port", of the other agents of the failure domain; for an agent also those of
+  /// the other failure domains and the instances of its own.
+  std::vector<std::string> neighbours() const;
+  /// Whether the address is that of an agent, or of an instance that reports to this agent.
+  bool isNeighbour(const std::string& aAddress) const;
+  bool isAgent() const { return mSlot.has_value(); }
   /// Load of the other instances, if it is known anew since the last call.
   std::optional<dispatch::InstanceLoads> takeOthersLoads();
 
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "mustardplank/dispatch/instance_load.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/placement.hpp"
+#include "mustardplank/dispatch/prompt_part_suspects.hpp"
 #include "mustardplank/dispatch/retry_budget.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
@@ -152,6 +153,7 @@
 
   void reportCrash(const CrashReport& aReport, TimePoint aNow);
   bool isCrashSuspect(std::uint64_t aDigest, TimePoint aNow) const;
+  PromptPartSuspects& promptPartSuspects() { return mPromptPartSuspects; }
 
   std::size_t waitingCount() const { return mWaiting.size(); }
   std::size_t grantedCount() const { return mGranted.size(); }
@@ -259,6 +261,7 @@
   std::function<void()> mLoadListener;
   std::optional<TimePoint> mOthersLoadsAt;
   CrashSuspects mCrashSuspects;
+  PromptPartSuspects mPromptPartSuspects;
   std::minstd_rand mRandom;
 };
 
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -146,6 +146,10 @@
     noteCrash(aReport);
     outbox.addCrash(aReport);
   };
+  callbacks.onServerLost = [this](const dispatch::ServerLoss& aLoss) { noteCrashNote(aLoss); };
+  callbacks.onPromptAnswered = [this](const dispatch::AnsweredRequest& aRequest) {
+    recordAnswer(aRequest);
+  };
   callbacks.writeBoardEntry = [this](std::string aEntry, std::function<void(bool)> aDone) {
     asio::co_spawn(io, writeFor(std::move(aEntry), std::move(aDone)), asio::detached);
   };
@@ -184,6 +188,7 @@
     dispatcher.tick(bootNow(), effects);
     gateway.applyEffects(effects);
     applyServers(registry.tick(bootNow()));
+    repeatBlockedParts();
     noteRole();
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
     metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waitingCount()));
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -4,6 +4,7 @@
 #include "route_daemon.hpp"
 #include "store_client.hpp"
 
+#include "mustardplank/agent/crash_exchange.hpp"
 #include "mustardplank/agent/load_exchange.hpp"
 #include "mustardplank/agent/source_planner.hpp"
 #include "mustardplank/agent/sync_server.hpp"
@@ -153,6 +154,18 @@
   /// exchangeLoads() runs at aAt or earlier.
   void armLoadAlarm(TimePoint aAt);
 
+  // Prompt parts that crash servers.
+  /// Applies a note of this or another instance, and sends it on if it is new.
+  void noteCrashNote(const dispatch::CrashNote& aNote);
+  void recordAnswer(const dispatch::AnsweredRequest& aRequest);
+  void receiveCrashNotes(const std::string& aBytes, const std::string& aSender);
+  /// Logs and sends the parts that have been blocked since the last call.
+  void noteBlockedParts();
+  /// Tells instances that have just started, or missed it, what is blocked.
+  void repeatBlockedParts();
+  void sendCrashNote(dispatch::CrashNote aNote);
+  void sendDatagram(const agent::Datagram& aDatagram);
+
   // Board.
   control::InstanceUpdate makeUpdate();
   void applyUpdate(const control::Record& aRecord);
@@ -257,6 +270,9 @@
   bool followed = false;
   bool wasAgent = false;
   agent::LoadExchange loads;
+  agent::CrashExchange crashExchange;
+  std::set<dispatch::PromptPartId> blockedParts;
+  TimePoint blockedRepeatedAt{};
   std::uint64_t sentLoadVersion = 0;
   /// Directory::logEnd of the agents that the exchange of loads knows.
   control::Offset loadDirectoryEnd = 0;
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -59,8 +59,13 @@
       continue;
     }
     Findings findings;
-    const auto message = agent::decodeLoadMessage(std::string(buf.data(), n), findings);
+    const std::string bytes(buf.data(), n);
     const auto address = sender.address().to_string() + ":" + std::to_string(sender.port());
+    if (agent::isCrashNotes(bytes)) {
+      receiveCrashNotes(bytes, address);
+      continue;
+    }
+    const auto message = agent::decodeLoadMessage(bytes, findings);
     if (!message || !loads.receive(*message, address, bootNow())) {
       metrics.count(metrics::Event::LoadMessageIgnored);
       continue;
@@ -78,21 +83,35 @@
     loads.setOwnLoads(dispatcher.ownLoads());
   }
   for (const auto& it : loads.takeDue(now)) {
-    const auto address = settings::parseAddress(it.address);
-    if (!address) {
-      continue;
-    }
-    const auto endpoint = endpointOf(*address);
-    // What cannot be sent at once is dropped, as newer loads follow.
-    boost::system::error_code ec;
-    loadSocket.send_to(
-      asio::buffer(it.bytes), asio::ip::udp::endpoint(endpoint.address(), endpoint.port()), 0, ec);
+    sendDatagram(it);
     metrics.count(metrics::Event::LoadMessage);
   }
+  const auto crashNotesAt = crashExchange.nextAt();
+  if (crashNotesAt && *crashNotesAt <= now) {
+    for (const auto& it : crashExchange.takeDue(loads.neighbours(), now)) {
+      sendDatagram(it);
+    }
+  }
   if (const auto others = loads.takeOthersLoads()) {
     dispatcher.setOthersLoads(*others, now);
   }
-  armLoadAlarm(loads.nextAt(now));
+  armLoadAlarm(std::min(loads.nextAt(now), crashExchange.nextAt().value_or(TimePoint::max())));
+}
+
+void
+RouteDaemon::Impl::sendDatagram(const agent::Datagram& aDatagram)
+{
+  const auto address = settings::parseAddress(aDatagram.address);
+  if (!address) {
+    return;
+  }
+  const auto endpoint = endpointOf(*address);
+  // What cannot be sent at once is dropped, as it is repeated or newer values follow.
+  boost::system::error_code ec;
+  loadSocket.send_to(asio::buffer(aDatagram.bytes),
+                     asio::ip::udp::endpoint(endpoint.address(), endpoint.port()),
+                     0,
+                     ec);
 }
 
 void
--- /dev/null
+++ b/src/mustardplank/agent/crash_exchange.cpp
@@ -0,0 +1,164 @@
+#include "mustardplank/agent/crash_exchange.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <iterator>
+#include <stdexcept>
+
+namespace mustardplank::agent {
+
+using dispatch::CrashNote;
+using dispatch::PartAnswered;
+using dispatch::PartBlocked;
+using dispatch::ServerLoss;
+using nlohmann::json;
+
+namespace {
+
+/// First element of the message, unlike those of messages about load.
+constexpr int kMessageKind = 16;
+/// How a message begins: a CBOR array of two elements, the first of which is kMessageKind.
+constexpr const char* kMessageStart = "\x82\x10";
+
+/// First element of an encoded note.
+enum class Kind
+{
+  ServerLoss = 1,
+  PartAnswered = 2,
+  PartBlocked = 3,
+};
+
+json
+toJson(const ServerLoss& aLoss)
+{
+  return json::array(
+    { Kind::ServerLoss, aLoss.server.str(), aLoss.serverStartTimeMs, aLoss.atMs, aLoss.parts });
+}
+
+json
+toJson(const PartAnswered& aAnswered)
+{
+  return json::array({ Kind::PartAnswered, aAnswered.part, aAnswered.atMs });
+}
+
+json
+toJson(const PartBlocked& aBlocked)
+{
+  return json::array({ Kind::PartBlocked, aBlocked.part, aBlocked.lastLossMs });
+}
+
+json
+toJson(const CrashNote& aNote)
+{
+  return std::visit([](const auto& aInner) { return toJson(aInner); }, aNote);
+}
+
+CrashNote
+noteFromJson(const json& aRow)
+{
+  switch (aRow.at(0).get<Kind>()) {
+    case Kind::ServerLoss:
+      return ServerLoss{ BackendServerId(aRow.at(1).get<std::string>()),
+                         aRow.at(2).get<std::int64_t>(),
+                         aRow.at(3).get<std::int64_t>(),
+                         aRow.at(4).get<std::vector<dispatch::PromptPartId>>() };
+    case Kind::PartAnswered:
+      return PartAnswered{ aRow.at(1).get<dispatch::PromptPartId>(),
+                           aRow.at(2).get<std::int64_t>() };
+    case Kind::PartBlocked:
+      return PartBlocked{ aRow.at(1).get<dispatch::PromptPartId>(),
+                          aRow.at(2).get<std::int64_t>() };
+  }
+  throw std::invalid_argument("an unknown kind of note");
+}
+
+}
+
+bool
+isCrashNotes(const std::string& aBytes)
+{
+  return aBytes.starts_with(kMessageStart);
+}
+
+std::string
+encodeCrashNotes(const std::vector<CrashNote>& aNotes)
+{
+  auto rows = json::array();
+  for (const auto& it : aNotes) {
+    rows.push_back(toJson(it));
+  }
+  std::string bytes;
+  json::to_cbor(json::array({ kMessageKind, std::move(rows) }), bytes);
+  return bytes;
+}
+
+std::optional<std::vector<CrashNote>>
+decodeCrashNotes(const std::string& aBytes, Findings& aFindings)
+{
+  try {
+    const auto message = json::from_cbor(aBytes);
+    if (message.at(0).get<int>() != kMessageKind) {
+      throw std::invalid_argument("no message of crash notes");
+    }
+    std::vector<CrashNote> notes;
+    for (const auto& it : message.at(1)) {
+      notes.push_back(noteFromJson(it));
+    }
+    return notes;
+  } catch (const std::exception& aError) {
+    aFindings.add("crash notes", aError.what());
+    return std::nullopt;
+  }
+}
+
+void
+CrashExchange::send(CrashNote aNote, TimePoint aNow)
+{
+  if (mPending.size() < kMaxPending) {
+    mPending.push_back({ std::move(aNote), 0, aNow + kSendPauses[0] });
+  }
+}
+
+std::vector<Datagram>
+CrashExchange::takeDue(const std::vector<std::string>& aNeighbours, TimePoint aNow)
+{
+  std::vector<std::vector<CrashNote>> batches;
+  std::size_t bytes = kMaxNoteBytes;
+  for (auto& it : mPending) {
+    if (it.due > aNow) {
+      continue;
+    }
+    const auto size = json::to_cbor(toJson(it.note)).size();
+    if (bytes + size > kMaxNoteBytes) {
+      batches.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    batches.back().push_back(it.note);
+    ++it.sent;
+    it.due = it.sent < std::size(kSendPauses) ? aNow + kSendPauses[it.sent] : it.due;
+  }
+  std::erase_if(mPending, [](const auto& aItem) { return aItem.sent >= std::size(kSendPauses); });
+  std::vector<Datagram> out;
+  for (const auto& batch : batches) {
+    const auto message = encodeCrashNotes(batch);
+    for (const auto& address : aNeighbours) {
+      out.push_back({ address, message });
+    }
+  }
+  return out;
+}
+
+std::optional<TimePoint>
+CrashExchange::nextAt() const
+{
+  std::optional<TimePoint> next;
+  for (const auto& it : mPending) {
+    next = std::min(next.value_or(it.due), it.due);
+  }
+  return next;
+}
+
+}
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -293,6 +293,38 @@
   return std::max(next, aNow);
 }
 
+std::vector<std::string>
+LoadExchange::neighbours() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& it : mOwnAgents) {
+    addresses.push_back(it.address);
+  }
+  if (!mSlot) {
+    return addresses;
+  }
+  for (const auto& it : mOtherAgents) {
+    addresses.push_back(it.address);
+  }
+  for (const auto& [instance, member] : mMembers) {
+    if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
+      addresses.push_back(member.address);
+    }
+  }
+  return addresses;
+}
+
+bool
+LoadExchange::isNeighbour(const std::string& aAddress) const
+{
+  const auto hasAddress = [&](const Agent& aAgent) { return aAgent.address == aAddress; };
+  return std::any_of(mOwnAgents.begin(), mOwnAgents.end(), hasAddress) ||
+         std::any_of(mOtherAgents.begin(), mOtherAgents.end(), hasAddress) ||
+         std::any_of(mMembers.begin(), mMembers.end(), [&](const auto& aItem) {
+           return aItem.second.address == aAddress;
+         });
+}
+
 std::optional<InstanceLoads>
 LoadExchange::takeOthersLoads()
 {
--- /dev/null
+++ b/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
@@ -0,0 +1,197 @@
+#include "mustardplank/dispatch/prompt_part_suspects.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <set>
+#include <string>
+
+using namespace mustardplank;
+using namespace mustardplank::dispatch;
+
+namespace {
+
+constexpr std::int64_t kStart = 1'000'000;
+
+ServerLoss
+lossOf(const std::string& aServer, std::int64_t aAtMs, std::vector<PromptPartId> aParts)
+{
+  return { BackendServerId(aServer), 1, aAtMs, std::move(aParts) };
+}
+
+std::vector<PromptPart>
+promptOf(const std::vector<PromptPartId>& aParts)
+{
+  static PromptPartId last = 1'000'000'000;
+  std::vector<PromptPart> prompt;
+  for (const auto part : aParts) {
+    prompt.push_back({ part, 100 });
+  }
+  prompt.push_back({ ++last, 50 });
+  return prompt;
+}
+
+bool
+isBlocked(const PromptPartSuspects& aSuspects, std::vector<PromptPartId> aParts, std::int64_t aNow)
+{
+  return aSuspects.findBlocked(promptOf(aParts), aNow).has_value();
+}
+
+std::vector<CrashNote>
+answer(PromptPartSuspects& aSuspects, const std::vector<PromptPartId>& aParts, std::int64_t aNow)
+{
+  const auto prompt = promptOf(aParts);
+  return aSuspects.recordAnswer({ &prompt, BackendServerId("other"), 1, aNow - 100 }, aNow);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(prompt_part_suspects)
+
+// Guards against requests that share one part with others that crashed servers and are sent on,
+// and against refusing those that share the other parts.
+BOOST_AUTO_TEST_CASE(part_under_which_three_servers_were_lost_is_blocked)
+{
+  PromptPartSuspects suspects;
+  suspects.add(lossOf("s1", kStart, { 1, 7 }), kStart);
+  suspects.add(lossOf("s2", kStart + 1000, { 1, 2, 7 }), kStart + 1000);
+  BOOST_TEST(!isBlocked(suspects, { 1, 7 }, kStart + 1000));
+  suspects.add(lossOf("s3", kStart + 2000, { 1, 3, 7 }), kStart + 2000);
+  BOOST_TEST(isBlocked(suspects, { 4, 7 }, kStart + 2000));
+  BOOST_TEST(!isBlocked(suspects, { 1, 2, 3 }, kStart + 2000));
+  // The last part belongs to the request alone.
+  BOOST_TEST(!suspects.findBlocked({ { 1, 100 }, { 7, 100 } }, kStart + 2000).has_value());
+  // Further losses under the blocked part count against no other one.
+  for (int i = 4; i < 10; ++i) {
+    suspects.add(lossOf("s" + std::to_string(i), kStart + i * 1000, { 1, 2, 7 }),
+                 kStart + i * 1000);
+  }
+  BOOST_TEST(!isBlocked(suspects, { 1, 2, 3 }, kStart + 10000));
+}
+
+// Guards against a shared part that comes later in the prompt than the one that crashes servers.
+BOOST_AUTO_TEST_CASE(answered_part_is_cleared)
+{
+  PromptPartSuspects suspects;
+  for (int i = 0; i < 3; ++i) {
+    const auto now = kStart + i * 1000;
+    suspects.add(lossOf("s" + std::to_string(i), now, { 7, 1 }), now);
+    answer(suspects, { 1 }, now + 100);
+  }
+  BOOST_TEST(isBlocked(suspects, { 7, 2 }, kStart + 3000));
+  BOOST_TEST(!isBlocked(suspects, { 1 }, kStart + 3000));
+}
+
+// Guards against a sound part that stays blocked although a request with it was answered.
+BOOST_AUTO_TEST_CASE(answer_lifts_a_block_here_and_elsewhere)
+{
+  PromptPartSuspects suspects;
+  PromptPartSuspects elsewhere;
+  for (int i = 0; i < 3; ++i) {
+    const auto now = kStart + i * 1000;
+    const auto loss = lossOf("s" + std::to_string(i), now, { 7 });
+    BOOST_TEST(suspects.add(loss, now));
+    BOOST_TEST(!suspects.add(loss, now));
+    elsewhere.add(loss, now);
+  }
+  BOOST_TEST(isBlocked(elsewhere, { 7 }, kStart + 2000));
+  const auto notes = answer(suspects, { 7 }, kStart + 2500);
+  BOOST_TEST(!isBlocked(suspects, { 7 }, kStart + 2500));
+  BOOST_TEST_REQUIRE(notes.size() == 1U);
+  BOOST_TEST(elsewhere.add(notes[0], kStart + 2500));
+  BOOST_TEST(!isBlocked(elsewhere, { 7 }, kStart + 2500));
+  // A block that is older than the answer does not come back.
+  BOOST_TEST(!elsewhere.add(PartBlocked{ 7, kStart + 2000 }, kStart + 2600));
+  BOOST_TEST(!isBlocked(elsewhere, { 7 }, kStart + 2600));
+}
+
+// Guards against parts that are blocked as a failure domain loses power.
+BOOST_AUTO_TEST_CASE(servers_that_are_lost_together_count_once)
+{
+  PromptPartSuspects suspects;
+  for (int i = 0; i < 30; ++i) {
+    suspects.add(lossOf("s" + std::to_string(i), kStart + i * 10, { 1, 2 }), kStart + 300);
+  }
+  BOOST_TEST(!isBlocked(suspects, { 1, 2 }, kStart + 300));
+}
+
+// Guards against taking a server that breaks off single answers for one that was lost.
+BOOST_AUTO_TEST_CASE(server_that_goes_on_was_not_lost)
+{
+  PromptPartSuspects suspects;
+  const auto prompt = promptOf({ 9 });
+  for (int i = 0; i < 6; ++i) {
+    const auto now = kStart + i * 1000;
+    const auto server = "s" + std::to_string(i);
+    suspects.add(lossOf(server, now, { 7 }), now);
+    suspects.recordAnswer({ &prompt, BackendServerId(server), 1, now + 10 }, now + 200);
+  }
+  BOOST_TEST(!isBlocked(suspects, { 7 }, kStart + 6000));
+}
+
+BOOST_AUTO_TEST_CASE(block_ends_after_the_retention)
+{
+  PromptPartSuspects suspects;
+  suspects.add(PartBlocked{ 7, kStart }, kStart);
+  BOOST_TEST(isBlocked(suspects, { 7 }, kStart + PromptPartSuspects::kRetentionMs - 1));
+  suspects.expire(kStart + PromptPartSuspects::kRetentionMs);
+  BOOST_TEST(!isBlocked(suspects, { 7 }, kStart + PromptPartSuspects::kRetentionMs));
+  BOOST_TEST(suspects.blocked(kStart + PromptPartSuspects::kRetentionMs).empty());
+}
+
+// Guards against memory that callers can make grow.
+BOOST_AUTO_TEST_CASE(memory_is_bounded)
+{
+  PromptPartSuspects suspects;
+  for (int i = 0; i < 20000; ++i) {
+    const auto part = static_cast<PromptPartId>(i);
+    suspects.add(PartBlocked{ part, kStart }, kStart);
+    suspects.add(lossOf("s" + std::to_string(i), kStart + i, { part, part + 1 }), kStart + i);
+    answer(suspects, { part + 100000 }, kStart + i);
+  }
+  BOOST_TEST(suspects.blocked(kStart).size() <= PromptPartSuspects::kMaxBlocked);
+}
+
+// Load pattern: one part in 60 crashes the server that begins with it, another server each time;
+// several other requests are on the server, and other servers crash for other reasons. Only that
+// part is blocked, after few losses.
+BOOST_AUTO_TEST_CASE(one_part_is_found_among_many_under_load)
+{
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    std::mt19937 random(seed);
+    const auto draw = [&](unsigned aMost) { return random() % aMost; };
+    const auto soundParts = [&] {
+      return std::vector<PromptPartId>{ 1 + draw(4), 10 + draw(10), 100 + draw(40) };
+    };
+    constexpr PromptPartId kPart = 7;
+    PromptPartSuspects suspects;
+    int losses = 0;
+    int blockedSound = 0;
+    for (int i = 0; i < 400; ++i) {
+      const auto now = kStart + i * 50;
+      const auto sound = soundParts();
+      blockedSound += isBlocked(suspects, sound, now) ? 1 : 0;
+      answer(suspects, sound, now);
+      auto crashing = soundParts();
+      crashing.insert(crashing.begin() + draw(4), kPart);
+      const bool crashes = draw(20) == 0 && !suspects.findBlocked(promptOf(crashing), now);
+      const bool otherCause = draw(30) == 0;
+      if (!crashes && !otherCause) {
+        continue;
+      }
+      const auto server = "s" + std::to_string(i);
+      for (unsigned others = draw(3); others > 0; --others) {
+        suspects.add(lossOf(server, now, soundParts()), now);
+      }
+      if (crashes) {
+        suspects.add(lossOf(server, now, crashing), now);
+        ++losses;
+      }
+    }
+    BOOST_TEST(isBlocked(suspects, { kPart }, kStart + 20000), "seed " << seed);
+    BOOST_TEST(losses <= 7, "seed " << seed);
+    BOOST_TEST(blockedSound <= 4, "seed " << seed << ": " << blockedSound);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -42,6 +42,8 @@
 /// not before kMinEventGapTimeout.
 constexpr int kEventGapFactor = 2;
 constexpr Duration kMinEventGapTimeout = Millis(800);
+/// Retry-After of requests that are suspected of crashing servers.
+constexpr Duration kCrashSuspectRetryDelay = Seconds(2);
 /// Model engines accept priorities from 0 to 9.
 constexpr std::uint32_t kLowestPriority = 9;
 
@@ -147,8 +149,8 @@
     mRequestDigest = stableHash(mJob.organisation.str() + target + mRequest.body());
   }
   mContext.dispatcher.countRequest(mJob.service, mJob.arrived);
-  if (mRequestDigest != 0 && mContext.dispatcher.isCrashSuspect(mRequestDigest, mJob.arrived)) {
-    sendLocalResponse(503, "crash_suspect", Seconds(2));
+  if (isCrashSuspect()) {
+    sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
     return false;
   }
   mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
@@ -158,6 +160,15 @@
   return true;
 }
 
+bool
+Exchange::isCrashSuspect() const
+{
+  auto& dispatcher = mContext.dispatcher;
+  return (mRequestDigest != 0 && dispatcher.isCrashSuspect(mRequestDigest, bootNow())) ||
+         dispatcher.promptPartSuspects().findBlocked(mJob.prompt,
+                                                     mContext.callbacks.sharedTimeMs());
+}
+
 void
 Exchange::fillJob(const RequestHead& aHead, const route::Organisation* aOrganisation)
 {
@@ -270,6 +281,17 @@
 Exchange::send(const BackendConnectionPool::ConnectionPtr& aConnection)
 {
   const auto now = bootNow();
+  // Servers may have been lost while the request waited or was on another server.
+  if (isCrashSuspect()) {
+    aConnection->close();
+    releaseServer(dispatch::JobOutcome::Cancelled);
+    if (mMayHaveExecuted) {
+      failResponse("crash_suspect");
+    } else {
+      sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
+    }
+    return;
+  }
   if (!mContext.dispatcher.confirmSend(mJob.id, now)) {
     // The grant is no longer valid: the server was removed, replaced or stopped taking requests, or
     // it is still warming up and has reached its request limit.
@@ -285,6 +307,7 @@
   mPhase = Phase::AwaitingResponse;
   mConnection = aConnection;
   mSentAt = now;
+  mSentAtMs = mContext.callbacks.sharedTimeMs();
   ++mSendCount;
   log(makeLogEvent(LogLevel::Info, "request.sent")
         .field("server", std::string_view(mGrant->server.str()))
@@ -404,7 +427,7 @@
   mJob.excludedServers.push_back(server);
   mMayHaveExecuted = mMayHaveExecuted || !aNotExecuted;
   const bool allowed = (aNotExecuted || mJob.retryable) && mSendCount < mRoute->maxAttempts &&
-                       deadline() - now >= kMinRetryTimeLeft;
+                       deadline() - now >= kMinRetryTimeLeft && !isCrashSuspect();
   const bool retry = allowed && mContext.dispatcher.tryTakeRetry(mJob.service, now);
   log(makeLogEvent(LogLevel::Info, retry ? "request.retried" : "request.not_retried")
         .field("server", server.str())
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -61,6 +61,8 @@
   /// Checks the route, the caller key and whether the request is suspected of crashing servers;
   /// prepares mJob and sets the deadline timer. Returns false if a local response was sent.
   bool admit();
+  /// Whether this request, or requests with a part of its prompt, crashed servers.
+  bool isCrashSuspect() const;
   void fillJob(const RequestHead& aHead, const route::Organisation* aOrganisation);
   void submit();
   void onConnected(std::uint32_t aGrantNumber,
@@ -92,6 +94,9 @@
   Duration stallTimeout() const;
   void checkStall();
   void recordResponseStart();
+  /// Reports the parts of the prompt if the server was lost as it began to answer.
+  void reportServerLoss();
+  void reportPromptAnswered();
   /// Writes what is known of a request during which the connection to its server broke.
   void logServerLost();
   /// Marks the request as done, logs the event aEventName and releases the server.
@@ -130,6 +135,8 @@
   /// then not be 503, which states the contrary.
   bool mMayHaveExecuted = false;
   TimePoint mSentAt{};
+  /// The same on the clock on which the instances agree, in Unix milliseconds.
+  std::int64_t mSentAtMs = 0;
   TimePoint mResponseStartedAt{};
   std::optional<AlarmQueue::Id> mDeadlineTimer;
   std::optional<AlarmQueue::Id> mConnectTimer;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -54,6 +54,9 @@
 constexpr std::size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 /// A stream with a longer event fails.
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+/// A prompt part that crashes servers does so when they begin to answer; a server that is lost
+/// later than this after the head of the response had another cause.
+constexpr Duration kResponseBeginning = Millis(300);
 
 }
 
@@ -250,6 +253,28 @@
   return mEventSplitter.isInsideEvent() || (endsWithConnection && mEventSplitter.eventCount() == 0);
 }
 
+void
+Exchange::reportServerLoss()
+{
+  auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
+  const bool isBeginning = !mResponseStarted || bootNow() - mResponseStartedAt < kResponseBeginning;
+  if (isBeginning && !parts.empty()) {
+    mContext.callbacks.onServerLost({ mGrant->server,
+                                      mGrant->serverStartTimeMs,
+                                      mContext.callbacks.sharedTimeMs(),
+                                      std::move(parts) });
+  }
+}
+
+void
+Exchange::reportPromptAnswered()
+{
+  if (mGrant && mResponseStatus / 100 == 2 && mJob.prompt.size() > 1) {
+    mContext.callbacks.onPromptAnswered(
+      { &mJob.prompt, mGrant->server, mGrant->serverStartTimeMs, mSentAtMs });
+  }
+}
+
 void
 Exchange::logServerLost()
 {
@@ -276,6 +301,7 @@
   const bool lost = aFailure == ResponseFailure::ConnectionLost;
   if (lost && mGrant) {
     logServerLost();
+    reportServerLoss();
   }
   if (lost && mRequestDigest != 0 && mGrant) {
     mContext.callbacks.onConnectionLost({ mRequestDigest, mGrant->server });
@@ -339,6 +365,7 @@
   if (mResponseStreamed) {
     mCaller.write(kLastChunk);
   }
+  reportPromptAnswered();
   const bool closes = mCaller.closesAfterResponse();
   finishRequest("request.answered", mResponseStatus, "complete");
   mCaller.finishResponse(!closes);
