--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -38,7 +38,7 @@
     { "no_server", "no server of its service could be used" },
     { "overloaded", "all servers had more work than could be done before its deadline" },
     { "cold", "the servers had just started and bore no more requests" },
-    { "crash_suspect", "two servers were lost while they ran the same request" },
+    { "crash_suspect", "servers were lost while they ran the same request, or requests with a part of its prompt" },
     { "no_configuration", "the instance had no configuration yet" },
     { "no_route", "no route matches its host and path" },
     { "unknown_key", "its key belongs to no organisation in the configuration in force" },
