Destroy connections to agents before the io_context they belong to

Cause: instances that end after SIGTERM damaged memory: the clients of agents with their idle connections, and requests held back for others, were destroyed after the io_context of these connections.

Ruled out: the exchanges and caller connections, which end with the io_context while the timers and the dispatcher still exist.

Change: the clients are declared after the io_context, and held requests are dropped once it has stopped.

Evidence: the new test with the address sanitizer, five instances that stop one after the other: five of five failed before, none after.

--- a/include/mustardplank/agent/sync_server.hpp
+++ b/include/mustardplank/agent/sync_server.hpp
@@ -46,6 +46,8 @@
              std::uint64_t aIncarnation,
              MakeState aMakeState);
 
+  /// Drops the requests that are held back; their senders get no reply.
+  void dropHeld() { mHeld.clear(); }
   /// Adds a crash report for the replies that follow.
   void addCrash(const dispatch::CrashReport& aReport);
   /// aSenders: the processes of the updates in the request. aRespond is called once, during this
--- a/include/mustardplank/dispatch/crash_note.hpp
+++ b/include/mustardplank/dispatch/crash_note.hpp
@@ -44,7 +44,7 @@
   bool operator==(const PartBlocked&) const = default;
 };
 
-/// What instances tell each other about prompt parts that crash servers.
+/// What instances send each other about prompt parts that crash servers.
 using CrashNote = std::variant<ServerLoss, PartAnswered, PartBlocked>;
 
 }
--- a/include/mustardplank/dispatch/prompt_part_suspects.hpp
+++ b/include/mustardplank/dispatch/prompt_part_suspects.hpp
@@ -41,7 +41,7 @@
 public:
   /// Losses of servers that one part has to explain.
   static constexpr std::size_t kMinLosses = 4;
-  /// An answer that clears a part of this many losses is told to the other instances.
+  /// An answer that clears a part of this many losses is sent to the other instances.
   static constexpr std::size_t kMinAnnouncedLosses = 2;
   /// Losses within this time count once: servers that fail together have another common cause.
   static constexpr std::int64_t kLossSpacingMs = 500;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -146,7 +146,7 @@
     noteCrash(aReport);
     outbox.addCrash(aReport);
   };
-  callbacks.onServerLost = [this](const dispatch::ServerLoss& aLoss) { noteCrashNote(aLoss); };
+  callbacks.onServerLost = [this](const dispatch::ServerLoss& aLoss) { applyOwnCrashNote(aLoss); };
   callbacks.onPromptAnswered = [this](const dispatch::AnsweredRequest& aRequest) {
     recordAnswer(aRequest);
   };
@@ -339,6 +339,8 @@
     .field("policy", dispatch::kPolicyNames.name(settings.policy))
     .write();
   io.run();
+  // Their connections belong to io, which is destroyed first.
+  syncServer.dropHeld();
   gateway.closeListener();
   LogEvent(LogLevel::Info, "daemon.stopped").field("active", gateway.activeRequestCount()).write();
 }
--- a/src/daemon/route_daemon_crashes.cpp
+++ b/src/daemon/route_daemon_crashes.cpp
@@ -20,7 +20,7 @@
 }
 
 void
-RouteDaemon::Impl::noteCrashNote(const dispatch::CrashNote& aNote)
+RouteDaemon::Impl::applyOwnCrashNote(const dispatch::CrashNote& aNote)
 {
   const bool isNew = dispatcher.promptPartSuspects().add(aNote, clock.now(bootNow()));
   if (isNew) {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -155,8 +155,8 @@
   void armLoadAlarm(TimePoint aAt);
 
   // Prompt parts that crash servers.
-  /// Applies a note of this or another instance, and sends it on if it is new.
-  void noteCrashNote(const dispatch::CrashNote& aNote);
+  /// Applies a note of this instance, and sends it if it is new.
+  void applyOwnCrashNote(const dispatch::CrashNote& aNote);
   void recordAnswer(const dispatch::AnsweredRequest& aRequest);
   void receiveCrashNotes(const std::string& aBytes, const std::string& aSender);
   /// Logs and sends the parts that have been blocked since the last call.
@@ -259,7 +259,6 @@
   agent::KeyedView serversView;
   agent::UpdateRelay relay;
   agent::SyncServer syncServer;
-  std::map<InstanceId, std::unique_ptr<platform::HttpClient>> syncClients;
   /// Of the agent's process that answered last.
   std::uint64_t agentIncarnation = 0;
   std::uint64_t crashesSeen = 0;
@@ -315,6 +314,8 @@
 
   std::minstd_rand random{ std::random_device{}() };
   asio::io_context io{ 1 };
+  /// By agent. Destroyed before io, to which their idle connections belong.
+  std::map<InstanceId, std::unique_ptr<platform::HttpClient>> syncClients;
   /// The decision whether to follow the store, or whom to ask, may have changed.
   Notifier operatorsDue{ io };
   Notifier serversDue{ io };
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -187,6 +187,23 @@
   BOOST_TEST(*code == 0);
 }
 
+// Guards against memory that is used after it was freed as an instance ends with connections to the
+// others open. Any exit status but 0 is a fault; the address sanitizer names it.
+BOOST_AUTO_TEST_CASE(routes_instances_that_stop_one_after_the_other_end_in_order)
+{
+  constexpr std::size_t kInstances = 5;
+  RouteDeployment deployment(1, kInstances);
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    deployment.instance(i).signal(SIGTERM);
+    std::this_thread::sleep_for(Millis(370));
+  }
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    const auto code = deployment.instance(i).wait(Millis(8000));
+    BOOST_TEST_REQUIRE(code.has_value());
+    BOOST_TEST(*code == 0, deployment.instance(i).errors().substr(0, 6000));
+  }
+}
+
 // Guards against requests that are cut off without an answer because the listener closes while the
 // kernel holds their connections.
 BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_connections_that_wait)
