BUDGET: log the digest of every request at its end and when its server is lost

request.server_lost said digest=0 for requests without a body, so the lines could not tell whether the requests under which servers were lost are equal, nor whether equal ones were answered. The digest is now computed for every request and written at its end as well; which requests crash reports name is unchanged.

--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -145,9 +145,8 @@
     return false;
   }
   fillJob(mRequestHead, organisation);
-  if (mJob.streaming || !mRequest.body().empty()) {
-    mRequestDigest = stableHash(mJob.organisation.str() + target + mRequest.body());
-  }
+  mRequestDigest = stableHash(mJob.organisation.str() + target + mRequest.body());
+  mInCrashReports = mJob.streaming || !mRequest.body().empty();
   mContext.dispatcher.countRequest(mJob.service, mJob.arrived);
   if (isCrashSuspect()) {
     sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
@@ -164,7 +163,7 @@
 Exchange::isCrashSuspect() const
 {
   auto& dispatcher = mContext.dispatcher;
-  return (mRequestDigest != 0 && dispatcher.isCrashSuspect(mRequestDigest, bootNow())) ||
+  return (mInCrashReports && dispatcher.isCrashSuspect(mRequestDigest, bootNow())) ||
          dispatcher.promptPartSuspects().findBlocked(mJob.prompt,
                                                      mContext.callbacks.sharedTimeMs());
 }
@@ -488,6 +487,7 @@
     .field("route", std::string_view(mRoute ? mRoute->id.str() : std::string("none")))
     .field("organisation", std::string_view(mJob.organisation.str()))
     .field("server", std::string_view(mGrant ? mGrant->server.str() : std::string("none")))
+    .field("digest", mRequestDigest)
     .field("sends", mSendCount)
     .field("events", mEventSplitter.eventCount())
     .field("framing", mSendCount > 0 ? kBodyFramingNames.name(mResponseFraming) : "none")
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -115,9 +115,10 @@
   route::RouteTablePtr mTable;
   const route::Route* mRoute = nullptr;
   dispatch::Job mJob;
-  /// Hash of organisation, target and body that identifies the request in crash reports; 0 for
-  /// requests that are neither streamed nor have a body, which are not reported.
+  /// Hash of organisation, target and body that identifies the request in crash reports.
   std::uint64_t mRequestDigest = 0;
+  /// Whether crash reports name the request: it is streamed or has a body.
+  bool mInCrashReports = false;
   Phase mPhase = Phase::WaitingForServer;
   bool mDone = false;
   /// Whether routine events are written at once rather than buffered.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -303,7 +303,7 @@
     logServerLost();
     reportServerLoss();
   }
-  if (lost && mRequestDigest != 0 && mGrant) {
+  if (lost && mInCrashReports && mGrant) {
     mContext.callbacks.onConnectionLost({ mRequestDigest, mGrant->server });
   }
   mResponseBody.clear();
