--- a/test/routes/crashes_test.cpp
+++ b/test/routes/crashes_test.cpp
@@ -25,6 +25,19 @@
   return call;
 }
 
+/// Two attempts are allowed. No organisation, body or prompt tells these requests apart, only the
+/// target does.
+Call
+callWithoutBody(const std::string& aName, const std::string& aMode)
+{
+  Call call;
+  call.path = "/twice/" + aName + "/" + aMode;
+  call.method = "GET";
+  call.attempt = newAttempt();
+  call.body = "";
+  return call;
+}
+
 unsigned
 statusOf(const std::string& aAddress, const Call& aCall)
 {
@@ -104,3 +117,36 @@
   BOOST_TEST(lateArrivals <= 3);
   BOOST_TEST(unserved == 0);
 }
+
+// Guards against a request without a body that crashes server after server, as its losses were not
+// reported; and against refusing other requests of its route and organisation.
+BOOST_AUTO_TEST_CASE(routes_request_without_body_that_crashes_servers_is_refused)
+{
+  constexpr std::size_t kServers = 6;
+  constexpr int kRequests = 24;
+  constexpr auto kPause = Millis(300);
+  constexpr auto kBound = Millis(3000);
+  RouteDeployment deployment(kServers, 3);
+  Servers servers(deployment, kServers);
+  std::optional<Clock::time_point> thirdCrash;
+  int lateArrivals = 0;
+  int unserved = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto& address = deployment.callers(static_cast<std::size_t>(i % 3));
+    const auto before = servers.crashes();
+    const auto sent = Clock::now();
+    const auto status = statusOf(address, callWithoutBody("same", "crash"));
+    servers.restartCrashed();
+    const int arrivals = servers.crashes() - before;
+    BOOST_TEST((arrivals > 0 || status == 503), "status " << status);
+    lateArrivals += thirdCrash && sent > *thirdCrash + kBound ? arrivals : 0;
+    if (!thirdCrash && servers.crashes() >= 3) {
+      thirdCrash = Clock::now();
+    }
+    const auto other = callWithoutBody("other" + std::to_string(i), "ok");
+    unserved += statusOf(address, other) == 200 ? 0 : 1;
+    std::this_thread::sleep_for(kPause);
+  }
+  BOOST_TEST(lateArrivals <= 3);
+  BOOST_TEST(unserved == 0);
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -117,6 +117,10 @@
   if (!mFailing || mode == "ok") {
     co_return co_await writeText(aSocket, whole);
   }
+  if (mode == "crash") {
+    ++mCrashes;
+    co_return false;
+  }
   if (mode == "error") {
     co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -25,6 +25,7 @@
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
+///     crash    no answer, and the connection ends
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
 ///     mode. trickleN N events, then a byte every 50 ms and no further event, unless the caller
 ///     resumes endless_X  bytes until the connection is closed; X is head, interim, other (an
@@ -48,7 +49,7 @@
   std::vector<Arrival> arrivals() const;
   /// Requests whose connection the system closed before they had ended.
   int cancelled() const { return mCancelled; }
-  /// Requests with the prompt part "dead".
+  /// Requests with the mode "crash" or the prompt part "dead".
   int crashes() const { return mCrashes; }
   /// Bytes written for the modes endless_X.
   std::size_t endlessBytes() const { return mEndlessBytes; }
