BUDGET: report requests without a body under which servers are lost

Every request now has a digest, of organisation, method, host, target and body. Requests without a body may be equal to others in progress (polls of a status), for which reason they had been left out. So of servers lost together only one counts under such a digest, unless the request was sent to the second after the first was lost; a complete answer to an equal request clears the losses before it; a server that answers a request sent within 1 s after its loss was not lost. Losses count for each incarnation, as a server may restart under its id. Reports state times and incarnation; those of older versions are still read.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -147,12 +147,11 @@
                           TimePoint aNow);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
-  /// Places or refuses waiting jobs, updates failure rates and expires crash reports. To be called
-  /// at least every 100 ms while jobs wait.
+  /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
+  /// while jobs wait.
   void tick(TimePoint aNow, Effects& aEffects);
 
-  void reportCrash(const CrashReport& aReport, TimePoint aNow);
-  bool isCrashSuspect(std::uint64_t aDigest, TimePoint aNow) const;
+  CrashSuspects& crashSuspects() { return mCrashSuspects; }
   PromptPartSuspects& promptPartSuspects() { return mPromptPartSuspects; }
 
   std::size_t waitingCount() const { return mWaiting.size(); }
--- a/include/mustardplank/dispatch/prompt_part_suspects.hpp
+++ b/include/mustardplank/dispatch/prompt_part_suspects.hpp
@@ -16,6 +16,8 @@
 /// A request that was answered completely.
 struct AnsweredRequest
 {
+  /// CrashReport::digest of the request.
+  std::uint64_t digest = 0;
   const std::vector<PromptPart>* prompt = nullptr;
   BackendServerId server;
   std::int64_t serverStartTimeMs = 0;
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -53,13 +53,13 @@
   /// request.
   std::function<void(const OrganisationId&)> onResponseStarted;
   /// The connection to a server broke while the server executed a request. Called only for
-  /// connections of this gateway, and only for requests that can be identified in crash reports.
+  /// connections of this gateway.
   std::function<void(const dispatch::CrashReport&)> onConnectionLost;
   /// A server was lost while it began to answer a request whose prompt has parts that may be the
   /// cause.
   std::function<void(const dispatch::ServerLoss&)> onServerLost;
-  /// A request with such a prompt was answered completely.
-  std::function<void(const dispatch::AnsweredRequest&)> onPromptAnswered;
+  /// A request was answered completely and with success.
+  std::function<void(const dispatch::AnsweredRequest&)> onAnswered;
   /// Text of the /status page.
   std::function<std::string()> makeStatusPage;
   /// Time of day on which the instances agree, in Unix milliseconds.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -147,7 +147,7 @@
     outbox.addCrash(aReport);
   };
   callbacks.onServerLost = [this](const dispatch::ServerLoss& aLoss) { applyOwnCrashNote(aLoss); };
-  callbacks.onPromptAnswered = [this](const dispatch::AnsweredRequest& aRequest) {
+  callbacks.onAnswered = [this](const dispatch::AnsweredRequest& aRequest) {
     recordAnswer(aRequest);
   };
   callbacks.writeBoardEntry = [this](std::string aEntry, std::function<void(bool)> aDone) {
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -97,10 +97,11 @@
 void
 RouteDaemon::Impl::noteCrash(const dispatch::CrashReport& aReport)
 {
-  const auto now = bootNow();
-  const bool wasSuspect = dispatcher.isCrashSuspect(aReport.digest, now);
-  dispatcher.reportCrash(aReport, now);
-  if (!wasSuspect && dispatcher.isCrashSuspect(aReport.digest, now)) {
+  const auto nowMs = clock.now(bootNow());
+  auto& suspects = dispatcher.crashSuspects();
+  const bool wasSuspect = suspects.isSuspect(aReport.digest, nowMs);
+  suspects.add(aReport, nowMs);
+  if (!wasSuspect && suspects.isSuspect(aReport.digest, nowMs)) {
     LogEvent(LogLevel::Warning, "crash.request_suspected")
       .field("digest", aReport.digest)
       .field("server", aReport.server.str())
--- a/src/daemon/route_daemon_crashes.cpp
+++ b/src/daemon/route_daemon_crashes.cpp
@@ -32,7 +32,10 @@
 void
 RouteDaemon::Impl::recordAnswer(const dispatch::AnsweredRequest& aRequest)
 {
-  const auto notes = dispatcher.promptPartSuspects().recordAnswer(aRequest, clock.now(bootNow()));
+  const auto nowMs = clock.now(bootNow());
+  dispatcher.crashSuspects().recordAnswer(
+    aRequest.digest, aRequest.server, aRequest.serverStartTimeMs, aRequest.sentAtMs, nowMs);
+  const auto notes = dispatcher.promptPartSuspects().recordAnswer(aRequest, nowMs);
   for (const auto& it : notes) {
     sendCrashNote(it);
   }
@@ -88,6 +91,7 @@
   blockedRepeatedAt = now;
   auto& suspects = dispatcher.promptPartSuspects();
   suspects.expire(clock.now(now));
+  dispatcher.crashSuspects().expire(clock.now(now));
   noteBlockedParts();
   for (const auto& it : suspects.blocked(clock.now(now))) {
     sendCrashNote(it);
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -1,6 +1,7 @@
 #include "mustardplank/agent/sync_messages.hpp"
 
 #include "compression.hpp"
+#include "mustardplank/control/crash_report_json.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -176,8 +177,7 @@
     reply.published[it.at(0).get<std::uint64_t>()] = it.at(1).get<std::uint64_t>();
   }
   for (const auto& it : aObject.value("c", json::array())) {
-    reply.crashes.push_back(
-      { it.at(0).get<std::uint64_t>(), BackendServerId(it.at(1).get<std::string>()) });
+    reply.crashes.push_back(control::crashReportFromJson(it));
   }
   reply.crashesSeen = aObject.value("cn", std::uint64_t(0));
   if (const auto it = aObject.find("b"); it != aObject.end()) {
@@ -304,7 +304,7 @@
     object["p"].push_back(json::array({ incarnation, sequence }));
   }
   for (const auto& it : aReply.crashes) {
-    object["c"].push_back(json::array({ it.digest, it.server.str() }));
+    object["c"].push_back(control::toJson(it));
   }
   if (aReply.digest) {
     object["b"] = digestToJson(*aReply.digest);
--- a/src/mustardplank/agent/sync_messages_test.cpp
+++ b/src/mustardplank/agent/sync_messages_test.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+const dispatch::CrashReport kCrash{ 0xffffffffffffffffULL,          BackendServerId("s"), 1, 2, 3,
+                                    dispatch::DigestSharing::Common };
+
 SyncReply
 fullReply()
 {
@@ -21,7 +24,7 @@
     LogReply{ { true, { { 4, "config", std::string("\0\xff text", 7) } }, 9 }, Millis(40) };
   reply.servers = LogReply{ { false, { { 5, "gone", std::nullopt } }, 12 }, Millis(700) };
   reply.published[5] = 6;
-  reply.crashes.push_back({ 0xffffffffffffffffULL, BackendServerId("s") });
+  reply.crashes.push_back(kCrash);
   reply.crashesSeen = 3;
   BoardDigest digest;
   digest.instances = 195;
@@ -90,6 +93,7 @@
   BOOST_TEST(decoded->servers->part.next == 12U);
   BOOST_TEST(decoded->published.at(5) == 6U);
   BOOST_TEST(decoded->crashes.at(0).digest == 0xffffffffffffffffULL);
+  BOOST_TEST((decoded->crashes.at(0) == kCrash));
   BOOST_TEST(decoded->crashesSeen == 3U);
   BOOST_TEST(decoded->digest->instances == 195U);
   BOOST_TEST(decoded->digest->needs.at(route::ServiceId("svc")).longTokensPerMs == 2.5);
--- a/src/mustardplank/agent/sync_server.cpp
+++ b/src/mustardplank/agent/sync_server.cpp
@@ -37,7 +37,8 @@
 SyncServer::addCrash(const dispatch::CrashReport& aReport)
 {
   const bool known = std::any_of(mCrashes.begin(), mCrashes.end(), [&](const auto& aKnown) {
-    return aKnown.digest == aReport.digest && aKnown.server == aReport.server;
+    return aKnown.digest == aReport.digest && aKnown.server == aReport.server &&
+           aKnown.serverStartTimeMs == aReport.serverStartTimeMs;
   });
   if (known) {
     return;
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/control/records.hpp"
 
+#include "mustardplank/control/crash_report_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <exception>
@@ -68,8 +70,7 @@
     update.windows[it.at(0).get<std::uint64_t>()] = countsFromJson(it.at(1));
   }
   for (const auto& it : aObject.value("c", json::array())) {
-    update.crashes.push_back(
-      { it.at(0).get<std::uint64_t>(), BackendServerId(it.at(1).get<std::string>()) });
+    update.crashes.push_back(crashReportFromJson(it));
   }
   for (const auto& it : aObject.value("s", json::array())) {
     update.needs[route::ServiceId(it.at(0).get<std::string>())] = { it.at(1).get<double>(),
@@ -102,7 +103,7 @@
     object["w"].push_back(json::array({ window, countsToJson(counts) }));
   }
   for (const auto& it : aUpdate.crashes) {
-    object["c"].push_back(json::array({ it.digest, it.server.str() }));
+    object["c"].push_back(toJson(it));
   }
   for (const auto& [service, need] : aUpdate.needs) {
     object["s"].push_back(json::array({ service.str(), need.shortStreams, need.longTokensPerMs }));
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -20,7 +20,9 @@
   update.claimsLogEnd = 5;
   update.renewalAge = Millis(1500);
   update.windows[9][OrganisationId("one")] = 3;
-  update.crashes.push_back({ 0xffffffffffffffffULL, BackendServerId("s") });
+  const dispatch::CrashReport crash{ 0xffffffffffffffffULL,          BackendServerId("s"), 1, 2, 3,
+                                     dispatch::DigestSharing::Common };
+  update.crashes.push_back(crash);
   update.needs[route::ServiceId("svc")] = { 1.5, 2.5 };
   Findings findings;
   const auto decoded = decodeUpdate(encodeUpdate(update), findings);
@@ -35,6 +37,7 @@
   BOOST_TEST((decoded->renewalAge == Millis(1500)));
   BOOST_TEST(decoded->windows.at(9).at(OrganisationId("one")) == 3U);
   BOOST_TEST(decoded->crashes.at(0).digest == 0xffffffffffffffffULL);
+  BOOST_TEST((decoded->crashes.at(0) == crash));
   BOOST_TEST(decoded->needs.at(route::ServiceId("svc")).longTokensPerMs == 2.5);
 }
 
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -446,24 +446,11 @@
 Dispatcher::tick(TimePoint aNow, Effects& aEffects)
 {
   updateFailureRates(aNow);
-  mCrashSuspects.expire(aNow);
   if (!awaitsServerList(aNow)) {
     placeOrRefuseWaiting(aNow, aEffects);
   }
 }
 
-void
-Dispatcher::reportCrash(const CrashReport& aReport, TimePoint aNow)
-{
-  mCrashSuspects.add(aReport, aNow);
-}
-
-bool
-Dispatcher::isCrashSuspect(std::uint64_t aDigest, TimePoint aNow) const
-{
-  return mCrashSuspects.isSuspect(aDigest, aNow);
-}
-
 std::vector<ServerStatus>
 Dispatcher::serverStatuses(TimePoint aNow) const
 {
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -275,19 +275,6 @@
   BOOST_TEST(taken >= 100);
 }
 
-// Guards against a request that crashes each server it reaches.
-BOOST_AUTO_TEST_CASE(request_that_crashed_two_servers_is_suspect)
-{
-  auto dispatcher = makeDispatcher(makeConfig());
-  dispatcher.reportCrash({ 7, BackendServerId("s1") }, atMillis(0));
-  dispatcher.reportCrash({ 7, BackendServerId("s1") }, atMillis(1));
-  BOOST_TEST(!dispatcher.isCrashSuspect(7, atMillis(2)));
-  dispatcher.reportCrash({ 7, BackendServerId("s2") }, atMillis(3));
-  BOOST_TEST(dispatcher.isCrashSuspect(7, atMillis(4)));
-  BOOST_TEST(!dispatcher.isCrashSuspect(8, atMillis(4)));
-  BOOST_TEST(!dispatcher.isCrashSuspect(7, atMillis(200000)));
-}
-
 // Load pattern: prompts that share parts. All instances send a session to the same server.
 BOOST_AUTO_TEST_CASE(all_instances_send_a_session_to_the_same_server)
 {
--- a/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
+++ b/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
@@ -42,7 +42,7 @@
 answer(PromptPartSuspects& aSuspects, const std::vector<PromptPartId>& aParts, std::int64_t aNow)
 {
   const auto prompt = promptOf(aParts);
-  return aSuspects.recordAnswer({ &prompt, BackendServerId("other"), 1, aNow - 100 }, aNow);
+  return aSuspects.recordAnswer({ 0, &prompt, BackendServerId("other"), 1, aNow - 100 }, aNow);
 }
 
 }
@@ -166,7 +166,7 @@
     const auto now = kStart + i * 1000;
     const auto server = "s" + std::to_string(i);
     suspects.add(lossOf(server, now, { 7 }), now);
-    suspects.recordAnswer({ &prompt, BackendServerId(server), 1, now + 10 }, now + 200);
+    suspects.recordAnswer({ 0, &prompt, BackendServerId(server), 1, now + 10 }, now + 200);
   }
   BOOST_TEST(!isBlocked(suspects, { 7 }, kStart + 6000));
 }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -145,8 +145,7 @@
     return false;
   }
   fillJob(mRequestHead, organisation);
-  mRequestDigest = stableHash(mJob.organisation.str() + target + mRequest.body());
-  mInCrashReports = mJob.streaming || !mRequest.body().empty();
+  mRequestDigest = makeDigest();
   mContext.dispatcher.countRequest(mJob.service, mJob.arrived);
   if (isCrashSuspect()) {
     sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
@@ -159,13 +158,27 @@
   return true;
 }
 
+std::uint64_t
+Exchange::makeDigest() const
+{
+  std::string text = mJob.organisation.str();
+  for (const auto part : { mRequest.method_string(),
+                           mRequest[http::field::host],
+                           mRequest.target(),
+                           boost::beast::string_view(mRequest.body()) }) {
+    text += '\n';
+    text.append(part.data(), part.size());
+  }
+  return stableHash(text);
+}
+
 bool
 Exchange::isCrashSuspect() const
 {
   auto& dispatcher = mContext.dispatcher;
-  return (mInCrashReports && dispatcher.isCrashSuspect(mRequestDigest, bootNow())) ||
-         dispatcher.promptPartSuspects().findBlocked(mJob.prompt,
-                                                     mContext.callbacks.sharedTimeMs());
+  const auto nowMs = mContext.callbacks.sharedTimeMs();
+  return dispatcher.crashSuspects().isSuspect(mRequestDigest, nowMs) ||
+         dispatcher.promptPartSuspects().findBlocked(mJob.prompt, nowMs);
 }
 
 void
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -94,9 +94,11 @@
   Duration stallTimeout() const;
   void checkStall();
   void recordResponseStart();
-  /// Reports the parts of the prompt if the server was lost as it began to answer.
+  /// dispatch::CrashReport::digest of this request.
+  std::uint64_t makeDigest() const;
+  /// Reports the request, and the parts of its prompt if the server was lost as it began to answer.
   void reportServerLoss();
-  void reportPromptAnswered();
+  void reportAnswered();
   /// Writes what is known of a request during which the connection to its server broke.
   void logServerLost();
   /// Marks the request as done, logs the event aEventName and releases the server.
@@ -115,10 +117,8 @@
   route::RouteTablePtr mTable;
   const route::Route* mRoute = nullptr;
   dispatch::Job mJob;
-  /// Hash of organisation, target and body that identifies the request in crash reports.
+  /// Identifies the request in crash reports.
   std::uint64_t mRequestDigest = 0;
-  /// Whether crash reports name the request: it is streamed or has a body.
-  bool mInCrashReports = false;
   Phase mPhase = Phase::WaitingForServer;
   bool mDone = false;
   /// Whether routine events are written at once rather than buffered.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -256,22 +256,29 @@
 void
 Exchange::reportServerLoss()
 {
+  const auto nowMs = mContext.callbacks.sharedTimeMs();
+  const bool hasBody = mJob.streaming || !mRequest.body().empty();
+  mContext.callbacks.onConnectionLost(
+    { mRequestDigest,
+      mGrant->server,
+      mGrant->serverStartTimeMs,
+      mSentAtMs,
+      nowMs,
+      hasBody ? dispatch::DigestSharing::Rare : dispatch::DigestSharing::Common });
   auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
   const bool isBeginning = !mResponseStarted || bootNow() - mResponseStartedAt < kResponseBeginning;
   if (isBeginning && !parts.empty()) {
-    mContext.callbacks.onServerLost({ mGrant->server,
-                                      mGrant->serverStartTimeMs,
-                                      mContext.callbacks.sharedTimeMs(),
-                                      std::move(parts) });
+    mContext.callbacks.onServerLost(
+      { mGrant->server, mGrant->serverStartTimeMs, nowMs, std::move(parts) });
   }
 }
 
 void
-Exchange::reportPromptAnswered()
+Exchange::reportAnswered()
 {
-  if (mGrant && mResponseStatus / 100 == 2 && mJob.prompt.size() > 1) {
-    mContext.callbacks.onPromptAnswered(
-      { &mJob.prompt, mGrant->server, mGrant->serverStartTimeMs, mSentAtMs });
+  if (mGrant && mResponseStatus / 100 == 2) {
+    mContext.callbacks.onAnswered(
+      { mRequestDigest, &mJob.prompt, mGrant->server, mGrant->serverStartTimeMs, mSentAtMs });
   }
 }
 
@@ -303,9 +310,6 @@
     logServerLost();
     reportServerLoss();
   }
-  if (lost && mInCrashReports && mGrant) {
-    mContext.callbacks.onConnectionLost({ mRequestDigest, mGrant->server });
-  }
   mResponseBody.clear();
   mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
   const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
@@ -365,7 +369,7 @@
   if (mResponseStreamed) {
     mCaller.write(kLastChunk);
   }
-  reportPromptAnswered();
+  reportAnswered();
   const bool closes = mCaller.closesAfterResponse();
   finishRequest("request.answered", mResponseStatus, "complete");
   mCaller.finishResponse(!closes);
