--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -145,6 +145,9 @@
                           std::uint32_t aRunning,
                           std::uint32_t aWaiting,
                           TimePoint aNow);
+  /// Records the limit on requests per second from all instances that a server states with a
+  /// response, or that it states none. Returns whether that has changed.
+  bool recordRequestLimit(const BackendServerId& aServer, std::optional<double> aPerSecond);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
   /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace mustardplank::dispatch {
 
@@ -77,6 +78,10 @@
   bool servesShort = true;
   bool servesLong = true;
 
+  /// Requests per second that the server takes from all instances together, as stated in its last
+  /// response; nothing if it stated no limit.
+  std::optional<double> requestLimit;
+
   /// The server gets no request before this time.
   TimePoint suspendedUntil{};
   /// Length of the last suspension after failures, doubled at each; zero after a success. Not set
--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -73,6 +73,8 @@
   std::optional<ReportedLoad> load;
   /// Time for which the server still counts as cold, that is, as warming up.
   std::optional<Duration> coldTimeLeft;
+  /// Requests per second that the server takes from all instances together, while it says so.
+  std::optional<double> requestLimit;
 };
 
 /// Converts between the header fields of one platform and the gateway's types. Makes no decisions.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -397,6 +397,17 @@
   server->ownRunningAtReport = static_cast<std::uint32_t>(server->running.size());
 }
 
+bool
+Dispatcher::recordRequestLimit(const BackendServerId& aServer, std::optional<double> aPerSecond)
+{
+  auto* server = findServer(aServer);
+  if (!server || server->requestLimit == aPerSecond) {
+    return false;
+  }
+  server->requestLimit = aPerSecond;
+  return true;
+}
+
 void
 Dispatcher::endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects)
 {
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -93,6 +93,7 @@
   void armStallTimer();
   Duration stallTimeout() const;
   void checkStall();
+  void recordRequestLimit(const ResponseHead& aHead);
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -74,6 +74,9 @@
     mContext.dispatcher.recordReportedLoad(
       mGrant->server, head.load->running, head.load->waiting, now);
   }
+  if (!head.misdirected) {
+    recordRequestLimit(head);
+  }
   if (head.misdirected || head.notExecuted) {
     const auto outcome =
       head.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
@@ -113,6 +116,18 @@
   return true;
 }
 
+void
+Exchange::recordRequestLimit(const ResponseHead& aHead)
+{
+  const auto& server = mGrant->server;
+  if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit)) {
+    LogEvent(LogLevel::Info, aHead.requestLimit ? "server.limited" : "server.unlimited")
+      .field("server", std::string_view(server.str()))
+      .field("per_second", aHead.requestLimit.value_or(0.0))
+      .write();
+  }
+}
+
 void
 Exchange::recordResponseStart()
 {
