--- /dev/null
+++ b/test/routes/server_backpressure_test.cpp
@@ -0,0 +1,82 @@
+#include "deployment.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+using namespace mustardplank;
+using namespace mustardplank::routes;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+Call
+callOf(const std::string& aPath)
+{
+  Call call;
+  call.path = aPath;
+  call.attempt = newAttempt();
+  return call;
+}
+
+/// Sends a request every aPause to each instance in turn; returns the answers other than 200.
+int
+sendFor(RouteDeployment& aDeployment, std::size_t aInstances, Duration aTime, Duration aPause)
+{
+  int unserved = 0;
+  const auto until = Clock::now() + aTime;
+  for (std::size_t i = 0; Clock::now() < until; ++i) {
+    CallerConnection connection(aDeployment.callers(i % aInstances));
+    unserved += connection.call(callOf("/twice/ok")).result_int() == 200 ? 0 : 1;
+    std::this_thread::sleep_for(aPause);
+  }
+  return unserved;
+}
+
+/// Most requests that reached the server in any span of this length that begins after aFrom.
+std::size_t
+mostArrivals(const ServerStandin& aServer, Clock::time_point aFrom, Duration aSpan)
+{
+  const auto arrivals = aServer.arrivals();
+  std::size_t most = 0;
+  for (const auto& first : arrivals) {
+    if (first.at >= aFrom) {
+      most = std::max<std::size_t>(
+        most, std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& aOther) {
+          return aOther.at >= first.at && aOther.at < first.at + aSpan;
+        }));
+    }
+  }
+  return most;
+}
+
+}
+
+// Guards against requests beyond the limit that a server states for all instances together, and
+// against a server that gets none any more, also after it has lifted the limit.
+BOOST_AUTO_TEST_CASE(routes_server_that_states_a_limit_gets_no_more)
+{
+  constexpr std::size_t kInstances = 3;
+  constexpr auto kPause = Millis(25);
+  // 1.5 times the limit of 1 a second, and 5 requests.
+  constexpr auto kSpan = Seconds(4);
+  constexpr std::size_t kBound = 11;
+  RouteDeployment deployment(2, kInstances);
+  deployment.awaitServing();
+  auto& server = deployment.server(0);
+  sendFor(deployment, kInstances, Millis(500), kPause);
+  server.setMoreFields("Server-Limit: 1.0\r\n");
+  const auto stated = Clock::now();
+  BOOST_TEST(sendFor(deployment, kInstances, Seconds(11), kPause) == 0);
+  const auto most = mostArrivals(server, stated + Seconds(3), kSpan);
+  BOOST_TEST(most <= kBound);
+  BOOST_TEST(most >= 1U);
+  server.setMoreFields("");
+  BOOST_TEST(sendFor(deployment, kInstances, Seconds(4), kPause) == 0);
+  const auto before = server.arrivals().size();
+  BOOST_TEST(sendFor(deployment, kInstances, Seconds(2), kPause) == 0);
+  BOOST_TEST(server.arrivals().size() - before >= 20U);
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -65,6 +65,20 @@
   return mArrivals;
 }
 
+void
+ServerStandin::setMoreFields(std::string aFields)
+{
+  const std::lock_guard lock(mMutex);
+  mMoreFields = std::move(aFields);
+}
+
+std::string
+ServerStandin::moreFields() const
+{
+  const std::lock_guard lock(mMutex);
+  return mMoreFields;
+}
+
 Awaitable<void>
 ServerStandin::awaitClose(SocketPtr aSocket)
 {
@@ -80,6 +94,7 @@
   arrival.attempt = std::string(aRequest["X-Attempt-Id"]);
   arrival.path = std::string(aRequest.target());
   arrival.body = aRequest.body();
+  arrival.at = std::chrono::steady_clock::now();
   for (const auto& it : aRequest) {
     arrival.headers[std::string(it.name_string())] = std::string(it.value());
   }
@@ -87,7 +102,7 @@
   const std::string mode = arrival.path.substr(arrival.path.rfind('/') + 1);
   const auto attempt = arrival.attempt;
   const std::string signature =
-    "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8\r\n";
+    "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8\r\n" + moreFields();
   const std::string whole = answerText(200, attempt, signature, "answer to " + attempt);
   {
     const std::lock_guard lock(mMutex);
@@ -125,7 +140,8 @@
     co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
   }
   if (mode == "not_run") {
-    co_return co_await writeText(aSocket, answerText(503, attempt, "X-Not-Executed: 1\r\n", ""));
+    co_return co_await writeText(
+      aSocket, answerText(503, attempt, "X-Not-Executed: 1\r\n" + moreFields(), ""));
   }
   if (mode == "hang") {
     co_await awaitClose(aSocket);
@@ -230,7 +246,7 @@
   const int total = aPlan.end != StreamEnd::Complete ? kTotal : aPlan.events;
   std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
                      "\r\nX-Response-Signature: sig-" + mId +
-                     "\r\nContent-Type: text/event-stream\r\n" +
+                     "\r\nContent-Type: text/event-stream\r\n" + moreFields() +
                      (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
   bool open = co_await writeText(aSocket, std::move(head));
   for (int i = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && i <= total; ++i) {
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -3,6 +3,7 @@
 #include "standins/common/http_server.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -45,6 +46,7 @@
     std::string path;
     std::string body;
     std::map<std::string, std::string> headers;
+    std::chrono::steady_clock::time_point at;
   };
   std::vector<Arrival> arrivals() const;
   /// Requests whose connection the system closed before they had ended.
@@ -55,6 +57,8 @@
   std::size_t endlessBytes() const { return mEndlessBytes; }
   /// Answers with 421, as another server that has got the address.
   void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
+  /// Header lines, each with CRLF, that are added to all answers from now on but those with 421.
+  void setMoreFields(std::string aFields);
   /// Fails every request of a path with the mode named in the path; false: answers all.
   void setFailing(bool aFailing) { mFailing = aFailing; }
 
@@ -81,6 +85,7 @@
     Framing framing = Framing::Chunked;
   };
 
+  std::string moreFields() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
@@ -97,6 +102,7 @@
   std::string mAddress;
   mutable std::mutex mMutex;
   std::vector<Arrival> mArrivals;
+  std::string mMoreFields;
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
