LIMIT: space the requests to servers that state a limit

Callers saw nothing; servers in need got several times the requests that they had named (27 in 4 s at a limit of 1.5 a second, allowed 14).

Cause: nothing read the limit; placement goes by predicted times, which do not rise on a server that is in need and not slow.

Change: each instance has a turn at such a server once in instances / (0.75 x limit) seconds, at a phase of its own; a turn expires after 1 s, so that a burst does not meet the unused turns of all instances. What a server has stated outlives its registry entry, for the same incarnation. An answer without the field lifts the limit, unless its request was sent before the last statement or it is a refusal.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "mustardplank/dispatch/placement.hpp"
 #include "mustardplank/dispatch/prompt_part_suspects.hpp"
 #include "mustardplank/dispatch/retry_budget.hpp"
+#include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
 #include "mustardplank/route/table.hpp"
@@ -145,9 +146,13 @@
                           std::uint32_t aRunning,
                           std::uint32_t aWaiting,
                           TimePoint aNow);
-  /// Records the limit on requests per second from all instances that a server states with a
-  /// response, or that it states none. Returns whether that has changed.
-  bool recordRequestLimit(const BackendServerId& aServer, std::optional<double> aPerSecond);
+  /// Records the limit on requests per second from all instances that a server states with its
+  /// response to a request sent at aSentAt, or that it states none. A response to a request that
+  /// was sent before the last statement lifts no limit. Returns whether the limit has changed.
+  bool recordRequestLimit(const BackendServerId& aServer,
+                          std::optional<double> aPerSecond,
+                          TimePoint aSentAt,
+                          TimePoint aNow);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
   /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
@@ -246,6 +251,8 @@
   route::RouteTablePtr mTable;
   std::map<BackendServerId, std::unique_ptr<ServerState>> mServers;
   std::map<route::ServiceId, ServiceState> mServices;
+  /// What removed servers had stated.
+  AdmissionMemory mAdmissionMemory;
   bool mServerListsStale = false;
   /// Nothing until the first confirmServers().
   std::optional<TimePoint> mServersConfirmedAt;
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -103,6 +103,8 @@
   TimePoint now{};
   /// Requests per second that this instance may send to one cold server.
   std::size_t coldRateLimit = 1;
+  /// Instances that share the limits that servers state.
+  std::size_t instances = 1;
   /// ServerState::others holds the load of the other instances.
   bool knowsOthersLoads = false;
 };
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -6,6 +6,7 @@
 #include "mustardplank/dispatch/instance_load.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/prefix_cache_model.hpp"
+#include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
@@ -78,9 +79,7 @@
   bool servesShort = true;
   bool servesLong = true;
 
-  /// Requests per second that the server takes from all instances together, as stated in its last
-  /// response; nothing if it stated no limit.
-  std::optional<double> requestLimit;
+  ServerAdmission admission;
 
   /// The server gets no request before this time.
   TimePoint suspendedUntil{};
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -73,6 +73,7 @@
               known->server.address != aServer.address || known->server.service != aServer.service);
   if (!known || replaced) {
     auto state = std::make_unique<ServerState>(aServer);
+    state->admission = mAdmissionMemory.take(aServer.id, aServer.startTimeMs);
     if (const auto* service = mTable ? mTable->findService(aServer.service) : nullptr;
         service && service->engine) {
       state->prefixCache.setCapacity(service->engine->memoryTokens);
@@ -92,9 +93,13 @@
 void
 Dispatcher::removeServer(const BackendServerId& aId)
 {
-  if (mServers.erase(aId) > 0) {
-    mServerListsStale = true;
+  const auto it = mServers.find(aId);
+  if (it == mServers.end()) {
+    return;
   }
+  mAdmissionMemory.store(aId, it->second->server.startTimeMs, std::move(it->second->admission));
+  mServers.erase(it);
+  mServerListsStale = true;
 }
 
 void
@@ -208,6 +213,7 @@
   }
   input.now = aNow;
   input.knowsOthersLoads = knowsOthersLoads(aNow);
+  input.instances = mInstanceCount;
   const auto* service = mTable ? mTable->findService(aJob.service) : nullptr;
   input.hasEngine = service && service->engine.has_value();
   const double rate = service ? service->coldRate : 0.0;
@@ -329,6 +335,9 @@
   if (server.suspensionBackoff > Duration{}) {
     server.probeRunning = true;
   }
+  if (auto& limit = server.admission.requestLimit) {
+    limit->pacer.take(aNow, turnInterval(limit->perSecond, mInstanceCount));
+  }
   server.running.emplace(aJob.id, run);
   server.prefixCache.recordPrompt(aJob.prompt);
   const auto id = aJob.id;
@@ -398,14 +407,32 @@
 }
 
 bool
-Dispatcher::recordRequestLimit(const BackendServerId& aServer, std::optional<double> aPerSecond)
+Dispatcher::recordRequestLimit(const BackendServerId& aServer,
+                               std::optional<double> aPerSecond,
+                               TimePoint aSentAt,
+                               TimePoint aNow)
 {
   auto* server = findServer(aServer);
-  if (!server || server->requestLimit == aPerSecond) {
+  if (!server) {
     return false;
   }
-  server->requestLimit = aPerSecond;
-  return true;
+  auto& limit = server->admission.requestLimit;
+  if (!aPerSecond) {
+    const bool lifted = limit && aSentAt >= limit->statedAt;
+    if (lifted) {
+      limit.reset();
+    }
+    return lifted;
+  }
+  const bool changed = !limit || limit->perSecond != *aPerSecond;
+  if (!limit) {
+    std::uniform_real_distribution<double> phase(0.0, 1.0);
+    limit.emplace();
+    limit->pacer.start(aNow, turnInterval(*aPerSecond, mInstanceCount), phase(mRandom));
+  }
+  limit->perSecond = *aPerSecond;
+  limit->statedAt = aNow;
+  return changed;
 }
 
 void
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -275,6 +275,43 @@
   BOOST_TEST(taken >= 100);
 }
 
+// Guards against requests beyond the limit that a server states in its answers, and against an
+// answer to an earlier request that lifts it.
+BOOST_AUTO_TEST_CASE(server_that_states_a_limit_gets_its_share)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
+  dispatcher.updateServer(makeServer("s2", "a"), atMillis(0));
+  const BackendServerId limited("s1");
+  const auto send = [&](JobId aFirst, double aFromMs) {
+    int granted = 0;
+    for (JobId id = aFirst; id < aFirst + 1000; ++id) {
+      Effects effects;
+      const auto now = atMillis(aFromMs + 10.0 * static_cast<double>(id - aFirst));
+      dispatcher.submit(makeEngineJob(id, 500, id, now), now, effects);
+      const auto* grant = findGrant(effects, id);
+      BOOST_TEST_REQUIRE(grant != nullptr);
+      granted += grant->server == limited ? 1 : 0;
+      dispatcher.endJob(id, JobOutcome::Finished, now, effects);
+    }
+    return granted;
+  };
+  BOOST_TEST(dispatcher.recordRequestLimit(limited, 3.0, atMillis(0), atMillis(100)));
+  BOOST_TEST(!dispatcher.recordRequestLimit(limited, 3.0, atMillis(0), atMillis(100)));
+  // 10 s at 3 a second for six instances are 5 requests of this one.
+  const int granted = send(1, 100);
+  BOOST_TEST(granted <= 6);
+  BOOST_TEST(granted >= 1);
+  BOOST_TEST(!dispatcher.recordRequestLimit(limited, std::nullopt, atMillis(50), atMillis(10200)));
+  // The registry entry expires and comes back.
+  dispatcher.removeServer(limited);
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(10250));
+  BOOST_TEST(send(2000, 10300) <= 6);
+  BOOST_TEST(
+    dispatcher.recordRequestLimit(limited, std::nullopt, atMillis(10300), atMillis(20400)));
+  BOOST_TEST(send(4000, 20500) > 100);
+}
+
 // Load pattern: prompts that share parts. All instances send a session to the same server.
 BOOST_AUTO_TEST_CASE(all_instances_send_a_session_to_the_same_server)
 {
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -64,6 +64,11 @@
       !aServer.coldLimiter.canAcquire(aInput.now, aInput.coldRateLimit)) {
     return false;
   }
+  if (const auto& stated = aServer.admission.requestLimit;
+      stated &&
+      !stated->pacer.isDue(aInput.now, turnInterval(stated->perSecond, aInput.instances))) {
+    return false;
+  }
   const double limit = (aQueues ? 2.0 : 1.0) * aServer.server.slots;
   return estimateActiveRequests(aServer, aInput) < limit;
 }
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -120,7 +120,11 @@
 Exchange::recordRequestLimit(const ResponseHead& aHead)
 {
   const auto& server = mGrant->server;
-  if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit)) {
+  // A refusal need not come from the part of the server that states limits.
+  if (aHead.notExecuted && !aHead.requestLimit) {
+    return;
+  }
+  if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit, mSentAt, bootNow())) {
     LogEvent(LogLevel::Info, aHead.requestLimit ? "server.limited" : "server.unlimited")
       .field("server", std::string_view(server.str()))
       .field("per_second", aHead.requestLimit.value_or(0.0))
