DRAIN: send nothing to a server that states in an answer that it leaves

Cause: only the registry told that a server leaves; the field Server-Leaving of its answers was not read, so a server whose registry entry is late or missing got requests until it had gone.

The mark outlives the registry entry, and an answer that arrives after the entry was removed counts. Status pages name the state "leaving".

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -74,7 +74,7 @@
   BackendServerId id;
   route::ServiceId service;
   FailureDomainId domain;
-  /// "draining", "evacuated", "suspended", "cold" or "serving".
+  /// "draining", "leaving", "evacuated", "suspended", "cold" or "serving".
   std::string state;
   /// Requests of this instance.
   std::size_t running = 0;
@@ -136,8 +136,8 @@
   /// Grants, queues or refuses a job.
   void submit(Job aJob, TimePoint aNow, Effects& aEffects);
   /// Whether a granted job may still be sent: its server is the same incarnation and neither
-  /// draining nor in an evacuated failure domain. Counts it against the rate limit of a cold
-  /// server, and is false above that limit.
+  /// draining nor leaving nor in an evacuated failure domain. Counts it against the rate limit of a
+  /// cold server, and is false above that limit.
   bool confirmSend(JobId aJob, TimePoint aNow);
   /// Records that the first event, or the response, has arrived.
   void recordFirstEvent(JobId aJob, TimePoint aNow);
@@ -153,6 +153,10 @@
                           std::optional<double> aPerSecond,
                           TimePoint aSentAt,
                           TimePoint aNow);
+  /// Records that a server states that it is about to stop: this incarnation gets no further
+  /// requests, whatever its registry entry says. aStartTimeMs identifies the incarnation. Returns
+  /// whether that is new.
+  bool recordLeaving(const BackendServerId& aServer, std::int64_t aStartTimeMs);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
   /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
@@ -205,7 +209,7 @@
   /// Servers may have left meanwhile; a newer list is there within moments. While the store is
   /// silent the list that is known serves.
   bool awaitsServerList(TimePoint aNow);
-  /// Neither draining nor in an evacuated failure domain.
+  /// Neither draining nor leaving nor in an evacuated failure domain.
   bool isUsable(const ServerState& aServer) const;
   PlacementInput makePlacementInput(const Job& aJob, ServiceState& aService, TimePoint aNow) const;
   /// Chooses a server by the configured policy.
--- a/include/mustardplank/dispatch/server_admission.hpp
+++ b/include/mustardplank/dispatch/server_admission.hpp
@@ -26,8 +26,10 @@
 {
   /// Nothing while the server states no limit.
   std::optional<RequestLimit> requestLimit;
+  /// The server is about to stop.
+  bool isLeaving = false;
 
-  bool isRestricted() const { return requestLimit.has_value(); }
+  bool isRestricted() const { return requestLimit || isLeaving; }
 };
 
 /// Keeps what servers have stated while their registry entries are missing.
--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -75,6 +75,8 @@
   std::optional<Duration> coldTimeLeft;
   /// Requests per second that the server takes from all instances together, while it says so.
   std::optional<double> requestLimit;
+  /// The server is about to stop and wants no further requests.
+  bool isLeaving = false;
 };
 
 /// Converts between the header fields of one platform and the gateway's types. Makes no decisions.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardplank::dispatch {
 
@@ -136,7 +137,8 @@
 bool
 Dispatcher::isUsable(const ServerState& aServer) const
 {
-  return !aServer.server.draining && !mEvacuatedDomains.contains(aServer.server.domain);
+  return !aServer.server.draining && !aServer.admission.isLeaving &&
+         !mEvacuatedDomains.contains(aServer.server.domain);
 }
 
 void
@@ -435,6 +437,25 @@
   return changed;
 }
 
+bool
+Dispatcher::recordLeaving(const BackendServerId& aServer, std::int64_t aStartTimeMs)
+{
+  auto* server = findServer(aServer);
+  if (!server) {
+    // The answer to a request outlives the registry entry, which may come back.
+    auto admission = mAdmissionMemory.take(aServer, aStartTimeMs);
+    const bool isNew = !std::exchange(admission.isLeaving, true);
+    mAdmissionMemory.store(aServer, aStartTimeMs, std::move(admission));
+    return isNew;
+  }
+  if (server->server.startTimeMs != aStartTimeMs || server->admission.isLeaving) {
+    return false;
+  }
+  server->admission.isLeaving = true;
+  mServerListsStale = true;
+  return true;
+}
+
 void
 Dispatcher::endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects)
 {
@@ -500,6 +521,8 @@
     status.domain = server->server.domain;
     if (server->server.draining) {
       status.state = "draining";
+    } else if (server->admission.isLeaving) {
+      status.state = "leaving";
     } else if (mEvacuatedDomains.contains(server->server.domain)) {
       status.state = "evacuated";
     } else if (server->suspendedUntil > aNow) {
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -312,6 +312,37 @@
   BOOST_TEST(send(4000, 20500) > 100);
 }
 
+// Guards against requests to a server that has stated that it leaves, also if it was chosen just
+// before, or if its registry entry expires and comes back.
+BOOST_AUTO_TEST_CASE(leaving_server_gets_no_requests)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  const BackendServerId leaving("s1");
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
+  Effects effects;
+  dispatcher.submit(makeEngineJob(1, 500, 1, atMillis(0)), atMillis(0), effects);
+  BOOST_TEST(dispatcher.recordLeaving(leaving, 1));
+  BOOST_TEST(!dispatcher.recordLeaving(leaving, 1));
+  BOOST_TEST(!dispatcher.confirmSend(1, atMillis(1)));
+  BOOST_TEST(dispatcher.serverStatuses(atMillis(1)).front().state == "leaving");
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(2));
+  dispatcher.removeServer(leaving);
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(3));
+  dispatcher.submit(makeEngineJob(2, 500, 1, atMillis(3)), atMillis(3), effects);
+  BOOST_TEST(findRefusal(effects, 2) != nullptr);
+  auto restarted = makeServer("s1", "a");
+  restarted.startTimeMs = 2;
+  dispatcher.updateServer(restarted, atMillis(4));
+  BOOST_TEST(!dispatcher.recordLeaving(leaving, 1));
+  dispatcher.submit(makeEngineJob(3, 500, 1, atMillis(4)), atMillis(4), effects);
+  BOOST_TEST(findGrant(effects, 3) != nullptr);
+  dispatcher.removeServer(leaving);
+  BOOST_TEST(dispatcher.recordLeaving(leaving, 2));
+  dispatcher.updateServer(restarted, atMillis(5));
+  dispatcher.submit(makeEngineJob(4, 500, 1, atMillis(5)), atMillis(5), effects);
+  BOOST_TEST(findRefusal(effects, 4) != nullptr);
+}
+
 // Load pattern: prompts that share parts. All instances send a session to the same server.
 BOOST_AUTO_TEST_CASE(all_instances_send_a_session_to_the_same_server)
 {
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -93,7 +93,8 @@
   void armStallTimer();
   Duration stallTimeout() const;
   void checkStall();
-  void recordRequestLimit(const ResponseHead& aHead);
+  /// Passes on what the server states about the requests that it takes.
+  void recordAdmission(const ResponseHead& aHead);
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -75,7 +75,7 @@
       mGrant->server, head.load->running, head.load->waiting, now);
   }
   if (!head.misdirected) {
-    recordRequestLimit(head);
+    recordAdmission(head);
   }
   if (head.misdirected || head.notExecuted) {
     const auto outcome =
@@ -117,9 +117,15 @@
 }
 
 void
-Exchange::recordRequestLimit(const ResponseHead& aHead)
+Exchange::recordAdmission(const ResponseHead& aHead)
 {
   const auto& server = mGrant->server;
+  const auto startTimeMs = mGrant->serverStartTimeMs;
+  if (aHead.isLeaving && mContext.dispatcher.recordLeaving(server, startTimeMs)) {
+    LogEvent(LogLevel::Info, "server.leaving")
+      .field("server", std::string_view(server.str()))
+      .write();
+  }
   // A refusal need not come from the part of the server that states limits.
   if (aHead.notExecuted && !aHead.requestLimit) {
     return;
--- a/test/routes/server_backpressure_test.cpp
+++ b/test/routes/server_backpressure_test.cpp
@@ -97,3 +97,36 @@
   BOOST_TEST(sendFor(deployment, kInstances, Seconds(2), kPause) == 0);
   BOOST_TEST(server.arrivals().size() - before >= 20U);
 }
+
+// Guards against requests to a server that has stated in an answer that it leaves, also when its
+// registry entry is missing for a while.
+BOOST_AUTO_TEST_CASE(routes_server_that_states_that_it_leaves_gets_nothing)
+{
+  constexpr auto kPause = Millis(25);
+  RouteDeployment deployment(2, 1);
+  deployment.awaitServing();
+  auto& server = deployment.server(0);
+  const auto await = [&](const std::string& aState, bool aGetsRequests) {
+    return support::waitUntil(Millis(4000), [&] {
+      const auto before = server.arrivals().size();
+      sendFor(deployment, 1, Millis(200), kPause);
+      return (server.arrivals().size() > before) == aGetsRequests &&
+             deployment.adminPage(0, "/status").find(aState) != std::string::npos;
+    });
+  };
+  BOOST_TEST(await("serving", true));
+  server.setMoreFields("Server-Leaving: 1\r\n");
+  sendFor(deployment, 1, Millis(500), kPause);
+  const auto stated = Clock::now();
+  BOOST_TEST(sendFor(deployment, 1, Millis(1500), kPause) == 0);
+  BOOST_TEST(countArrivals(server, stated, Clock::now()) == 0);
+  deployment.removeServer(0);
+  sendFor(deployment, 1, Millis(1500), kPause);
+  deployment.writeServer(0);
+  BOOST_TEST(sendFor(deployment, 1, Millis(1500), kPause) == 0);
+  BOOST_TEST(countArrivals(server, stated, Clock::now()) == 0);
+  server.setMoreFields("");
+  deployment.removeServer(1);
+  deployment.writeServer(0, "ready", R"({"born": 2})");
+  BOOST_TEST(await("serving", true));
+}
