BUDGET: send a server nothing before the time that it names with a 503

Failures that suspend it for a shorter time do not end the wait, and it outlives the registry entry. Callers that are refused because all servers wait are told when the first one takes requests again.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -157,6 +157,8 @@
   /// requests, whatever its registry entry says. aStartTimeMs identifies the incarnation. Returns
   /// whether that is new.
   bool recordLeaving(const BackendServerId& aServer, std::int64_t aStartTimeMs);
+  /// Records that a server which has turned a request away wants no other for aDelay.
+  void recordRetryAfter(const BackendServerId& aServer, Duration aDelay, TimePoint aNow);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
   /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
--- a/include/mustardplank/dispatch/server_admission.hpp
+++ b/include/mustardplank/dispatch/server_admission.hpp
@@ -28,8 +28,10 @@
   std::optional<RequestLimit> requestLimit;
   /// The server is about to stop.
   bool isLeaving = false;
+  /// The server wants no request of this instance before this time.
+  TimePoint retryAt{};
 
-  bool isRestricted() const { return requestLimit || isLeaving; }
+  bool isRestricted() const { return requestLimit || isLeaving || retryAt > TimePoint{}; }
 };
 
 /// Keeps what servers have stated while their registry entries are missing.
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -9,6 +9,7 @@
 #include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/route/model.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -81,13 +82,16 @@
 
   ServerAdmission admission;
 
-  /// The server gets no request before this time.
+  /// The server gets no request before this time, by this instance's own decision.
   TimePoint suspendedUntil{};
   /// Length of the last suspension after failures, doubled at each; zero after a success. Not set
   /// by the suspensions for rejected and misdirected requests.
   Duration suspensionBackoff{};
   /// A probe request, the only one allowed after a suspension, is in progress.
   bool probeRunning = false;
+
+  /// The server gets no request before this time, by this instance's decision or its own.
+  TimePoint availableAt() const { return std::max(suspendedUntil, admission.retryAt); }
 };
 
 }
--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -77,6 +77,8 @@
   std::optional<double> requestLimit;
   /// The server is about to stop and wants no further requests.
   bool isLeaving = false;
+  /// Time for which the server wants no further requests from this instance.
+  std::optional<Duration> retryAfter;
 };
 
 /// Converts between the header fields of one platform and the gateway's types. Makes no decisions.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -456,6 +456,14 @@
   return true;
 }
 
+void
+Dispatcher::recordRetryAfter(const BackendServerId& aServer, Duration aDelay, TimePoint aNow)
+{
+  if (auto* server = findServer(aServer)) {
+    server->admission.retryAt = std::max(server->admission.retryAt, aNow + aDelay);
+  }
+}
+
 void
 Dispatcher::endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects)
 {
@@ -525,7 +533,7 @@
       status.state = "leaving";
     } else if (mEvacuatedDomains.contains(server->server.domain)) {
       status.state = "evacuated";
-    } else if (server->suspendedUntil > aNow) {
+    } else if (server->availableAt() > aNow) {
       status.state = "suspended";
     } else if (server->coldUntil > aNow) {
       status.state = "cold";
--- a/src/mustardplank/dispatch/dispatcher_queue.cpp
+++ b/src/mustardplank/dispatch/dispatcher_queue.cpp
@@ -49,7 +49,7 @@
   std::optional<TimePoint> earliestReady;
   for (const auto* it : service.servers) {
     slots += it->server.slots;
-    const auto readyAt = std::max(it->coldUntil, it->suspendedUntil);
+    const auto readyAt = std::max(it->coldUntil, it->availableAt());
     if (readyAt > aNow && (!earliestReady || readyAt < *earliestReady)) {
       earliestReady = readyAt;
     }
@@ -73,7 +73,7 @@
   bool anyAvailable = false;
   bool anyCold = false;
   for (const auto* it : servers) {
-    if (it->suspendedUntil > aNow + kMinWaitLimit) {
+    if (it->availableAt() > aNow + kMinWaitLimit) {
       continue;
     }
     if (std::find(aJob.excludedServers.begin(), aJob.excludedServers.end(), it->server.id) !=
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -343,6 +343,33 @@
   BOOST_TEST(findRefusal(effects, 4) != nullptr);
 }
 
+// Guards against requests to a server before the time that it names when it turns one away, also
+// if a failure elsewhere in between suspends it for a shorter time.
+BOOST_AUTO_TEST_CASE(server_gets_no_requests_before_its_retry_time)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  const BackendServerId busy("s1");
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
+  Effects effects;
+  dispatcher.submit(makeEngineJob(1, 500, 1, atMillis(0)), atMillis(0), effects);
+  dispatcher.submit(makeEngineJob(2, 500, 1, atMillis(0)), atMillis(0), effects);
+  BOOST_TEST_REQUIRE(findGrant(effects, 2) != nullptr);
+  dispatcher.recordRetryAfter(busy, Seconds(8), atMillis(10));
+  dispatcher.endJob(1, JobOutcome::Rejected, atMillis(10), effects);
+  dispatcher.endJob(2, JobOutcome::NotConnected, atMillis(20), effects);
+  BOOST_TEST(dispatcher.serverStatuses(atMillis(30)).front().state == "suspended");
+  dispatcher.removeServer(busy);
+  dispatcher.updateServer(makeServer("s1", "a"), atMillis(100));
+  for (JobId id = 3; id < 11; ++id) {
+    const auto now = atMillis(1000.0 * static_cast<double>(id - 3) + 900.0);
+    dispatcher.submit(makeEngineJob(id, 500, 1, now), now, effects);
+    BOOST_TEST_REQUIRE(findRefusal(effects, id) != nullptr);
+    BOOST_TEST((findRefusal(effects, id)->reason == RefusalReason::NoServer));
+  }
+  dispatcher.submit(makeEngineJob(20, 500, 1, atMillis(8100)), atMillis(8100), effects);
+  BOOST_TEST(findGrant(effects, 20) != nullptr);
+}
+
 // Load pattern: prompts that share parts. All instances send a session to the same server.
 BOOST_AUTO_TEST_CASE(all_instances_send_a_session_to_the_same_server)
 {
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -54,7 +54,7 @@
 bool
 canAcceptRequest(const PlacementInput& aInput, const ServerState& aServer, bool aQueues)
 {
-  if (aServer.suspendedUntil > aInput.now) {
+  if (aServer.availableAt() > aInput.now) {
     return false;
   }
   if (aServer.suspensionBackoff > Duration{} && aServer.probeRunning) {
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -126,6 +126,13 @@
       .field("server", std::string_view(server.str()))
       .write();
   }
+  if (aHead.retryAfter) {
+    mContext.dispatcher.recordRetryAfter(server, *aHead.retryAfter, bootNow());
+    log(makeLogEvent(LogLevel::Info, "request.turned_away")
+          .field("server", server.str())
+          .field("retry_after_ms", toMillis(*aHead.retryAfter)),
+        true);
+  }
   // A refusal need not come from the part of the server that states limits.
   if (aHead.notExecuted && !aHead.requestLimit) {
     return;
--- a/test/routes/server_backpressure_test.cpp
+++ b/test/routes/server_backpressure_test.cpp
@@ -130,3 +130,22 @@
   deployment.writeServer(0, "ready", R"({"born": 2})");
   BOOST_TEST(await("serving", true));
 }
+
+// Guards against requests to a server before the time that it names when it turns one away.
+BOOST_AUTO_TEST_CASE(routes_server_that_turns_requests_away_gets_none_for_as_long_as_it_says)
+{
+  constexpr auto kPause = Millis(25);
+  RouteDeployment deployment(1, 1);
+  deployment.awaitServing();
+  auto& server = deployment.server(0);
+  server.setMoreFields("Retry-After: 2.5\r\n");
+  sendFor(deployment, 1, kPause, kPause, "/twice/not_run");
+  const auto refused = server.arrivals().back().at;
+  sendFor(deployment, 1, Millis(2300), kPause, "/twice/not_run");
+  BOOST_TEST(countArrivals(server, refused + Millis(500), refused + Millis(2500)) <= 2);
+  const auto after = Clock::now();
+  BOOST_TEST(support::waitUntil(Millis(2000), [&] {
+    sendFor(deployment, 1, kPause, kPause);
+    return countArrivals(server, after, Clock::now()) > 0;
+  }));
+}
