REFUSED: take no response without an attempt id on a kept connection

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection; callers were told that a request had not run which a server was running, or it ran again elsewhere.

Cause: a response without an attempt id was taken for the answer to the current request on any connection. A repeated refusal that names an earlier request was already skipped.

Change: on a connection that has answered a request before, a response without an id is skipped like one with another id, and the server's own answer, which names the request, is waited for.

Evidence: routes_repeated_refusal_is_no_answer_to_the_next_request failed before (503 instead of 200 for a request that may run once and that had run) and passes.

--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -64,7 +64,7 @@
 Exchange::onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming)
 {
   const auto head = mContext.dialect.parseResponseHead(aStatus, aFields);
-  if (!head.attemptId.empty() && head.attemptId != mRequestHead.attemptId) {
+  if (!isResponseToThis(head)) {
     return false;
   }
   const auto now = bootNow();
@@ -116,6 +116,16 @@
   return true;
 }
 
+bool
+Exchange::isResponseToThis(const ResponseHead& aHead) const
+{
+  if (aHead.attemptId.empty()) {
+    // On a kept connection it may be an earlier response that the server repeats.
+    return mRequestHead.attemptId.empty() || !mConnection->isReused();
+  }
+  return aHead.attemptId == mRequestHead.attemptId;
+}
+
 void
 Exchange::recordAdmission(const ResponseHead& aHead)
 {
--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -297,3 +297,45 @@
   call.path = "/plain/ok";
   BOOST_TEST(callOnce(deployment, call).result_int() == 200U);
 }
+
+// Guards against a head that ends early and is passed on as a whole answer.
+BOOST_AUTO_TEST_CASE(routes_answer_with_half_a_head_does_not_look_complete)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.server(1).setFailing(false);
+  for (int part = 0; part <= 5; ++part) {
+    BOOST_TEST_CONTEXT("part " << part)
+    {
+      const auto mode = "head_cut" + std::to_string(part);
+      for (const auto* route : { "/plain/", "/events/", "/twice/" }) {
+        for (int i = 0; i < 3; ++i) {
+          const auto call = callOf(route + mode);
+          const auto answer = callOnce(deployment, call);
+          const bool whole = answer.body() == "answer to " + call.attempt;
+          BOOST_TEST(answer.result_int() == (whole ? 200U : 502U), route);
+        }
+      }
+    }
+  }
+}
+
+// Guards against a refusal that a server writes once more on a kept connection, and the caller or
+// another server takes for the answer to the next request.
+BOOST_AUTO_TEST_CASE(routes_repeated_refusal_is_no_answer_to_the_next_request)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  for (const auto* mode : { "old_refusal", "nameless_refusal" }) {
+    for (const auto* route : { "/plain/", "/twice/" }) {
+      BOOST_TEST_CONTEXT(route << mode)
+      {
+        BOOST_TEST(connection.call(callOf("/twice/ok")).result_int() == 200U);
+        const auto call = callOf(std::string(route) + mode);
+        const auto answer = connection.call(call);
+        BOOST_TEST(answer.result_int() == 200U);
+        BOOST_TEST(answer.body() == "answer to " + call.attempt);
+        BOOST_TEST(deployment.arrivals(call.attempt) == 1U);
+      }
+    }
+  }
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -155,6 +155,21 @@
     co_await writeText(aSocket, "\x01\x02 this is no answer\r\n\r\n");
     co_return false;
   }
+  if (mode.starts_with("head_cut")) {
+    const auto head = whole.substr(0, whole.find("\r\n\r\n") + 4);
+    const std::size_t missing[] = { 1, 2, 4, head.size() / 2, head.size() - 17, head.size() - 5 };
+    const auto index = static_cast<std::size_t>(std::atoi(mode.c_str() + mode.rfind('t') + 1));
+    co_await writeText(aSocket, head.substr(0, head.size() - missing[index]));
+    co_return false;
+  }
+  if (mode == "old_refusal") {
+    co_return co_await writeText(aSocket,
+                                 answerText(503, "other", "X-Not-Executed: 1\r\n", "") + whole);
+  }
+  if (mode == "nameless_refusal") {
+    co_return co_await writeText(
+      aSocket, "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + whole);
+  }
   if (mode == "surplus") {
     co_return co_await writeText(aSocket, whole + answerText(200, "other", signature, "surplus"));
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -22,6 +22,8 @@
 ///     streamN  N events, 50 ms apart              brokenN  N events and half of one, then the end,
 ///                                                          unless the caller resumes
 ///     no_resume  like broken2, but 500 to a caller that resumes
+///     head_cutN   a part of an answer's head, then the end; N from 0 to 5: the later, the shorter
+///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
