ORDER: continue a stream only with a response of the same media type

Reported by operators of similar systems: a stream broke off and the next server answered with an error, whose text clients found in their stream, or the stream ended as if it were complete.

Cause: a response to a resumed request with an error status was kept out of the stream already; one with status 200 and a body that is no stream, or none, was not.

Change: what resumes a stream must have its media type; otherwise it counts as malformed: another server is tried, or the stream is broken off.

Evidence: routes_error_of_the_resuming_server_stays_out_of_the_stream now covers status 500, 404, 429, 503 and 200; it failed before for 200 (the text stood in the stream, which ended as complete) and passes.

--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -5,6 +5,8 @@
 
 #include "mustardplank/base/clock.hpp"
 
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/field.hpp>
 
 #include <sstream>
@@ -98,7 +100,7 @@
   // Without a signature nothing shows that the expected server produced the response, and events
   // cannot be split in an encoded body. A stream that the caller has begun to receive can only
   // continue with events.
-  const bool breaksStream = mResponseHeadSent && !success;
+  const bool breaksStream = mResponseHeadSent && !(success && continuesStream(aFields));
   if ((success && (!head.isSigned || encoded)) || breaksStream) {
     onResponseFailure(ResponseFailure::Malformed);
     return true;
@@ -116,6 +118,16 @@
   return true;
 }
 
+bool
+Exchange::continuesStream(const Fields& aFields) const
+{
+  const auto mediaType = [](boost::beast::string_view aContentType) {
+    return boost::algorithm::trim_copy(std::string(aContentType.substr(0, aContentType.find(';'))));
+  };
+  return boost::beast::iequals(mediaType(aFields[http::field::content_type]),
+                               mediaType(mResponseFields[http::field::content_type]));
+}
+
 bool
 Exchange::isResponseToThis(const ResponseHead& aHead) const
 {
--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -233,13 +233,20 @@
 // written into the stream.
 BOOST_AUTO_TEST_CASE(routes_error_of_the_resuming_server_stays_out_of_the_stream)
 {
-  RouteDeployment deployment(2, 1);
-  const auto call = callOf("/resume/no_resume");
-  CallerConnection connection(deployment.callers());
-  BOOST_CHECK_THROW(connection.call(call), boost::system::system_error);
-  BOOST_TEST(connection.partialBody() == "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
-  BOOST_TEST(connection.unreadBytes().find("HTTP/") == std::string::npos);
-  BOOST_TEST(deployment.arrivals(call.attempt) == 2U);
+  for (const auto* status : { "500", "404", "429", "503", "200" }) {
+    BOOST_TEST_CONTEXT(status)
+    {
+      // A deployment of its own, as servers that lost a connection are avoided for a while.
+      RouteDeployment deployment(2, 1);
+      const auto call = callOf(std::string("/resume/no_resume") + status);
+      CallerConnection connection(deployment.callers());
+      BOOST_CHECK_THROW(connection.call(call), boost::system::system_error);
+      BOOST_TEST(connection.partialBody() == "id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+      BOOST_TEST(connection.unreadBytes().find("HTTP/") == std::string::npos);
+      BOOST_TEST(connection.unreadBytes().find("failed") == std::string::npos);
+      BOOST_TEST(deployment.arrivals(call.attempt) == 2U);
+    }
+  }
 }
 
 // Guards against servers that work for callers who have left.
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -123,11 +123,14 @@
     co_await writeEndlessly(aSocket, attempt, mode.substr(8));
     co_return false;
   }
-  if (mode == "no_resume") {
+  if (mode.starts_with("no_resume")) {
     if (std::string(aRequest["Last-Event-Id"]).empty()) {
       co_return co_await stream(aSocket, aRequest, { 2, StreamEnd::ConnectionClosed });
     }
-    co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
+    const auto status = static_cast<unsigned>(std::atoi(mode.c_str() + mode.rfind('e') + 1));
+    co_return co_await writeText(
+      aSocket,
+      answerText(status, attempt, signature + "Content-Type: application/json\r\n", "failed\n\n"));
   }
   if (!mFailing || mode == "ok") {
     co_return co_await writeText(aSocket, whole);
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -21,7 +21,8 @@
 ///     late     an answer to another request first
 ///     streamN  N events, 50 ms apart              brokenN  N events and half of one, then the end,
 ///                                                          unless the caller resumes
-///     no_resume  like broken2, but 500 to a caller that resumes
+///     no_resumeN  like broken2, but an answer with status N that is no stream to a caller that
+///                 resumes
 ///     head_cutN   a part of an answer's head, then the end; N from 0 to 5: the later, the shorter
 ///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
