LIMIT: bind a stated limit to the incarnation that stated it

Cause: a late answer to a request of the incarnation before would have limited a server that had just restarted under the same id.

Change: what a server states is recorded for ServerIncarnation, the id and the start time of the grant.

Evidence: dispatcher/server_that_states_a_limit_gets_its_share now covers it.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -149,16 +149,15 @@
   /// Records the limit on requests per second from all instances that a server states with its
   /// response to a request sent at aSentAt, or that it states none. A response to a request that
   /// was sent before the last statement lifts no limit. Returns whether the limit has changed.
-  bool recordRequestLimit(const BackendServerId& aServer,
+  bool recordRequestLimit(const ServerIncarnation& aServer,
                           std::optional<double> aPerSecond,
                           TimePoint aSentAt,
                           TimePoint aNow);
-  /// Records that a server states that it is about to stop: this incarnation gets no further
-  /// requests, whatever its registry entry says. aStartTimeMs identifies the incarnation. Returns
-  /// whether that is new.
-  bool recordLeaving(const BackendServerId& aServer, std::int64_t aStartTimeMs);
+  /// Records that a server states that it is about to stop: it gets no further
+  /// requests, whatever its registry entry says. Returns whether that is new.
+  bool recordLeaving(const ServerIncarnation& aServer);
   /// Records that a server which has turned a request away wants no other for aDelay.
-  void recordRetryAfter(const BackendServerId& aServer, Duration aDelay, TimePoint aNow);
+  void recordRetryAfter(const ServerIncarnation& aServer, Duration aDelay, TimePoint aNow);
   /// Ends a granted or waiting job and places waiting jobs on the slot that it frees.
   void endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects);
   /// Places or refuses waiting jobs and updates failure rates. To be called at least every 100 ms
@@ -252,6 +251,7 @@
   /// Decays the failure rates and raises those of servers with a stalled request.
   void updateFailureRates(TimePoint aNow);
   ServerState* findServer(const BackendServerId& aId);
+  ServerState* findServer(const ServerIncarnation& aServer);
 
   DispatcherOptions mOptions;
   route::RouteTablePtr mTable;
--- a/include/mustardplank/dispatch/server_admission.hpp
+++ b/include/mustardplank/dispatch/server_admission.hpp
@@ -10,6 +10,14 @@
 
 namespace mustardplank::dispatch {
 
+/// One run of a server; the next one under the same id starts at another time.
+struct ServerIncarnation
+{
+  BackendServerId id;
+  /// In Unix milliseconds.
+  std::int64_t startTimeMs = 0;
+};
+
 /// Limit that a server states in its responses.
 struct RequestLimit
 {
@@ -44,10 +52,10 @@
   /// The oldest ones are dropped beyond this number of servers.
   static constexpr std::size_t kMaxServers = 1024;
 
-  /// aStartTimeMs identifies the server's incarnation.
-  void store(const BackendServerId& aServer, std::int64_t aStartTimeMs, ServerAdmission aAdmission);
-  /// Removes and returns what this incarnation has stated.
-  ServerAdmission take(const BackendServerId& aServer, std::int64_t aStartTimeMs);
+  void store(const ServerIncarnation& aServer, ServerAdmission aAdmission);
+  /// Removes and returns what the server has stated; what an earlier incarnation has stated is
+  /// dropped.
+  ServerAdmission take(const ServerIncarnation& aServer);
   std::size_t size() const { return mEntries.size(); }
 
 private:
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -64,6 +64,13 @@
   return it == mServers.end() ? nullptr : it->second.get();
 }
 
+ServerState*
+Dispatcher::findServer(const ServerIncarnation& aServer)
+{
+  auto* server = findServer(aServer.id);
+  return server && server->server.startTimeMs == aServer.startTimeMs ? server : nullptr;
+}
+
 void
 Dispatcher::updateServer(const route::BackendServer& aServer, TimePoint aNow)
 {
@@ -74,7 +81,7 @@
               known->server.address != aServer.address || known->server.service != aServer.service);
   if (!known || replaced) {
     auto state = std::make_unique<ServerState>(aServer);
-    state->admission = mAdmissionMemory.take(aServer.id, aServer.startTimeMs);
+    state->admission = mAdmissionMemory.take({ aServer.id, aServer.startTimeMs });
     if (const auto* service = mTable ? mTable->findService(aServer.service) : nullptr;
         service && service->engine) {
       state->prefixCache.setCapacity(service->engine->memoryTokens);
@@ -98,7 +105,7 @@
   if (it == mServers.end()) {
     return;
   }
-  mAdmissionMemory.store(aId, it->second->server.startTimeMs, std::move(it->second->admission));
+  mAdmissionMemory.store({ aId, it->second->server.startTimeMs }, std::move(it->second->admission));
   mServers.erase(it);
   mServerListsStale = true;
 }
@@ -409,7 +416,7 @@
 }
 
 bool
-Dispatcher::recordRequestLimit(const BackendServerId& aServer,
+Dispatcher::recordRequestLimit(const ServerIncarnation& aServer,
                                std::optional<double> aPerSecond,
                                TimePoint aSentAt,
                                TimePoint aNow)
@@ -438,26 +445,25 @@
 }
 
 bool
-Dispatcher::recordLeaving(const BackendServerId& aServer, std::int64_t aStartTimeMs)
+Dispatcher::recordLeaving(const ServerIncarnation& aServer)
 {
-  auto* server = findServer(aServer);
-  if (!server) {
-    // The answer to a request outlives the registry entry, which may come back.
-    auto admission = mAdmissionMemory.take(aServer, aStartTimeMs);
-    const bool isNew = !std::exchange(admission.isLeaving, true);
-    mAdmissionMemory.store(aServer, aStartTimeMs, std::move(admission));
+  if (auto* server = findServer(aServer)) {
+    const bool isNew = !std::exchange(server->admission.isLeaving, true);
+    mServerListsStale = mServerListsStale || isNew;
     return isNew;
   }
-  if (server->server.startTimeMs != aStartTimeMs || server->admission.isLeaving) {
+  if (mServers.contains(aServer.id)) {
     return false;
   }
-  server->admission.isLeaving = true;
-  mServerListsStale = true;
-  return true;
+  // The answer to a request outlives the registry entry, which may come back.
+  auto admission = mAdmissionMemory.take(aServer);
+  const bool isNew = !std::exchange(admission.isLeaving, true);
+  mAdmissionMemory.store(aServer, std::move(admission));
+  return isNew;
 }
 
 void
-Dispatcher::recordRetryAfter(const BackendServerId& aServer, Duration aDelay, TimePoint aNow)
+Dispatcher::recordRetryAfter(const ServerIncarnation& aServer, Duration aDelay, TimePoint aNow)
 {
   if (auto* server = findServer(aServer)) {
     server->admission.retryAt = std::max(server->admission.retryAt, aNow + aDelay);
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -282,7 +282,7 @@
   auto dispatcher = makeDispatcher(makeConfig());
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
   dispatcher.updateServer(makeServer("s2", "a"), atMillis(0));
-  const BackendServerId limited("s1");
+  const ServerIncarnation limited{ BackendServerId("s1"), 1 };
   const auto send = [&](JobId aFirst, double aFromMs) {
     int granted = 0;
     for (JobId id = aFirst; id < aFirst + 1000; ++id) {
@@ -291,7 +291,7 @@
       dispatcher.submit(makeEngineJob(id, 500, id, now), now, effects);
       const auto* grant = findGrant(effects, id);
       BOOST_TEST_REQUIRE(grant != nullptr);
-      granted += grant->server == limited ? 1 : 0;
+      granted += grant->server == limited.id ? 1 : 0;
       dispatcher.endJob(id, JobOutcome::Finished, now, effects);
     }
     return granted;
@@ -304,12 +304,19 @@
   BOOST_TEST(granted >= 1);
   BOOST_TEST(!dispatcher.recordRequestLimit(limited, std::nullopt, atMillis(50), atMillis(10200)));
   // The registry entry expires and comes back.
-  dispatcher.removeServer(limited);
+  dispatcher.removeServer(limited.id);
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(10250));
   BOOST_TEST(send(2000, 10300) <= 6);
   BOOST_TEST(
     dispatcher.recordRequestLimit(limited, std::nullopt, atMillis(10300), atMillis(20400)));
   BOOST_TEST(send(4000, 20500) > 100);
+  // A late answer of the incarnation before states nothing on this one.
+  auto restarted = makeServer("s1", "a");
+  restarted.startTimeMs = 2;
+  dispatcher.updateServer(restarted, atMillis(31000));
+  BOOST_TEST(!dispatcher.recordRequestLimit(limited, 0.5, atMillis(30400), atMillis(31100)));
+  dispatcher.recordRetryAfter(limited, Seconds(20), atMillis(31100));
+  BOOST_TEST(send(6000, 31200) > 100);
 }
 
 // Guards against requests to a server that has stated that it leaves, also if it was chosen just
@@ -317,27 +324,27 @@
 BOOST_AUTO_TEST_CASE(leaving_server_gets_no_requests)
 {
   auto dispatcher = makeDispatcher(makeConfig());
-  const BackendServerId leaving("s1");
+  const ServerIncarnation leaving{ BackendServerId("s1"), 1 };
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
   Effects effects;
   dispatcher.submit(makeEngineJob(1, 500, 1, atMillis(0)), atMillis(0), effects);
-  BOOST_TEST(dispatcher.recordLeaving(leaving, 1));
-  BOOST_TEST(!dispatcher.recordLeaving(leaving, 1));
+  BOOST_TEST(dispatcher.recordLeaving(leaving));
+  BOOST_TEST(!dispatcher.recordLeaving(leaving));
   BOOST_TEST(!dispatcher.confirmSend(1, atMillis(1)));
   BOOST_TEST(dispatcher.serverStatuses(atMillis(1)).front().state == "leaving");
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(2));
-  dispatcher.removeServer(leaving);
+  dispatcher.removeServer(leaving.id);
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(3));
   dispatcher.submit(makeEngineJob(2, 500, 1, atMillis(3)), atMillis(3), effects);
   BOOST_TEST(findRefusal(effects, 2) != nullptr);
   auto restarted = makeServer("s1", "a");
   restarted.startTimeMs = 2;
   dispatcher.updateServer(restarted, atMillis(4));
-  BOOST_TEST(!dispatcher.recordLeaving(leaving, 1));
+  BOOST_TEST(!dispatcher.recordLeaving(leaving));
   dispatcher.submit(makeEngineJob(3, 500, 1, atMillis(4)), atMillis(4), effects);
   BOOST_TEST(findGrant(effects, 3) != nullptr);
-  dispatcher.removeServer(leaving);
-  BOOST_TEST(dispatcher.recordLeaving(leaving, 2));
+  dispatcher.removeServer(leaving.id);
+  BOOST_TEST(dispatcher.recordLeaving({ leaving.id, 2 }));
   dispatcher.updateServer(restarted, atMillis(5));
   dispatcher.submit(makeEngineJob(4, 500, 1, atMillis(5)), atMillis(5), effects);
   BOOST_TEST(findRefusal(effects, 4) != nullptr);
@@ -348,7 +355,7 @@
 BOOST_AUTO_TEST_CASE(server_gets_no_requests_before_its_retry_time)
 {
   auto dispatcher = makeDispatcher(makeConfig());
-  const BackendServerId busy("s1");
+  const ServerIncarnation busy{ BackendServerId("s1"), 1 };
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
   Effects effects;
   dispatcher.submit(makeEngineJob(1, 500, 1, atMillis(0)), atMillis(0), effects);
@@ -358,7 +365,7 @@
   dispatcher.endJob(1, JobOutcome::Rejected, atMillis(10), effects);
   dispatcher.endJob(2, JobOutcome::NotConnected, atMillis(20), effects);
   BOOST_TEST(dispatcher.serverStatuses(atMillis(30)).front().state == "suspended");
-  dispatcher.removeServer(busy);
+  dispatcher.removeServer(busy.id);
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(100));
   for (JobId id = 3; id < 11; ++id) {
     const auto now = atMillis(1000.0 * static_cast<double>(id - 3) + 900.0);
--- a/src/mustardplank/dispatch/server_admission.cpp
+++ b/src/mustardplank/dispatch/server_admission.cpp
@@ -5,16 +5,14 @@
 namespace mustardplank::dispatch {
 
 void
-AdmissionMemory::store(const BackendServerId& aServer,
-                       std::int64_t aStartTimeMs,
-                       ServerAdmission aAdmission)
+AdmissionMemory::store(const ServerIncarnation& aServer, ServerAdmission aAdmission)
 {
-  take(aServer, aStartTimeMs);
+  take(aServer);
   if (!aAdmission.isRestricted()) {
     return;
   }
-  mEntries[aServer] = Entry{ aStartTimeMs, std::move(aAdmission), ++mLastNumber };
-  mOrder[mLastNumber] = aServer;
+  mEntries[aServer.id] = Entry{ aServer.startTimeMs, std::move(aAdmission), ++mLastNumber };
+  mOrder[mLastNumber] = aServer.id;
   if (mEntries.size() > kMaxServers) {
     const auto oldest = mOrder.begin();
     mEntries.erase(oldest->second);
@@ -23,16 +21,16 @@
 }
 
 ServerAdmission
-AdmissionMemory::take(const BackendServerId& aServer, std::int64_t aStartTimeMs)
+AdmissionMemory::take(const ServerIncarnation& aServer)
 {
-  const auto it = mEntries.find(aServer);
+  const auto it = mEntries.find(aServer.id);
   if (it == mEntries.end()) {
     return {};
   }
   auto entry = std::move(it->second);
   mOrder.erase(entry.number);
   mEntries.erase(it);
-  return entry.startTimeMs == aStartTimeMs ? std::move(entry.admission) : ServerAdmission{};
+  return entry.startTimeMs == aServer.startTimeMs ? std::move(entry.admission) : ServerAdmission{};
 }
 
 }
--- a/src/mustardplank/dispatch/server_admission_test.cpp
+++ b/src/mustardplank/dispatch/server_admission_test.cpp
@@ -27,16 +27,16 @@
 BOOST_AUTO_TEST_CASE(memory_is_of_one_incarnation)
 {
   AdmissionMemory memory;
-  const BackendServerId server("s1");
-  memory.store(server, 1, limitedTo(2.0));
-  const auto taken = memory.take(server, 1);
+  const ServerIncarnation server{ BackendServerId("s1"), 1 };
+  memory.store(server, limitedTo(2.0));
+  const auto taken = memory.take(server);
   BOOST_TEST_REQUIRE(taken.isRestricted());
   BOOST_TEST(taken.requestLimit->perSecond == 2.0);
-  BOOST_TEST(!memory.take(server, 1).isRestricted());
-  memory.store(server, 1, limitedTo(2.0));
-  BOOST_TEST(!memory.take(server, 2).isRestricted());
+  BOOST_TEST(!memory.take(server).isRestricted());
+  memory.store(server, limitedTo(2.0));
+  BOOST_TEST(!memory.take({ server.id, 2 }).isRestricted());
   BOOST_TEST(memory.size() == 0U);
-  memory.store(server, 1, ServerAdmission{});
+  memory.store(server, ServerAdmission{});
   BOOST_TEST(memory.size() == 0U);
 }
 
@@ -45,11 +45,11 @@
 {
   AdmissionMemory memory;
   for (std::size_t i = 0; i <= AdmissionMemory::kMaxServers; ++i) {
-    memory.store(BackendServerId("s" + std::to_string(i)), 1, limitedTo(1.0));
+    memory.store({ BackendServerId("s" + std::to_string(i)), 1 }, limitedTo(1.0));
   }
   BOOST_TEST(memory.size() == AdmissionMemory::kMaxServers);
-  BOOST_TEST(!memory.take(BackendServerId("s0"), 1).isRestricted());
-  BOOST_TEST(memory.take(BackendServerId("s1"), 1).isRestricted());
+  BOOST_TEST(!memory.take({ BackendServerId("s0"), 1 }).isRestricted());
+  BOOST_TEST(memory.take({ BackendServerId("s1"), 1 }).isRestricted());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -141,17 +141,16 @@
 void
 Exchange::recordAdmission(const ResponseHead& aHead)
 {
-  const auto& server = mGrant->server;
-  const auto startTimeMs = mGrant->serverStartTimeMs;
-  if (aHead.isLeaving && mContext.dispatcher.recordLeaving(server, startTimeMs)) {
+  const dispatch::ServerIncarnation server{ mGrant->server, mGrant->serverStartTimeMs };
+  if (aHead.isLeaving && mContext.dispatcher.recordLeaving(server)) {
     LogEvent(LogLevel::Info, "server.leaving")
-      .field("server", std::string_view(server.str()))
+      .field("server", std::string_view(server.id.str()))
       .write();
   }
   if (aHead.retryAfter) {
     mContext.dispatcher.recordRetryAfter(server, *aHead.retryAfter, bootNow());
     log(makeLogEvent(LogLevel::Info, "request.turned_away")
-          .field("server", server.str())
+          .field("server", server.id.str())
           .field("retry_after_ms", toMillis(*aHead.retryAfter)),
         true);
   }
@@ -161,7 +160,7 @@
   }
   if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit, mSentAt, bootNow())) {
     LogEvent(LogLevel::Info, aHead.requestLimit ? "server.limited" : "server.unlimited")
-      .field("server", std::string_view(server.str()))
+      .field("server", std::string_view(server.id.str()))
       .field("per_second", aHead.requestLimit.value_or(0.0))
       .write();
   }
