--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -74,7 +74,7 @@
   BackendServerId id;
   route::ServiceId service;
   FailureDomainId domain;
-  /// "draining", "leaving", "evacuated", "suspended", "cold" or "serving".
+  /// "draining", "leaving", "evacuated", "suspended", "cold", "limited" or "serving".
   std::string state;
   /// Requests of this instance.
   std::size_t running = 0;
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -543,6 +543,8 @@
       status.state = "suspended";
     } else if (server->coldUntil > aNow) {
       status.state = "cold";
+    } else if (server->admission.requestLimit) {
+      status.state = "limited";
     } else {
       status.state = "serving";
     }
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -298,6 +298,7 @@
   };
   BOOST_TEST(dispatcher.recordRequestLimit(limited, 3.0, atMillis(0), atMillis(100)));
   BOOST_TEST(!dispatcher.recordRequestLimit(limited, 3.0, atMillis(0), atMillis(100)));
+  BOOST_TEST(dispatcher.serverStatuses(atMillis(100)).front().state == "limited");
   // 10 s at 3 a second for six instances are 5 requests of this one.
   const int granted = send(1, 100);
   BOOST_TEST(granted <= 6);
