Soak: kept connections, overlapping series of faults, statements of servers

Callers keep a connection until the other side closes it; two series of faults run at the same time; a stop comes with more signals around it; servers state limits, their leaving and times of return; every tenth seed has 24 instances. New check: a request that reached a server and got no answer from an instance that was neither killed nor paused. New modes: an earlier refusal, half a head, a resumed stream that is no stream.

Failed tries: seeds 9 and 10 had instances that did not serve at the end; they had been killed with the thread that started them (PR_SET_PDEATHSIG). The threads now live until all is checked.

--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 
 namespace {
@@ -26,17 +27,18 @@
                                      { "help", no_argument, nullptr, 'h' },
                                      { nullptr, 0, nullptr, 0 } };
   std::uint64_t seeds = 1;
-  soak::Options options;
+  std::uint64_t first = 1;
+  std::optional<int> seconds;
   for (int c = 0; (c = getopt_long(aCount, aArguments, "n:f:s:h", kOptions, nullptr)) != -1;) {
     switch (c) {
       case 'n':
         seeds = std::stoull(optarg);
         break;
       case 'f':
-        options.seed = std::stoull(optarg);
+        first = std::stoull(optarg);
         break;
       case 's':
-        options.seconds = std::atoi(optarg);
+        seconds = std::atoi(optarg);
         break;
       default:
         std::cerr << kHelp;
@@ -44,12 +46,14 @@
     }
   }
   std::size_t broken = 0;
-  for (std::uint64_t i = 0; i < seeds; ++i, ++options.seed) {
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    auto options = soak::optionsOfSeed(seed);
+    options.seconds = seconds.value_or(options.seconds);
     const auto violations = soak::run(options);
     for (const auto& it : violations) {
-      std::cout << "seed=" << options.seed << " violation=\"" << it << "\"\n";
+      std::cout << "seed=" << seed << " violation=\"" << it << "\"\n";
     }
-    std::cout << "seed=" << options.seed << " violations=" << violations.size() << std::endl;
+    std::cout << "seed=" << seed << " violations=" << violations.size() << std::endl;
     broken += violations.empty() ? 0 : 1;
   }
   std::cout << "seeds=" << seeds << " broken=" << broken << std::endl;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -2,10 +2,13 @@
 
 #include "routes/deployment.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <iostream>
+#include <latch>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <random>
 #include <set>
@@ -18,16 +21,28 @@
 using routes::CallerConnection;
 using routes::RouteDeployment;
 
+using Clock = std::chrono::steady_clock;
+
 /// What a caller saw of one attempt.
 struct Seen
 {
   std::string attempt;
   std::string path;
+  std::size_t instance = 0;
+  Clock::time_point sent;
+  Clock::time_point ended;
   /// 0 when the connection ended without a whole answer.
   unsigned status = 0;
   std::string body;
 };
 
+/// Time in which an instance was killed or paused.
+struct Outage
+{
+  Clock::time_point from;
+  Clock::time_point to;
+};
+
 /// Longest pause of an instance, and longest outage of the store, in milliseconds.
 constexpr int kMostPauseMs = 2500;
 constexpr int kMostOutageMs = 3000;
@@ -36,14 +51,27 @@
 /// Usage of the last windows is reported within this.
 constexpr Millis kSettle{ 9000 };
 constexpr Millis kRecoveryBound{ 12000 };
+/// Series of faults that run at the same time.
+constexpr int kFaultSeries = 2;
+/// Longest time between two signals in a series, in milliseconds.
+constexpr int kMostBetweenSignalsMs = 1200;
+/// Longest time for which a server states something on the requests that it takes, in milliseconds.
+constexpr int kMostStatementMs = 3000;
+constexpr int kMostThinkingMs = 5;
+/// A request that was under way so long after an outage of its instance may suffer from it.
+constexpr Millis kOutageSlack{ 1000 };
+constexpr std::size_t kShownOutputBytes = 2000;
+/// Of a run with many instances.
+constexpr std::size_t kManyInstances = 24;
+constexpr std::size_t kManyCallers = 24;
 
 class Soak
 {
 public:
   explicit Soak(const Options& aOptions)
     : mOptions(aOptions)
-    , mRandom(aOptions.seed)
     , mDeployment(aOptions.servers, aOptions.instances)
+    , mInstanceMutexes(aOptions.instances)
   {
   }
 
@@ -53,11 +81,18 @@
     for (std::size_t i = 0; i < mOptions.callers; ++i) {
       callers.emplace_back([this, i] { call(i); });
     }
-    const auto until = std::chrono::steady_clock::now() + Seconds(mOptions.seconds);
-    while (std::chrono::steady_clock::now() < until) {
-      std::this_thread::sleep_for(Millis(50 + pick(kMostBetweenMs)));
-      fault();
+    std::latch injected(kFaultSeries);
+    std::latch checked(1);
+    std::vector<std::thread> series;
+    for (int i = 0; i < kFaultSeries; ++i) {
+      series.emplace_back([&, i] {
+        inject(i);
+        injected.count_down();
+        // The instances that a thread has started end with it.
+        checked.wait();
+      });
     }
+    injected.wait();
     repair();
     mStop = true;
     for (auto& it : callers) {
@@ -67,109 +102,214 @@
     std::this_thread::sleep_for(kSettle);
     checkAnswers();
     checkDuties();
+    checked.count_down();
+    for (auto& it : series) {
+      it.join();
+    }
     return mViolations;
   }
 
 private:
-  int pick(int aBelow) { return static_cast<int>(mRandom() % static_cast<unsigned>(aBelow)); }
+  using Random = std::mt19937_64;
+
+  static int pick(Random& aRandom, int aBelow)
+  {
+    return static_cast<int>(aRandom() % static_cast<unsigned>(aBelow));
+  }
 
   void note(const std::string& aText)
   {
+    const std::lock_guard lock(mMutex);
     std::cout << "seed=" << mOptions.seed << " fault=" << aText << "\n";
   }
 
+  void violate(const std::string& aText)
+  {
+    const std::lock_guard lock(mMutex);
+    mViolations.push_back(aText);
+  }
+
   void call(std::size_t aCaller)
   {
     std::mt19937_64 random(mOptions.seed * 1000 + aCaller);
-    static const char* const kPaths[] = { "/plain/ok",       "/plain/cut",      "/plain/not_run",
-                                          "/twice/ok",       "/twice/error",    "/twice/cut",
-                                          "/twice/late",     "/twice/surplus",  "/events/stream4",
-                                          "/resume/broken2", "/resume/stream6", "/open/ok" };
+    static const char* const kPaths[] = {
+      "/plain/ok",          "/plain/cut",       "/plain/not_run",      "/twice/ok",
+      "/twice/error",       "/twice/cut",       "/twice/late",         "/twice/surplus",
+      "/events/stream4",    "/resume/broken2",  "/resume/stream6",     "/open/ok",
+      "/plain/old_refusal", "/twice/head_cut2", "/resume/no_resume200"
+    };
+    // Callers keep a connection until the other side closes it.
+    std::unique_ptr<CallerConnection> connection;
+    std::size_t instance = 0;
     while (!mStop) {
       Seen seen;
       seen.attempt = routes::newAttempt();
       seen.path = kPaths[random() % std::size(kPaths)];
+      seen.sent = Clock::now();
       try {
-        CallerConnection connection(mDeployment.callers(random() % mOptions.instances));
+        if (!connection) {
+          instance = random() % mOptions.instances;
+          connection = std::make_unique<CallerConnection>(mDeployment.callers(instance));
+        }
         Call request;
         request.path = seen.path;
         request.attempt = seen.attempt;
         request.body = "body of " + seen.attempt;
-        connection.send(request);
-        const auto answer = connection.read();
+        connection->send(request);
+        const auto answer = connection->read();
         seen.status = answer.result_int();
         seen.body = answer.body();
+        if (!answer.keep_alive()) {
+          connection.reset();
+        }
       } catch (const boost::system::system_error&) {
         // Killed or stopped instances break connections.
+        connection.reset();
+      }
+      seen.instance = instance;
+      seen.ended = Clock::now();
+      {
+        const std::lock_guard lock(mMutex);
+        mSeen.push_back(std::move(seen));
       }
-      const std::lock_guard lock(mMutex);
-      mSeen.push_back(std::move(seen));
+      std::this_thread::sleep_for(Millis(pick(random, kMostThinkingMs)));
+    }
+  }
+
+  /// A series of faults; each waits for the one before in its series only.
+  void inject(int aSeries)
+  {
+    Random random(mOptions.seed * kFaultSeries + static_cast<std::uint64_t>(aSeries));
+    const auto until = Clock::now() + Seconds(mOptions.seconds);
+    while (Clock::now() < until) {
+      std::this_thread::sleep_for(Millis(50 + pick(random, kMostBetweenMs)));
+      fault(random);
     }
   }
 
-  void fault()
+  void fault(Random& aRandom)
   {
-    const auto instance = static_cast<std::size_t>(pick(static_cast<int>(mOptions.instances)));
-    const auto server = static_cast<std::size_t>(pick(static_cast<int>(mOptions.servers)));
-    switch (pick(8)) {
-      case 0:
+    const auto instance =
+      static_cast<std::size_t>(pick(aRandom, static_cast<int>(mOptions.instances)));
+    const auto server = static_cast<std::size_t>(pick(aRandom, static_cast<int>(mOptions.servers)));
+    switch (pick(aRandom, 9)) {
+      case 0: {
+        const std::lock_guard lock(mInstanceMutexes[instance]);
         note("kill instance" + std::to_string(instance));
+        const auto from = Clock::now();
         mDeployment.instance(instance).kill();
         mDeployment.startInstance(instance);
+        noteOutage(instance, from);
         return;
+      }
       case 1:
-        pause(instance);
+        pause(instance, Millis(pick(aRandom, kMostPauseMs)));
         return;
       case 2:
-        note("stop instance" + std::to_string(instance));
-        mDeployment.instance(instance).signal(SIGTERM);
-        if (!mDeployment.instance(instance).wait(Millis(8000))) {
-          mViolations.push_back("an instance did not end after SIGTERM");
-          mDeployment.instance(instance).kill();
-        }
-        mDeployment.startInstance(instance);
+        stop(instance, aRandom);
         return;
-      case 3:
+      case 3: {
+        const std::lock_guard lock(mStoreMutex);
         note("store down");
         mDeployment.store().setDown(true);
-        std::this_thread::sleep_for(Millis(pick(kMostOutageMs)));
+        std::this_thread::sleep_for(Millis(pick(aRandom, kMostOutageMs)));
         mDeployment.store().setDown(false);
         return;
+      }
       case 4:
         note("store loses answers");
-        mDeployment.store().loseAnswers(1 + pick(4));
+        mDeployment.store().loseAnswers(1 + pick(aRandom, 4));
         return;
       case 5:
         note("history forgotten");
-        mDeployment.store().compact(pick(2) == 0 ? "keyed.op" : "keyed.servers");
+        mDeployment.store().compact(pick(aRandom, 2) == 0 ? "keyed.op" : "keyed.servers");
         return;
       case 6:
         note("server" + std::to_string(server) + " leaves and returns");
         mDeployment.writeServer(server, "draining");
-        std::this_thread::sleep_for(Millis(pick(1500)));
+        std::this_thread::sleep_for(Millis(pick(aRandom, 1500)));
         mDeployment.writeServer(server);
         return;
-      default:
+      case 7:
+        state(server, aRandom);
+        return;
+      default: {
+        const std::lock_guard lock(mStoreMutex);
         note("configuration changes");
         mDeployment.configure();
-        mDeployment.instance(instance).signal(SIGHUP);
+        signal(instance, SIGHUP);
         return;
+      }
+    }
+  }
+
+  /// The instance's process may be replaced meanwhile, so its lock is held by the caller or taken.
+  void signal(std::size_t aInstance, int aSignal)
+  {
+    const std::unique_lock lock(mInstanceMutexes[aInstance], std::try_to_lock);
+    if (lock) {
+      mDeployment.instance(aInstance).signal(aSignal);
     }
   }
 
-  void pause(std::size_t aInstance)
+  void pause(std::size_t aInstance, Millis aTime)
   {
+    const std::lock_guard lock(mInstanceMutexes[aInstance]);
     note("pause instance" + std::to_string(aInstance));
+    const auto from = Clock::now();
     mDeployment.instance(aInstance).signal(SIGSTOP);
-    std::this_thread::sleep_for(Millis(pick(kMostPauseMs)));
+    std::this_thread::sleep_for(aTime);
     mDeployment.instance(aInstance).signal(SIGCONT);
+    noteOutage(aInstance, from);
+  }
+
+  /// SIGTERM, at times with more signals before and after it.
+  void stop(std::size_t aInstance, Random& aRandom)
+  {
+    const std::lock_guard lock(mInstanceMutexes[aInstance]);
+    note("stop instance" + std::to_string(aInstance));
+    auto& process = mDeployment.instance(aInstance);
+    const int signals[] = { SIGHUP, SIGTERM, SIGHUP, SIGTERM };
+    for (int i = pick(aRandom, 2); i <= 1 + pick(aRandom, 3); ++i) {
+      process.signal(signals[i]);
+      std::this_thread::sleep_for(Millis(pick(aRandom, kMostBetweenSignalsMs)));
+    }
+    if (!process.wait(Millis(8000))) {
+      violate("an instance did not end after SIGTERM");
+      process.kill();
+    }
+    mDeployment.startInstance(aInstance);
+  }
+
+  /// The server states for a while which requests it takes.
+  void state(std::size_t aServer, Random& aRandom)
+  {
+    static const char* const kStatements[] = { "Server-Limit: 5.0\r\n",
+                                               "Server-Leaving: 1\r\n",
+                                               "Retry-After: 1.5\r\n" };
+    const std::string statement =
+      kStatements[pick(aRandom, static_cast<int>(std::size(kStatements)))];
+    note("server" + std::to_string(aServer) + " states " +
+         statement.substr(0, statement.find('\r')));
+    mDeployment.server(aServer).setMoreFields(statement);
+    std::this_thread::sleep_for(Millis(pick(aRandom, kMostStatementMs)));
+    mDeployment.server(aServer).setMoreFields("");
+    // A server that has left comes back as another incarnation.
+    mDeployment.writeServer(aServer, "ready", R"({"born": )" + std::to_string(++mBorn) + "}");
+  }
+
+  void noteOutage(std::size_t aInstance, Clock::time_point aFrom)
+  {
+    const std::lock_guard lock(mMutex);
+    mOutages[aInstance].push_back({ aFrom, Clock::now() });
   }
 
   void repair()
   {
     mDeployment.store().setDown(false);
     for (std::size_t i = 0; i < mOptions.servers; ++i) {
-      mDeployment.writeServer(i);
+      mDeployment.server(i).setMoreFields("");
+      mDeployment.writeServer(i, "ready", R"({"born": )" + std::to_string(++mBorn) + "}");
     }
   }
 
@@ -187,7 +327,11 @@
         }
       });
       if (!serves) {
-        mViolations.push_back("instance" + std::to_string(i) + " does not serve after the faults");
+        const auto output = mDeployment.instance(i).output();
+        const auto begin = output.size() - std::min<std::size_t>(output.size(), kShownOutputBytes);
+        mViolations.push_back("instance" + std::to_string(i) +
+                              " does not serve after the faults: " + output.substr(begin) +
+                              mDeployment.instance(i).errors());
       }
     }
   }
@@ -226,6 +370,9 @@
     if (once && aRan && (aSeen.status == 503 || aSeen.status == 429)) {
       mViolations.push_back(what + " ran although its caller was told that it did not");
     }
+    if (aSeen.status == 0 && aArrivals > 0 && aSeen.path.ends_with("/ok") && !hadOutage(aSeen)) {
+      mViolations.push_back(what + " reached a server and got no answer");
+    }
     if (aSeen.status == 401 || aSeen.status == 404) {
       mViolations.push_back(what + " was refused although it is allowed");
     }
@@ -246,6 +393,15 @@
     }
   }
 
+  bool hadOutage(const Seen& aSeen) const
+  {
+    const auto it = mOutages.find(aSeen.instance);
+    return it != mOutages.end() &&
+           std::any_of(it->second.begin(), it->second.end(), [&](const auto& aOutage) {
+             return aSeen.sent < aOutage.to + kOutageSlack && aSeen.ended > aOutage.from;
+           });
+  }
+
   void checkDuties()
   {
     std::map<std::uint64_t, std::string> windows;
@@ -275,16 +431,32 @@
   }
 
   Options mOptions;
-  std::mt19937_64 mRandom;
   RouteDeployment mDeployment;
   std::atomic<bool> mStop{ false };
+  std::atomic<int> mBorn{ 1 };
+  /// Held while an instance's process is changed, and while the store is.
+  std::vector<std::mutex> mInstanceMutexes;
+  std::mutex mStoreMutex;
   std::mutex mMutex;
   std::vector<Seen> mSeen;
+  std::map<std::size_t, std::vector<Outage>> mOutages;
   Violations mViolations;
 };
 
 }
 
+Options
+optionsOfSeed(std::uint64_t aSeed)
+{
+  Options options;
+  options.seed = aSeed;
+  if (aSeed % 10 == 0) {
+    options.instances = kManyInstances;
+    options.callers = kManyCallers;
+  }
+  return options;
+}
+
 Violations
 run(const Options& aOptions)
 {
--- a/test/soak/soak.hpp
+++ b/test/soak/soak.hpp
@@ -16,6 +16,10 @@
   std::size_t callers = 6;
 };
 
+/// The usual size, and for every tenth seed as many instances as a machine of eight cores bears.
+Options
+optionsOfSeed(std::uint64_t aSeed);
+
 /// What was promised and not kept, with the request or call that shows it.
 using Violations = std::vector<std::string>;
 
--- a/test/soak/soak_test.cpp
+++ b/test/soak/soak_test.cpp
@@ -9,9 +9,7 @@
 void
 checkSeed(std::uint64_t aSeed)
 {
-  soak::Options options;
-  options.seed = aSeed;
-  for (const auto& it : soak::run(options)) {
+  for (const auto& it : soak::run(soak::optionsOfSeed(aSeed))) {
     BOOST_ERROR("seed " << aSeed << ": " << it);
   }
 }
@@ -23,4 +21,5 @@
 {
   checkSeed(1);
   checkSeed(2);
+  checkSeed(10);
 }
