BUDGET: keep a time of return that a server names while its entry is missing

Cause: the answer to a request may arrive after the server's registry entry has expired; what it stated on its limit or return was dropped then, and the server got requests again when the entry came back. Found by reading.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -252,6 +252,10 @@
   void updateFailureRates(TimePoint aNow);
   ServerState* findServer(const BackendServerId& aId);
   ServerState* findServer(const ServerIncarnation& aServer);
+  /// Calls aUpdate with what the server has stated, also if its registry entry is missing: the
+  /// answer to a request outlives the entry. Returns its result; false for another incarnation.
+  template<typename Update>
+  bool updateAdmission(const ServerIncarnation& aServer, Update aUpdate);
 
   DispatcherOptions mOptions;
   route::RouteTablePtr mTable;
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -6,7 +6,6 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace mustardplank::dispatch {
 
@@ -415,61 +414,6 @@
   server->ownRunningAtReport = static_cast<std::uint32_t>(server->running.size());
 }
 
-bool
-Dispatcher::recordRequestLimit(const ServerIncarnation& aServer,
-                               std::optional<double> aPerSecond,
-                               TimePoint aSentAt,
-                               TimePoint aNow)
-{
-  auto* server = findServer(aServer);
-  if (!server) {
-    return false;
-  }
-  auto& limit = server->admission.requestLimit;
-  if (!aPerSecond) {
-    const bool lifted = limit && aSentAt >= limit->statedAt;
-    if (lifted) {
-      limit.reset();
-    }
-    return lifted;
-  }
-  const bool changed = !limit || limit->perSecond != *aPerSecond;
-  if (!limit) {
-    std::uniform_real_distribution<double> phase(0.0, 1.0);
-    limit.emplace();
-    limit->pacer.start(aNow, turnInterval(*aPerSecond, mInstanceCount), phase(mRandom));
-  }
-  limit->perSecond = *aPerSecond;
-  limit->statedAt = aNow;
-  return changed;
-}
-
-bool
-Dispatcher::recordLeaving(const ServerIncarnation& aServer)
-{
-  if (auto* server = findServer(aServer)) {
-    const bool isNew = !std::exchange(server->admission.isLeaving, true);
-    mServerListsStale = mServerListsStale || isNew;
-    return isNew;
-  }
-  if (mServers.contains(aServer.id)) {
-    return false;
-  }
-  // The answer to a request outlives the registry entry, which may come back.
-  auto admission = mAdmissionMemory.take(aServer);
-  const bool isNew = !std::exchange(admission.isLeaving, true);
-  mAdmissionMemory.store(aServer, std::move(admission));
-  return isNew;
-}
-
-void
-Dispatcher::recordRetryAfter(const ServerIncarnation& aServer, Duration aDelay, TimePoint aNow)
-{
-  if (auto* server = findServer(aServer)) {
-    server->admission.retryAt = std::max(server->admission.retryAt, aNow + aDelay);
-  }
-}
-
 void
 Dispatcher::endJob(JobId aJob, JobOutcome aOutcome, TimePoint aNow, Effects& aEffects)
 {
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -367,14 +367,16 @@
   dispatcher.endJob(2, JobOutcome::NotConnected, atMillis(20), effects);
   BOOST_TEST(dispatcher.serverStatuses(atMillis(30)).front().state == "suspended");
   dispatcher.removeServer(busy.id);
+  // The answer arrives while the registry entry is missing.
+  dispatcher.recordRetryAfter(busy, Seconds(9), atMillis(50));
   dispatcher.updateServer(makeServer("s1", "a"), atMillis(100));
-  for (JobId id = 3; id < 11; ++id) {
+  for (JobId id = 3; id < 12; ++id) {
     const auto now = atMillis(1000.0 * static_cast<double>(id - 3) + 900.0);
     dispatcher.submit(makeEngineJob(id, 500, 1, now), now, effects);
     BOOST_TEST_REQUIRE(findRefusal(effects, id) != nullptr);
     BOOST_TEST((findRefusal(effects, id)->reason == RefusalReason::NoServer));
   }
-  dispatcher.submit(makeEngineJob(20, 500, 1, atMillis(8100)), atMillis(8100), effects);
+  dispatcher.submit(makeEngineJob(20, 500, 1, atMillis(9100)), atMillis(9100), effects);
   BOOST_TEST(findGrant(effects, 20) != nullptr);
 }
 
