BUDGET: lift a block of a prompt part where other instances see answers

Cause: an instance that blocks a part wrongly refuses the requests whose answers would clear it.

Change: an instance that hears of a block and has seen a complete answer after its last loss sends that answer back, once a second for a part at most.

Evidence: prompt_part_suspects/block_is_refuted_by_an_instance_that_sees_answers.

--- a/include/mustardplank/dispatch/prompt_part_suspects.hpp
+++ b/include/mustardplank/dispatch/prompt_part_suspects.hpp
@@ -54,6 +54,7 @@
   static constexpr std::size_t kMaxPartsOfLoss = 256;
   static constexpr std::size_t kMaxBlocked = 256;
   static constexpr std::size_t kMaxAnswered = 4096;
+  static constexpr std::int64_t kRefutationPauseMs = 1000;
 
   /// The parts of a prompt that may be suspected, in order.
   static std::vector<PromptPartId> suspectableParts(const std::vector<PromptPart>& aPrompt);
@@ -63,6 +64,12 @@
   bool add(const CrashNote& aNote, std::int64_t aNowMs);
   /// Returns the notes that other instances need: answers that clear a part of a loss or a block.
   std::vector<CrashNote> recordAnswer(const AnsweredRequest& aRequest, std::int64_t aNowMs);
+  /// The answer that refutes another instance's block; nothing if none is known, or if one was
+  /// returned for this part within kRefutationPauseMs.
+  ///
+  /// Load pattern: a part that all requests of a route share is blocked wrongly on some instances.
+  /// They refuse these requests, so only the others see answers to them.
+  std::optional<PartAnswered> refute(const CrashNote& aNote, std::int64_t aNowMs);
   std::optional<PromptPartId> findBlocked(const std::vector<PromptPart>& aPrompt,
                                           std::int64_t aNowMs) const;
   std::vector<PartBlocked> blocked(std::int64_t aNowMs) const;
@@ -105,6 +112,8 @@
   std::map<PromptPartId, std::int64_t> mBlocked;
   /// Time of the last complete answer.
   std::unordered_map<PromptPartId, std::int64_t> mAnswered;
+  /// Time of the last refutation by part.
+  std::map<PromptPartId, std::int64_t> mRefuted;
 };
 
 }
--- a/src/daemon/route_daemon_crashes.cpp
+++ b/src/daemon/route_daemon_crashes.cpp
@@ -53,11 +53,16 @@
     metrics.count(metrics::Event::LoadMessageIgnored);
     return;
   }
+  auto& suspects = dispatcher.promptPartSuspects();
+  const auto nowMs = clock.now(bootNow());
   for (const auto& it : *notes) {
-    const bool isNew = dispatcher.promptPartSuspects().add(it, clock.now(bootNow()));
+    const bool isNew = suspects.add(it, nowMs);
     if (isNew && loads.isAgent()) {
       sendCrashNote(it);
     }
+    if (const auto answered = suspects.refute(it, nowMs)) {
+      sendCrashNote(*answered);
+    }
   }
   noteBlockedParts();
 }
--- a/src/mustardplank/dispatch/prompt_part_suspects.cpp
+++ b/src/mustardplank/dispatch/prompt_part_suspects.cpp
@@ -101,6 +101,22 @@
   return notes;
 }
 
+std::optional<PartAnswered>
+PromptPartSuspects::refute(const CrashNote& aNote, std::int64_t aNowMs)
+{
+  const auto* block = std::get_if<PartBlocked>(&aNote);
+  const auto answered = block ? mAnswered.find(block->part) : mAnswered.end();
+  if (answered == mAnswered.end() || answered->second < block->lastLossMs) {
+    return std::nullopt;
+  }
+  std::erase_if(mRefuted,
+                [&](const auto& aItem) { return aItem.second + kRefutationPauseMs <= aNowMs; });
+  if (mRefuted.size() >= kMaxBlocked || !mRefuted.emplace(block->part, aNowMs).second) {
+    return std::nullopt;
+  }
+  return PartAnswered{ block->part, answered->second };
+}
+
 std::optional<PromptPartId>
 PromptPartSuspects::findBlocked(const std::vector<PromptPart>& aPrompt, std::int64_t aNowMs) const
 {
--- a/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
+++ b/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
@@ -241,4 +241,30 @@
   }
 }
 
+// Guards against a part that one instance blocks wrongly for the whole retention: it refuses the
+// requests whose answers would clear the part, and the others, which see answers, keep quiet.
+BOOST_AUTO_TEST_CASE(block_is_refuted_by_an_instance_that_sees_answers)
+{
+  PromptPartSuspects blocking;
+  PromptPartSuspects serving;
+  const auto lastLoss = kStart + 3000;
+  for (int i = 0; i < 4; ++i) {
+    blocking.add(lossOf("s" + std::to_string(i), kStart + i * 1000, { 7 }), kStart + i * 1000);
+  }
+  BOOST_TEST(isBlocked(blocking, { 7 }, lastLoss));
+  const auto notes = blocking.blocked(lastLoss);
+  BOOST_TEST_REQUIRE(notes.size() == 1U);
+  const CrashNote note(notes.front());
+  answer(serving, { 7 }, lastLoss - 10);
+  BOOST_TEST(!serving.refute(note, lastLoss + 100).has_value());
+  answer(serving, { 7 }, lastLoss + 200);
+  const auto answered = serving.refute(note, lastLoss + 300);
+  BOOST_TEST_REQUIRE(answered.has_value());
+  BOOST_TEST(!serving.refute(note, lastLoss + 400).has_value());
+  BOOST_TEST(serving.refute(note, lastLoss + 1400).has_value());
+  BOOST_TEST(blocking.add(*answered, lastLoss + 500));
+  BOOST_TEST(!isBlocked(blocking, { 7 }, lastLoss + 500));
+  BOOST_TEST(!blocking.add(note, lastLoss + 600));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
