--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -153,8 +153,8 @@
                           std::optional<double> aPerSecond,
                           TimePoint aSentAt,
                           TimePoint aNow);
-  /// Records that a server states that it is about to stop: it gets no further
-  /// requests, whatever its registry entry says. Returns whether that is new.
+  /// Records that a server states that it is about to stop: it gets no further requests, whatever
+  /// its registry entry says. Returns whether that is new.
   bool recordLeaving(const ServerIncarnation& aServer);
   /// Records that a server which has turned a request away wants no other for aDelay.
   void recordRetryAfter(const ServerIncarnation& aServer, Duration aDelay, TimePoint aNow);
