--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -44,20 +44,20 @@
 };
 
 /// Longest pause of an instance, and longest outage of the store, in milliseconds.
-constexpr int kMostPauseMs = 2500;
-constexpr int kMostOutageMs = 3000;
+constexpr int kMaxPauseMs = 2500;
+constexpr int kMaxOutageMs = 3000;
 /// Time between two faults, in milliseconds.
-constexpr int kMostBetweenMs = 900;
+constexpr int kMaxBetweenMs = 900;
 /// Usage of the last windows is reported within this.
 constexpr Millis kSettle{ 9000 };
 constexpr Millis kRecoveryBound{ 12000 };
 /// Series of faults that run at the same time.
 constexpr int kFaultSeries = 2;
 /// Longest time between two signals in a series, in milliseconds.
-constexpr int kMostBetweenSignalsMs = 1200;
+constexpr int kMaxBetweenSignalsMs = 1200;
 /// Longest time for which a server states something on the requests that it takes, in milliseconds.
-constexpr int kMostStatementMs = 3000;
-constexpr int kMostThinkingMs = 5;
+constexpr int kMaxStatementMs = 3000;
+constexpr int kMaxThinkingMs = 5;
 /// A request that was under way so long after an outage of its instance may suffer from it.
 constexpr Millis kOutageSlack{ 1000 };
 constexpr std::size_t kShownOutputBytes = 2000;
@@ -172,7 +172,7 @@
         const std::lock_guard lock(mMutex);
         mSeen.push_back(std::move(seen));
       }
-      std::this_thread::sleep_for(Millis(pick(random, kMostThinkingMs)));
+      std::this_thread::sleep_for(Millis(pick(random, kMaxThinkingMs)));
     }
   }
 
@@ -182,7 +182,7 @@
     Random random(mOptions.seed * kFaultSeries + static_cast<std::uint64_t>(aSeries));
     const auto until = Clock::now() + Seconds(mOptions.seconds);
     while (Clock::now() < until) {
-      std::this_thread::sleep_for(Millis(50 + pick(random, kMostBetweenMs)));
+      std::this_thread::sleep_for(Millis(50 + pick(random, kMaxBetweenMs)));
       fault(random);
     }
   }
@@ -203,7 +203,7 @@
         return;
       }
       case 1:
-        pause(instance, Millis(pick(aRandom, kMostPauseMs)));
+        pause(instance, Millis(pick(aRandom, kMaxPauseMs)));
         return;
       case 2:
         stop(instance, aRandom);
@@ -212,7 +212,7 @@
         const std::lock_guard lock(mStoreMutex);
         note("store down");
         mDeployment.store().setDown(true);
-        std::this_thread::sleep_for(Millis(pick(aRandom, kMostOutageMs)));
+        std::this_thread::sleep_for(Millis(pick(aRandom, kMaxOutageMs)));
         mDeployment.store().setDown(false);
         return;
       }
@@ -272,7 +272,7 @@
     const int signals[] = { SIGHUP, SIGTERM, SIGHUP, SIGTERM };
     for (int i = pick(aRandom, 2); i <= 1 + pick(aRandom, 3); ++i) {
       process.signal(signals[i]);
-      std::this_thread::sleep_for(Millis(pick(aRandom, kMostBetweenSignalsMs)));
+      std::this_thread::sleep_for(Millis(pick(aRandom, kMaxBetweenSignalsMs)));
     }
     if (!process.wait(Millis(8000))) {
       violate("an instance did not end after SIGTERM");
@@ -292,7 +292,7 @@
     note("server" + std::to_string(aServer) + " states " +
          statement.substr(0, statement.find('\r')));
     mDeployment.server(aServer).setMoreFields(statement);
-    std::this_thread::sleep_for(Millis(pick(aRandom, kMostStatementMs)));
+    std::this_thread::sleep_for(Millis(pick(aRandom, kMaxStatementMs)));
     mDeployment.server(aServer).setMoreFields("");
     // A server that has left comes back as another incarnation.
     mDeployment.writeServer(aServer, "ready", R"({"born": )" + std::to_string(++mBorn) + "}");
