Hand the last usage counts to other instances when the store is out at a stop

Cause: at its end an instance published what it had counted to the store only. What it had counted since its last sync with an agent of another domain, and updates that it held for others, ended with it; and it tried not even that if only updates of others were left.

Change: at its end an instance hands the updates that are not in the store to up to four others as well, agents of other failure domains first, silent ones last. They pass them on as usual.

--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -60,6 +60,8 @@
 class SourcePlanner
 {
 public:
+  static constexpr std::size_t kMaxHandOverTargets = 4;
+
   SourcePlanner(SourcePlannerOptions aOptions, TimePoint aNow);
 
   /// The directory was read, or an agent stated a newer list for this failure domain.
@@ -82,6 +84,13 @@
   void recordSync(const InstanceId& aAgent, const SyncResult& aResult, TimePoint aNow);
   /// Another instance has asked this one; aDirectoryEnd is its Directory::logEnd.
   void recordContact(const InstanceId& aInstance, control::Offset aDirectoryEnd, TimePoint aNow);
+  /// Which of aPeers, all instances that are known, get the updates that are not in the store when
+  /// this instance ends; at most kMaxHandOverTargets.
+  ///
+  /// Load pattern: all instances of a failure domain stop one after the other while the store is
+  /// out, so the agents of the own domain may be ending as well. Agents of other domains come
+  /// first, silent ones last.
+  std::vector<Agent> handOverTargets(std::vector<Agent> aPeers);
   /// Agents with which this instance had contact within the last seconds.
   std::vector<InstanceId> reachedAgents(TimePoint aNow) const;
 
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -237,16 +237,6 @@
   }
 }
 
-awaitable<void>
-RouteDaemon::Impl::handOver()
-{
-  if (!outbox.hasUnpublished(usage)) {
-    co_return;
-  }
-  auto store = client();
-  co_await publish(store);
-}
-
 void
 RouteDaemon::Impl::awaitSignals()
 {
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -2,6 +2,9 @@
 
 #include "mustardplank/settings/parse.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -162,6 +165,19 @@
   return request;
 }
 
+platform::HttpRequest
+RouteDaemon::Impl::makeSyncCall(const agent::SyncTarget& aTarget)
+{
+  platform::HttpRequest call;
+  call.post = true;
+  call.target = gateway::GatewayOptions{}.syncPath;
+  call.body = agent::encodeRequest(makeSyncRequest(aTarget));
+  call.contentType = "application/cbor";
+  call.timeout = aTarget.hold + kSyncTimeout;
+  metrics.count(metrics::Event::Sync);
+  return call;
+}
+
 awaitable<void>
 RouteDaemon::Impl::sync(const agent::SyncTarget& aTarget)
 {
@@ -174,13 +190,7 @@
   if (!exchange || exchange->endpoint() != endpointOf(*address)) {
     exchange = std::make_unique<platform::HttpClient>(endpointOf(*address));
   }
-  platform::HttpRequest call;
-  call.post = true;
-  call.target = gateway::GatewayOptions{}.syncPath;
-  call.body = agent::encodeRequest(makeSyncRequest(aTarget));
-  call.contentType = "application/cbor";
-  call.timeout = aTarget.hold + kSyncTimeout;
-  metrics.count(metrics::Event::Sync);
+  auto call = makeSyncCall(aTarget);
   const auto sentAt = bootNow();
   const auto answer = co_await exchange->send(std::move(call));
   const auto now = bootNow();
@@ -199,6 +209,35 @@
   noteRole();
 }
 
+awaitable<void>
+RouteDaemon::Impl::handOver()
+{
+  if (!outbox.hasUnpublished(usage) && relay.unwritten().empty()) {
+    co_return;
+  }
+  for (auto& it : planner.handOverTargets(clockPeers())) {
+    ++openHandOvers;
+    asio::co_spawn(io, handOverTo(std::move(it)), asio::detached);
+  }
+  auto store = client();
+  const bool published = co_await publish(store);
+  while (!published && openHandOvers > 0) {
+    co_await handedOver.wait(kSyncTimeout);
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::handOverTo(agent::Agent aPeer)
+{
+  if (const auto address = settings::parseAddress(aPeer.address)) {
+    platform::HttpClient exchange(endpointOf(*address));
+    auto call = makeSyncCall({ std::move(aPeer), Duration{} });
+    co_await exchange.send(std::move(call));
+  }
+  --openHandOvers;
+  handedOver.notify();
+}
+
 void
 RouteDaemon::Impl::applyReply(agent::SyncReply aReply, TimePoint aSentAt, TimePoint aReceivedAt)
 {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -138,6 +138,7 @@
   awaitable<void> claimAgency(StoreClient& aStore, agent::AgentList aAgents);
   awaitable<void> syncLoop();
   agent::SyncRequest makeSyncRequest(const agent::SyncTarget& aTarget);
+  platform::HttpRequest makeSyncCall(const agent::SyncTarget& aTarget);
   awaitable<void> sync(const agent::SyncTarget& aTarget);
   void applyReply(agent::SyncReply aReply, TimePoint aSentAt, TimePoint aReceivedAt);
   void receiveSync(std::string aRequest, const gateway::SyncResponse& aRespond);
@@ -221,8 +222,10 @@
   void terminate();
   awaitable<void> drainLoop();
   awaitable<void> leaveDirectory();
-  /// Publishes the last counts.
+  /// Publishes the updates that are not in the store, and hands them to other instances, as the
+  /// store may be out.
   awaitable<void> handOver();
+  awaitable<void> handOverTo(agent::Agent aPeer);
   void awaitSignals();
   std::string statusText() const;
   std::string agentStatus() const;
@@ -321,6 +324,9 @@
   Notifier serversDue{ io };
   Notifier refreshDue{ io };
   Notifier syncDue{ io };
+  /// A call of handOverTo() has ended.
+  Notifier handedOver{ io };
+  std::size_t openHandOvers = 0;
   asio::signal_set signals{ io, SIGTERM, SIGINT, SIGHUP };
   asio::steady_timer alarmTimer{ io };
   std::optional<AlarmQueue::Id> syncAlarm;
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -356,6 +356,30 @@
   }
 }
 
+std::vector<Agent>
+SourcePlanner::handOverTargets(std::vector<Agent> aPeers)
+{
+  const auto isSilent = [&](const Agent& aPeer) {
+    const auto it = mHealth.find(aPeer.instance);
+    return it != mHealth.end() && it->second.failures > 0;
+  };
+  const auto isOtherAgent = [&](const Agent& aPeer) {
+    return std::any_of(
+      mDirectory.domains.begin(), mDirectory.domains.end(), [&](const auto& aItem) {
+        const auto& agents = aItem.second;
+        return aItem.first != mOptions.domain &&
+               std::find(agents.begin(), agents.end(), aPeer) != agents.end();
+      });
+  };
+  std::erase_if(aPeers, [&](const Agent& aPeer) { return isSelf(aPeer); });
+  std::shuffle(aPeers.begin(), aPeers.end(), mRandom);
+  std::stable_partition(aPeers.begin(), aPeers.end(), isOtherAgent);
+  std::stable_partition(
+    aPeers.begin(), aPeers.end(), [&](const Agent& aPeer) { return !isSilent(aPeer); });
+  aPeers.resize(std::min(aPeers.size(), kMaxHandOverTargets));
+  return aPeers;
+}
+
 std::vector<InstanceId>
 SourcePlanner::reachedAgents(TimePoint aNow) const
 {
--- a/src/mustardplank/agent/source_planner_test.cpp
+++ b/src/mustardplank/agent/source_planner_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 using namespace mustardplank;
 using namespace mustardplank::agent;
 
@@ -217,4 +219,32 @@
   BOOST_TEST(!planner.dueClaim(kStart + Seconds(10)).has_value());
 }
 
+// Load pattern: all instances of a failure domain stop while the store is out.
+BOOST_AUTO_TEST_CASE(last_updates_go_to_agents_of_other_domains_first)
+{
+  SourcePlanner planner(optionsOf("a"), kStart);
+  AgentList others;
+  AgentList peers{ agentNamed("a"), agentNamed("b"), agentNamed("c") };
+  for (const auto* name : { "d", "e", "f", "g", "h" }) {
+    others.push_back(agentNamed(name));
+    peers.push_back(agentNamed(name));
+  }
+  planner.setDirectory(directoryOf({ agentNamed("a"), agentNamed("b") }, others), kStart);
+  const auto targets = planner.handOverTargets(peers);
+  BOOST_TEST(targets.size() == SourcePlanner::kMaxHandOverTargets);
+  for (const auto& it : targets) {
+    BOOST_TEST((std::find(others.begin(), others.end(), it) != others.end()), it.instance.str());
+  }
+  for (const auto* name : { "d", "e", "f", "g" }) {
+    failSyncs(planner, name, kStart, kStart);
+  }
+  const auto rest = planner.handOverTargets(peers);
+  BOOST_TEST_REQUIRE(rest.size() == SourcePlanner::kMaxHandOverTargets);
+  BOOST_TEST((rest.front() == agentNamed("h")));
+  for (const auto* name : { "b", "c" }) {
+    BOOST_TEST((std::find(rest.begin(), rest.end(), agentNamed(name)) != rest.end()), name);
+  }
+  BOOST_TEST(planner.handOverTargets({ agentNamed("a") }).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -278,6 +278,50 @@
   BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= kCalls; }));
 }
 
+// Guards against usage that is lost when all instances of a failure domain stop while the store is
+// out: what they counted last reaches instances of other domains.
+BOOST_AUTO_TEST_CASE(routes_usage_of_a_domain_that_stops_in_an_outage_is_reported)
+{
+  constexpr std::size_t kDomains = 2;
+  constexpr std::size_t kInstances = 4;
+  constexpr auto kPause = Millis(20);
+  RouteDeployment deployment(1, kInstances, Clocks::OfTheMachine, kDomains);
+  std::this_thread::sleep_for(Millis(4500));
+  std::string staying;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    if (deployment.adminPage(i, "/status").find("lease held") != std::string::npos) {
+      staying = deployment.domainOf(i);
+    }
+  }
+  BOOST_TEST_REQUIRE(!staying.empty());
+  deployment.store().setDown(true);
+  std::vector<std::future<std::uint64_t>> callers;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    if (deployment.domainOf(i) == staying) {
+      continue;
+    }
+    deployment.instance(i).signal(SIGTERM);
+    // Until it takes no requests any more.
+    callers.push_back(std::async(std::launch::async, [&, i] {
+      std::uint64_t served = 0;
+      while (statusOf(deployment, callOf("/plain/ok"), i) == 200U) {
+        ++served;
+        std::this_thread::sleep_for(kPause);
+      }
+      BOOST_TEST(deployment.instance(i).wait(Millis(8000)).has_value());
+      return served;
+    }));
+  }
+  std::uint64_t served = 0;
+  for (auto& it : callers) {
+    served += it.get();
+  }
+  deployment.store().setDown(false);
+  BOOST_TEST(served > 0U);
+  BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= served; }),
+             usageReported(deployment) << " of " << served);
+}
+
 // Guards against usage that is lost, reported twice with other figures, or by two holders, while
 // the holder is killed and answers of the store are lost.
 BOOST_AUTO_TEST_CASE(routes_usage_of_a_window_is_reported_once)
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -113,8 +113,12 @@
   mStream.close();
 }
 
-RouteDeployment::RouteDeployment(std::size_t aServers, std::size_t aInstances, Clocks aClocks)
+RouteDeployment::RouteDeployment(std::size_t aServers,
+                                 std::size_t aInstances,
+                                 Clocks aClocks,
+                                 std::size_t aDomains)
   : mClocks(aClocks)
+  , mDomains(aDomains)
   , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
@@ -147,6 +151,12 @@
   std::filesystem::remove_all(mFolder);
 }
 
+std::string
+RouteDeployment::domainOf(std::size_t aIndex) const
+{
+  return std::string("fd-") + static_cast<char>('a' + aIndex % mDomains);
+}
+
 std::string
 RouteDeployment::settingsFile(std::size_t aIndex) const
 {
@@ -174,7 +184,7 @@
   const auto& store = mOnOtherAddress.contains(aIndex) ? mStore->otherAddress() : mStore->address();
   const json settings{ { "mode", "routes" },
                        { "instance", "instance" + std::to_string(aIndex) },
-                       { "failure_domain", "fd-a" },
+                       { "failure_domain", domainOf(aIndex) },
                        { "callers", mCallers.at(aIndex) },
                        { "readiness", mReadiness.at(aIndex) },
                        { "admin", mAdmin.at(aIndex) },
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -75,13 +75,16 @@
 public:
   RouteDeployment(std::size_t aServers,
                   std::size_t aInstances,
-                  Clocks aClocks = Clocks::OfTheMachine);
+                  Clocks aClocks = Clocks::OfTheMachine,
+                  std::size_t aDomains = 1);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
   ServerStandin& server(std::size_t aIndex) { return *mServers.at(aIndex); }
   support::ChildProcess& instance(std::size_t aIndex) { return *mInstances.at(aIndex); }
   const std::string& callers(std::size_t aIndex = 0) const { return mCallers.at(aIndex); }
+  /// Failure domain of the instance; the domains take turns.
+  std::string domainOf(std::size_t aIndex) const;
   const std::string& readiness(std::size_t aIndex = 0) const { return mReadiness.at(aIndex); }
   std::string settingsFile(std::size_t aIndex) const;
 
@@ -111,6 +114,7 @@
   std::string clockFile(std::size_t aIndex) const;
 
   Clocks mClocks;
+  std::size_t mDomains;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
