Publish the updates of an outage as soon as the store is read again

A window waits until 2.5 s before its deadline, so whether its counts were in the report was a matter of chance.

Cause: tries to publish are up to 2 s apart in an outage, and nothing cut a pause short.

Change: the first successful read of a part of the store that was lost ends the pause.

--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -212,7 +212,7 @@
       boardDue = false;
       const bool published = co_await publish(store);
       if (!published) {
-        co_await pauseFor(retryPause.next());
+        co_await storeRegained.wait(retryPause.next());
         continue;
       }
       retryPause.reset();
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -129,6 +129,8 @@
                                                                  agent::KeyedView& aView,
                                                                  Duration aWait,
                                                                  Dependency& aDependency);
+  /// A read of this part of the store has succeeded.
+  void noteStoreRead(Dependency& aDependency);
   /// Reads both logs when no agent has stated their changes for too long.
   awaitable<void> refreshLoop();
 
@@ -324,6 +326,9 @@
   Notifier serversDue{ io };
   Notifier refreshDue{ io };
   Notifier syncDue{ io };
+  /// The store answers again: updates of an outage are published at once, as usage windows wait for
+  /// them.
+  Notifier storeRegained{ io };
   /// A call of handOverTo() has ended.
   Notifier handedOver{ io };
   std::size_t openHandOvers = 0;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -126,7 +126,7 @@
   if (aView.isKnown()) {
     auto answer = co_await aStore.read(aTopic, aView.next(), aWait);
     if (auto* batch = std::get_if<control::RecordBatch>(&answer)) {
-      aDependency.succeeded();
+      noteStoreRead(aDependency);
       planner.recordStoreCall(true, bootNow());
       co_return aView.applyRead(std::move(*batch), { sentAt, bootNow(), aWait });
     }
@@ -144,12 +144,21 @@
     aDependency.failed(std::get<Failure>(page).message);
     co_return std::nullopt;
   }
-  aDependency.succeeded();
+  noteStoreRead(aDependency);
   auto changes = aView.replace(std::move(newest->records), newest->logEnd);
   aView.confirm(sentAt);
   co_return changes;
 }
 
+void
+RouteDaemon::Impl::noteStoreRead(Dependency& aDependency)
+{
+  if (aDependency.isLost()) {
+    storeRegained.notify();
+  }
+  aDependency.succeeded();
+}
+
 awaitable<bool>
 RouteDaemon::Impl::readOperators(StoreClient& aStore, Duration aWait)
 {
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -278,6 +278,24 @@
   BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= kCalls; }));
 }
 
+// Guards against updates that reach the store late after an outage, as windows wait for them.
+BOOST_AUTO_TEST_CASE(routes_updates_reach_the_store_soon_after_an_outage)
+{
+  // A lost store is tried once a second.
+  constexpr auto kBound = Millis(1250);
+  RouteDeployment deployment(1, 1);
+  std::this_thread::sleep_for(Millis(2000));
+  for (const int outageMs : { 5000, 5500, 6000, 6500 }) {
+    deployment.store().setDown(true);
+    std::this_thread::sleep_for(Millis(outageMs));
+    const auto before = deployment.store().logEnd("board");
+    deployment.store().setDown(false);
+    BOOST_TEST(waitUntil(kBound, [&] { return deployment.store().logEnd("board") > before; }),
+               "outage of " << outageMs << " ms");
+    std::this_thread::sleep_for(Millis(1000));
+  }
+}
+
 // Guards against usage that is lost when all instances of a failure domain stop while the store is
 // out: what they counted last reaches instances of other domains.
 BOOST_AUTO_TEST_CASE(routes_usage_of_a_domain_that_stops_in_an_outage_is_reported)
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -137,6 +137,13 @@
   add(mLogs[aTopic], true, content);
 }
 
+std::uint64_t
+StoreStandin::logEnd(const std::string& aTopic) const
+{
+  const std::lock_guard lock(mMutex);
+  return endOf(aTopic);
+}
+
 void
 StoreStandin::setDown(bool aDown)
 {
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -48,6 +48,8 @@
     nlohmann::json body;
   };
   std::vector<DutyCall> dutyCalls() const;
+  /// Number of records that have been appended to a topic.
+  std::uint64_t logEnd(const std::string& aTopic) const;
 
 private:
   struct Record
