--- a/test/routes/answers_test.cpp
+++ b/test/routes/answers_test.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-Call
-callOf(const std::string& aPath)
-{
-  Call call;
-  call.path = aPath;
-  call.attempt = newAttempt();
-  return call;
-}
-
 Response
 callOnce(RouteDeployment& aDeployment, const Call& aCall)
 {
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -12,15 +12,6 @@
 
 namespace {
 
-Call
-callOf(const std::string& aPath)
-{
-  Call call;
-  call.path = aPath;
-  call.attempt = newAttempt();
-  return call;
-}
-
 unsigned
 statusOf(RouteDeployment& aDeployment, const Call& aCall, std::size_t aInstance = 0)
 {
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -336,4 +336,13 @@
   return n;
 }
 
+Call
+callOf(const std::string& aPath)
+{
+  Call call;
+  call.path = aPath;
+  call.attempt = newAttempt();
+  return call;
+}
+
 }
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -134,4 +134,8 @@
 std::string
 newAttempt();
 
+/// A call with an attempt id of its own.
+Call
+callOf(const std::string& aPath);
+
 }
--- a/test/routes/server_backpressure_test.cpp
+++ b/test/routes/server_backpressure_test.cpp
@@ -13,15 +13,6 @@
 
 using Clock = std::chrono::steady_clock;
 
-Call
-callOf(const std::string& aPath)
-{
-  Call call;
-  call.path = aPath;
-  call.attempt = newAttempt();
-  return call;
-}
-
 /// Sends a request every aPause to each instance in turn; returns the answers other than 200.
 int
 sendFor(RouteDeployment& aDeployment,
