--- a/src/mustardplank/dispatch/crash_suspects_test.cpp
+++ b/src/mustardplank/dispatch/crash_suspects_test.cpp
@@ -52,6 +52,27 @@
   }
 }
 
+// Guards against a request with a body that ends several servers within moments, also as reported
+// by instances that state no times.
+BOOST_AUTO_TEST_CASE(servers_lost_together_under_a_request_with_a_body_count_each)
+{
+  for (const bool statesTimes : { true, false }) {
+    CrashSuspects suspects;
+    const auto add = [&](const std::string& aServer, std::int64_t aAtMs) {
+      suspects.add(statesTimes ? loss(aServer, aAtMs, kRare)
+                               : CrashReport{ .digest = 7, .server = BackendServerId(aServer) },
+                   aAtMs);
+    };
+    add("s1", kStart);
+    add("s1", kStart + 1);
+    BOOST_TEST(!suspects.isSuspect(7, kStart + 2));
+    add("s2", kStart + 3);
+    BOOST_TEST(suspects.isSuspect(7, kStart + 4));
+    BOOST_TEST(!suspects.isSuspect(8, kStart + 4));
+    BOOST_TEST(!suspects.isSuspect(7, kStart + 200000));
+  }
+}
+
 // Guards against a request that crashes the one server of a service again and again, which restarts
 // under its id.
 BOOST_AUTO_TEST_CASE(incarnations_of_a_server_count_each)
