--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -20,6 +20,11 @@
 
 namespace {
 
+/// Events of a stream that the mode does not limit.
+constexpr int kTotalEvents = 6;
+constexpr int kSilenceMs = 1500;
+constexpr int kDelayMs = 1200;
+
 constexpr auto kUse = asio::as_tuple(asio::use_awaitable);
 
 Awaitable<bool>
@@ -111,6 +116,12 @@
   if (mReplaced || (!expected.empty() && expected != mId)) {
     co_return co_await writeText(aSocket, answerText(421, attempt, "X-Instance-Id: other\r\n", ""));
   }
+  if (mFull) {
+    co_return co_await writeText(aSocket, answerText(503, attempt, "X-Not-Executed: 1\r\n", ""));
+  }
+  if (mBreakingOff) {
+    co_return false;
+  }
   if (std::string(aRequest["X-Prefix-Hash"]).find("dead:") != std::string::npos) {
     co_await stream(aSocket, aRequest, { 0, StreamEnd::ConnectionClosed });
     ++mCrashes;
@@ -132,6 +143,10 @@
       aSocket,
       answerText(status, attempt, signature + "Content-Type: application/json\r\n", "failed\n\n"));
   }
+  if (mode == "delayed") {
+    co_await standins::sleepMillis(kDelayMs);
+    co_return co_await writeText(aSocket, whole);
+  }
   if (!mFailing || mode == "ok") {
     co_return co_await writeText(aSocket, whole);
   }
@@ -243,6 +258,12 @@
     { "open_broken", { 0, StreamEnd::ConnectionClosed, 50, Framing::None } },
     { "open_reset", { 0, StreamEnd::ConnectionReset, 50, Framing::None } },
   };
+  if (aMode.starts_with("silent")) {
+    StreamPlan plan;
+    plan.events = kTotalEvents;
+    plan.silentAfter = std::atoi(aMode.c_str() + aMode.rfind('t') + 1);
+    return plan;
+  }
   for (const auto& [name, plan] : kPlans) {
     if (aMode.starts_with(name)) {
       auto result = plan;
@@ -256,12 +277,11 @@
 Awaitable<bool>
 ServerStandin::stream(SocketPtr aSocket, Request& aRequest, StreamPlan aPlan)
 {
-  constexpr int kTotal = 6;
   const bool chunked = aPlan.framing == Framing::Chunked;
   const auto framed = [&](const std::string& aText) { return chunked ? chunkText(aText) : aText; };
   const std::string last(aRequest["Last-Event-Id"]);
   const bool breaks = aPlan.end != StreamEnd::Complete && last.empty() && mFailing;
-  const int total = aPlan.end != StreamEnd::Complete ? kTotal : aPlan.events;
+  const int total = aPlan.end != StreamEnd::Complete ? kTotalEvents : aPlan.events;
   std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
                      "\r\nX-Response-Signature: sig-" + mId +
                      "\r\nContent-Type: text/event-stream\r\n" + moreFields() +
@@ -289,7 +309,8 @@
     text += "\ndata: t" + std::to_string(i);
     text += "\n\n";
     open = co_await writeText(aSocket, framed(text));
-    co_await standins::sleepMillis(aPlan.pauseMs);
+    const bool fallsSilent = i == aPlan.silentAfter && last.empty();
+    co_await standins::sleepMillis(fallsSilent ? kSilenceMs : aPlan.pauseMs);
   }
   if (!open) {
     ++mCancelled;
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -26,6 +26,8 @@
 ///     head_cutN   a part of an answer's head, then the end; N from 0 to 5: the later, the shorter
 ///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
+///     silentN  six events; falls silent for 1.5 s after the Nth, unless the caller resumes
+///     delayed  an answer after 1.2 s
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
@@ -62,6 +64,10 @@
   void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
   /// Header lines, each with CRLF, that are added to all answers from now on but those with 421.
   void setMoreFields(std::string aFields);
+  /// From now on refuses all requests as not run.
+  void setFull(bool aFull) { mFull = aFull; }
+  /// From now on closes the connection of every request instead of answering.
+  void setBreakingOff(bool aBreakingOff) { mBreakingOff = aBreakingOff; }
   /// Fails every request of a path with the mode named in the path; false: answers all.
   void setFailing(bool aFailing) { mFailing = aFailing; }
 
@@ -86,6 +92,8 @@
     StreamEnd end = StreamEnd::Complete;
     int pauseMs = 50;
     Framing framing = Framing::Chunked;
+    /// Number of events after which the server falls silent once.
+    int silentAfter = 0;
   };
 
   std::string moreFields() const;
@@ -111,6 +119,8 @@
   std::atomic<std::size_t> mEndlessBytes{ 0 };
   std::atomic<bool> mReplaced{ false };
   std::atomic<bool> mFailing{ true };
+  std::atomic<bool> mFull{ false };
+  std::atomic<bool> mBreakingOff{ false };
 };
 
 }
