LOST: keep the attempt at a silent server until another one responds

Callers saw a stream closed in the middle, or status 502, beside a server that was silent for a second and would have gone on.

Cause: Exchange::checkStall released the server before it looked for another one, and ended the response when none took the request: none left, refused, no attempt left, or broken off as well. Class: what is at hand is given up before its replacement is certain.

The attempt is now kept beside the new one, as a dispatcher job of its own. The first response decides: a response of the other server cancels the silent one; a whole event, a head that is no stream, or the end of its response cancels the new one. A new attempt that is refused, cannot connect, breaks off or answers 5xx leaves the silent one in place. Bytes that are no whole event do not count, as a server in trouble may send some now and then. While the caller does not read, its server does not count as silent.

--- a/include/mustardplank/gateway/event_splitter.hpp
+++ b/include/mustardplank/gateway/event_splitter.hpp
@@ -16,6 +16,8 @@
 {
 public:
   void append(std::string_view aBytes);
+  /// Whether the buffer holds a complete event.
+  bool hasEvents() const;
   /// Returns and removes all complete events in the buffer.
   std::string takeEvents();
   /// Bytes not taken yet; after takeEvents() these are the start of an incomplete event.
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -63,6 +63,11 @@
   /// Sends one serialized request. aIsHeadRequest is true for the method HEAD, whose responses have
   /// no body.
   void send(std::string aRequest, bool aIsHeadRequest, ResponseListener& aListener);
+  /// The rest of the response goes to aListener, if there is one in progress.
+  void setListener(ResponseListener& aListener)
+  {
+    mListener = mRequestActive ? &aListener : nullptr;
+  }
   /// Detaches the listener and resets the connection, which cancels the request at the server.
   void cancelRequest();
   /// Closes a connection that carries no request.
@@ -71,6 +76,7 @@
   /// Stops reading, so that a slow caller applies backpressure to the server.
   void pause();
   void resume();
+  bool isPaused() const { return mPaused; }
 
   const std::string& address() const { return mAddress; }
   /// When the idle connection may no longer be reused: shortly before the server closes it.
--- a/src/mustardplank/gateway/event_splitter.cpp
+++ b/src/mustardplank/gateway/event_splitter.cpp
@@ -44,6 +44,12 @@
   mBuffer.append(aBytes);
 }
 
+bool
+EventSplitter::hasEvents() const
+{
+  return findEventEnd(mBuffer, mSearchOffset) != std::string::npos;
+}
+
 std::string
 EventSplitter::takeEvents()
 {
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -22,8 +22,6 @@
 /// The request fails after this many grants that ended before it was sent, by a failed connect or
 /// by revocation.
 constexpr std::uint32_t kMaxUnsentGrants = 4;
-/// With less time left, no other server is tried after a failed connect or a failed attempt.
-constexpr Duration kMinRetryTimeLeft = Millis(30);
 /// If no response is complete, the gateway fails the request this long before the deadline, so that
 /// its status still reaches the caller in time.
 constexpr Duration kDeadlineMargin = Millis(5);
@@ -31,17 +29,6 @@
 constexpr Duration kDefaultTimeout = Seconds(30);
 /// Assumed when the request states neither an estimate nor a limit.
 constexpr std::uint32_t kDefaultOutputTokens = 200;
-/// A server counts as stalled if kStallFactor * Grant::estimate plus the slack for its kind of
-/// route passes without a complete response or, for a stream, without data. Another server is then
-/// tried, if a retry is allowed.
-constexpr int kStallFactor = 4;
-constexpr Duration kStreamStallSlack = Millis(500);
-constexpr Duration kNonStreamStallSlack = Millis(200);
-/// A stream of which the caller has received events counts as stalled when no data arrives for
-/// kEventGapFactor * Route::pauseTarget (the longest pause at which a stream is still on time), but
-/// not before kMinEventGapTimeout.
-constexpr int kEventGapFactor = 2;
-constexpr Duration kMinEventGapTimeout = Millis(800);
 /// Retry-After of requests that are suspected of crashing servers.
 constexpr Duration kCrashSuspectRetryDelay = Seconds(2);
 /// Model engines accept priorities from 0 to 9.
@@ -72,6 +59,9 @@
 Exchange::~Exchange()
 {
   mContext.exchanges.erase(mJob.id);
+  if (mStalled) {
+    mContext.exchanges.erase(mStalled->job);
+  }
   if (mDeadlineTimer) {
     mContext.timers.cancel(*mDeadlineTimer);
   }
@@ -279,6 +269,9 @@
   releaseServer(dispatch::JobOutcome::NotConnected);
   mJob.excludedServers.push_back(server);
   if (++mUnsentGrants >= kMaxUnsentGrants || deadline() - bootNow() < kMinRetryTimeLeft) {
+    if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
+      return;
+    }
     if (mMayHaveExecuted) {
       sendLocalResponse(502, "not_connected", std::nullopt);
     } else {
@@ -297,6 +290,9 @@
   if (isCrashSuspect()) {
     aConnection->close();
     releaseServer(dispatch::JobOutcome::Cancelled);
+    if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
+      return;
+    }
     if (mMayHaveExecuted) {
       failResponse("crash_suspect");
     } else {
@@ -310,6 +306,9 @@
     aConnection->close();
     releaseServer(dispatch::JobOutcome::Cancelled);
     if (++mUnsentGrants >= kMaxUnsentGrants) {
+      if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
+        return;
+      }
       sendLocalResponse(mMayHaveExecuted ? 502 : 503, "no_server", kShortRetryDelay);
       return;
     }
@@ -332,57 +331,6 @@
   armStallTimer();
 }
 
-Duration
-Exchange::stallTimeout() const
-{
-  if (mPhase == Phase::ReceivingResponse && mResponseStreamed && mResponseHeadSent) {
-    return std::max<Duration>(kEventGapFactor * mRoute->eventGapTarget, kMinEventGapTimeout);
-  }
-  return kStallFactor * mGrant->estimate +
-         (isStreamingRoute() ? kStreamStallSlack : kNonStreamStallSlack);
-}
-
-void
-Exchange::armStallTimer()
-{
-  if (mStallTimer) {
-    mContext.timers.cancel(*mStallTimer);
-    mStallTimer.reset();
-  }
-  if (!mJob.retryable || mSendCount >= mRoute->maxAttempts) {
-    return;
-  }
-  const auto at = std::max(mLastProgressAt + stallTimeout(), bootNow() + Millis(1));
-  mStallTimer = mContext.timers.set(at, [this] {
-    mStallTimer.reset();
-    checkStall();
-  });
-}
-
-void
-Exchange::checkStall()
-{
-  if (mDone || !mGrant ||
-      (mPhase != Phase::AwaitingResponse && mPhase != Phase::ReceivingResponse)) {
-    return;
-  }
-  if (bootNow() < mLastProgressAt + stallTimeout()) {
-    armStallTimer();
-    return;
-  }
-  if (deadline() - bootNow() < kMinRetryTimeLeft ||
-      !mContext.dispatcher.canTakeRetry(mJob.service, bootNow())) {
-    return;
-  }
-  mEventSplitter.takeRemainder();
-  mResponseBody.clear();
-  // The server is unreachable, does not respond or has stopped sending. Without a retry the caller
-  // would wait until its deadline.
-  if (!retryOnOtherServer(dispatch::JobOutcome::Stalled, false, "stalled")) {
-    failResponse("stalled");
-  }
-}
-
 std::string
 Exchange::serializeRequest() const
 {
@@ -434,27 +382,38 @@
 Exchange::retryOnOtherServer(dispatch::JobOutcome aOutcome, bool aNotExecuted, const char* aCause)
 {
   const auto server = mGrant->server;
-  const auto now = bootNow();
+  mMayHaveExecuted = mMayHaveExecuted || !aNotExecuted;
+  if (resumeStalledAttempt(aOutcome)) {
+    return true;
+  }
   releaseServer(aOutcome);
   mJob.excludedServers.push_back(server);
-  mMayHaveExecuted = mMayHaveExecuted || !aNotExecuted;
+  if (!takeRetry(server, aNotExecuted, aCause)) {
+    return false;
+  }
+  submit();
+  return true;
+}
+
+bool
+Exchange::takeRetry(const BackendServerId& aServer, bool aNotExecuted, const char* aCause)
+{
+  const auto now = bootNow();
   const bool allowed = (aNotExecuted || mJob.retryable) && mSendCount < mRoute->maxAttempts &&
                        deadline() - now >= kMinRetryTimeLeft && !isCrashSuspect();
   const bool retry = allowed && mContext.dispatcher.tryTakeRetry(mJob.service, now);
   log(makeLogEvent(LogLevel::Info, retry ? "request.retried" : "request.not_retried")
-        .field("server", server.str())
+        .field("server", aServer.str())
         .field("cause", aCause)
         .field("not_run", static_cast<int>(aNotExecuted))
         .field("attempt", mSendCount)
         .field("max_attempts", mRoute->maxAttempts)
         .field("budget", static_cast<int>(retry || !allowed)),
       false);
-  if (!retry) {
-    return false;
+  if (retry) {
+    mRecorder->retry();
   }
-  mRecorder->retry();
-  submit();
-  return true;
+  return retry;
 }
 
 void
@@ -514,6 +473,7 @@
   if (mRecorder && succeeded) {
     mRecorder->requestTime(now - mJob.arrived);
   }
+  dropStalledAttempt(dispatch::JobOutcome::Cancelled);
   if (mRoute) {
     releaseServer(succeeded || (mResponseStarted && aReason == "complete")
                     ? dispatch::JobOutcome::Finished
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -22,6 +22,11 @@
 /// request, a server that did not execute it, or a deadline that passed before it was sent.
 inline constexpr Duration kShortRetryDelay = Millis(500);
 
+/// With less time left, no other server is tried after a failed connect or a failed attempt.
+inline constexpr Duration kMinRetryTimeLeft = Millis(30);
+/// A stream with a longer event fails.
+inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+
 /// One request of a caller, from its last byte to the end of its response: obtains a server from
 /// the dispatcher, forwards the request, relays the response and retries where that is allowed.
 class Exchange : public ResponseListener
@@ -71,10 +76,23 @@
   std::string serializeRequest() const;
   /// Gives up the grant, cancels a request in progress and reports aOutcome to the dispatcher.
   void releaseServer(dispatch::JobOutcome aOutcome);
-  /// Releases the server and excludes it from further attempts; then submits the request again if
-  /// attempts, time and retry budget allow it. False if they do not: the caller of this function
-  /// then ends the response.
+  /// Releases the server and excludes it from further attempts; then resumes the stalled attempt,
+  /// or submits the request again if attempts, time and retry budget allow it. False if neither is
+  /// possible: the caller of this function then ends the response.
   bool retryOnOtherServer(dispatch::JobOutcome aOutcome, bool aNotExecuted, const char* aCause);
+  /// Whether the request may be sent once more, to a server other than aServer; takes a retry from
+  /// the budget if so.
+  bool takeRetry(const BackendServerId& aServer, bool aNotExecuted, const char* aCause);
+  /// Submits the request to another server and keeps the attempt in progress until that one
+  /// responds.
+  void replaceStalledAttempt();
+  /// Gives up the attempt in progress, if any, and goes on with the stalled one. False if there is
+  /// none.
+  bool resumeStalledAttempt(dispatch::JobOutcome aOutcome);
+  /// Another server has responded: cancels the stalled attempt.
+  void dropStalledAttempt(dispatch::JobOutcome aOutcome);
+  /// The connection of the stalled attempt broke before another server responded.
+  void onStalledAttemptLost(ResponseFailure aFailure);
   void writeResponseHead(unsigned aStatus, Fields& aFields, bool aIsStreamed);
   void relayEvents();
   /// Whether the stream that has ended lacks its end, however it was framed: it ends inside an
@@ -98,15 +116,61 @@
   /// Whether the response has the media type of the stream that the caller receives.
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
-  bool isResponseToThis(const ResponseHead& aHead) const;
+  bool isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const;
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
-  /// Reports the request, and the parts of its prompt if the server was lost as it began to answer.
-  void reportServerLoss();
+  /// An attempt at a server.
+  struct Attempt
+  {
+    /// Of the dispatcher; each attempt that is kept beside another one has its own.
+    dispatch::JobId job = 0;
+    dispatch::Grant grant;
+    BackendConnectionPool::ConnectionPtr connection;
+    Phase phase = Phase::AwaitingResponse;
+    TimePoint sentAt{};
+    std::int64_t sentAtMs = 0;
+  };
+  /// The response of a stalled attempt. The attempt is resumed when its server makes progress: for
+  /// a stream that is a whole event, as a server in trouble may still send a byte now and then.
+  class StalledResponse : public ResponseListener
+  {
+  public:
+    explicit StalledResponse(Exchange& aExchange)
+      : mExchange(aExchange)
+    {
+    }
+
+    /// For the next attempt that stalls.
+    void reset() { mHead.reset(); }
+
+    bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
+    void onResponseBody(std::string_view aBytes) override;
+    void onResponseEnd() override;
+    void onResponseFailure(ResponseFailure aFailure) override;
+
+  private:
+    struct Head
+    {
+      unsigned status = 0;
+      Fields fields;
+      BodyFraming framing = BodyFraming::NoBody;
+    };
+
+    /// Resumes the attempt and hands the head to the exchange, if it came after the stall. False if
+    /// that has ended the attempt.
+    bool resume();
+
+    Exchange& mExchange;
+    std::optional<Head> mHead;
+  };
+
+  /// Logs the loss of a server during the request and reports it, with the parts of the prompt if
+  /// the server was lost as it began to answer.
+  void reportServerLoss(const dispatch::Grant& aGrant, std::int64_t aSentAtMs);
   void reportAnswered();
   /// Writes what is known of a request during which the connection to its server broke.
-  void logServerLost();
+  void logServerLost(const dispatch::Grant& aGrant);
   /// Marks the request as done, logs the event aEventName and releases the server.
   void finishRequest(const char* aEventName, unsigned aStatus, std::string_view aReason);
   LogEvent makeLogEvent(LogLevel aLevel, std::string_view aEventName) const;
@@ -144,6 +208,9 @@
   TimePoint mSentAt{};
   /// The same on the clock on which the instances agree, in Unix milliseconds.
   std::int64_t mSentAtMs = 0;
+  /// An attempt whose server is silent, while another server is asked.
+  std::optional<Attempt> mStalled;
+  StalledResponse mStalledResponse{ *this };
   TimePoint mResponseStartedAt{};
   std::optional<AlarmQueue::Id> mDeadlineTimer;
   std::optional<AlarmQueue::Id> mConnectTimer;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -54,8 +54,6 @@
 
 /// Responses that are not streamed are buffered until they are complete; larger ones fail.
 constexpr std::size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
-/// A stream with a longer event fails.
-constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 /// A prompt part that crashes servers does so when they begin to answer; a server that is lost
 /// later than this after the head of the response had another cause.
 constexpr Duration kResponseBeginning = Millis(300);
@@ -66,7 +64,7 @@
 Exchange::onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming)
 {
   const auto head = mContext.dialect.parseResponseHead(aStatus, aFields);
-  if (!isResponseToThis(head)) {
+  if (!isResponseToThis(head, *mConnection)) {
     return false;
   }
   const auto now = bootNow();
@@ -105,6 +103,15 @@
     onResponseFailure(ResponseFailure::Malformed);
     return true;
   }
+  if (mStalled) {
+    if (aStatus >= 500) {
+      resumeStalledAttempt(dispatch::JobOutcome::Failed);
+      return true;
+    }
+    mEventSplitter.takeRemainder();
+    mResponseBody.clear();
+    dropStalledAttempt(dispatch::JobOutcome::Stalled);
+  }
   recordResponseStart();
   if (!isStreamingRoute() || !success) {
     mContext.dispatcher.recordFirstEvent(mJob.id, now);
@@ -129,11 +136,11 @@
 }
 
 bool
-Exchange::isResponseToThis(const ResponseHead& aHead) const
+Exchange::isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const
 {
   if (aHead.attemptId.empty()) {
     // On a kept connection it may be an earlier response that the server repeats.
-    return mRequestHead.attemptId.empty() || !mConnection->isReused();
+    return mRequestHead.attemptId.empty() || !aConnection.isReused();
   }
   return aHead.attemptId == mRequestHead.attemptId;
 }
@@ -307,22 +314,23 @@
 }
 
 void
-Exchange::reportServerLoss()
+Exchange::reportServerLoss(const dispatch::Grant& aGrant, std::int64_t aSentAtMs)
 {
+  logServerLost(aGrant);
   const auto nowMs = mContext.callbacks.sharedTimeMs();
   const bool hasBody = mJob.streaming || !mRequest.body().empty();
   mContext.callbacks.onConnectionLost(
     { mRequestDigest,
-      mGrant->server,
-      mGrant->serverStartTimeMs,
-      mSentAtMs,
+      aGrant.server,
+      aGrant.serverStartTimeMs,
+      aSentAtMs,
       nowMs,
       hasBody ? dispatch::DigestSharing::Rare : dispatch::DigestSharing::Common });
   auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
   const bool isBeginning = !mResponseStarted || bootNow() - mResponseStartedAt < kResponseBeginning;
   if (isBeginning && !parts.empty()) {
     mContext.callbacks.onServerLost(
-      { mGrant->server, mGrant->serverStartTimeMs, nowMs, std::move(parts) });
+      { aGrant.server, aGrant.serverStartTimeMs, nowMs, std::move(parts) });
   }
 }
 
@@ -336,7 +344,7 @@
 }
 
 void
-Exchange::logServerLost()
+Exchange::logServerLost(const dispatch::Grant& aGrant)
 {
   std::ostringstream parts;
   parts << std::hex;
@@ -344,7 +352,7 @@
     parts << (parts.tellp() > 0 ? "," : "") << it.id;
   }
   log(makeLogEvent(LogLevel::Info, "request.server_lost")
-        .field("server", mGrant->server.str())
+        .field("server", aGrant.server.str())
         .field("digest", mRequestDigest)
         .field("events", mEventSplitter.eventCount())
         .field("response_ms", mResponseStarted ? toMillis(bootNow() - mResponseStartedAt) : -1.0)
@@ -360,13 +368,14 @@
   }
   const bool lost = aFailure == ResponseFailure::ConnectionLost;
   if (lost && mGrant) {
-    logServerLost();
-    reportServerLoss();
+    reportServerLoss(*mGrant, mSentAtMs);
   }
-  mResponseBody.clear();
-  mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
   const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
   const auto* reason = failureReason(aFailure);
+  if (!mStalled) {
+    mResponseBody.clear();
+    mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
+  }
   if (retryOnOtherServer(outcome, false, reason)) {
     return;
   }
@@ -434,6 +443,9 @@
   if (mDone) {
     return;
   }
+  if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
+    return;
+  }
   const std::string reason(dispatch::kRefusalReasonNames.name(aRefusal.reason));
   if (mMayHaveExecuted) {
     failResponse(reason.c_str());
