LOST: read from callers into memory that is not consumed meanwhile

Callers that send a request while the one before is being answered saw a server run something else than they had sent: parts of an earlier request stood in its body, head lines and key included.

Cause: a read was under way into the free part of the buffer whose front was consumed when the next request began. Emptied, the buffer begins anew at its front, while the read still writes behind it, so that older bytes count as new.

Reads now go to memory of their own and are appended. The connections to servers consume only between two reads: not affected.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
 /// Unparsed bytes of pipelined requests at which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 
@@ -107,7 +106,7 @@
     return;
   }
   mReading = true;
-  mSocket.async_read_some(mBuffer.prepare(kReadBufferBytes),
+  mSocket.async_read_some(asio::buffer(mReadBytes),
                           [self = shared_from_this()](BoostErrorCode aError, std::size_t aBytes) {
                             self->mReading = false;
                             self->onRead(aError, aBytes);
@@ -124,7 +123,7 @@
     close();
     return;
   }
-  mBuffer.commit(aBytes);
+  mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
   if (!mExchange) {
     const bool wasIdle = !mParser->got_some();
     parse();
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,7 +60,10 @@
   std::shared_ptr<GatewayContext> mSharedContext;
   GatewayContext& mContext;
   Socket mSocket;
+  /// Bytes that are not parsed yet.
   boost::beast::flat_buffer mBuffer;
+  /// Target of the read in progress; apart from mBuffer, which is consumed meanwhile.
+  std::array<char, 16 * 1024> mReadBytes{};
   std::optional<Parser> mParser;
   std::unique_ptr<Exchange> mExchange;
   std::string mPendingOutput;
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -2,6 +2,8 @@
 
 #include "mustardplank/base/clock.hpp"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -9,6 +11,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 
 namespace mustardplank::routes {
@@ -58,8 +61,8 @@
   mStream.connect(standins::parseEndpoint(aAddress));
 }
 
-void
-CallerConnection::send(const Call& aCall)
+std::string
+CallerConnection::textOf(const Call& aCall)
 {
   http::request<http::string_body> request;
   request.method_string(aCall.method);
@@ -76,7 +79,21 @@
   }
   request.body() = aCall.body;
   request.prepare_payload();
-  http::write(mStream, request);
+  std::ostringstream text;
+  text << request;
+  return text.str();
+}
+
+void
+CallerConnection::send(const Call& aCall)
+{
+  sendText(textOf(aCall));
+}
+
+void
+CallerConnection::sendText(const std::string& aText)
+{
+  asio::write(mStream, asio::buffer(aText));
 }
 
 Response
@@ -244,7 +261,7 @@
   config["limits"] = { { "maxHeaderBytes", 8192 },
                        { "maxBodyBytes", 100000 },
                        { "headerTimeoutMs", 1000 },
-                       { "idleTimeoutMs", 3000 } };
+                       { "idleTimeoutMs", mIdleTimeout.count() } };
   config["tenants"] = json::array();
   config["tenants"].push_back({ { "name", "one" }, { "apiKeys", { aKeyOfOne } } });
   config["tenants"].push_back({ { "name", "two" }, { "apiKeys", { "key-two" } } });
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -41,7 +41,10 @@
 public:
   explicit CallerConnection(const std::string& aAddress);
 
+  /// The request as it is sent.
+  static std::string textOf(const Call& aCall);
   void send(const Call& aCall);
+  void sendText(const std::string& aText);
   /// Throws when the connection ends before the answer is complete. What came of the body is in
   /// partialBody() then.
   Response read();
@@ -97,6 +100,8 @@
   void configure(const std::string& aKeyOfOne = "key-one", bool aWithPlain = true);
   /// Routes that configure() adds under other host names.
   void setMoreRoutes(std::size_t aCount) { mMoreRoutes = aCount; }
+  /// The limits on idle connections that configure() sets.
+  void setIdleTimeout(Millis aTimeout) { mIdleTimeout = aTimeout; }
   void writeServer(std::size_t aIndex,
                    const std::string& aState = "ready",
                    const std::string& aMore = "");
@@ -127,6 +132,7 @@
   std::string mFolder;
   int mVersion = 0;
   std::size_t mMoreRoutes = 0;
+  Millis mIdleTimeout{ 3000 };
   std::thread mThread;
 };
 
