LOST: a longer idle limit holds for connections that are open

Beside a change of the configuration callers saw kept connections end under their next request.

Cause: the timer of an idle connection was set when its wait began and kept the limit of that configuration. Callers that know the newer, longer limit reuse the connection after it was closed.

A new configuration extends the timers of all connections that wait. A shorter limit holds from the next wait on, as callers may not know it yet.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -81,11 +81,32 @@
   if (mReceiveTimer) {
     mContext.timers.cancel(*mReceiveTimer);
   }
+  mReceivingSince = bootNow();
+  setReceiveTimer(mReceivingSince + receiveTimeout());
+}
+
+Duration
+CallerConnection::receiveTimeout() const
+{
   const auto limits = mContext.table ? mContext.table->config().limits : route::CallerLimits{};
   const bool requestStarted = mParser && (mParser->got_some() || mBuffer.size() > 0);
-  const auto timeout =
-    requestStarted && !mParser->is_header_done() ? limits.headerTimeout : limits.idleTimeout;
-  mReceiveTimer = mContext.timers.set(bootNow() + timeout, [weak = weak_from_this()] {
+  return requestStarted && !mParser->is_header_done() ? limits.headerTimeout : limits.idleTimeout;
+}
+
+void
+CallerConnection::extendReceiveTimer()
+{
+  const auto at = mReceivingSince + receiveTimeout();
+  if (mReceiveTimer && mReceiveTimer->first < at) {
+    mContext.timers.cancel(*mReceiveTimer);
+    setReceiveTimer(at);
+  }
+}
+
+void
+CallerConnection::setReceiveTimer(TimePoint aAt)
+{
+  mReceiveTimer = mContext.timers.set(aAt, [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (!self || self->mExchange) {
       return;
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -27,6 +27,9 @@
   /// Closes the connection unless a request is being received or processed or output is still to be
   /// written.
   void closeIfIdle();
+  /// Applies the limits of a new configuration to the time for which the next request is awaited. A
+  /// shorter limit holds from the next wait on: the caller may not know it yet.
+  void extendReceiveTimer();
 
   // For Exchange.
   void write(std::string_view aBytes);
@@ -54,6 +57,8 @@
   /// Starts the timer that closes an idle connection or rejects a request that does not arrive in
   /// time.
   void armReceiveTimer();
+  void setReceiveTimer(TimePoint aAt);
+  Duration receiveTimeout() const;
   void close();
 
   /// Keeps the context alive until the last connection is destroyed.
@@ -69,6 +74,8 @@
   std::string mPendingOutput;
   std::string mOutputInFlight;
   std::optional<AlarmQueue::Id> mReceiveTimer;
+  /// When the wait that mReceiveTimer limits began.
+  TimePoint mReceivingSince{};
   bool mReading = false;
   bool mWriting = false;
   bool mClosed = false;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -200,6 +200,9 @@
 Gateway::setTable(route::RouteTablePtr aTable)
 {
   mImpl->context.table = std::move(aTable);
+  for (auto* it : mImpl->context.callerConnections) {
+    it->extendReceiveTimer();
+  }
 }
 
 void
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -108,3 +108,17 @@
     BOOST_TEST(nextBody(*connections[i]) == "answer to " + calls[i].attempt);
   }
 }
+
+// Guards against connections that are closed at an idle limit that is no longer in force.
+BOOST_AUTO_TEST_CASE(routes_longer_idle_limit_holds_for_open_connections)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  deployment.setIdleTimeout(Millis(8000));
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(5000));
+  const auto call = callOf("/plain/ok");
+  connection.send(call);
+  BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+}
