LOST: keep a connection whose end was not announced

Callers of a stream that had begun before a planned stop saw the connection end after it although nothing in the answer said so: their next request crossed the close.

Cause: whether the connection ends was decided twice, when the head was written and when the response ended. It now ends with the response if the head said so, or if no further request would be taken.

routes_connection_is_kept_after_a_stream_that_began_before_a_stop failed before (end of stream) and passes; so does routes_planned_stop_cuts_nothing_and_ends.

--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -227,6 +227,8 @@
   std::size_t mUnfinishedEventBytes = 0;
   bool mResponseStreamed = false;
   bool mResponseHeadSent = false;
+  /// The head that the caller got says that the connection ends with the response.
+  bool mCloseAnnounced = false;
   bool mResponseStarted = false;
   EventSplitter mEventSplitter;
   std::optional<metrics::RequestRecorder> mRecorder;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -253,7 +253,8 @@
   } else if (mRequest.method() != http::verb::head) {
     text += "Content-Length: " + std::to_string(mResponseBody.size()) + "\r\n";
   }
-  if (mCaller.closesAfterResponse()) {
+  mCloseAnnounced = mCaller.closesAfterResponse();
+  if (mCloseAnnounced) {
     text += "Connection: close\r\n";
   }
   text += "\r\n";
@@ -432,9 +433,8 @@
     mCaller.write(kLastChunk);
   }
   reportAnswered();
-  const bool closes = mCaller.closesAfterResponse();
   finishRequest("request.answered", mResponseStatus, "complete");
-  mCaller.finishResponse(!closes);
+  mCaller.finishResponse(!mCloseAnnounced && mContext.acceptingRequests);
 }
 
 void
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -122,3 +122,20 @@
   connection.send(call);
   BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
 }
+
+// Guards against a connection that ends after an answer that did not announce it.
+BOOST_AUTO_TEST_CASE(routes_connection_is_kept_after_a_stream_that_began_before_a_stop)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  connection.send(callOf("/events/stream20"));
+  std::this_thread::sleep_for(Millis(300));
+  deployment.instance(0).signal(SIGTERM);
+  const auto stream = connection.read();
+  BOOST_TEST(stream.keep_alive());
+  const auto call = callOf("/plain/ok");
+  connection.send(call);
+  const auto answer = connection.read();
+  BOOST_TEST(answer.result_int() == 200U);
+  BOOST_TEST(!answer.keep_alive());
+}
