CONFIG: let the stand-in of the store go back to an older copy

Store calls answer with Store-Era, a read beyond the end of a log gets 410, restore() puts all topics back and breaks calls that wait off. What the operator and the servers wrote since the copy is written again by rewriteOperators().

--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/write.hpp>
-#include <openssl/evp.h>
 
 #include <algorithm>
 #include <sstream>
@@ -32,42 +31,49 @@
   return target.substr(begin, target.find('&', begin) - begin);
 }
 
-bool
-isKeyed(const std::string& aTopic)
+http::response<http::string_body>
+answerOf(const Request& aRequest, unsigned aStatus, std::string aBody, std::uint64_t aEra)
 {
-  return aTopic.starts_with("keyed.");
+  http::response<http::string_body> response{ static_cast<http::status>(aStatus), 11 };
+  response.set("Store-Era", std::to_string(aEra));
+  response.body() = std::move(aBody);
+  response.keep_alive(aRequest.keep_alive());
+  response.prepare_payload();
+  return response;
 }
 
-std::string
-bigEndian(std::uint64_t aValue, int aBytes)
+Awaitable<bool>
+respondRaw(SocketPtr aSocket, const Request& aRequest, std::string aBody, std::uint64_t aEra)
 {
-  std::string out;
-  for (int i = aBytes - 1; i >= 0; --i) {
-    out += static_cast<char>(aValue >> (8 * i) & 0xff);
-  }
-  return out;
+  const auto response = answerOf(aRequest, 200, std::move(aBody), aEra);
+  co_await http::async_write(*aSocket, response, boost::asio::use_awaitable);
+  co_return true;
 }
 
-std::string
-toBase64(const std::string& aText)
+Awaitable<bool>
+respondJson(SocketPtr aSocket,
+            const Request& aRequest,
+            unsigned aStatus,
+            json aBody,
+            std::uint64_t aEra)
 {
-  std::string out(4 * ((aText.size() + 2) / 3) + 1, '\0');
-  const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                                reinterpret_cast<const unsigned char*>(aText.data()),
-                                static_cast<int>(aText.size()));
-  out.resize(static_cast<std::size_t>(n));
-  return out;
+  auto response = answerOf(aRequest, aStatus, aBody.dump(), aEra);
+  response.set(http::field::content_type, "application/json");
+  co_await http::async_write(*aSocket, response, boost::asio::use_awaitable);
+  co_return true;
 }
 
+/// Store calls begin so; all others are duty calls, which are another service's.
+constexpr std::string_view kStorePath = "/log-";
+
 Awaitable<bool>
-respondRaw(SocketPtr aSocket, const Request& aRequest, std::string aBody)
+refuse(SocketPtr aSocket, const Request& aRequest, std::string aReason, std::uint64_t aEra)
 {
-  http::response<http::string_body> response{ http::status::ok, 11 };
-  response.body() = std::move(aBody);
-  response.keep_alive(aRequest.keep_alive());
-  response.prepare_payload();
-  co_await http::async_write(*aSocket, response, boost::asio::use_awaitable);
-  co_return true;
+  auto body = standins::errorBody(aReason);
+  if (standins::pathOf(aRequest).starts_with(kStorePath)) {
+    co_return co_await respondJson(aSocket, aRequest, 503, std::move(body), aEra);
+  }
+  co_return co_await standins::respond(aSocket, aRequest, 503, std::move(body));
 }
 
 }
@@ -99,49 +105,25 @@
     away = mAway;
   }
   if (away) {
-    auto body = standins::errorBody("turned away");
-    co_return co_await standins::respond(aSocket, aRequest, 503, std::move(body));
+    co_return co_await refuse(aSocket, aRequest, "turned away", era());
   }
   co_return co_await handle(aSocket, aRequest);
 }
 
-void
-StoreStandin::add(Log& aLog, bool aKeyed, const std::string& aContent)
-{
-  Record record;
-  if (!aKeyed) {
-    record.value = aContent;
-  } else {
-    const auto keySize = static_cast<unsigned char>(aContent.at(0));
-    record.key = aContent.substr(1, keySize);
-    if (aContent.size() > 1U + keySize) {
-      record.value = aContent.substr(1U + keySize);
-    }
-    if (record.value) {
-      aLog.newest[record.key] = { aLog.end(), *record.value };
-    } else {
-      aLog.newest.erase(record.key);
-    }
-  }
-  aLog.records.push_back(std::move(record));
-}
-
 void
 StoreStandin::put(const std::string& aTopic,
                   const std::string& aKey,
                   std::optional<std::string> aValue)
 {
   const std::lock_guard lock(mMutex);
-  std::string content(1, static_cast<char>(aKey.size()));
-  content += aKey + aValue.value_or(std::string());
-  add(mLogs[aTopic], true, content);
+  mLogs.put(aTopic, aKey, aValue);
 }
 
 std::uint64_t
 StoreStandin::logEnd(const std::string& aTopic) const
 {
   const std::lock_guard lock(mMutex);
-  return endOf(aTopic);
+  return mLogs.endOf(aTopic);
 }
 
 void
@@ -162,9 +144,35 @@
 StoreStandin::compact(const std::string& aTopic)
 {
   const std::lock_guard lock(mMutex);
-  auto& log = mLogs[aTopic];
-  log.start = log.end();
-  log.records.clear();
+  mLogs.compact(aTopic);
+}
+
+void
+StoreStandin::snapshot()
+{
+  const std::lock_guard lock(mMutex);
+  mLogs.snapshot();
+}
+
+void
+StoreStandin::restore()
+{
+  const std::lock_guard lock(mMutex);
+  mLogs.restore();
+}
+
+void
+StoreStandin::rewriteOperators()
+{
+  const std::lock_guard lock(mMutex);
+  mLogs.rewriteOperators();
+}
+
+std::uint64_t
+StoreStandin::era() const
+{
+  const std::lock_guard lock(mMutex);
+  return mLogs.era();
 }
 
 void
@@ -188,20 +196,23 @@
 }
 
 Awaitable<bool>
-StoreStandin::respondPaced(SocketPtr aSocket, const Request& aRequest, std::string aBody)
+StoreStandin::respondPaced(SocketPtr aSocket,
+                           const Request& aRequest,
+                           std::string aBody,
+                           std::uint64_t aEra)
 {
   constexpr std::size_t kPieceBytes = 16 * 1024;
-  http::response<http::string_body> response{ http::status::ok, 11 };
+  auto response = answerOf(aRequest, 200, std::move(aBody), aEra);
   response.set(http::field::content_type, "application/json");
-  response.body() = std::move(aBody);
-  response.keep_alive(aRequest.keep_alive());
-  response.prepare_payload();
   std::ostringstream stream;
   stream << response;
   const std::string text = stream.str();
   for (std::size_t at = 0; at < text.size(); at += kPieceBytes) {
     const auto piece = std::string_view(text).substr(at, kPieceBytes);
     co_await standins::sleepMillis(reserveRead(piece.size()));
+    if (era() != aEra) {
+      co_return false;
+    }
     co_await boost::asio::async_write(
       *aSocket, boost::asio::buffer(piece), boost::asio::use_awaitable);
   }
@@ -222,49 +233,6 @@
   return mDutyCalls;
 }
 
-std::uint64_t
-StoreStandin::endOf(const std::string& aTopic) const
-{
-  const auto it = mLogs.find(aTopic);
-  return it == mLogs.end() ? 0 : it->second.end();
-}
-
-std::string
-StoreStandin::chunk(const std::string& aTopic, std::uint64_t aFrom) const
-{
-  const auto it = mLogs.find(aTopic);
-  const Log empty;
-  const auto& log = it == mLogs.end() ? empty : it->second;
-  std::string out = bigEndian(log.end(), 8) + bigEndian(log.start, 8);
-  for (auto offset = aFrom; offset < log.end(); ++offset) {
-    const auto& record = log.records[offset - log.start];
-    std::string content;
-    if (isKeyed(aTopic)) {
-      content += static_cast<char>(record.key.size());
-      content += record.key;
-    }
-    content += record.value.value_or(std::string());
-    out += bigEndian(content.size(), 4) + content;
-  }
-  return out;
-}
-
-json
-StoreStandin::newestPage(const std::string& aTopic) const
-{
-  json page{ { "hasMore", false }, { "endOffset", endOf(aTopic) } };
-  page["entries"] = json::array();
-  const auto it = mLogs.find(aTopic);
-  if (it != mLogs.end()) {
-    for (const auto& [key, entry] : it->second.newest) {
-      json row{ { "key", key }, { "offset", entry.first } };
-      row["value"] = toBase64(entry.second);
-      page["entries"].push_back(std::move(row));
-    }
-  }
-  return page;
-}
-
 Awaitable<bool>
 StoreStandin::handle(SocketPtr aSocket, Request& aRequest)
 {
@@ -282,8 +250,7 @@
     co_return false;
   }
   if (down) {
-    auto body = standins::errorBody("down");
-    co_return co_await standins::respond(aSocket, aRequest, 503, std::move(body));
+    co_return co_await refuse(aSocket, aRequest, "down", era());
   }
   if (path == "/log-read") {
     co_return co_await read(aSocket, aRequest);
@@ -293,11 +260,13 @@
   }
   if (path == "/log-newest") {
     json page;
+    std::uint64_t era = 0;
     {
       const std::lock_guard lock(mMutex);
-      page = newestPage(queryText(aRequest, "topic"));
+      page = mLogs.newestPage(queryText(aRequest, "topic"));
+      era = mLogs.era();
     }
-    co_return co_await respondPaced(aSocket, aRequest, page.dump());
+    co_return co_await respondPaced(aSocket, aRequest, page.dump(), era);
   }
   DutyCall call;
   call.path = path;
@@ -319,25 +288,28 @@
   const auto topic = queryText(aRequest, "topic");
   const auto from = standins::queryNumber(aRequest, "fromRevision", 0);
   const auto wait = standins::queryNumber(aRequest, "waitMs", 0);
+  const auto eraOfCall = era();
   for (std::uint64_t waited = 0; waited < wait; waited += kStepMs) {
     {
       const std::lock_guard lock(mMutex);
-      if (endOf(topic) > from || mDown || mSilent) {
+      if (mLogs.endOf(topic) != from || mLogs.era() != eraOfCall || mDown || mSilent) {
         break;
       }
     }
     co_await standins::sleepMillis(kStepMs);
   }
-  std::string body;
+  std::optional<std::string> body;
   std::uint64_t start = 0;
   bool silent = false;
   {
     const std::lock_guard lock(mMutex);
     silent = mSilent;
-    const auto it = mLogs.find(topic);
-    start = it == mLogs.end() ? 0 : it->second.start;
-    if (from >= start) {
-      body = chunk(topic, from);
+    if (mLogs.era() != eraOfCall) {
+      co_return false;
+    }
+    start = mLogs.startOf(topic);
+    if (mLogs.holds(topic, from)) {
+      body = mLogs.chunk(topic, from);
     }
   }
   if (silent) {
@@ -345,11 +317,11 @@
     co_await standins::sleepMillis(kLongerThanAnyCallMs);
     co_return false;
   }
-  if (from < start) {
+  if (!body) {
     json gone{ { "startOffset", start } };
-    co_return co_await standins::respond(aSocket, aRequest, 410, std::move(gone));
+    co_return co_await respondJson(aSocket, aRequest, 410, std::move(gone), eraOfCall);
   }
-  co_return co_await respondRaw(aSocket, aRequest, std::move(body));
+  co_return co_await respondRaw(aSocket, aRequest, std::move(*body), eraOfCall);
 }
 
 Awaitable<bool>
@@ -360,31 +332,32 @@
   unsigned status = 200;
   json answer;
   bool lose = false;
+  std::uint64_t era = 0;
   {
     const std::lock_guard lock(mMutex);
-    auto& log = mLogs[topic];
-    if (!at.empty() && std::stoull(at) != log.end()) {
+    era = mLogs.era();
+    if (!at.empty() && std::stoull(at) != mLogs.endOf(topic)) {
       status = 412;
     } else {
-      answer["offset"] = log.end();
+      answer["offset"] = mLogs.endOf(topic);
       const auto& body = aRequest.body();
       for (std::size_t i = 0; i + 4 <= body.size();) {
         std::size_t size = 0;
         for (int n = 0; n < 4; ++n) {
           size = size << 8 | static_cast<unsigned char>(body[i + static_cast<std::size_t>(n)]);
         }
-        add(log, isKeyed(topic), body.substr(i + 4, size));
+        mLogs.append(topic, body.substr(i + 4, size));
         i += 4 + size;
       }
       lose = mLoseAnswers > 0;
       mLoseAnswers -= lose ? 1 : 0;
     }
-    answer["endOffset"] = log.end();
+    answer["endOffset"] = mLogs.endOf(topic);
   }
   if (lose) {
     co_return false;
   }
-  co_return co_await standins::respond(aSocket, aRequest, status, std::move(answer));
+  co_return co_await respondJson(aSocket, aRequest, status, std::move(answer), era);
 }
 
 }
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "store_logs.hpp"
+
 #include "standins/common/http_server.hpp"
 
 #include <nlohmann/json.hpp>
@@ -37,6 +39,12 @@
   void compact(const std::string& aTopic);
   /// All reads of whole topics together get this many bytes a second; 0: as many as there are.
   void setReadRate(std::size_t aBytesPerSecond);
+  /// Remembers the whole content for restore(), as it is now.
+  void snapshot();
+  /// Puts all topics back to the snapshot, raises Store-Era and breaks calls that wait off. What
+  /// the operator and the servers wrote since is written again by rewriteOperators().
+  void restore();
+  void rewriteOperators();
   /// Answers of the next so many appends are lost after they took effect.
   void loseAnswers(int aCount);
 
@@ -52,35 +60,20 @@
   std::uint64_t logEnd(const std::string& aTopic) const;
 
 private:
-  struct Record
-  {
-    std::string key;
-    std::optional<std::string> value;
-  };
-  struct Log
-  {
-    std::uint64_t start = 0;
-    std::vector<Record> records;
-    std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
-    std::uint64_t end() const { return start + records.size(); }
-  };
-
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> handleOther(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> read(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> append(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<bool> respondPaced(standins::SocketPtr aSocket,
                                          const standins::Request& aRequest,
-                                         std::string aBody);
+                                         std::string aBody,
+                                         std::uint64_t aEra);
   /// Reserves the time for some bytes and returns how long to wait, in ms.
   std::int64_t reserveRead(std::size_t aBytes);
-  std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
-  std::uint64_t endOf(const std::string& aTopic) const;
-  nlohmann::json newestPage(const std::string& aTopic) const;
-  void add(Log& aLog, bool aKeyed, const std::string& aContent);
+  std::uint64_t era() const;
 
   mutable std::mutex mMutex;
-  std::map<std::string, Log> mLogs;
+  StoreLogs mLogs;
   std::vector<DutyCall> mDutyCalls;
   bool mDown = false;
   bool mSilent = false;
