CONFIG: an agent that asks another one is not taken for gone

Cause: the first agent asks the second one only while the store is lost. What came of it then, silence or old knowledge, was kept for ever, so the first agent removed the second one from the list, which entered itself again. Class: what is known of another instance ages, and no later contact renews it.

A request from the second agent now shows that it is there.

source_planner/an_agent_that_asks_this_one_is_not_replaced guards it.

--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -353,6 +353,8 @@
   }
   if (const auto it = mHealth.find(aInstance); it != mHealth.end()) {
     it->second.contactAt = aNow;
+    // It is there, whatever came of earlier requests to it.
+    it->second.reachedAt = aNow;
   }
 }
 
--- a/src/mustardplank/agent/source_planner_test.cpp
+++ b/src/mustardplank/agent/source_planner_test.cpp
@@ -247,4 +247,20 @@
   BOOST_TEST(planner.handOverTargets({ agentNamed("a") }).empty());
 }
 
+// Guards against an agent that is replaced again and again: the first agent asks the second one
+// only in an outage of the store, and has to see that it is well again.
+BOOST_AUTO_TEST_CASE(an_agent_that_asks_this_one_is_not_replaced)
+{
+  SourcePlanner first(optionsOf("a"), kStart);
+  first.setDirectory(directoryOf({ agentNamed("a"), agentNamed("b") }), kStart);
+  failSyncs(first, "b", kStart, kStart + Seconds(1));
+  first.recordStoreCall(true, kStart + Seconds(1));
+  for (auto now = kStart + Seconds(2); now <= kStart + Seconds(20); now += Millis(500)) {
+    first.recordContact(InstanceId("b"), 1, now);
+    BOOST_TEST(!first.dueClaim(now).has_value());
+  }
+  first.dueClaim(kStart + Seconds(24));
+  BOOST_TEST(first.dueClaim(kStart + Seconds(25)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
