--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -69,6 +69,8 @@
   const Directory& directory() const { return mDirectory; }
   /// The directory could not be read.
   void recordDirectoryFailure(TimePoint aNow);
+  /// The store was restored from an older copy: an agent reads the directory at once.
+  void noteRestored(TimePoint aNow);
   bool isDirectoryReadDue(TimePoint aNow) const { return aNow >= mDirectoryReadAt; }
 
   /// Place of this instance among the agents of its failure domain.
--- a/include/mustardplank/agent/update_relay.hpp
+++ b/include/mustardplank/agent/update_relay.hpp
@@ -49,6 +49,8 @@
   std::vector<Item> takeDue(TimePoint aNow);
   /// The items are in the store.
   void recordWritten(const std::vector<Item>& aItems, TimePoint aNow);
+  /// The store was restored from an older copy: the latest update of each process is written again.
+  void forgetWritten();
   /// Another agent has written the update with this sequence number.
   void recordWrittenElsewhere(std::uint64_t aIncarnation, std::uint64_t aSequence, TimePoint aNow);
   /// Updates that are not in the store yet, whether due or not, to hand them to another agent.
--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -42,6 +42,11 @@
 /// a whole ttl later succeeds only if nobody has renewed meanwhile, so the former holder's lease
 /// has expired.
 ///
+/// A store that is restored from an older copy loses claims and may end at an expected offset by
+/// chance. What was observed in an earlier era therefore permits no claim: it is observed anew and
+/// a whole ttl passes. Only a holder whose lease is still valid renews at once: nobody else can
+/// have claimed since the restoration.
+///
 ///     if (auto at = lease.dueAppendOffset(bootNow())) {
 ///       lease.handleAppendResult(sentAt, append(*at), bootNow());
 ///     }
@@ -74,7 +79,8 @@
 
   /// Offset at which a claim or renewal is to be appended now; nothing while none is due.
   std::optional<Offset> dueAppendOffset(TimePoint aNow) const;
-  /// The store answered an append that was sent at aSentAt.
+  /// The store answered an append, at the offset that dueAppendOffset() gave, that was sent at
+  /// aSentAt.
   void handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow);
   /// An append failed, and it is not known whether the record was written.
   void handleAppendOutcomeUnknown(TimePoint aNow);
@@ -91,6 +97,8 @@
   /// True from a successful claim until another instance's append is seen, even if the lease has
   /// expired; see fenceIfActive().
   bool holdsDuties() const { return mFence.has_value(); }
+  /// Whether no other instance can hold the duties.
+  bool isValid(TimePoint aNow) const { return mFence && aNow < mRenewedAt + mOptions.ttl; }
   /// When the last claim or renewal that succeeded was sent.
   TimePoint renewedAt() const { return mRenewedAt; }
   /// End of the log, as far as known here.
@@ -100,7 +108,12 @@
   /// Gives up the fencing token and continues from aEnd: another instance appended.
   void dropLease(Offset aEnd, TimePoint aNow);
 
+  /// Whether the result is of a later era than what is known here.
+  bool isRestored(const AppendResult& aResult) const;
+  void handleRestored(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow);
+
   DutyLeaseOptions mOptions;
+  bool mFirstStart;
   Offset mLogEnd = 0;
   /// When mLogEnd was last seen to be the end of the log; a claim is due one ttl plus the delay by
   /// rank later. Moved back by a ttl where a claim need not wait for the ttl.
--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace mustardplank::control {
@@ -64,6 +65,15 @@
   UsageCounts counts;
 };
 
+/// Written to Topic::ReportIntents by the first holder of the duties in an era of the store. The
+/// log of a restored store has all intents of windows that ended later, and may lack earlier ones.
+struct EraStart
+{
+  std::uint64_t era = 0;
+  /// Unix milliseconds of the SharedClock.
+  std::int64_t atMs = 0;
+};
+
 /// Number of servers of each service, by failure domain, when the system first started.
 using Baseline = std::map<route::ServiceId, std::map<FailureDomainId, std::uint32_t>>;
 
@@ -76,7 +86,13 @@
 std::string
 encodeIntent(const ReportIntent& aIntent);
 
-std::optional<ReportIntent>
-decodeIntent(const std::string& aBytes, Findings& aFindings);
+std::string
+encodeEraStart(const EraStart& aStart);
+
+/// A record of Topic::ReportIntents.
+using ReportRecord = std::variant<ReportIntent, EraStart>;
+
+std::optional<ReportRecord>
+decodeReportRecord(const std::string& aBytes, Findings& aFindings);
 
 }
--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -29,11 +29,20 @@
 /// servers run; those servers write them again soon after the outage. A removal that is read just
 /// after an outage therefore takes effect only if the entry does not reappear within a grace
 /// period. Removals of draining servers take effect at once.
+///
+/// A store that is restored from an older copy shows entries as they were some seconds ago, until
+/// the servers have written them again. Entries of such a copy by which a draining or removed
+/// server would take requests again are held back for kRestoreGrace, unless the log has newer ones;
+/// servers that it lacks have time to reappear, as after an outage.
 class ServerRegistry
 {
 public:
   /// Time after an outage within which an entry may reappear.
   static constexpr Duration kReappearGrace = Millis(2000);
+  /// Time after a restoration within which servers write their entries again.
+  static constexpr Duration kRestoreGrace = Millis(4000);
+  /// A removed server is remembered for this long.
+  static constexpr Duration kRemovalMemory = Seconds(60);
   /// Time without a successful read after which the next read counts as the end of an outage,
   /// unless reads are further apart than usual; see the constructor.
   static constexpr Duration kOutageThreshold = Millis(2500);
@@ -47,7 +56,8 @@
   /// Applies records of the log, in order. A renewal without changes gives no event.
   std::vector<ServerEvent> apply(const std::vector<Record>& aRecords,
                                  const StoreDialect& aDialect,
-                                 TimePoint aNow);
+                                 TimePoint aNow,
+                                 RecordSource aSource = RecordSource::Log);
   /// Applies a full list: aRecords holds the newest record of every key; servers without one are
   /// removed.
   std::vector<ServerEvent> applyFullList(const std::vector<Record>& aRecords,
@@ -56,16 +66,25 @@
   /// A read of the store succeeded, by this instance or one that hands on what it reads. Call
   /// before apply() or applyFullList().
   void recordRead(TimePoint aNow);
-  /// Removes servers whose entries have not reappeared within the grace period.
-  std::vector<ServerEvent> tick(TimePoint aNow);
+  /// Removes servers whose entries have not reappeared within the grace period, and applies entries
+  /// that were held back and have not changed since.
+  std::vector<ServerEvent> tick(const StoreDialect& aDialect, TimePoint aNow);
 
   const std::map<BackendServerId, route::BackendServer>& servers() const { return mServers; }
 
 private:
-  /// Removes the server; within the grace period after an outage, defers the removal unless the
-  /// server is draining.
-  void removeOrDefer(const BackendServerId& aId, TimePoint aNow, std::vector<ServerEvent>& aEvents);
-  void add(const Record& aRecord, const StoreDialect& aDialect, std::vector<ServerEvent>& aEvents);
+  /// Removes the server, or defers the removal until aDeferUntil unless the server is draining.
+  void removeOrDefer(const BackendServerId& aId,
+                     TimePoint aNow,
+                     std::optional<TimePoint> aDeferUntil,
+                     std::vector<ServerEvent>& aEvents);
+  void add(const Record& aRecord,
+           const StoreDialect& aDialect,
+           TimePoint aNow,
+           RecordSource aSource,
+           std::vector<ServerEvent>& aEvents);
+  /// Whether the entry may be older than what is known of its server.
+  bool mayBeOutdated(const route::BackendServer& aServer) const;
 
   std::map<BackendServerId, route::BackendServer> mServers;
   /// The server at each address; of several, the one that started last, or, if a start
@@ -78,6 +97,17 @@
   Duration mOutageThreshold;
   std::optional<TimePoint> mLastReadAt;
   std::optional<TimePoint> mGraceUntil;
+  /// End of kRestoreGrace.
+  std::optional<TimePoint> mRestoredUntil;
+  /// Entries of a restored copy, held back until mRestoredUntil.
+  std::map<BackendServerId, Record> mHeldBack;
+  struct Removal
+  {
+    std::int64_t startTimeMs = 0;
+    TimePoint at{};
+  };
+  /// Servers that were removed within kRemovalMemory.
+  std::map<BackendServerId, Removal> mRemoved;
 };
 
 }
--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -3,6 +3,7 @@
 #include "mustardplank/base/findings.hpp"
 #include "mustardplank/base/ids.hpp"
 #include "mustardplank/base/time.hpp"
+#include "mustardplank/control/log_position.hpp"
 #include "mustardplank/platform/http_client.hpp"
 #include "mustardplank/platform/platform.hpp"
 #include "mustardplank/route/model.hpp"
@@ -21,6 +22,7 @@
 using platform::FailureKind;
 using platform::HttpRequest;
 using platform::HttpResponse;
+/// A position in a log; see log_position.hpp.
 using platform::Offset;
 using platform::Result;
 
@@ -64,6 +66,15 @@
   std::optional<std::string> value;
 };
 
+/// Where records come from.
+enum class RecordSource
+{
+  Log,
+  /// The newest records of a store that was restored from an older copy; what they show may be
+  /// older than what is known.
+  RestoredCopy,
+};
+
 /// Consecutive records of a log.
 struct RecordBatch
 {
@@ -149,7 +160,9 @@
 /// of its field, and then returns nothing.
 struct StoreDialect
 {
-  /// aMaxWait: how long the store may hold back the answer until there is a record (long poll).
+  /// aMaxWait: how long the store may hold back the answer until there is a record (long poll). A
+  /// position of an era before the store's present one gives the failure LogTruncated, as it means
+  /// nothing in the restored log; position 0 is the beginning in any era.
   HttpRequest (*makeReadCall)(Topic aTopic, Offset aFrom, Duration aMaxWait);
   Result<RecordBatch> (*decodeRead)(Topic aTopic, Offset aFrom, const HttpResponse& aAnswer);
   HttpRequest (*makeNewestCall)(Topic aTopic, const std::string& aAfterKey);
--- a/include/mustardplank/control/usage_windows.hpp
+++ b/include/mustardplank/control/usage_windows.hpp
@@ -45,6 +45,11 @@
   void apply(const InstanceUpdate& aUpdate, TimePoint aNow);
   /// A ReportIntent of the window is in the log, so its counts are final.
   void markFinal(std::uint64_t aWindow);
+  /// Windows that ended before aTimeMs are not reported by this instance any more, as their
+  /// ReportIntents may be lost.
+  void skipWindowsBefore(std::int64_t aTimeMs);
+  /// Publishes the latest counts of this instance again.
+  void republish();
 
   /// Windows that have ended, have usage and no ReportIntent, and are within the deadline, earliest
   /// first: those for which no instance is awaited (isAwaited()), and those whose deadline is near.
@@ -96,6 +101,8 @@
     TimePoint to{};
   };
   std::optional<Outage> mOutage;
+  /// See skipWindowsBefore().
+  std::int64_t mSkippedBeforeMs = 0;
   /// Windows with a ReportIntent.
   std::set<std::uint64_t> mFinal;
 };
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -100,9 +100,11 @@
   TombstoneSent,
   OperatorCall,
   RefusedConnection,
+  /// The store was restored from an older copy.
+  StoreRestored,
 };
 
-inline constexpr NameTable<Event, 18> kEventNames{ { {
+inline constexpr NameTable<Event, 19> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -121,6 +123,7 @@
   { Event::TombstoneSent, "tombstones_sent" },
   { Event::OperatorCall, "operator_calls" },
   { Event::RefusedConnection, "refused_connections" },
+  { Event::StoreRestored, "store_restorations" },
 } } };
 
 struct Limits
--- a/include/mustardplank/platform/http_client.hpp
+++ b/include/mustardplank/platform/http_client.hpp
@@ -34,6 +34,8 @@
 {
   unsigned status = 0;
   std::string body;
+  /// Header fields: name, value.
+  std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 /// HTTP client with a pool of keep-alive connections to one address. Used by one thread.
--- a/include/mustardplank/platform/platform.hpp
+++ b/include/mustardplank/platform/platform.hpp
@@ -45,7 +45,7 @@
   RateLimited,
   /// The call may have taken effect, which only a read shows.
   Unknown,
-  /// The offset to read from is below the first retained one.
+  /// The offset to read from is below the first retained one, or of an earlier era.
   LogTruncated,
   /// The fencing token is not the newest.
   StaleFence,
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -187,7 +187,10 @@
     dispatch::Effects effects;
     dispatcher.tick(bootNow(), effects);
     gateway.applyEffects(effects);
-    applyServers(registry.tick(bootNow()));
+    applyServers(registry.tick(adapter::storeDialect(), bootNow()));
+    if (evacuatedDomains.tick(bootNow())) {
+      dispatcher.setEvacuatedDomains(evacuatedDomains.domains());
+    }
     repeatBlockedParts();
     noteRole();
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
@@ -292,8 +295,9 @@
       << "\n"
       << "store config " << (storeConfig.isLost() ? "lost" : "ok") << " servers "
       << (storeServers.isLost() ? "lost" : "ok") << " board "
-      << (storeBoard.isLost() ? "lost" : "ok") << " updates of others not written "
-      << relay.unwritten().size() << "\n"
+      << (storeBoard.isLost() ? "lost" : "ok") << " era "
+      << (storeEra ? std::to_string(*storeEra) : std::string("none"))
+      << " updates of others not written " << relay.unwritten().size() << "\n"
       << agentStatus() << "duty calls " << (platformCalls.isLost() ? "lost" : "ok") << "\n";
   for (const auto& it : dispatcher.serverStatuses(bootNow())) {
     out << "server " << it.id.str() << " service " << it.service.str() << " domain "
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -76,6 +76,12 @@
     planner.recordClaimFailure(bootNow());
     co_return;
   }
+  if (directory.logEnd != 0 &&
+      control::eraOf(appended->logEnd) != control::eraOf(directory.logEnd)) {
+    // Written to a restored log that was not read yet.
+    planner.recordClaimFailure(bootNow());
+    co_return;
+  }
   directory.domains[settings.failureDomain] = std::move(aAgents);
   directory.logEnd = appended->logEnd;
   planner.setDirectory(std::move(directory), bootNow());
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kDutyInterval = Millis(500);
 /// Time after the start in which all servers have written an entry.
 constexpr Duration kBaselineTime = Millis(9000);
+/// Of a store that was never restored.
+constexpr std::uint64_t kFirstEra = 1;
 constexpr const char* kBaselineKey = "baseline";
 
 void
@@ -51,6 +53,10 @@
 {
   const auto sentAt = bootNow();
   auto answer = co_await aStore.read(Topic::Claims, lease.logEnd(), Duration{});
+  if (const auto* failure = std::get_if<Failure>(&answer);
+      failure && failure->kind == FailureKind::LogTruncated) {
+    answer = co_await aStore.read(Topic::Claims, failure->first, Duration{});
+  }
   if (const auto* batch = std::get_if<control::RecordBatch>(&answer)) {
     lease.observeLog(batch->logEnd, sentAt);
   } else {
@@ -67,6 +73,7 @@
   const auto now = bootNow();
   const bool before = lease.holdsDuties();
   if (const auto* answer = std::get_if<control::AppendResult>(&result)) {
+    notePosition(answer->logEnd);
     lease.handleAppendResult(sent, *answer, now);
   } else {
     lease.handleAppendOutcomeUnknown(now);
@@ -111,41 +118,45 @@
   for (;;) {
     auto chunk = co_await aStore.read(Topic::ReportIntents, aNext, Duration{});
     if (const auto* failure = std::get_if<Failure>(&chunk)) {
-      if (failure->kind != FailureKind::LogTruncated) {
+      if (failure->kind != FailureKind::LogTruncated || failure->first == aNext) {
         co_return false;
       }
+      notePosition(failure->first);
+      intents.restart();
       aNext = failure->first;
       continue;
     }
     const auto& records = std::get<control::RecordBatch>(chunk);
     for (const auto& it : records.records) {
       Findings findings;
-      if (const auto intent = control::decodeIntent(it.value.value_or(std::string()), findings)) {
-        usage.markFinal(intent->window);
-        if (!reported.contains(intent->window)) {
-          unreported.insert_or_assign(intent->window, *intent);
-        }
+      const auto record = control::decodeReportRecord(it.value.value_or(std::string()), findings);
+      if (record) {
+        std::visit([this](const auto& aRecord) { applyReportRecord(aRecord); }, *record);
       }
       logIgnored("report.intent_ignored", it.offset, findings);
       aNext = it.offset + 1;
     }
-    if (aNext >= records.logEnd) {
+    if (records.records.empty() || aNext >= records.logEnd) {
+      aNext = std::max(aNext, records.logEnd);
       co_return true;
     }
   }
 }
 
+std::uint64_t
+RouteDaemon::Impl::firstOpenWindow() const
+{
+  return usage.windowOf(clock.now(bootNow()) -
+                        duration_cast<Millis>(settings.bounds.usageLate).count());
+}
+
 awaitable<void>
 RouteDaemon::Impl::reportDecided(platform::HttpClient& aExchange)
 {
-  const auto windowMs = duration_cast<Millis>(settings.bounds.usageWindow).count();
-  const auto lateMs = duration_cast<Millis>(settings.bounds.usageLate).count();
-  auto pending = unreported;
-  for (const auto& [window, intent] : pending) {
-    const auto last = (static_cast<std::int64_t>(window) + 1) * windowMs + lateMs;
-    if (clock.now(bootNow()) >= last) {
-      unreported.erase(window);
-      reported.insert(window);
+  const auto pending = intents.unreported();
+  for (const auto& intent : pending) {
+    if (intent.window < firstOpenWindow()) {
+      intents.markReported(intent.window);
       continue;
     }
     const auto who = holder();
@@ -157,17 +168,63 @@
     if (answer == control::DutyResult::RetryLater) {
       co_return;
     }
-    unreported.erase(window);
-    reported.insert(window);
+    intents.markReported(intent.window);
     metrics.count(metrics::Event::UsageReport);
     LogEvent(LogLevel::Info, "usage.reported")
-      .field("window", window)
+      .field("window", intent.window)
       .field("fence", who->fence)
       .field("accepted", static_cast<int>(answer == control::DutyResult::Accepted))
       .write();
   }
 }
 
+void
+RouteDaemon::Impl::applyReportRecord(const control::ReportIntent& aIntent)
+{
+  usage.markFinal(aIntent.window);
+  intents.add(aIntent);
+}
+
+void
+RouteDaemon::Impl::applyReportRecord(const control::EraStart& aStart)
+{
+  intentsEra = std::max(intentsEra, aStart.era);
+  if (!knowsDecided) {
+    usage.skipWindowsBefore(aStart.atMs);
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::startEra(StoreClient& aStore, control::Offset& aNext)
+{
+  const auto era = control::eraOf(aNext);
+  const control::EraStart start{ era, clock.now(bootNow()) };
+  std::vector<control::Record> records{ { 0, {}, control::encodeEraStart(start) } };
+  co_await aStore.append(Topic::ReportIntents, records, aNext);
+  intentsRead = co_await readIntents(aStore, aNext);
+}
+
+awaitable<bool>
+RouteDaemon::Impl::appendIntents(StoreClient& aStore,
+                                 std::vector<control::ReportIntent> aIntents,
+                                 control::Offset& aNext)
+{
+  for (const auto& intent : aIntents) {
+    if (!holder()) {
+      co_return false;
+    }
+    std::vector<control::Record> records{ { 0, {}, control::encodeIntent(intent) } };
+    const auto result = co_await aStore.append(Topic::ReportIntents, records, aNext);
+    const auto* appended = std::get_if<control::AppendResult>(&result);
+    // Whatever is in the log counts, also after an answer that was lost.
+    intentsRead = co_await readIntents(aStore, aNext);
+    if (!intentsRead || !appended || !appended->appended) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
 awaitable<void>
 RouteDaemon::Impl::usageLoop()
 {
@@ -177,34 +234,28 @@
   auto store = client();
   platform::HttpClient exchange(endpointOf(*settings.orders));
   control::Offset next = 0;
-  bool current = false;
   for (;;) {
     co_await pauseFor(kDutyInterval);
+    if (!lease.isValid(bootNow())) {
+      intentsRead = false;
+      knowsDecided = false;
+    }
     if (!holder()) {
-      current = false;
       continue;
     }
-    if (!current) {
-      const bool read = co_await readIntents(store, next);
-      if (!read) {
+    if (!intentsRead) {
+      intentsRead = co_await readIntents(store, next);
+      if (!intentsRead) {
         continue;
       }
-      current = true;
     }
-    const auto due = usage.dueIntents(clock.now(bootNow()), bootNow());
-    for (const auto& intent : due) {
-      if (!holder()) {
-        break;
-      }
-      std::vector<control::Record> records{ { 0, {}, control::encodeIntent(intent) } };
-      const auto result = co_await store.append(Topic::ReportIntents, records, next);
-      const auto* appended = std::get_if<control::AppendResult>(&result);
-      // Whatever is in the log counts, also after an answer that was lost.
-      const bool read = co_await readIntents(store, next);
-      if (!read || !appended || !appended->appended) {
-        current = read;
-        break;
-      }
+    knowsDecided = true;
+    if (control::eraOf(next) > std::max(intentsEra, kFirstEra)) {
+      co_await startEra(store, next);
+      continue;
+    }
+    if (co_await appendIntents(store, intents.missing(firstOpenWindow()), next)) {
+      co_await appendIntents(store, usage.dueIntents(clock.now(bootNow()), bootNow()), next);
     }
     co_await reportDecided(exchange);
   }
@@ -232,7 +283,7 @@
     }
   }
   for (const auto& it : served) {
-    if (!domainsOut.contains(it)) {
+    if (!evacuatedDomains.domains().contains(it)) {
       domains.push_back(it);
     }
   }
@@ -262,27 +313,32 @@
   if (!records) {
     co_return false;
   }
+  bool isStored = false;
   for (const auto& it : records->records) {
     Findings findings;
     if (it.key == kBaselineKey) {
-      baseline = control::decodeBaseline(it.value.value_or(std::string()), findings);
+      auto stored = control::decodeBaseline(it.value.value_or(std::string()), findings);
+      isStored = stored.has_value();
+      baseline = stored ? std::move(stored) : std::move(baseline);
     }
     logIgnored("baseline.ignored", it.offset, findings);
   }
-  if (baseline || startBaseline.empty()) {
+  if (isStored || (!baseline && startBaseline.empty())) {
+    baselineStored = isStored;
     co_return baseline.has_value();
   }
-  if (bootNow() < startedAt + kBaselineTime) {
+  if (!baseline && bootNow() < startedAt + kBaselineTime) {
     // Good enough for the first orders, not for ever.
     co_return true;
   }
-  std::vector<control::Record> record{
-    { 0, kBaselineKey, control::encodeBaseline(startBaseline) }
-  };
+  // A restored store may have lost a baseline that is known here.
+  const auto known = baseline.value_or(startBaseline);
+  std::vector<control::Record> record{ { 0, kBaselineKey, control::encodeBaseline(known) } };
   const auto result = co_await aStore.append(Topic::State, record, records->logEnd);
   const auto* appended = std::get_if<control::AppendResult>(&result);
   if (appended && appended->appended) {
-    baseline = startBaseline;
+    baseline = known;
+    baselineStored = true;
   }
   co_return baseline.has_value();
 }
@@ -303,7 +359,7 @@
     if (!holder() || !table) {
       continue;
     }
-    if (!baseline) {
+    if (!baseline || !baselineStored) {
       const bool known = co_await fetchBaseline(store);
       if (!known) {
         continue;
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -14,6 +14,8 @@
 #include "mustardplank/base/log_event.hpp"
 #include "mustardplank/base/retry_pause.hpp"
 #include "mustardplank/control/duty_lease.hpp"
+#include "mustardplank/control/evacuated_domains.hpp"
+#include "mustardplank/control/intent_log.hpp"
 #include "mustardplank/control/records.hpp"
 #include "mustardplank/control/server_order_planner.hpp"
 #include "mustardplank/control/server_registry.hpp"
@@ -108,7 +110,7 @@
 
   // Configuration.
   void applyOperators(const std::vector<control::Record>& aChanges);
-  void applyOperator(const control::Record& aRecord);
+  void applyOperator(const control::Record& aRecord, control::RecordSource aSource);
   void applyConfig(route::Config aConfig, control::Offset aOffset);
   awaitable<void> followOperators();
 
@@ -131,6 +133,12 @@
                                                                  Dependency& aDependency);
   /// A read of this part of the store has succeeded.
   void noteStoreRead(Dependency& aDependency);
+  /// Something was learned of the store at this position. In a later era than before, what this
+  /// system wrote to it may be lost.
+  void notePosition(control::Offset aPosition);
+  void noteViews();
+  /// Where the changes come from that the view has given last; aEra is that of the changes before.
+  static control::RecordSource sourceOf(const agent::KeyedView& aView, std::uint64_t& aEra);
   /// Reads both logs when no agent has stated their changes for too long.
   awaitable<void> refreshLoop();
 
@@ -208,7 +216,18 @@
                                           control::HttpRequest aCall);
   /// Reads what was decided about windows. False when the store cannot be read.
   awaitable<bool> readIntents(StoreClient& aStore, control::Offset& aNext);
+  /// Appends intents where the log ends, one by one, and reads what is in the log then. False when
+  /// another instance appended too, or the store cannot be read.
+  awaitable<bool> appendIntents(StoreClient& aStore,
+                                std::vector<control::ReportIntent> aIntents,
+                                control::Offset& aNext);
+  void applyReportRecord(const control::ReportIntent& aIntent);
+  void applyReportRecord(const control::EraStart& aStart);
+  /// Writes that the duties go on in a restored store.
+  awaitable<void> startEra(StoreClient& aStore, control::Offset& aNext);
   awaitable<void> reportDecided(platform::HttpClient& aExchange);
+  /// The first window that can still be reported.
+  std::uint64_t firstOpenWindow() const;
   awaitable<void> usageLoop();
   const control::Baseline& currentBaseline() const { return baseline ? *baseline : startBaseline; }
   control::ServiceDemand needOf(const route::ServiceId& aService) const;
@@ -271,6 +290,11 @@
   TimePoint digestAt{};
   TimePoint lastSyncAt{};
   TimePoint lastUpdateSentAt{};
+  /// Of the store, as far as known.
+  std::optional<std::uint64_t> storeEra;
+  /// Of the records that were applied last.
+  std::uint64_t operatorsEra = 0;
+  std::uint64_t serversEra = 0;
   bool followed = false;
   bool wasAgent = false;
   agent::LoadExchange loads;
@@ -288,7 +312,7 @@
   control::UpdateOutbox outbox;
   control::ServerOrderPlanner orders;
   route::RouteTablePtr table;
-  std::set<FailureDomainId> domainsOut;
+  control::EvacuatedDomains evacuatedDomains;
   std::map<BackendServerId, std::string> serverTexts;
   std::map<InstanceId, Needs> needs;
   /// Where an instance answers others, and the time of the last contact.
@@ -300,9 +324,16 @@
   std::map<InstanceId, Contact> contacts;
   bool wantsPeers = true;
   std::optional<HolderNote> holderNote;
-  std::map<std::uint64_t, control::ReportIntent> unreported;
-  std::set<std::uint64_t> reported;
+  control::IntentLog intents;
+  /// Intents of this era were read, so that it is known which windows are decided.
+  bool intentsRead = false;
+  /// The latest era that a holder of the duties has started.
+  std::uint64_t intentsEra = 0;
+  /// This instance knows all decided windows: it has held the duties since it read their intents.
+  bool knowsDecided = false;
   std::optional<control::Baseline> baseline;
+  /// The baseline is in the store.
+  bool baselineStored = false;
   /// While the system starts for the first time.
   control::Baseline startBaseline;
   std::set<BackendServerId> baselineServers;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -11,16 +11,63 @@
 
 }
 
+void
+RouteDaemon::Impl::notePosition(control::Offset aPosition)
+{
+  const auto era = control::eraOf(aPosition);
+  if (aPosition == 0 || (storeEra && era <= *storeEra)) {
+    return;
+  }
+  const auto before = std::exchange(storeEra, era);
+  if (!before) {
+    return;
+  }
+  const auto now = bootNow();
+  knowsDecided = knowsDecided && lease.isValid(now);
+  LogEvent(LogLevel::Warning, "store.restored")
+    .field("era", era)
+    .field("knows_decided_windows", static_cast<int>(knowsDecided))
+    .write();
+  metrics.count(metrics::Event::StoreRestored);
+  if (!knowsDecided) {
+    // The former holder may have reported windows whose intents are lost.
+    usage.skipWindowsBefore(clock.now(now));
+  }
+  intentsRead = false;
+  baselineStored = false;
+  usage.republish();
+  relay.forgetWritten();
+  boardDue = true;
+  planner.noteRestored(now);
+}
+
+void
+RouteDaemon::Impl::noteViews()
+{
+  notePosition(operatorsView.next());
+  notePosition(serversView.next());
+}
+
+control::RecordSource
+RouteDaemon::Impl::sourceOf(const agent::KeyedView& aView, std::uint64_t& aEra)
+{
+  const auto before = std::exchange(aEra, control::eraOf(aView.next()));
+  return before != 0 && aEra > before ? control::RecordSource::RestoredCopy
+                                      : control::RecordSource::Log;
+}
+
 void
 RouteDaemon::Impl::applyOperators(const std::vector<control::Record>& aChanges)
 {
+  noteViews();
+  const auto source = sourceOf(operatorsView, operatorsEra);
   for (const auto& it : aChanges) {
-    applyOperator(it);
+    applyOperator(it, source);
   }
 }
 
 void
-RouteDaemon::Impl::applyOperator(const control::Record& aRecord)
+RouteDaemon::Impl::applyOperator(const control::Record& aRecord, control::RecordSource aSource)
 {
   Findings findings;
   auto record = adapter::storeDialect().decodeOperator(aRecord, findings);
@@ -34,12 +81,9 @@
   if (auto* config = std::get_if<control::NewConfig>(&*record)) {
     applyConfig(std::move(config->config), aRecord.offset);
   } else if (const auto* out = std::get_if<control::DomainStatus>(&*record)) {
-    if (out->takenOut) {
-      domainsOut.insert(out->domain);
-    } else {
-      domainsOut.erase(out->domain);
+    if (evacuatedDomains.apply(*out, aSource, bootNow())) {
+      dispatcher.setEvacuatedDomains(evacuatedDomains.domains());
     }
-    dispatcher.setEvacuatedDomains(domainsOut);
     LogEvent(LogLevel::Info, out->takenOut ? "domain.out" : "domain.back")
       .field("domain", out->domain.str())
       .field("offset", aRecord.offset)
@@ -69,8 +113,10 @@
 RouteDaemon::Impl::applyServerRecords(const std::vector<control::Record>& aChanges,
                                       TimePoint aConfirmedAt)
 {
+  noteViews();
   registry.recordRead(aConfirmedAt);
-  applyServers(registry.apply(aChanges, adapter::storeDialect(), bootNow()));
+  const auto source = sourceOf(serversView, serversEra);
+  applyServers(registry.apply(aChanges, adapter::storeDialect(), bootNow(), source));
   const auto now = bootNow();
   if (const auto age = serversView.age(now)) {
     dispatcher.confirmServers(now - *age);
--- a/src/mustardplank/agent/keyed_view_test.cpp
+++ b/src/mustardplank/agent/keyed_view_test.cpp
@@ -225,4 +225,33 @@
   }
 }
 
+// Guards against changes that are never seen, or undone, after the store was restored from an older
+// copy: its offsets go back and are given out again.
+BOOST_AUTO_TEST_CASE(restored_log_replaces_what_is_known)
+{
+  const auto before = [](Offset aOffset) { return control::makePosition(1, aOffset); };
+  const auto after = [](Offset aOffset) { return control::makePosition(2, aOffset); };
+  KeyedView view;
+  view.replace({ { before(3), "a", "one" }, { before(5), "b", "two" } }, before(6));
+  view.apply({ { before(6), "a", "newer" }, { before(7), "c", "new" } }, before(8));
+  const auto follower = view.changesSince(std::nullopt);
+  const auto changes =
+    view.replace({ { after(3), "a", "one" }, { after(5), "b", "two" } }, after(6));
+  BOOST_TEST(changes.size() == 3U);
+  BOOST_TEST(
+    (contents(view) == std::map<std::string, std::string>{ { "a", "one" }, { "b", "two" } }));
+  view.apply({ { after(6), "a", "newest" } }, after(7));
+  // A response of the time before, on its way, changes nothing.
+  view.apply({ { before(8), "a", "old" } }, before(9));
+  BOOST_TEST(contents(view).at("a") == "newest");
+  // What is handed on to a follower of the time before is the whole list.
+  const auto part = view.changesSince(follower.next);
+  BOOST_TEST(part.full);
+  KeyedView other;
+  other.apply(follower);
+  other.apply(part);
+  BOOST_TEST((contents(other) == contents(view)));
+  BOOST_TEST(other.next() == after(7));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -151,6 +151,15 @@
   mDirectoryReadAt = aNow + kDirectoryRetry + part(kDirectoryRetry, random());
 }
 
+void
+SourcePlanner::noteRestored(TimePoint aNow)
+{
+  if (isAgent()) {
+    mDirectoryCurrent = false;
+    mDirectoryReadAt = aNow;
+  }
+}
+
 std::optional<std::size_t>
 SourcePlanner::slot() const
 {
--- a/src/mustardplank/agent/update_relay.cpp
+++ b/src/mustardplank/agent/update_relay.cpp
@@ -70,6 +70,15 @@
   }
 }
 
+void
+UpdateRelay::forgetWritten()
+{
+  for (auto& [process, state] : mProcesses) {
+    state.written = 0;
+    state.writtenAt = TimePoint{};
+  }
+}
+
 std::vector<UpdateRelay::Item>
 UpdateRelay::unwritten() const
 {
--- a/src/mustardplank/agent/update_relay_test.cpp
+++ b/src/mustardplank/agent/update_relay_test.cpp
@@ -85,4 +85,18 @@
   BOOST_TEST(relay.takeDue(at(31000)).size() == 1U);
 }
 
+// Guards against usage of an instance that has ended, lost with the store's latest records.
+BOOST_AUTO_TEST_CASE(updates_are_written_to_a_restored_store_again)
+{
+  UpdateRelay relay;
+  relay.accept(makeUpdate("a", 1, true), "a1", at(0));
+  relay.recordWritten(relay.takeDue(at(10)), at(20));
+  BOOST_TEST(relay.takeDue(at(30)).empty());
+  relay.forgetWritten();
+  const auto due = relay.takeDue(at(40));
+  BOOST_TEST_REQUIRE(due.size() == 1U);
+  BOOST_TEST(due[0].bytes == "a1");
+  BOOST_TEST(relay.unwritten().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -6,6 +6,7 @@
 
 DutyLease::DutyLease(DutyLeaseOptions aOptions, bool aFirstStart, TimePoint aNow)
   : mOptions(aOptions)
+  , mFirstStart(aFirstStart)
   , mObservedAt(aFirstStart ? aNow - aOptions.ttl : aNow)
   , mLastAttemptAt(aNow - aOptions.renewInterval)
 {
@@ -76,6 +77,10 @@
 DutyLease::handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow)
 {
   mLastAttemptAt = aNow;
+  if (isRestored(aResult)) {
+    handleRestored(aSentAt, aResult, aNow);
+    return;
+  }
   if (aResult.appended) {
     if (!mFence) {
       mFence = aResult.logEnd;
@@ -101,6 +106,32 @@
   dropLease(aResult.logEnd, aNow);
 }
 
+bool
+DutyLease::isRestored(const AppendResult& aResult) const
+{
+  if (mLogEnd == 0 && mFirstStart) {
+    // An empty log is complete on the first start, whatever the era.
+    return false;
+  }
+  return eraOf(aResult.logEnd) != eraOf(mLogEnd);
+}
+
+void
+DutyLease::handleRestored(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow)
+{
+  if (!isValid(aNow)) {
+    dropLease(aResult.logEnd, aNow);
+    return;
+  }
+  mLogEnd = aResult.logEnd;
+  if (aResult.appended) {
+    mRenewedAt = aSentAt;
+  } else {
+    // The next renewal may be appended at once.
+    mLastAttemptAt = aNow - mOptions.renewInterval;
+  }
+}
+
 void
 DutyLease::handleAppendOutcomeUnknown(TimePoint aNow)
 {
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -310,4 +310,84 @@
   }
 }
 
+// Guards against two holders after the store was restored from a copy that lacks the holder's last
+// renewals: an observer whose expected offset is the end of the log again, by chance, holds
+// nothing.
+BOOST_AUTO_TEST_CASE(claim_in_a_restored_log_needs_a_new_observation)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeEnd(makePosition(1, 5), at(0));
+  BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(3000)).value() == makePosition(1, 5));
+  lease.handleAppendResult(at(3000), { true, makePosition(2, 6) }, at(3010));
+  BOOST_TEST(!lease.holdsDuties());
+  BOOST_TEST(!lease.dueAppendOffset(at(6000)).has_value());
+  BOOST_TEST(lease.dueAppendOffset(at(6010)).value() == makePosition(2, 6));
+  lease.handleAppendResult(at(6010), { true, makePosition(2, 7) }, at(6020));
+  BOOST_TEST(lease.holdsDuties());
+}
+
+// Guards against duties that nobody has after a restoration, as notes of the former, longer log
+// displace each newer observation.
+BOOST_AUTO_TEST_CASE(older_notes_do_not_displace_observations_of_a_restored_log)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeEnd(makePosition(1, 24), at(0));
+  lease.observeEnd(makePosition(2, 15), at(1000));
+  for (int ms = 1100; ms < 4000; ms += 100) {
+    lease.observeEnd(makePosition(1, 24), at(ms));
+    BOOST_TEST(!lease.dueAppendOffset(at(ms)).has_value());
+  }
+  BOOST_TEST(lease.dueAppendOffset(at(4000)).value() == makePosition(2, 15));
+}
+
+// Guards against duties that rest although nobody else can have them: a holder whose lease is valid
+// renews in the restored log.
+BOOST_AUTO_TEST_CASE(holder_goes_on_in_a_restored_log)
+{
+  DutyLease lease({}, true, at(0));
+  lease.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
+  const auto fence = lease.fenceIfActive(at(400));
+  lease.handleAppendResult(at(1000), { false, makePosition(2, 0) }, at(1010));
+  BOOST_TEST((lease.fenceIfActive(at(1020)) == fence));
+  BOOST_TEST(lease.dueAppendOffset(at(1020)).value() == makePosition(2, 0));
+  lease.handleAppendResult(at(1020), { true, makePosition(2, 1) }, at(1030));
+  BOOST_TEST((lease.fenceIfActive(at(2500)) == fence));
+}
+
+// Guards against a holder that acts on after a restoration although others may have claimed.
+BOOST_AUTO_TEST_CASE(expired_holder_drops_the_lease_in_a_restored_log)
+{
+  for (const bool appended : { false, true }) {
+    DutyLease lease({}, true, at(0));
+    lease.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
+    lease.handleAppendResult(at(3100), { appended, makePosition(2, 2) }, at(3110));
+    BOOST_TEST(!lease.holdsDuties());
+    BOOST_TEST(!lease.dueAppendOffset(at(6000)).has_value());
+  }
+}
+
+// Guards against a process that has not seen the log and claims in one that lost all claims.
+BOOST_AUTO_TEST_CASE(restarted_process_does_not_claim_in_a_log_that_it_never_saw)
+{
+  DutyLease lease({}, false, at(0));
+  BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(3000)).value() == 0U);
+  lease.handleAppendResult(at(3000), { true, makePosition(2, 1) }, at(3010));
+  BOOST_TEST(!lease.holdsDuties());
+  DutyLease first({}, true, at(0));
+  first.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
+  BOOST_TEST(first.holdsDuties());
+}
+
+// Guards against fencing tokens that fall with the offsets of a restored log.
+BOOST_AUTO_TEST_CASE(fence_rises_with_the_era)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeRelease(makePosition(2, 3), at(0));
+  lease.handleAppendResult(at(0), { true, makePosition(2, 4) }, at(10));
+  BOOST_TEST(lease.fenceIfActive(at(3010)).value_or(0) == 0U);
+  lease.handleAppendResult(at(1500), { true, makePosition(2, 5) }, at(1510));
+  lease.handleAppendResult(at(2900), { true, makePosition(2, 6) }, at(2910));
+  BOOST_TEST(lease.fenceIfActive(at(3100)).value() > makePosition(1, 1000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -168,8 +168,14 @@
   return encodeCbor(json{ { "w", aIntent.window }, { "c", countsToJson(aIntent.counts) } });
 }
 
-std::optional<ReportIntent>
-decodeIntent(const std::string& aBytes, Findings& aFindings)
+std::string
+encodeEraStart(const EraStart& aStart)
+{
+  return encodeCbor(json{ { "era", aStart.era }, { "at", aStart.atMs } });
+}
+
+std::optional<ReportRecord>
+decodeReportRecord(const std::string& aBytes, Findings& aFindings)
 {
   const auto object = decodeCbor(aBytes);
   if (!object.is_object()) {
@@ -177,6 +183,9 @@
     return std::nullopt;
   }
   try {
+    if (object.contains("era")) {
+      return EraStart{ object.at("era").get<std::uint64_t>(), object.at("at").get<std::int64_t>() };
+    }
     return ReportIntent{ object.at("w").get<std::uint64_t>(), countsFromJson(object.at("c")) };
   } catch (const json::exception& aError) {
     aFindings.add("reports", aError.what());
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -57,7 +57,7 @@
   for (const auto& it : { std::string("\x01"), std::string("\xff\xff\xff"), std::string("{}") }) {
     Findings findings;
     BOOST_TEST(!decodeUpdate(it, findings).has_value());
-    BOOST_TEST(!decodeIntent(it, findings).has_value());
+    BOOST_TEST(!decodeReportRecord(it, findings).has_value());
     BOOST_TEST(!decodeBaseline(it, findings).has_value());
   }
 }
@@ -65,10 +65,15 @@
 BOOST_AUTO_TEST_CASE(intent_and_baseline_round_trip)
 {
   Findings findings;
-  const auto intent =
-    decodeIntent(encodeIntent({ 12, { { OrganisationId("one"), 4 } } }), findings);
-  BOOST_TEST(intent->window == 12U);
-  BOOST_TEST(intent->counts.at(OrganisationId("one")) == 4U);
+  const auto record =
+    decodeReportRecord(encodeIntent({ 12, { { OrganisationId("one"), 4 } } }), findings);
+  const auto intent = std::get<ReportIntent>(*record);
+  BOOST_TEST(intent.window == 12U);
+  BOOST_TEST(intent.counts.at(OrganisationId("one")) == 4U);
+  const auto start =
+    std::get<EraStart>(*decodeReportRecord(encodeEraStart({ 3, 1700000000000 }), findings));
+  BOOST_TEST(start.era == 3U);
+  BOOST_TEST(start.atMs == 1700000000000);
   Baseline baseline;
   baseline[route::ServiceId("s")][FailureDomainId("fd")] = 6;
   BOOST_TEST((decodeBaseline(encodeBaseline(baseline), findings) == baseline));
--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace mustardplank::control {
 
@@ -19,17 +20,20 @@
 void
 ServerRegistry::removeOrDefer(const BackendServerId& aId,
                               TimePoint aNow,
+                              std::optional<TimePoint> aDeferUntil,
                               std::vector<ServerEvent>& aEvents)
 {
+  mHeldBack.erase(aId);
   const auto it = mServers.find(aId);
   if (it == mServers.end()) {
     return;
   }
-  if (mGraceUntil && aNow < *mGraceUntil && !it->second.draining) {
-    mPendingRemovals.try_emplace(aId, *mGraceUntil);
+  if (aDeferUntil && aNow < *aDeferUntil && !it->second.draining) {
+    mPendingRemovals.try_emplace(aId, *aDeferUntil);
     return;
   }
   aEvents.emplace_back(ServerRemoved{ aId, it->second.address });
+  mRemoved[aId] = { it->second.startTimeMs, aNow };
   mPendingRemovals.erase(aId);
   mDigests.erase(aId);
   const auto address = mByAddress.find(it->second.address);
@@ -42,6 +46,8 @@
 void
 ServerRegistry::add(const Record& aRecord,
                     const StoreDialect& aDialect,
+                    TimePoint aNow,
+                    RecordSource aSource,
                     std::vector<ServerEvent>& aEvents)
 {
   const auto digest = aDialect.serverDigest(aRecord);
@@ -49,6 +55,7 @@
   const auto known = mDigests.find(id);
   if (known != mDigests.end() && known->second == digest) {
     mPendingRemovals.erase(id);
+    mHeldBack.erase(id);
     return;
   }
   Findings findings;
@@ -61,6 +68,12 @@
       .write();
     return;
   }
+  if (aSource == RecordSource::RestoredCopy && mayBeOutdated(*server)) {
+    mHeldBack[id] = aRecord;
+    mRestoredUntil = aNow + kRestoreGrace;
+    return;
+  }
+  mHeldBack.erase(id);
   if (const auto other = mByAddress.find(server->address);
       other != mByAddress.end() && other->second != server->id) {
     const auto old = mServers.find(other->second);
@@ -85,17 +98,31 @@
   aEvents.emplace_back(ServerUpdated{ std::move(*server) });
 }
 
+bool
+ServerRegistry::mayBeOutdated(const route::BackendServer& aServer) const
+{
+  if (const auto known = mServers.find(aServer.id); known != mServers.end()) {
+    return known->second.startTimeMs == aServer.startTimeMs && known->second.draining &&
+           !aServer.draining;
+  }
+  const auto removed = mRemoved.find(aServer.id);
+  return removed != mRemoved.end() && removed->second.startTimeMs == aServer.startTimeMs;
+}
+
 std::vector<ServerEvent>
 ServerRegistry::apply(const std::vector<Record>& aRecords,
                       const StoreDialect& aDialect,
-                      TimePoint aNow)
+                      TimePoint aNow,
+                      RecordSource aSource)
 {
+  const auto deferUntil =
+    aSource == RecordSource::RestoredCopy ? std::optional(aNow + kReappearGrace) : mGraceUntil;
   std::vector<ServerEvent> events;
   for (const auto& it : aRecords) {
     if (it.value) {
-      add(it, aDialect, events);
+      add(it, aDialect, aNow, aSource, events);
     } else {
-      removeOrDefer(BackendServerId(it.key), aNow, events);
+      removeOrDefer(BackendServerId(it.key), aNow, deferUntil, events);
     }
   }
   return events;
@@ -118,20 +145,28 @@
     }
   }
   for (const auto& it : removed) {
-    removeOrDefer(it, aNow, events);
+    removeOrDefer(it, aNow, mGraceUntil, events);
   }
   for (const auto& it : aRecords) {
     if (it.value) {
-      add(it, aDialect, events);
+      add(it, aDialect, aNow, RecordSource::Log, events);
     }
   }
   return events;
 }
 
 std::vector<ServerEvent>
-ServerRegistry::tick(TimePoint aNow)
+ServerRegistry::tick(const StoreDialect& aDialect, TimePoint aNow)
 {
   std::vector<ServerEvent> events;
+  std::erase_if(mRemoved,
+                [&](const auto& aItem) { return aNow - aItem.second.at > kRemovalMemory; });
+  if (mRestoredUntil && aNow >= *mRestoredUntil) {
+    mRestoredUntil.reset();
+    for (const auto& [id, record] : std::exchange(mHeldBack, {})) {
+      add(record, aDialect, aNow, RecordSource::Log, events);
+    }
+  }
   std::vector<BackendServerId> due;
   for (const auto& [id, until] : mPendingRemovals) {
     if (aNow >= until) {
@@ -139,7 +174,7 @@
     }
   }
   for (const auto& it : due) {
-    removeOrDefer(it, aNow, events);
+    removeOrDefer(it, aNow, std::nullopt, events);
   }
   return events;
 }
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -110,7 +110,7 @@
   registry.recordRead(at(10000));
   BOOST_TEST(registry.apply({ { 1, "a", {} } }, makeDialect(), at(10000)).empty());
   BOOST_TEST(registry.apply({ { 2, "a", "ready" } }, makeDialect(), at(10500)).empty());
-  BOOST_TEST(registry.tick(at(13000)).empty());
+  BOOST_TEST(registry.tick(makeDialect(), at(13000)).empty());
   BOOST_TEST(registry.servers().size() == 1U);
 }
 
@@ -139,8 +139,8 @@
   BOOST_TEST(registry.servers().size() == 2U);
   registry.recordRead(at(10000));
   registry.apply({ { 6, "a", "ready" } }, makeDialect(), at(10000));
-  BOOST_TEST(countRemoved(registry.tick(at(10900))) == 0U);
-  BOOST_TEST(countRemoved(registry.tick(at(11100))) == 1U);
+  BOOST_TEST(countRemoved(registry.tick(makeDialect(), at(10900))) == 0U);
+  BOOST_TEST(countRemoved(registry.tick(makeDialect(), at(11100))) == 1U);
   BOOST_TEST(registry.servers().count(BackendServerId("a")) == 1U);
 }
 
@@ -155,4 +155,76 @@
   BOOST_TEST(registry.servers().count(BackendServerId("b")) == 1U);
 }
 
+// Guards against requests to servers that leave or have left, as a restored store shows them as
+// they were before.
+BOOST_AUTO_TEST_CASE(restored_copy_brings_no_leaving_server_back)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply(
+    { { 0, "a", "draining" }, { 1, "b", "ready" }, { 2, "c", "ready" } }, makeDialect(), at(0));
+  registry.apply({ { 3, "b", {} } }, makeDialect(), at(500));
+  const auto events =
+    registry.apply({ { 10, "a", "ready" }, { 11, "b", "ready" }, { 12, "d", "ready" } },
+                   makeDialect(),
+                   at(1000),
+                   RecordSource::RestoredCopy);
+  BOOST_TEST(events.size() == 1U);
+  BOOST_TEST(registry.servers().at(BackendServerId("a")).draining);
+  BOOST_TEST(registry.servers().count(BackendServerId("b")) == 0U);
+  // They are written again as they were last.
+  registry.apply({ { 13, "a", "draining" }, { 14, "b", {} } }, makeDialect(), at(1800));
+  registry.tick(makeDialect(), at(1000) + ServerRegistry::kRestoreGrace);
+  BOOST_TEST(registry.servers().at(BackendServerId("a")).draining);
+  BOOST_TEST(registry.servers().count(BackendServerId("b")) == 0U);
+  BOOST_TEST(registry.servers().count(BackendServerId("c")) == 1U);
+}
+
+// Guards against servers that stay out although they are not written again as leaving or removed.
+BOOST_AUTO_TEST_CASE(held_back_entries_take_effect_after_the_grace_time)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "draining" }, { 1, "b", "ready" } }, makeDialect(), at(0));
+  registry.apply({ { 2, "b", {} } }, makeDialect(), at(500));
+  registry.apply({ { 10, "a", "ready" }, { 11, "b", "ready" } },
+                 makeDialect(),
+                 at(1000),
+                 RecordSource::RestoredCopy);
+  const auto end = at(1000) + ServerRegistry::kRestoreGrace;
+  BOOST_TEST(registry.tick(makeDialect(), end - Millis(1)).empty());
+  BOOST_TEST(registry.tick(makeDialect(), end).size() == 2U);
+  BOOST_TEST(!registry.servers().at(BackendServerId("a")).draining);
+  BOOST_TEST(registry.servers().count(BackendServerId("b")) == 1U);
+}
+
+// Guards against a server that starts after the restoration and gets nothing.
+BOOST_AUTO_TEST_CASE(newer_entry_takes_effect_at_once)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready" } }, makeDialect(), at(0));
+  registry.apply({ { 1, "a", {} } }, makeDialect(), at(500));
+  registry.apply({ { 10, "a", "ready" } }, makeDialect(), at(1000), RecordSource::RestoredCopy);
+  BOOST_TEST(registry.servers().empty());
+  registry.apply({ { 11, "a", "ready" } }, makeDialect(), at(1100));
+  BOOST_TEST(registry.servers().size() == 1U);
+}
+
+// Guards against servers that are dropped because a restored store does not have them yet.
+BOOST_AUTO_TEST_CASE(servers_that_a_restored_copy_lacks_have_time_to_reappear)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "ready" } }, makeDialect(), at(0));
+  BOOST_TEST(
+    registry
+      .apply(
+        { { 10, "a", {} }, { 10, "b", {} } }, makeDialect(), at(1000), RecordSource::RestoredCopy)
+      .empty());
+  registry.apply({ { 11, "a", "ready" } }, makeDialect(), at(2000));
+  BOOST_TEST(countRemoved(registry.tick(makeDialect(), at(3000))) == 1U);
+  BOOST_TEST(registry.servers().count(BackendServerId("a")) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/usage_windows.cpp
+++ b/src/mustardplank/control/usage_windows.cpp
@@ -23,6 +23,8 @@
 /// Number of windows whose counts are kept; the numbers of final windows (mFinal) are kept for four
 /// times as many.
 constexpr std::size_t kMaxWindows = 64;
+/// Windows that republish() covers; earlier ones are past their deadline.
+constexpr std::size_t kRepublishedWindows = 8;
 
 std::int64_t
 millisOf(Duration aDuration)
@@ -139,6 +141,21 @@
   mFinal.insert(aWindow);
 }
 
+void
+UsageWindows::skipWindowsBefore(std::int64_t aTimeMs)
+{
+  mSkippedBeforeMs = std::max(mSkippedBeforeMs, aTimeMs);
+}
+
+void
+UsageWindows::republish()
+{
+  auto it = mOwn.rbegin();
+  for (std::size_t i = 0; it != mOwn.rend() && i < kRepublishedWindows; ++it, ++i) {
+    mUnpublished.insert(it->first);
+  }
+}
+
 bool
 UsageWindows::isAwaited(const LastUpdate& aLastUpdate, std::uint64_t aWindow, TimePoint aNow) const
 {
@@ -166,7 +183,8 @@
   for (const auto& [window, countsByRun] : mPublished) {
     const auto end = endOf(window);
     const auto deadline = end + millisOf(mOptions.reportWithin);
-    if (mFinal.contains(window) || aTimeMs < end + kClockSlackMs || aTimeMs >= deadline) {
+    if (mFinal.contains(window) || end <= mSkippedBeforeMs || aTimeMs < end + kClockSlackMs ||
+        aTimeMs >= deadline) {
       continue;
     }
     const bool awaited = std::any_of(
--- a/src/mustardplank/control/usage_windows_test.cpp
+++ b/src/mustardplank/control/usage_windows_test.cpp
@@ -169,4 +169,30 @@
   BOOST_TEST(usage.liveInstances(at(60000)).empty());
 }
 
+// Guards against a second report of windows whose intents a restored store has lost.
+BOOST_AUTO_TEST_CASE(skipped_windows_are_not_due)
+{
+  UsageWindows usage({});
+  const auto window = usage.windowOf(kStartMs);
+  usage.apply(makeUpdate("a", kStartMs + 11000, { { window, { { kOne, 3 } } } }), at(11000));
+  BOOST_TEST(usage.dueIntents(kStartMs + 6000, at(6000)).size() == 1U);
+  usage.skipWindowsBefore(kStartMs + 5000);
+  BOOST_TEST(usage.dueIntents(kStartMs + 6000, at(6000)).empty());
+  usage.apply(makeUpdate("a", kStartMs + 11000, { { window + 1, { { kOne, 4 } } } }), at(11000));
+  BOOST_TEST(usage.dueIntents(kStartMs + 11000, at(11000)).size() == 1U);
+}
+
+// Guards against counts that a restored store has lost and nobody writes again.
+BOOST_AUTO_TEST_CASE(counts_are_republished)
+{
+  UsageWindows usage({});
+  usage.count(kOne, kStartMs);
+  usage.takeUnpublished();
+  BOOST_TEST(!usage.hasUnpublished());
+  usage.republish();
+  const auto windows = usage.takeUnpublished();
+  BOOST_TEST_REQUIRE(windows.size() == 1U);
+  BOOST_TEST(windows.begin()->second.at(kOne) == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/platform/http_client.cpp
+++ b/src/mustardplank/platform/http_client.cpp
@@ -120,7 +120,11 @@
     stream->expires_never();
     mIdle.push_back(std::move(stream));
   }
-  co_return HttpResponse{ response.result_int(), std::move(response.body()) };
+  HttpResponse result{ response.result_int(), std::move(response.body()) };
+  for (const auto& it : response.base()) {
+    result.fields.emplace_back(it.name_string(), it.value());
+  }
+  co_return result;
 }
 
 }
