CONFIG: restore the store and silence servers in the soak

The store goes back to a copy that was made 0.5 to 5 s before it went away. After all faults a change must be in force in time at all instances. Streams within which a server falls silent for 1.5 s are among the requests; the silence excuses nothing.

--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -46,11 +46,21 @@
 /// Longest pause of an instance, and longest outage of the store, in milliseconds.
 constexpr int kMaxPauseMs = 2500;
 constexpr int kMaxOutageMs = 3000;
+/// Age of the copy that the store comes back with, and longest time until the operator and the
+/// servers have written again what it lacks, in milliseconds.
+constexpr int kMinCopyAgeMs = 500;
+constexpr int kMaxCopyAgeMs = 5000;
+constexpr int kMaxRewriteMs = 2000;
 /// Time between two faults, in milliseconds.
 constexpr int kMaxBetweenMs = 900;
 /// Usage of the last windows is reported within this.
 constexpr Millis kSettle{ 9000 };
 constexpr Millis kRecoveryBound{ 12000 };
+/// After faults, a change is in force in time once this has passed.
+constexpr Millis kStabilityWindow{ 3000 };
+constexpr Millis kApplyBound{ 2000 };
+/// Deadline of a stream within which a server falls silent.
+constexpr int kSilentDeadlineMs = 3000;
 /// Series of faults that run at the same time.
 constexpr int kFaultSeries = 2;
 /// Longest time between two signals in a series, in milliseconds.
@@ -99,6 +109,7 @@
       it.join();
     }
     checkRecovery();
+    checkChange();
     std::this_thread::sleep_for(kSettle);
     checkAnswers();
     checkDuties();
@@ -117,6 +128,12 @@
     return static_cast<int>(aRandom() % static_cast<unsigned>(aBelow));
   }
 
+  /// Whether the server falls silent for a while within the stream.
+  static bool isSilent(const std::string& aPath)
+  {
+    return aPath.find("/silent") != std::string::npos;
+  }
+
   void note(const std::string& aText)
   {
     const std::lock_guard lock(mMutex);
@@ -133,10 +150,11 @@
   {
     std::mt19937_64 random(mOptions.seed * 1000 + aCaller);
     static const char* const kPaths[] = {
-      "/plain/ok",          "/plain/cut",       "/plain/not_run",      "/twice/ok",
-      "/twice/error",       "/twice/cut",       "/twice/late",         "/twice/surplus",
-      "/events/stream4",    "/resume/broken2",  "/resume/stream6",     "/open/ok",
-      "/plain/old_refusal", "/twice/head_cut2", "/resume/no_resume200"
+      "/plain/ok",          "/plain/cut",       "/plain/not_run",       "/twice/ok",
+      "/twice/error",       "/twice/cut",       "/twice/late",          "/twice/surplus",
+      "/events/stream4",    "/resume/broken2",  "/resume/stream6",      "/open/ok",
+      "/plain/old_refusal", "/twice/head_cut2", "/resume/no_resume200", "/events/silent2",
+      "/resume/silent3"
     };
     // Callers keep a connection until the other side closes it.
     std::unique_ptr<CallerConnection> connection;
@@ -155,6 +173,9 @@
         request.path = seen.path;
         request.attempt = seen.attempt;
         request.body = "body of " + seen.attempt;
+        if (isSilent(seen.path)) {
+          request.deadlineMs = kSilentDeadlineMs;
+        }
         connection->send(request);
         const auto answer = connection->read();
         seen.status = answer.result_int();
@@ -192,7 +213,7 @@
     const auto instance =
       static_cast<std::size_t>(pick(aRandom, static_cast<int>(mOptions.instances)));
     const auto server = static_cast<std::size_t>(pick(aRandom, static_cast<int>(mOptions.servers)));
-    switch (pick(aRandom, 9)) {
+    switch (pick(aRandom, 10)) {
       case 0: {
         const std::lock_guard lock(mInstanceMutexes[instance]);
         note("kill instance" + std::to_string(instance));
@@ -233,6 +254,9 @@
       case 7:
         state(server, aRandom);
         return;
+      case 8:
+        restoreStore(aRandom);
+        return;
       default: {
         const std::lock_guard lock(mStoreMutex);
         note("configuration changes");
@@ -243,6 +267,31 @@
     }
   }
 
+  /// The store goes back to an older copy, unless the other series has one made already.
+  void restoreStore(Random& aRandom)
+  {
+    const Millis age(kMinCopyAgeMs + pick(aRandom, kMaxCopyAgeMs - kMinCopyAgeMs));
+    const Millis away(pick(aRandom, kMaxOutageMs));
+    const Millis rewrite(pick(aRandom, kMaxRewriteMs));
+    const std::unique_lock copyLock(mCopyMutex, std::try_to_lock);
+    if (!copyLock) {
+      return;
+    }
+    auto& store = mDeployment.store();
+    store.snapshot();
+    std::this_thread::sleep_for(age);
+    {
+      const std::lock_guard lock(mStoreMutex);
+      note("store restored as of " + std::to_string(age.count()) + " ms before");
+      store.setDown(true);
+      std::this_thread::sleep_for(away);
+      store.restore();
+      store.setDown(false);
+    }
+    std::this_thread::sleep_for(rewrite);
+    store.rewriteOperators();
+  }
+
   /// The instance's process may be replaced meanwhile, so its lock is held by the caller or taken.
   void signal(std::size_t aInstance, int aSignal)
   {
@@ -313,20 +362,23 @@
     }
   }
 
+  bool serves(std::size_t aInstance, const std::string& aKey)
+  {
+    try {
+      CallerConnection connection(mDeployment.callers(aInstance));
+      Call request;
+      request.path = "/twice/ok";
+      request.key = aKey;
+      return connection.call(request).result_int() == 200;
+    } catch (const boost::system::system_error&) {
+      return false;
+    }
+  }
+
   void checkRecovery()
   {
     for (std::size_t i = 0; i < mOptions.instances; ++i) {
-      const bool serves = support::waitUntil(kRecoveryBound, [&] {
-        try {
-          CallerConnection connection(mDeployment.callers(i));
-          Call request;
-          request.path = "/twice/ok";
-          return connection.call(request).result_int() == 200;
-        } catch (const boost::system::system_error&) {
-          return false;
-        }
-      });
-      if (!serves) {
+      if (!support::waitUntil(kRecoveryBound, [&] { return serves(i, "key-one"); })) {
         const auto output = mDeployment.instance(i).output();
         const auto begin = output.size() - std::min<std::size_t>(output.size(), kShownOutputBytes);
         mViolations.push_back("instance" + std::to_string(i) +
@@ -336,6 +388,23 @@
     }
   }
 
+  void checkChange()
+  {
+    std::this_thread::sleep_for(kStabilityWindow);
+    mDeployment.configure("key-last");
+    std::set<std::size_t> late;
+    for (std::size_t i = 0; i < mOptions.instances; ++i) {
+      late.insert(i);
+    }
+    support::waitUntil(kApplyBound, [&] {
+      std::erase_if(late, [&](auto aInstance) { return serves(aInstance, "key-last"); });
+      return late.empty();
+    });
+    for (const auto it : late) {
+      mViolations.push_back("a change was not in force in time at instance" + std::to_string(it));
+    }
+  }
+
   void checkAnswers()
   {
     std::map<std::string, int> arrivals;
@@ -370,7 +439,8 @@
     if (once && aRan && (aSeen.status == 503 || aSeen.status == 429)) {
       mViolations.push_back(what + " ran although its caller was told that it did not");
     }
-    if (aSeen.status == 0 && aArrivals > 0 && aSeen.path.ends_with("/ok") && !hadOutage(aSeen)) {
+    const bool isSound = aSeen.path.ends_with("/ok") || isSilent(aSeen.path);
+    if (aSeen.status == 0 && aArrivals > 0 && isSound && !hadOutage(aSeen)) {
       mViolations.push_back(what + " reached a server and got no answer");
     }
     if (aSeen.status == 401 || aSeen.status == 404) {
@@ -383,7 +453,7 @@
     std::string expected = "answer to " + aSeen.attempt;
     if (stream) {
       expected.clear();
-      const int events = aSeen.path.starts_with("/events/") ? 4 : 6;
+      const int events = aSeen.path == "/events/stream4" ? 4 : 6;
       for (int i = 1; i <= events; ++i) {
         expected += "id: " + std::to_string(i) + "\ndata: t" + std::to_string(i) + "\n\n";
       }
@@ -437,6 +507,8 @@
   /// Held while an instance's process is changed, and while the store is.
   std::vector<std::mutex> mInstanceMutexes;
   std::mutex mStoreMutex;
+  /// Held from the time at which a copy of the store is made until nothing is missing any more.
+  std::mutex mCopyMutex;
   std::mutex mMutex;
   std::vector<Seen> mSeen;
   std::map<std::size_t, std::vector<Outage>> mOutages;
