LOST: each of two attempts keeps its own response

While a second server was asked, callers got the answer of a silent server that went on under the status of the other one (a whole stream with status 503 or 421, an answer with 500), or 502 and 504 although a server had answered.

Cause: both attempts shared status, head, body and event in progress. 1. The head of the second server overwrote status and framing. 2. It ended the silent attempt at once; when its body broke off, nothing was left to answer with. 3. A head that the silent server sent meanwhile was forgotten when the second server failed; the events after it were ignored until the deadline. 4. A byte of an answer without events counted as progress and cancelled the second server.

Each attempt now has its own response. The first whole event, or the first whole response without events, decides. The job of the replacement ends after the switch, since a grant may take the connection of a completed response.

--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -363,7 +363,7 @@
 }
 
 void
-Exchange::releaseServer(dispatch::JobOutcome aOutcome)
+Exchange::cancelConnection()
 {
   if (mConnectTimer) {
     mContext.timers.cancel(*mConnectTimer);
@@ -372,12 +372,24 @@
   if (auto connection = std::exchange(mConnection, nullptr)) {
     connection->cancelRequest();
   }
-  mGrant.reset();
+}
+
+void
+Exchange::endJob(dispatch::JobId aJob, dispatch::JobOutcome aOutcome)
+{
   dispatch::Effects effects;
-  mContext.dispatcher.endJob(mJob.id, aOutcome, bootNow(), effects);
+  mContext.dispatcher.endJob(aJob, aOutcome, bootNow(), effects);
   mContext.applyEffects(effects);
 }
 
+void
+Exchange::releaseServer(dispatch::JobOutcome aOutcome)
+{
+  cancelConnection();
+  mGrant.reset();
+  endJob(mJob.id, aOutcome);
+}
+
 bool
 Exchange::retryOnOtherServer(dispatch::JobOutcome aOutcome, bool aNotExecuted, const char* aCause)
 {
@@ -462,7 +474,7 @@
     .field("digest", mRequestDigest)
     .field("sends", mSendCount)
     .field("events", mEventSplitter.eventCount())
-    .field("framing", mSendCount > 0 ? kBodyFramingNames.name(mResponseFraming) : "none")
+    .field("framing", mSendCount > 0 ? kBodyFramingNames.name(mResponse.framing) : "none")
     .field("unfinished_bytes", mUnfinishedEventBytes)
     .field("total_ms", toMillis(now - mJob.arrived))
     .field("first_ms", mResponseStarted ? toMillis(mResponseStartedAt - mJob.arrived) : -1.0)
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -24,6 +24,8 @@
 
 /// With less time left, no other server is tried after a failed connect or a failed attempt.
 inline constexpr Duration kMinRetryTimeLeft = Millis(30);
+/// Responses that are not streamed are buffered until they are complete; larger ones fail.
+inline constexpr std::size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 /// A stream with a longer event fails.
 inline constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 
@@ -76,6 +78,8 @@
   std::string serializeRequest() const;
   /// Gives up the grant, cancels a request in progress and reports aOutcome to the dispatcher.
   void releaseServer(dispatch::JobOutcome aOutcome);
+  void cancelConnection();
+  void endJob(dispatch::JobId aJob, dispatch::JobOutcome aOutcome);
   /// Releases the server and excludes it from further attempts; then resumes the stalled attempt,
   /// or submits the request again if attempts, time and retry budget allow it. False if neither is
   /// possible: the caller of this function then ends the response.
@@ -89,7 +93,7 @@
   /// Gives up the attempt in progress, if any, and goes on with the stalled one. False if there is
   /// none.
   bool resumeStalledAttempt(dispatch::JobOutcome aOutcome);
-  /// Another server has responded: cancels the stalled attempt.
+  /// Cancels the stalled attempt, if any.
   void dropStalledAttempt(dispatch::JobOutcome aOutcome);
   /// The connection of the stalled attempt broke before another server responded.
   void onStalledAttemptLost(ResponseFailure aFailure);
@@ -120,6 +124,21 @@
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
+  /// What has come of a server's response, but for events.
+  struct Response
+  {
+    unsigned status = 0;
+    Fields fields;
+    std::string body;
+    BodyFraming framing = BodyFraming::NoBody;
+    bool streamed = false;
+  };
+  struct ResponseStart
+  {
+    unsigned status = 0;
+    Fields fields;
+    BodyFraming framing = BodyFraming::NoBody;
+  };
   /// An attempt at a server.
   struct Attempt
   {
@@ -130,9 +149,15 @@
     Phase phase = Phase::AwaitingResponse;
     TimePoint sentAt{};
     std::int64_t sentAtMs = 0;
+    Response response{};
+    /// The event in progress.
+    EventSplitter events{};
+    /// The head, if it came while another server was asked.
+    std::optional<ResponseStart> head{};
   };
-  /// The response of a stalled attempt. The attempt is resumed when its server makes progress: for
-  /// a stream that is a whole event, as a server in trouble may still send a byte now and then.
+  /// The response of a stalled attempt. The attempt is resumed when its server makes progress: by a
+  /// whole event of a stream, or the whole of another response, as a server in trouble may still
+  /// send a byte now and then.
   class StalledResponse : public ResponseListener
   {
   public:
@@ -141,28 +166,16 @@
     {
     }
 
-    /// For the next attempt that stalls.
-    void reset() { mHead.reset(); }
-
     bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
     void onResponseBody(std::string_view aBytes) override;
     void onResponseEnd() override;
     void onResponseFailure(ResponseFailure aFailure) override;
 
   private:
-    struct Head
-    {
-      unsigned status = 0;
-      Fields fields;
-      BodyFraming framing = BodyFraming::NoBody;
-    };
-
-    /// Resumes the attempt and hands the head to the exchange, if it came after the stall. False if
-    /// that has ended the attempt.
+    /// Resumes the attempt. False if that has ended it.
     bool resume();
 
     Exchange& mExchange;
-    std::optional<Head> mHead;
   };
 
   /// Logs the loss of a server during the request and reports it, with the parts of the prompt if
@@ -219,13 +232,9 @@
   TimePoint mLastProgressAt{};
 
   // The response in progress.
-  unsigned mResponseStatus = 0;
-  Fields mResponseFields;
-  std::string mResponseBody;
-  BodyFraming mResponseFraming = BodyFraming::NoBody;
+  Response mResponse;
   /// Bytes after the last complete event when the server's stream ended.
   std::size_t mUnfinishedEventBytes = 0;
-  bool mResponseStreamed = false;
   bool mResponseHeadSent = false;
   /// The head that the caller got says that the connection ends with the response.
   bool mCloseAnnounced = false;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -52,8 +52,6 @@
   return "malformed_answer";
 }
 
-/// Responses that are not streamed are buffered until they are complete; larger ones fail.
-constexpr std::size_t kMaxBufferedResponseBytes = 16 * 1024 * 1024;
 /// A prompt part that crashes servers does so when they begin to answer; a server that is lost
 /// later than this after the head of the response had another cause.
 constexpr Duration kResponseBeginning = Millis(300);
@@ -68,8 +66,8 @@
     return false;
   }
   const auto now = bootNow();
-  mResponseStatus = aStatus;
-  mResponseFraming = aFraming;
+  mResponse.status = aStatus;
+  mResponse.framing = aFraming;
   if (head.load) {
     mContext.dispatcher.recordReportedLoad(
       mGrant->server, head.load->running, head.load->waiting, now);
@@ -103,14 +101,8 @@
     onResponseFailure(ResponseFailure::Malformed);
     return true;
   }
-  if (mStalled) {
-    if (aStatus >= 500) {
-      resumeStalledAttempt(dispatch::JobOutcome::Failed);
-      return true;
-    }
-    mEventSplitter.takeRemainder();
-    mResponseBody.clear();
-    dropStalledAttempt(dispatch::JobOutcome::Stalled);
+  if (aStatus >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
+    return true;
   }
   recordResponseStart();
   if (!isStreamingRoute() || !success) {
@@ -118,10 +110,10 @@
   }
   mPhase = Phase::ReceivingResponse;
   if (!mResponseHeadSent) {
-    mResponseFields = aFields;
-    removeHopByHopFields(mResponseFields);
+    mResponse.fields = aFields;
+    removeHopByHopFields(mResponse.fields);
   }
-  mResponseStreamed = isStreamingRoute() && success;
+  mResponse.streamed = isStreamingRoute() && success;
   return true;
 }
 
@@ -132,7 +124,7 @@
     return boost::algorithm::trim_copy(std::string(aContentType.substr(0, aContentType.find(';'))));
   };
   return boost::beast::iequals(mediaType(aFields[http::field::content_type]),
-                               mediaType(mResponseFields[http::field::content_type]));
+                               mediaType(mResponse.fields[http::field::content_type]));
 }
 
 bool
@@ -192,9 +184,9 @@
   if (mDone || mPhase != Phase::ReceivingResponse) {
     return;
   }
-  if (!mResponseStreamed) {
-    mResponseBody.append(aBytes);
-    if (mResponseBody.size() > kMaxBufferedResponseBytes) {
+  if (!mResponse.streamed) {
+    mResponse.body.append(aBytes);
+    if (mResponse.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
     }
     return;
@@ -213,6 +205,7 @@
   if (events.empty()) {
     return;
   }
+  dropStalledAttempt(dispatch::JobOutcome::Stalled);
   const auto now = bootNow();
   mContext.dispatcher.recordFirstEvent(mJob.id, now);
   if (mResponseHeadSent) {
@@ -221,7 +214,7 @@
   // Only whole events are progress: a stalled server may still send a byte now and then.
   mLastProgressAt = now;
   if (!mResponseHeadSent) {
-    writeResponseHead(mResponseStatus, mResponseFields, true);
+    writeResponseHead(mResponse.status, mResponse.fields, true);
     armStallTimer();
   }
   std::string text;
@@ -251,7 +244,7 @@
   if (aIsStreamed) {
     text += "Transfer-Encoding: chunked\r\n";
   } else if (mRequest.method() != http::verb::head) {
-    text += "Content-Length: " + std::to_string(mResponseBody.size()) + "\r\n";
+    text += "Content-Length: " + std::to_string(mResponse.body.size()) + "\r\n";
   }
   mCloseAnnounced = mCaller.closesAfterResponse();
   if (mCloseAnnounced) {
@@ -268,17 +261,18 @@
   if (mDone || mPhase != Phase::ReceivingResponse) {
     return;
   }
-  if (mResponseStreamed) {
+  if (mResponse.streamed) {
     if (isStreamBrokenOff()) {
-      onResponseFailure(mResponseFraming == BodyFraming::ConnectionClose
+      onResponseFailure(mResponse.framing == BodyFraming::ConnectionClose
                           ? ResponseFailure::ConnectionLost
                           : ResponseFailure::Malformed);
       return;
     }
+    dropStalledAttempt(dispatch::JobOutcome::Stalled);
     mUnfinishedEventBytes = 0;
     const auto remainder = mEventSplitter.takeRemainder();
     if (!mResponseHeadSent) {
-      writeResponseHead(mResponseStatus, mResponseFields, true);
+      writeResponseHead(mResponse.status, mResponse.fields, true);
     }
     if (!remainder.empty()) {
       std::string text;
@@ -288,29 +282,30 @@
     finishResponse();
     return;
   }
-  if (mResponseStatus >= 500) {
+  if (mResponse.status >= 500) {
     if (mJob.retryable) {
       if (retryOnOtherServer(dispatch::JobOutcome::Failed, false, "server_error")) {
-        mResponseBody.clear();
-        mResponseFields.clear();
+        mResponse.body.clear();
+        mResponse.fields.clear();
         return;
       }
     }
     // To callers, 503 guarantees that the request was not executed; the server did not state that.
-    if (mResponseStatus == 503) {
+    if (mResponse.status == 503) {
       sendLocalResponse(502, "server_error", std::nullopt);
       return;
     }
   }
-  writeResponseHead(mResponseStatus, mResponseFields, false);
-  mCaller.write(mResponseBody);
+  dropStalledAttempt(dispatch::JobOutcome::Stalled);
+  writeResponseHead(mResponse.status, mResponse.fields, false);
+  mCaller.write(mResponse.body);
   finishResponse();
 }
 
 bool
 Exchange::isStreamBrokenOff() const
 {
-  const bool endsWithConnection = mResponseFraming == BodyFraming::ConnectionClose;
+  const bool endsWithConnection = mResponse.framing == BodyFraming::ConnectionClose;
   return mEventSplitter.isInsideEvent() || (endsWithConnection && mEventSplitter.eventCount() == 0);
 }
 
@@ -338,7 +333,7 @@
 void
 Exchange::reportAnswered()
 {
-  if (mGrant && mResponseStatus / 100 == 2) {
+  if (mGrant && mResponse.status / 100 == 2) {
     mContext.callbacks.onAnswered(
       { mRequestDigest, &mJob.prompt, mGrant->server, mGrant->serverStartTimeMs, mSentAtMs });
   }
@@ -373,10 +368,8 @@
   }
   const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
   const auto* reason = failureReason(aFailure);
-  if (!mStalled) {
-    mResponseBody.clear();
-    mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
-  }
+  mResponse.body.clear();
+  mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
   if (retryOnOtherServer(outcome, false, reason)) {
     return;
   }
@@ -390,7 +383,7 @@
     sendLocalResponse(502, aReason, std::nullopt);
     return;
   }
-  finishRequest("request.broken_off", mResponseStatus, aReason);
+  finishRequest("request.broken_off", mResponse.status, aReason);
   mCaller.abort();
 }
 
@@ -400,7 +393,7 @@
                             std::optional<Duration> aRetryAfter)
 {
   if (mResponseHeadSent) {
-    finishRequest("request.broken_off", mResponseStatus, aReason);
+    finishRequest("request.broken_off", mResponse.status, aReason);
     mCaller.abort();
     return;
   }
@@ -429,11 +422,11 @@
 void
 Exchange::finishResponse()
 {
-  if (mResponseStreamed) {
+  if (mResponse.streamed) {
     mCaller.write(kLastChunk);
   }
   reportAnswered();
-  finishRequest("request.answered", mResponseStatus, "complete");
+  finishRequest("request.answered", mResponse.status, "complete");
   mCaller.finishResponse(!mCloseAnnounced && mContext.acceptingRequests);
 }
 
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -26,7 +26,7 @@
 Duration
 Exchange::stallTimeout() const
 {
-  if (mPhase == Phase::ReceivingResponse && mResponseStreamed && mResponseHeadSent) {
+  if (mPhase == Phase::ReceivingResponse && mResponse.streamed && mResponseHeadSent) {
     return std::max<Duration>(kEventGapFactor * mRoute->eventGapTarget, kMinEventGapTimeout);
   }
   return kStallFactor * mGrant->estimate +
@@ -81,9 +81,11 @@
 {
   mMayHaveExecuted = true;
   mJob.excludedServers.push_back(mGrant->server);
-  mStalledResponse.reset();
   mConnection->setListener(mStalledResponse);
-  mStalled = Attempt{ mJob.id, *mGrant, std::move(mConnection), mPhase, mSentAt, mSentAtMs };
+  mStalled =
+    Attempt{ mJob.id, *mGrant, std::move(mConnection), mPhase, mSentAt, mSentAtMs, mResponse };
+  mStalled->events.append(mEventSplitter.takeRemainder());
+  mResponse.body.clear();
   mConnection.reset();
   mGrant.reset();
   mJob.id = ++mContext.lastJobId;
@@ -97,21 +99,29 @@
   if (!mStalled) {
     return false;
   }
+  cancelConnection();
   auto stalled = std::move(*mStalled);
   mStalled.reset();
-  mContext.exchanges.erase(mJob.id);
-  releaseServer(aOutcome);
-  mJob.id = stalled.job;
+  const auto replacement = std::exchange(mJob.id, stalled.job);
+  mContext.exchanges.erase(replacement);
   mGrant = std::move(stalled.grant);
   mConnection = std::move(stalled.connection);
   mConnection->setListener(*this);
   mPhase = stalled.phase;
   mSentAt = stalled.sentAt;
   mSentAtMs = stalled.sentAtMs;
+  mResponse = std::move(stalled.response);
+  mEventSplitter.takeRemainder();
+  mEventSplitter.append(stalled.events.takeRemainder());
   log(makeLogEvent(LogLevel::Info, "request.resumed").field("server", mGrant->server.str()), false);
   // Not asked again at once.
   mLastProgressAt = bootNow();
   armStallTimer();
+  if (stalled.head) {
+    onResponseHead(stalled.head->status, stalled.head->fields, stalled.head->framing);
+  }
+  // Last: another request may be granted, and take the connection if this response is complete.
+  endJob(replacement, aOutcome);
   return true;
 }
 
@@ -121,37 +131,30 @@
   if (!mStalled) {
     return;
   }
-  auto stalled = std::move(*mStalled);
+  const auto stalled = std::move(*mStalled);
   mStalled.reset();
   mContext.exchanges.erase(stalled.job);
-  if (stalled.connection) {
-    stalled.connection->cancelRequest();
-  }
-  dispatch::Effects effects;
-  mContext.dispatcher.endJob(stalled.job, aOutcome, bootNow(), effects);
-  mContext.applyEffects(effects);
+  stalled.connection->cancelRequest();
+  endJob(stalled.job, aOutcome);
 }
 
 bool
 Exchange::StalledResponse::resume()
 {
   mExchange.resumeStalledAttempt(dispatch::JobOutcome::Cancelled);
-  if (auto head = std::exchange(mHead, std::nullopt)) {
-    return mExchange.onResponseHead(head->status, head->fields, head->framing) &&
-           mExchange.mPhase == Phase::ReceivingResponse;
-  }
-  return !mExchange.mDone;
+  return !mExchange.mDone && mExchange.mPhase == Phase::ReceivingResponse;
 }
 
 bool
 Exchange::StalledResponse::onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming)
 {
+  auto& stalled = *mExchange.mStalled;
   const auto head = mExchange.mContext.dialect.parseResponseHead(aStatus, aFields);
-  if (!mExchange.isResponseToThis(head, *mExchange.mStalled->connection)) {
+  if (!mExchange.isResponseToThis(head, *stalled.connection)) {
     return false;
   }
-  mHead = Head{ aStatus, aFields, aFraming };
-  if (!mExchange.isStreamingRoute() || aStatus / 100 != 2) {
+  stalled.head = ResponseStart{ aStatus, aFields, aFraming };
+  if (aStatus / 100 != 2) {
     resume();
   }
   return true;
@@ -160,18 +163,20 @@
 void
 Exchange::StalledResponse::onResponseBody(std::string_view aBytes)
 {
+  auto& stalled = *mExchange.mStalled;
   if (!mExchange.isStreamingRoute()) {
-    if (resume()) {
-      mExchange.onResponseBody(aBytes);
+    stalled.response.body.append(aBytes);
+    if (stalled.response.body.size() > kMaxBufferedResponseBytes) {
+      onResponseFailure(ResponseFailure::TooLarge);
     }
     return;
   }
-  mExchange.mEventSplitter.append(aBytes);
-  if (mExchange.mEventSplitter.hasEvents()) {
+  stalled.events.append(aBytes);
+  if (stalled.events.hasEvents()) {
     if (resume()) {
       mExchange.onResponseBody({});
     }
-  } else if (mExchange.mEventSplitter.remainder().size() > kMaxEventBytes) {
+  } else if (stalled.events.remainder().size() > kMaxEventBytes) {
     onResponseFailure(ResponseFailure::TooLarge);
   }
 }
@@ -200,8 +205,6 @@
   if (lost) {
     reportServerLoss(mStalled->grant, mStalled->sentAtMs);
   }
-  mResponseBody.clear();
-  mUnfinishedEventBytes = mEventSplitter.takeRemainder().size();
   dropStalledAttempt(lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed);
 }
 
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -45,6 +45,26 @@
          "\r\n\r\n" + aBody;
 }
 
+/// The mode that a path names for this arrival of the attempt.
+std::string
+modeOf(const std::string& aPath, const std::string& aAttempt)
+{
+  static std::mutex mutex;
+  static std::map<std::string, std::size_t> arrivals;
+  std::string modes = aPath.substr(aPath.rfind('/') + 1);
+  const std::lock_guard lock(mutex);
+  for (std::size_t i = arrivals[aAttempt]++; i > 0 && modes.find('+') != std::string::npos; --i) {
+    modes.erase(0, modes.find('+') + 1);
+  }
+  return modes.substr(0, modes.find('+'));
+}
+
+int
+numberIn(const std::string& aMode, std::size_t aAt)
+{
+  return std::atoi(aMode.c_str() + aAt);
+}
+
 std::string
 chunkText(const std::string& aBytes)
 {
@@ -104,7 +124,7 @@
     arrival.headers[std::string(it.name_string())] = std::string(it.value());
   }
   const std::string expected(aRequest["X-Expected-Instance"]);
-  const std::string mode = arrival.path.substr(arrival.path.rfind('/') + 1);
+  auto mode = modeOf(arrival.path, arrival.attempt);
   const auto attempt = arrival.attempt;
   const std::string signature =
     "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8\r\n" + moreFields();
@@ -113,7 +133,11 @@
     const std::lock_guard lock(mMutex);
     mArrivals.push_back(arrival);
   }
-  if (mReplaced || (!expected.empty() && expected != mId)) {
+  if (mode.starts_with("after")) {
+    co_await standins::sleepMillis(numberIn(mode, 5));
+    mode.erase(0, mode.find('_') + 1);
+  }
+  if (mReplaced || mode == "replaced" || (!expected.empty() && expected != mId)) {
     co_return co_await writeText(aSocket, answerText(421, attempt, "X-Instance-Id: other\r\n", ""));
   }
   if (mFull) {
@@ -143,6 +167,10 @@
       aSocket,
       answerText(status, attempt, signature + "Content-Type: application/json\r\n", "failed\n\n"));
   }
+  if (mode.starts_with("half") || mode == "drip") {
+    co_await writeInParts(aSocket, whole, mode);
+    co_return false;
+  }
   if (mode == "delayed") {
     co_await standins::sleepMillis(kDelayMs);
     co_return co_await writeText(aSocket, whole);
@@ -234,6 +262,30 @@
   }
 }
 
+Awaitable<void>
+ServerStandin::writeInParts(SocketPtr aSocket, std::string aText, std::string aMode)
+{
+  constexpr int kDrips = 200;
+  constexpr int kDripPauseMs = 50;
+  if (aMode.starts_with("half")) {
+    const auto n = aText.size() - 5;
+    co_await writeText(aSocket, aText.substr(0, n));
+    co_await standins::sleepMillis(numberIn(aMode, 4));
+    co_await writeText(aSocket, aText.substr(n));
+    co_return;
+  }
+  auto head = aText.substr(0, aText.find("Content-Length"));
+  head += "Content-Length: " + std::to_string(kDrips) + "\r\n\r\n";
+  bool open = co_await writeText(aSocket, std::move(head));
+  for (int i = 0; open && i < kDrips; ++i) {
+    open = co_await writeText(aSocket, "x");
+    co_await standins::sleepMillis(kDripPauseMs);
+  }
+  if (!open) {
+    ++mCancelled;
+  }
+}
+
 Awaitable<void>
 ServerStandin::trickle(SocketPtr aSocket)
 {
@@ -253,6 +305,7 @@
     { "broken", { 0, StreamEnd::ConnectionClosed } },
     { "torn", { 0, StreamEnd::LastChunk } },
     { "trickle", { 0, StreamEnd::Trickle } },
+    { "stuck", { 0, StreamEnd::Stuck } },
     { "slow", { 0, StreamEnd::Complete, 600 } },
     { "open_stream", { 0, StreamEnd::Complete, 50, Framing::None } },
     { "open_broken", { 0, StreamEnd::ConnectionClosed, 50, Framing::None } },
@@ -264,6 +317,12 @@
     plan.silentAfter = std::atoi(aMode.c_str() + aMode.rfind('t') + 1);
     return plan;
   }
+  if (aMode.starts_with("head") && !aMode.starts_with("head_cut")) {
+    StreamPlan plan;
+    plan.events = kTotalEvents;
+    plan.firstEventMs = numberIn(aMode, 4);
+    return plan;
+  }
   for (const auto& [name, plan] : kPlans) {
     if (aMode.starts_with(name)) {
       auto result = plan;
@@ -280,15 +339,22 @@
   const bool chunked = aPlan.framing == Framing::Chunked;
   const auto framed = [&](const std::string& aText) { return chunked ? chunkText(aText) : aText; };
   const std::string last(aRequest["Last-Event-Id"]);
-  const bool breaks = aPlan.end != StreamEnd::Complete && last.empty() && mFailing;
+  const bool stuck = aPlan.end == StreamEnd::Stuck;
+  const bool breaks = aPlan.end != StreamEnd::Complete && (last.empty() || stuck) && mFailing;
   const int total = aPlan.end != StreamEnd::Complete ? kTotalEvents : aPlan.events;
   std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
                      "\r\nX-Response-Signature: sig-" + mId +
                      "\r\nContent-Type: text/event-stream\r\n" + moreFields() +
                      (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
   bool open = co_await writeText(aSocket, std::move(head));
-  for (int i = last.empty() ? 1 : std::atoi(last.c_str()) + 1; open && i <= total; ++i) {
-    if (breaks && i > aPlan.events) {
+  co_await standins::sleepMillis(aPlan.firstEventMs);
+  const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+  for (int i = first; open && i <= total; ++i) {
+    if (breaks && i - (stuck ? first - 1 : 0) > aPlan.events) {
+      if (stuck) {
+        co_await awaitClose(aSocket);
+        co_return false;
+      }
       if (aPlan.end == StreamEnd::Trickle) {
         co_await trickle(aSocket);
         co_return false;
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -28,6 +28,13 @@
 ///     slowN    N events, 600 ms apart
 ///     silentN  six events; falls silent for 1.5 s after the Nth, unless the caller resumes
 ///     delayed  an answer after 1.2 s
+///     halfN    an answer's head and half of its body, the rest after N ms
+///     drip     an answer's head, then a byte of its body every 50 ms for 10 s
+///     headN    the head of a stream, its six events after N ms
+///     stuckN   N events, then nothing
+///     replaced 421, as another server that has got the address
+///     afterN_MODE      MODE after N ms
+///     MODE+MODE+MODE   the nth mode for the nth arrival of an attempt, whichever server it is
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
@@ -80,6 +87,7 @@
     ConnectionReset,
     LastChunk,
     Trickle,
+    Stuck,
   };
   enum class Framing
   {
@@ -94,12 +102,17 @@
     Framing framing = Framing::Chunked;
     /// Number of events after which the server falls silent once.
     int silentAfter = 0;
+    /// Time between the head and the first event.
+    int firstEventMs = 0;
   };
 
   std::string moreFields() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
+  standins::Awaitable<void> writeInParts(standins::SocketPtr aSocket,
+                                         std::string aText,
+                                         std::string aMode);
   standins::Awaitable<bool> stream(standins::SocketPtr aSocket,
                                    standins::Request& aRequest,
                                    StreamPlan aPlan);
--- /dev/null
+++ b/test/routes/two_attempts_test.cpp
@@ -0,0 +1,202 @@
+#include "deployment.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <future>
+
+using namespace mustardplank;
+using namespace mustardplank::routes;
+
+namespace {
+
+/// GONE: at work for no longer after the caller has left.
+constexpr Millis kCancelBound{ 500 };
+
+struct Outcome
+{
+  std::string attempt;
+  /// Status and body, or what came of the body.
+  std::string text;
+};
+
+/// Calls from a caller that waits for longer than a server is silent.
+Outcome
+outcomeOf(RouteDeployment& aDeployment, const std::string& aPath, int aDeadlineMs = 2900)
+{
+  auto call = callOf(aPath);
+  call.deadlineMs = aDeadlineMs;
+  CallerConnection connection(aDeployment.callers());
+  try {
+    const auto answer = connection.call(call);
+    return { call.attempt, std::to_string(answer.result_int()) + " " + answer.body() };
+  } catch (const boost::system::system_error&) {
+    return { call.attempt, "broken off after " + connection.partialBody() };
+  }
+}
+
+std::string
+wholeStream()
+{
+  std::string text = "200 ";
+  for (int i = 1; i <= 6; ++i) {
+    const auto n = std::to_string(i);
+    text.append("id: ").append(n).append("\ndata: t").append(n).append("\n\n");
+  }
+  return text;
+}
+
+/// The answer is the whole one, and the attempt has reached both servers.
+void
+checkAnswered(const std::string& aPath)
+{
+  RouteDeployment deployment(2, 1);
+  const auto outcome = outcomeOf(deployment, aPath);
+  BOOST_TEST(outcome.text == "200 answer to " + outcome.attempt, aPath << ": " << outcome.text);
+  BOOST_TEST(deployment.arrivals(outcome.attempt) == 2U, aPath);
+}
+
+void
+checkStreamed(const std::string& aPath)
+{
+  RouteDeployment deployment(2, 1);
+  const auto outcome = outcomeOf(deployment, aPath);
+  BOOST_TEST(outcome.text == wholeStream(), aPath << ": " << outcome.text);
+  BOOST_TEST(deployment.arrivals(outcome.attempt) == 2U, aPath);
+}
+
+std::ptrdiff_t
+arrivalsOf(RouteDeployment& aDeployment, const std::string& aPath)
+{
+  std::ptrdiff_t n = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    const auto arrivals = aDeployment.server(i).arrivals();
+    n += std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& aArrival) {
+      return aArrival.path == aPath;
+    });
+  }
+  return n;
+}
+
+int
+cancelledAtAll(RouteDeployment& aDeployment)
+{
+  return aDeployment.server(0).cancelled() + aDeployment.server(1).cancelled();
+}
+
+}
+
+// Guards against an answer of a silent server that goes on with the status of the server that was
+// asked meanwhile and failed.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_answer_keeps_its_own_status)
+{
+  for (const auto* other : { "error", "not_run", "replaced", "unsigned", "cut", "head_cut1" }) {
+    checkAnswered(std::string("/twice/half1500+") + other);
+  }
+}
+
+// Guards against a stream that begins with the status of the server that was asked meanwhile and
+// failed.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_stream_keeps_its_own_status)
+{
+  for (const auto* other : { "error", "not_run", "replaced", "cut" }) {
+    checkStreamed(std::string("/resume/head1800+") + other);
+  }
+}
+
+// Guards against a stream whose head came while another server was asked, and is forgotten when
+// that one fails.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_head_is_kept_until_the_other_fails)
+{
+  for (const auto* other : { "error", "not_run", "cut" }) {
+    checkStreamed(std::string("/resume/after1200_head1100+after1000_") + other);
+  }
+}
+
+// Guards against bytes now and then that end the attempt at the server that would answer.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_dripping_answer_leaves_the_other_one)
+{
+  checkAnswered("/twice/drip+delayed");
+  checkAnswered("/twice/after600_drip+delayed");
+}
+
+// Guards against events that come twice or are missing when both servers go on at the same moment.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_that_go_on_together_give_one_stream)
+{
+  RouteDeployment deployment(2, 1);
+  for (int ms = 500; ms <= 800; ms += 25) {
+    const auto path = "/resume/silent3+after" + std::to_string(ms) + "_stream6";
+    const auto outcome = outcomeOf(deployment, path);
+    BOOST_TEST(outcome.text == wholeStream(), path << ": " << outcome.text);
+  }
+}
+
+// Guards against servers that work on for a caller that has left.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_are_both_cancelled_when_the_caller_leaves)
+{
+  for (const auto* path : { "/twice/hang+hang", "/resume/hang+hang", "/resume/stuck2+hang" }) {
+    RouteDeployment deployment(2, 1);
+    auto call = callOf(path);
+    call.deadlineMs = 2900;
+    CallerConnection connection(deployment.callers());
+    connection.send(call);
+    BOOST_TEST(
+      support::waitUntil(Millis(2500), [&] { return deployment.arrivals(call.attempt) == 2; }),
+      path);
+    BOOST_TEST(cancelledAtAll(deployment) == 0, path);
+    connection.close();
+    BOOST_TEST(support::waitUntil(kCancelBound, [&] { return cancelledAtAll(deployment) == 2; }),
+               path);
+  }
+}
+
+// Guards against servers that work on after the time limit, and a request without an answer then.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_are_both_cancelled_at_the_deadline)
+{
+  RouteDeployment deployment(2, 1);
+  BOOST_TEST(outcomeOf(deployment, "/twice/hang+hang", 1500).text == "504 ");
+  BOOST_TEST(support::waitUntil(kCancelBound, [&] { return cancelledAtAll(deployment) == 2; }));
+}
+
+// Guards against a second run of what may run once, however long its server is silent.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_are_not_made_at_what_may_run_once)
+{
+  RouteDeployment deployment(2, 1);
+  for (const auto* path : { "/plain/delayed", "/plain/half1500", "/events/silent3" }) {
+    const auto outcome = outcomeOf(deployment, path);
+    BOOST_TEST(outcome.text.starts_with("200 "), path << ": " << outcome.text);
+    BOOST_TEST(deployment.arrivals(outcome.attempt) == 1U, path);
+  }
+}
+
+// Guards against an answer that is lost when a configuration, the end of the servers' entries or a
+// stop comes between two attempts.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_survive_changes)
+{
+  const std::function<void(RouteDeployment&)> changes[] = {
+    [](RouteDeployment& aDeployment) { aDeployment.configure(); },
+    [](RouteDeployment& aDeployment) {
+      aDeployment.removeServer(0);
+      aDeployment.removeServer(1);
+    },
+    [](RouteDeployment& aDeployment) {
+      aDeployment.writeServer(0, "draining");
+      aDeployment.writeServer(1, "draining");
+    },
+    [](RouteDeployment& aDeployment) { aDeployment.instance(0).signal(SIGTERM); },
+  };
+  const std::string path = "/resume/silent3+after500_cut";
+  int n = 0;
+  for (const auto& change : changes) {
+    RouteDeployment deployment(2, 1);
+    auto outcome = std::async(std::launch::async, [&] { return outcomeOf(deployment, path); });
+    BOOST_TEST(support::waitUntil(Millis(2500), [&] { return arrivalsOf(deployment, path) == 2; }));
+    change(deployment);
+    const auto got = outcome.get();
+    BOOST_TEST(got.text == wholeStream(), "change " << n << ": " << got.text);
+    BOOST_TEST(deployment.arrivals(got.attempt) == 2U, "change " << n);
+    ++n;
+  }
+}
