LOST: a failure of a silent server leaves the other one at work

Callers got 500 or 502 although a second server was at work on their request and would have answered.

Cause: every head without status 2xx, and every head on routes without events, resumed the attempt at the silent server and cancelled the other one: also a late 503 that says "not run", a 421, a 5xx or an unsigned 200. With no attempt left nothing could answer.

Such a head now ends only the attempt that it belongs to.

--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -117,6 +117,8 @@
   void checkStall();
   /// Passes on what the server states about the requests that it takes.
   void recordAdmission(const ResponseHead& aHead);
+  /// Whether the caller may get this response.
+  bool mayRelay(const ResponseHead& aHead, unsigned aStatus, const Fields& aFields) const;
   /// Whether the response has the media type of the stream that the caller receives.
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -92,12 +92,7 @@
     return true;
   }
   const bool success = aStatus / 100 == 2;
-  const bool encoded = aFields.find(http::field::content_encoding) != aFields.end();
-  // Without a signature nothing shows that the expected server produced the response, and events
-  // cannot be split in an encoded body. A stream that the caller has begun to receive can only
-  // continue with events.
-  const bool breaksStream = mResponseHeadSent && !(success && continuesStream(aFields));
-  if ((success && (!head.isSigned || encoded)) || breaksStream) {
+  if (!mayRelay(head, aStatus, aFields)) {
     onResponseFailure(ResponseFailure::Malformed);
     return true;
   }
@@ -117,6 +112,20 @@
   return true;
 }
 
+bool
+Exchange::mayRelay(const ResponseHead& aHead, unsigned aStatus, const Fields& aFields) const
+{
+  const bool success = aStatus / 100 == 2;
+  // A stream that the caller has begun to receive can only continue with events.
+  if (mResponseHeadSent && !(success && continuesStream(aFields))) {
+    return false;
+  }
+  // Without a signature nothing shows that the expected server produced the response, and events
+  // cannot be split in an encoded body.
+  const bool encoded = aFields.find(http::field::content_encoding) != aFields.end();
+  return !success || (aHead.isSigned && !encoded);
+}
+
 bool
 Exchange::continuesStream(const Fields& aFields) const
 {
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -153,8 +153,17 @@
   if (!mExchange.isResponseToThis(head, *stalled.connection)) {
     return false;
   }
+  if (head.misdirected || head.notExecuted) {
+    mExchange.dropStalledAttempt(head.misdirected ? dispatch::JobOutcome::Misdirected
+                                                  : dispatch::JobOutcome::Rejected);
+    return true;
+  }
+  if (aStatus >= 500 || !mExchange.mayRelay(head, aStatus, aFields)) {
+    mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
+    return true;
+  }
   stalled.head = ResponseStart{ aStatus, aFields, aFraming };
-  if (aStatus / 100 != 2) {
+  if (mExchange.isStreamingRoute() && aStatus / 100 != 2) {
     resume();
   }
   return true;
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -115,6 +115,15 @@
   }
 }
 
+// Guards against a failure of a silent server that ends the attempt at the other one.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_late_failure_leaves_the_other_one)
+{
+  for (const auto* late : { "error", "not_run", "replaced", "unsigned", "cut", "garbage" }) {
+    checkAnswered(std::string("/twice/after1200_") + late + "+delayed");
+    checkStreamed(std::string("/resume/after1200_") + late + "+after1200_stream6");
+  }
+}
+
 // Guards against bytes now and then that end the attempt at the server that would answer.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_dripping_answer_leaves_the_other_one)
 {
