LOST: watch the second server when the silent one is dropped

On routes with three attempts or more, callers got 504 or a stream that broke off when the second server fell silent too, although a third one was free.

Cause: no stall timer is set while two attempts are open, and none was set when the first of them was dropped: the timer of the second one had been skipped when it was sent.

Dropping the silent attempt now starts the timer for the one that remains.

routes_two_attempts_the_second_silent_server_is_replaced failed before (2 of 2 streams) and passes. Still open: while both servers are silent no third one is asked.

--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -136,6 +136,9 @@
   mContext.exchanges.erase(stalled.job);
   stalled.connection->cancelRequest();
   endJob(stalled.job, aOutcome);
+  if (mPhase == Phase::AwaitingResponse || mPhase == Phase::ReceivingResponse) {
+    armStallTimer();
+  }
 }
 
 bool
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -249,6 +249,7 @@
   config["routes"].push_back(routeJson("twice", "idempotent", 2, false, false));
   config["routes"].push_back(routeJson("events", "streaming", 1, false, false));
   config["routes"].push_back(routeJson("resume", "streaming", 2, true, false));
+  config["routes"].push_back(routeJson("thrice", "streaming", 3, true, false));
   config["routes"].push_back(routeJson("open", "idempotent", 1, false, true));
   for (std::size_t i = 0; i < mMoreRoutes; ++i) {
     auto route = routeJson("twice", "idempotent", 2, false, false);
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -71,8 +71,8 @@
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
-/// /resume/ (stream that can be resumed, two attempts), /open/ (idempotent, no key). Keys: key-one,
-/// key-two.
+/// /resume/ (stream that can be resumed, two attempts), /thrice/ (the same, three attempts), /open/
+/// (idempotent, no key). Keys: key-one, key-two.
 class RouteDeployment
 {
 public:
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -131,6 +131,19 @@
   checkAnswered("/twice/after600_drip+delayed");
 }
 
+// Guards against a silent server after another one has taken the stream over, or the first one was
+// lost.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_the_second_silent_server_is_replaced)
+{
+  for (const auto* path :
+       { "/thrice/stuck2+stuck2+stream6", "/thrice/after1200_cut+hang+stream6" }) {
+    RouteDeployment deployment(3, 1);
+    const auto outcome = outcomeOf(deployment, path);
+    BOOST_TEST(outcome.text == wholeStream(), path << ": " << outcome.text);
+    BOOST_TEST(deployment.arrivals(outcome.attempt) == 3U, path);
+  }
+}
+
 // Guards against events that come twice or are missing when both servers go on at the same moment.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_that_go_on_together_give_one_stream)
 {
