LOST: read from a connection again after a paused response

Callers got 504, also for requests that had run and may run only once, although their server had answered at once.

Cause: a connection to a server is not read while the caller of a stream has more than 256 KiB outstanding. When the response ended in the read that led to the pause, the connection went back to the pool paused: the response to the next request on it was never read. Found while looking for other silent servers that are sound.

The pause now ends with the response.

routes_connection_of_a_paused_response_serves_the_next_one passes; the same steps failed before (504 for 5 of 5 requests after a stream whose last event has 600 KiB).

--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -279,6 +279,7 @@
   auto self = shared_from_this();
   ++mResponseCount;
   mRequestActive = false;
+  mPaused = false;
   auto* listener = std::exchange(mListener, nullptr);
   const bool reusable = mParser->keep_alive() && !mWriting && mBuffer.size() == 0;
   if (reusable) {
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -139,3 +139,17 @@
   BOOST_TEST(answer.result_int() == 200U);
   BOOST_TEST(!answer.keep_alive());
 }
+
+// Guards against a connection to a server that is never read from again, as the response before on
+// it ended while its caller did not read.
+BOOST_AUTO_TEST_CASE(routes_connection_of_a_paused_response_serves_the_next_one)
+{
+  RouteDeployment deployment(1, 1);
+  for (int i = 0; i < 5; ++i) {
+    CallerConnection connection(deployment.callers());
+    BOOST_TEST(connection.call(callOf("/events/wide")).result_int() == 200U);
+    const auto call = callOf("/plain/ok");
+    connection.send(call);
+    BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+  }
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -167,6 +167,15 @@
       aSocket,
       answerText(status, attempt, signature + "Content-Type: application/json\r\n", "failed\n\n"));
   }
+  if (mode == "wide") {
+    constexpr std::size_t kWideBytes = 600 * 1024;
+    const auto event = "id: 1\ndata: " + std::string(kWideBytes, 'x') + "\n\n";
+    co_return co_await writeText(aSocket,
+                                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt + "\r\n" +
+                                   signature + "Content-Type: text/event-stream\r\n" +
+                                   "Transfer-Encoding: chunked\r\n\r\n" + chunkText(event) +
+                                   "0\r\n\r\n");
+  }
   if (mode.starts_with("half") || mode == "drip") {
     co_await writeInParts(aSocket, whole, mode);
     co_return false;
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -31,6 +31,7 @@
 ///     halfN    an answer's head and half of its body, the rest after N ms
 ///     drip     an answer's head, then a byte of its body every 50 ms for 10 s
 ///     headN    the head of a stream, its six events after N ms
+///     wide     a stream of one event of 600 KB
 ///     stuckN   N events, then nothing
 ///     replaced 421, as another server that has got the address
 ///     afterN_MODE      MODE after N ms
