LOST: a larger request limit holds for connections that are open

Beside a change of the configuration callers of kept connections got 413, and the end of their connection, for a request that the new configuration allows.

Cause: the parser of the next request is set up when the request before has been taken, with the limits of that moment. Class: that of, state derived from a configuration that outlives it.

A new configuration now raises the limits of all parsers that have read nothing yet. A lower limit holds from the next request on.

routes_longer_body_limit_holds_for_open_connections failed before (200,000 bytes of body, limit raised from 100,000 to 300,000: no body of an answer at the caller, nothing at the server) and passes.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include <algorithm>
+
 namespace mustardplank::gateway {
 
 namespace asio = boost::asio;
@@ -69,9 +71,9 @@
 {
   mParser.emplace();
   mParser->eager(true);
-  const auto limits = mContext.table ? mContext.table->config().limits : route::CallerLimits{};
-  mParser->header_limit(limits.headerBytes);
-  mParser->body_limit(limits.bodyBytes);
+  mParserLimits = mContext.table ? mContext.table->config().limits : route::CallerLimits{};
+  mParser->header_limit(mParserLimits.headerBytes);
+  mParser->body_limit(mParserLimits.bodyBytes);
   mContinueSent = false;
 }
 
@@ -94,8 +96,15 @@
 }
 
 void
-CallerConnection::extendReceiveTimer()
+CallerConnection::extendLimits()
 {
+  if (mContext.table && !mParser->got_some()) {
+    const auto& limits = mContext.table->config().limits;
+    mParserLimits.headerBytes = std::max(mParserLimits.headerBytes, limits.headerBytes);
+    mParserLimits.bodyBytes = std::max(mParserLimits.bodyBytes, limits.bodyBytes);
+    mParser->header_limit(mParserLimits.headerBytes);
+    mParser->body_limit(mParserLimits.bodyBytes);
+  }
   const auto at = mReceivingSince + receiveTimeout();
   if (mReceiveTimer && mReceiveTimer->first < at) {
     mContext.timers.cancel(*mReceiveTimer);
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -27,9 +27,9 @@
   /// Closes the connection unless a request is being received or processed or output is still to be
   /// written.
   void closeIfIdle();
-  /// Applies the limits of a new configuration to the time for which the next request is awaited. A
-  /// shorter limit holds from the next wait on: the caller may not know it yet.
-  void extendReceiveTimer();
+  /// Applies the limits of a new configuration to the next request and the time for which it is
+  /// awaited. A lower limit holds from the next wait on: the caller may not know it yet.
+  void extendLimits();
 
   // For Exchange.
   void write(std::string_view aBytes);
@@ -70,6 +70,8 @@
   /// Target of the read in progress; apart from mBuffer, which is consumed meanwhile.
   std::array<char, 16 * 1024> mReadBytes{};
   std::optional<Parser> mParser;
+  /// Of mParser, in bytes.
+  route::CallerLimits mParserLimits;
   std::unique_ptr<Exchange> mExchange;
   std::string mPendingOutput;
   std::string mOutputInFlight;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -201,7 +201,7 @@
 {
   mImpl->context.table = std::move(aTable);
   for (auto* it : mImpl->context.callerConnections) {
-    it->extendReceiveTimer();
+    it->extendLimits();
   }
 }
 
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -153,3 +153,20 @@
     BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
   }
 }
+
+// Guards against a request that is refused as too large by a limit that is no longer in force, on a
+// connection that was open before.
+BOOST_AUTO_TEST_CASE(routes_longer_body_limit_holds_for_open_connections)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  deployment.setMaxBodyBytes(300000);
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(2000));
+  auto call = callOf("/plain/ok");
+  call.body = std::string(200000, 'x');
+  connection.send(call);
+  BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+  BOOST_TEST((arrivedBody(deployment, call) == call.body));
+}
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -260,7 +260,7 @@
   config["services"] =
     json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
   config["limits"] = { { "maxHeaderBytes", 8192 },
-                       { "maxBodyBytes", 100000 },
+                       { "maxBodyBytes", mMaxBodyBytes },
                        { "headerTimeoutMs", 1000 },
                        { "idleTimeoutMs", mIdleTimeout.count() } };
   config["tenants"] = json::array();
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -102,6 +102,8 @@
   void setMoreRoutes(std::size_t aCount) { mMoreRoutes = aCount; }
   /// The limits on idle connections that configure() sets.
   void setIdleTimeout(Millis aTimeout) { mIdleTimeout = aTimeout; }
+  /// The limit on bodies that configure() sets.
+  void setMaxBodyBytes(std::size_t aBytes) { mMaxBodyBytes = aBytes; }
   void writeServer(std::size_t aIndex,
                    const std::string& aState = "ready",
                    const std::string& aMore = "");
@@ -133,6 +135,7 @@
   int mVersion = 0;
   std::size_t mMoreRoutes = 0;
   Millis mIdleTimeout{ 3000 };
+  std::size_t mMaxBodyBytes = 100000;
   std::thread mThread;
 };
 
