--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -139,3 +139,34 @@
   BOOST_TEST(answer.result_int() == 200U);
   BOOST_TEST(!answer.keep_alive());
 }
+
+// Guards against a connection to a server that is never read from again, as the response before on
+// it ended while its caller did not read.
+BOOST_AUTO_TEST_CASE(routes_connection_of_a_paused_response_serves_the_next_one)
+{
+  RouteDeployment deployment(1, 1);
+  for (int i = 0; i < 5; ++i) {
+    CallerConnection connection(deployment.callers());
+    BOOST_TEST(connection.call(callOf("/events/wide")).result_int() == 200U);
+    const auto call = callOf("/plain/ok");
+    connection.send(call);
+    BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+  }
+}
+
+// Guards against a request that is refused as too large by a limit that is no longer in force, on a
+// connection that was open before.
+BOOST_AUTO_TEST_CASE(routes_longer_body_limit_holds_for_open_connections)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  deployment.setMaxBodyBytes(300000);
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(2000));
+  auto call = callOf("/plain/ok");
+  call.body = std::string(200000, 'x');
+  connection.send(call);
+  BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+  BOOST_TEST((arrivedBody(deployment, call) == call.body));
+}
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -249,6 +249,7 @@
   config["routes"].push_back(routeJson("twice", "idempotent", 2, false, false));
   config["routes"].push_back(routeJson("events", "streaming", 1, false, false));
   config["routes"].push_back(routeJson("resume", "streaming", 2, true, false));
+  config["routes"].push_back(routeJson("thrice", "streaming", 3, true, false));
   config["routes"].push_back(routeJson("open", "idempotent", 1, false, true));
   for (std::size_t i = 0; i < mMoreRoutes; ++i) {
     auto route = routeJson("twice", "idempotent", 2, false, false);
@@ -259,7 +260,7 @@
   config["services"] =
     json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
   config["limits"] = { { "maxHeaderBytes", 8192 },
-                       { "maxBodyBytes", 100000 },
+                       { "maxBodyBytes", mMaxBodyBytes },
                        { "headerTimeoutMs", 1000 },
                        { "idleTimeoutMs", mIdleTimeout.count() } };
   config["tenants"] = json::array();
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -71,8 +71,8 @@
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
-/// /resume/ (stream that can be resumed, two attempts), /open/ (idempotent, no key). Keys: key-one,
-/// key-two.
+/// /resume/ (stream that can be resumed, two attempts), /thrice/ (the same, three attempts), /open/
+/// (idempotent, no key). Keys: key-one, key-two.
 class RouteDeployment
 {
 public:
@@ -102,6 +102,8 @@
   void setMoreRoutes(std::size_t aCount) { mMoreRoutes = aCount; }
   /// The limits on idle connections that configure() sets.
   void setIdleTimeout(Millis aTimeout) { mIdleTimeout = aTimeout; }
+  /// The limit on bodies that configure() sets.
+  void setMaxBodyBytes(std::size_t aBytes) { mMaxBodyBytes = aBytes; }
   void writeServer(std::size_t aIndex,
                    const std::string& aState = "ready",
                    const std::string& aMore = "");
@@ -133,6 +135,7 @@
   int mVersion = 0;
   std::size_t mMoreRoutes = 0;
   Millis mIdleTimeout{ 3000 };
+  std::size_t mMaxBodyBytes = 100000;
   std::thread mThread;
 };
 
