LOST: give back a retry that was not sent to a server

A request at a silent server looked for another one each time its server had been silent for long enough again. Each try took a retry from the budget, also when no server took the request, so that retries of other requests were refused.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -132,6 +132,8 @@
   bool canTakeRetry(const route::ServiceId& aService, TimePoint aNow);
   /// Takes a retry from the retry budget; false when the budget is used up.
   bool tryTakeRetry(const route::ServiceId& aService, TimePoint aNow);
+  /// A retry that was taken was not sent to a server.
+  void giveBackRetry(const route::ServiceId& aService, TimePoint aNow);
 
   /// Grants, queues or refuses a job.
   void submit(Job aJob, TimePoint aNow, Effects& aEffects);
--- a/include/mustardplank/dispatch/retry_budget.hpp
+++ b/include/mustardplank/dispatch/retry_budget.hpp
@@ -36,6 +36,8 @@
   bool canTake(TimePoint aNow, std::size_t aInstances);
   /// Takes one retry; false when the share of this instance is used up.
   bool tryTake(TimePoint aNow, std::size_t aInstances);
+  /// A retry that was taken was not sent. Without effect if it is no longer counted.
+  void giveBack(TimePoint aNow);
 
 private:
   static constexpr std::size_t kBuckets = 20;
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -204,6 +204,12 @@
   return refreshAndGetState(aService).retryBudget.tryTake(aNow, mInstanceCount);
 }
 
+void
+Dispatcher::giveBackRetry(const route::ServiceId& aService, TimePoint aNow)
+{
+  refreshAndGetState(aService).retryBudget.giveBack(aNow);
+}
+
 PlacementInput
 Dispatcher::makePlacementInput(const Job& aJob, ServiceState& aService, TimePoint aNow) const
 {
--- a/src/mustardplank/dispatch/retry_budget.cpp
+++ b/src/mustardplank/dispatch/retry_budget.cpp
@@ -62,4 +62,18 @@
   return true;
 }
 
+void
+RetryBudget::giveBack(TimePoint aNow)
+{
+  auto& current = bucket(aNow);
+  for (auto index = current.index; index > current.index - static_cast<std::int64_t>(kBuckets);
+       --index) {
+    auto& taken = mBuckets[static_cast<std::size_t>(index) % kBuckets];
+    if (index >= 0 && taken.index == index && taken.retries > 0) {
+      --taken.retries;
+      return;
+    }
+  }
+}
+
 }
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -152,6 +152,8 @@
     TimePoint sentAt{};
     std::int64_t sentAtMs = 0;
     Response response{};
+    /// mSendCount when another server was asked.
+    std::uint32_t sendCount = 0;
     /// The event in progress.
     EventSplitter events{};
     /// The head, if it came while another server was asked.
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -82,8 +82,8 @@
   mMayHaveExecuted = true;
   mJob.excludedServers.push_back(mGrant->server);
   mConnection->setListener(mStalledResponse);
-  mStalled =
-    Attempt{ mJob.id, *mGrant, std::move(mConnection), mPhase, mSentAt, mSentAtMs, mResponse };
+  mStalled = Attempt{ mJob.id,   *mGrant,   std::move(mConnection), mPhase, mSentAt, mSentAtMs,
+                      mResponse, mSendCount };
   mStalled->events.append(mEventSplitter.takeRemainder());
   mResponse.body.clear();
   mConnection.reset();
@@ -107,6 +107,9 @@
   mGrant = std::move(stalled.grant);
   mConnection = std::move(stalled.connection);
   mConnection->setListener(*this);
+  if (mSendCount == stalled.sendCount) {
+    mContext.dispatcher.giveBackRetry(mJob.service, bootNow());
+  }
   mPhase = stalled.phase;
   mSentAt = stalled.sentAt;
   mSentAtMs = stalled.sentAtMs;
