LOST: keep a connection while its request is in progress

Callers that sent more than 64 KiB ahead on a kept connection saw it reset without an answer to the request before; the instance then ended with a segmentation fault, and all its other requests with it.

Cause: reading pauses at 64 KiB of bytes sent ahead. With nothing to write either, no operation on the socket held the connection, and it was destroyed with its exchange while a server worked on the request. The connection to the server kept a pointer to the exchange and called it when the answer came (BackendConnection::deliverParsed, shown by a debugger).

The connection now holds itself from the start of an exchange until it is released.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -207,6 +207,7 @@
   auto request = mParser->release();
   resetParser();
   mExchange = std::make_unique<Exchange>(mContext, *this, std::move(request));
+  mExchangeOwner = shared_from_this();
   mExchange->start();
 }
 
@@ -270,11 +271,18 @@
                     });
 }
 
+void
+CallerConnection::releaseExchange()
+{
+  asio::post(mContext.io,
+             [owner = std::move(mExchangeOwner),
+              ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+}
+
 void
 CallerConnection::finishResponse(bool aKeepOpen)
 {
-  // Called by the exchange itself, so destroy it after its call has returned.
-  asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+  releaseExchange();
   if (mClosed) {
     return;
   }
@@ -297,7 +305,7 @@
 void
 CallerConnection::abort()
 {
-  asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+  releaseExchange();
   close();
 }
 
@@ -317,7 +325,7 @@
   mSocket.close(ec);
   if (mExchange) {
     mExchange->onCallerClosed();
-    asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+    releaseExchange();
   }
 }
 
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -51,6 +51,8 @@
   void onRead(BoostErrorCode aError, std::size_t aBytes);
   void parse();
   void startExchange();
+  /// Destroys the exchange after its own calls have returned.
+  void releaseExchange();
   void reject(unsigned aStatus, const char* aReason);
   void flush();
   void resetParser();
@@ -71,6 +73,9 @@
   std::array<char, 16 * 1024> mReadBytes{};
   std::optional<Parser> mParser;
   std::unique_ptr<Exchange> mExchange;
+  /// Keeps the connection while mExchange is in progress: with reading paused and nothing to write,
+  /// no operation on the socket does.
+  std::shared_ptr<CallerConnection> mExchangeOwner;
   std::string mPendingOutput;
   std::string mOutputInFlight;
   std::optional<AlarmQueue::Id> mReceiveTimer;
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -143,10 +143,17 @@
       aSocket,
       answerText(status, attempt, signature + "Content-Type: application/json\r\n", "failed\n\n"));
   }
-  if (mode == "delayed") {
-    co_await standins::sleepMillis(kDelayMs);
+  if (mode.starts_with("delayed")) {
+    const int delayMs = std::atoi(mode.c_str() + std::string("delayed").size());
+    co_await standins::sleepMillis(delayMs > 0 ? delayMs : kDelayMs);
     co_return co_await writeText(aSocket, whole);
   }
+  if (mode.starts_with("large")) {
+    const auto bytes =
+      static_cast<std::size_t>(std::atoi(mode.c_str() + std::string("large").size())) * 1024;
+    co_return co_await writeText(aSocket,
+                                 answerText(200, attempt, signature, std::string(bytes, 'x')));
+  }
   if (!mFailing || mode == "ok") {
     co_return co_await writeText(aSocket, whole);
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -27,7 +27,8 @@
 ///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
 ///     silentN  six events; falls silent for 1.5 s after the Nth, unless the caller resumes
-///     delayed  an answer after 1.2 s
+///     delayedN an answer after N ms; without N after 1.2 s
+///     largeN   an answer with N KiB
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
