LOST: end caller connections without a reset

Callers that sent bytes after their last request saw its answer cut off.

Cause: closing a socket with unread bytes resets the connection, and the kernel discards what it has not sent yet. The connection now announces its end (shutdown) and discards what still arrives, until the caller closes its side or for 1 s.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -19,6 +19,8 @@
 
 /// Unparsed bytes of pipelined requests at which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/// How long a connection that ends waits for the caller to close its side.
+constexpr Duration kLingerTime = Seconds(1);
 
 bool
 isTransferEncodingSupported(const http::request<http::string_body>& aRequest)
@@ -97,7 +99,7 @@
 CallerConnection::extendReceiveTimer()
 {
   const auto at = mReceivingSince + receiveTimeout();
-  if (mReceiveTimer && mReceiveTimer->first < at) {
+  if (!mLingering && mReceiveTimer && mReceiveTimer->first < at) {
     mContext.timers.cancel(*mReceiveTimer);
     setReceiveTimer(at);
   }
@@ -144,6 +146,10 @@
     close();
     return;
   }
+  if (mLingering) {
+    read();
+    return;
+  }
   mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
   if (!mExchange) {
     const bool wasIdle = !mParser->got_some();
@@ -224,6 +230,10 @@
     .field("status", aStatus)
     .field("reason", aReason)
     .write();
+  if (mReceiveTimer) {
+    mContext.timers.cancel(*mReceiveTimer);
+    mReceiveTimer.reset();
+  }
   std::string text;
   appendStatusLine(text, aStatus);
   text += "Connection: close\r\nContent-Length: 0\r\n\r\n";
@@ -231,6 +241,32 @@
   write(text);
 }
 
+void
+CallerConnection::linger()
+{
+  if (mLingering) {
+    return;
+  }
+  BoostErrorCode ec;
+  mSocket.shutdown(Tcp::socket::shutdown_send, ec);
+  if (ec) {
+    close();
+    return;
+  }
+  mLingering = true;
+  mBuffer.clear();
+  if (mReceiveTimer) {
+    mContext.timers.cancel(*mReceiveTimer);
+  }
+  mReceiveTimer = mContext.timers.set(bootNow() + kLingerTime, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->mReceiveTimer.reset();
+      self->close();
+    }
+  });
+  read();
+}
+
 void
 CallerConnection::write(std::string_view aBytes)
 {
@@ -249,7 +285,7 @@
   }
   if (mPendingOutput.empty()) {
     if (mCloseAfterWrite) {
-      close();
+      linger();
     }
     return;
   }
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -54,6 +54,9 @@
   /// Destroys the exchange after its own calls have returned.
   void releaseExchange();
   void reject(unsigned aStatus, const char* aReason);
+  /// Announces the end of the connection and discards what still arrives: closing a socket with
+  /// unread bytes resets the connection, and the caller may lose the response.
+  void linger();
   void flush();
   void resetParser();
   /// Starts the timer that closes an idle connection or rejects a request that does not arrive in
@@ -85,6 +88,7 @@
   bool mWriting = false;
   bool mClosed = false;
   bool mCloseAfterWrite = false;
+  bool mLingering = false;
   bool mRequestKeepAlive = true;
   bool mContinueSent = false;
 };
