LOST: a planned stop ends before its grace period does

Instances were killed at the end of the grace time.

Cause: 500 ms of the grace period were kept, and handing over counts, which began as the last streams were cut, could take 600 ms: the store is silent, or the agents that are asked do not answer.

Counts are handed over for the first time 600 ms before the last requests end, beside them, and again afterwards for what was counted since. The end of the process is a time of its own, half of the margin before the end of the grace period, that does not wait for anything. The margin is a sixth of the grace period at most, as requests may be cut in that part only.

routes_planned_stop_ends_in_time_beside_a_silent_store_and_silent_agents failed before (still there after 5,000 ms) and passes. routes_planned_stop_ends_in_time_beside_a_store_that_is_down, ..._lets_streams_ run_until_the_last_sixth and routes_usage_counted_late_in_a_planned_stop_is_ reported passed before and pass: they guard what this changes.

--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -15,10 +15,7 @@
 constexpr Duration kTick = Millis(100);
 /// Connections on which a request arrives as the listener closes are answered within this time.
 constexpr Duration kLastRequestsTime = Millis(500);
-/// Time in which the balancer notices that this instance is not ready.
-constexpr Duration kMinDrain = Millis(2600);
-/// Kept of the grace period for the end of the process.
-constexpr Duration kStopMargin = Millis(500);
+constexpr Duration kStopStep = Millis(20);
 /// Instances assumed until their number is known: shares are then small.
 constexpr std::size_t kAssumedInstances = 400;
 /// Reads of the store are too rare below this bound on changes to shorten them further.
@@ -29,7 +26,8 @@
 /// Part of the time for which a leaving server still serves; requests wait for a newer list when
 /// that of the servers is older.
 constexpr double kMaxServerListPart = 0.9;
-/// How long handing over the last counts may take at the end.
+/// How long handing over counts may take. The first time it begins so long before the last
+/// requests are ended; the second time the end of the process may come earlier.
 constexpr Duration kHandOverTime = Millis(600);
 
 dispatch::DispatcherOptions
@@ -208,23 +206,47 @@
   lease.stop();
   gateway.drain();
   LogEvent(LogLevel::Info, "daemon.stopping").field("active", gateway.activeRequestCount()).write();
-  asio::co_spawn(io, drainLoop(), asio::detached);
+  const StopSchedule schedule(bootNow(), settings.bounds.stopGrace);
+  asio::co_spawn(io, drainLoop(schedule), asio::detached);
+  asio::co_spawn(io, stopAt(schedule.end), asio::detached);
   asio::co_spawn(io, leaveDirectory(), asio::detached);
 }
 
 awaitable<void>
-RouteDaemon::Impl::drainLoop()
+RouteDaemon::Impl::drainLoop(StopSchedule aSchedule)
 {
-  const auto last = bootNow() + settings.bounds.stopGrace - kStopMargin;
-  co_await pauseFor(kMinDrain);
+  co_await pauseUntil(aSchedule.takeUntil);
   gateway.stopAccepting();
-  const auto answered = std::min(last, bootNow() + kLastRequestsTime);
-  while ((bootNow() < last && gateway.activeRequestCount() > 0) ||
-         (bootNow() < answered && gateway.connectionCount() > 0)) {
-    co_await pauseFor(Millis(50));
+  co_await awaitLastAnswers(aSchedule);
+  const auto until = std::min(aSchedule.end, bootNow() + kHandOverTime);
+  bool handedOver = false;
+  asio::co_spawn(io, handOver(), [&](const std::exception_ptr&) { handedOver = true; });
+  while (bootNow() < until && (!handedOver || gateway.activeRequestCount() > 0)) {
+    co_await pauseFor(kStopStep);
   }
-  asio::co_spawn(io, handOver(), [this](const std::exception_ptr&) { io.stop(); });
-  co_await pauseFor(kHandOverTime);
+  io.stop();
+}
+
+awaitable<void>
+RouteDaemon::Impl::awaitLastAnswers(StopSchedule aSchedule)
+{
+  const auto firstHandOver = aSchedule.answerUntil - kHandOverTime;
+  const auto lastRequests = std::min(aSchedule.answerUntil, bootNow() + kLastRequestsTime);
+  bool handedOver = false;
+  while ((bootNow() < aSchedule.answerUntil && gateway.activeRequestCount() > 0) ||
+         (bootNow() < lastRequests && gateway.connectionCount() > 0)) {
+    if (!handedOver && bootNow() >= firstHandOver) {
+      handedOver = true;
+      asio::co_spawn(io, handOver(), asio::detached);
+    }
+    co_await pauseFor(kStopStep);
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::stopAt(TimePoint aAt)
+{
+  co_await pauseUntil(aAt);
   io.stop();
 }
 
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "notifier.hpp"
 #include "route_daemon.hpp"
+#include "stop_schedule.hpp"
 #include "store_client.hpp"
 
 #include "mustardplank/agent/crash_exchange.hpp"
@@ -222,7 +223,11 @@
 
   // Start and stop.
   void terminate();
-  awaitable<void> drainLoop();
+  awaitable<void> drainLoop(StopSchedule aSchedule);
+  /// Until all requests are answered, or are to be ended. Counts are handed over meanwhile.
+  awaitable<void> awaitLastAnswers(StopSchedule aSchedule);
+  /// Ends the process at aAt, whatever else is waited for.
+  awaitable<void> stopAt(TimePoint aAt);
   awaitable<void> leaveDirectory();
   /// Publishes the updates that are not in the store, and hands them to other instances, as the
   /// store may be out.
--- /dev/null
+++ b/src/daemon/stop_schedule.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "mustardplank/base/time.hpp"
+
+#include <algorithm>
+
+namespace mustardplank::daemon {
+
+/// The moments of a planned stop, on the clock of bootNow().
+///
+/// New requests are taken until takeUntil. Those that are left at answerUntil are ended, and the
+/// process at end, whatever it is waiting for.
+struct StopSchedule
+{
+  /// Time in which the balancer notices that this instance is not ready.
+  static constexpr Duration kMinDrain = Millis(2600);
+  /// Kept of the grace period for the last answers, the last counts and the end of the process.
+  static constexpr Duration kStopMargin = Millis(500);
+  /// Part of the grace period. Requests may be cut in the last sixth only.
+  static constexpr int kMarginDivisor = 6;
+
+  StopSchedule(TimePoint aSignalAt, Duration aGrace)
+    : takeUntil(aSignalAt + kMinDrain)
+    , answerUntil(aSignalAt + aGrace - margin(aGrace))
+    , end(aSignalAt + aGrace - margin(aGrace) / 2)
+  {
+  }
+
+  TimePoint takeUntil;
+  TimePoint answerUntil;
+  TimePoint end;
+
+private:
+  static Duration margin(Duration aGrace) { return std::min(kStopMargin, aGrace / kMarginDivisor); }
+};
+
+}
--- a/src/daemon/store_client.hpp
+++ b/src/daemon/store_client.hpp
@@ -26,6 +26,15 @@
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ec));
 }
 
+/// Until bootNow() is aAt or later, also when the process was paused meanwhile.
+inline boost::asio::awaitable<void>
+pauseUntil(TimePoint aAt)
+{
+  while (bootNow() < aAt) {
+    co_await pauseFor(aAt - bootNow());
+  }
+}
+
 /// Calls to the platform's store, one at a time on each object.
 class StoreClient
 {
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -133,9 +133,11 @@
 RouteDeployment::RouteDeployment(std::size_t aServers,
                                  std::size_t aInstances,
                                  Clocks aClocks,
-                                 std::size_t aDomains)
+                                 std::size_t aDomains,
+                                 Millis aStopGrace)
   : mClocks(aClocks)
   , mDomains(aDomains)
+  , mStopGrace(aStopGrace)
   , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
@@ -211,7 +213,7 @@
                        { "bounds",
                          { { "usage_window_s", 2.0 },
                            { "usage_late_s", 8.0 },
-                           { "stop_grace_s", 5.0 },
+                           { "stop_grace_s", static_cast<double>(mStopGrace.count()) / 1000.0 },
                            { "lease_ms", 3000 } } } };
   std::ofstream(settingsFile(aIndex)) << settings.dump();
   std::map<std::string, std::string> environment;
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -76,10 +76,13 @@
 class RouteDeployment
 {
 public:
+  static constexpr Millis kStopGrace{ 5000 };
+
   RouteDeployment(std::size_t aServers,
                   std::size_t aInstances,
                   Clocks aClocks = Clocks::OfTheMachine,
-                  std::size_t aDomains = 1);
+                  std::size_t aDomains = 1,
+                  Millis aStopGrace = kStopGrace);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -120,6 +123,7 @@
 
   Clocks mClocks;
   std::size_t mDomains;
+  Millis mStopGrace;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
--- a/test/routes/planned_stop_test.cpp
+++ b/test/routes/planned_stop_test.cpp
@@ -1,12 +1,63 @@
 #include "deployment.hpp"
 
+#include "mustardplank/base/clock.hpp"
+
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+#include <future>
+
 using namespace mustardplank;
 using namespace mustardplank::routes;
+using support::waitUntil;
 
 namespace {
 
+constexpr auto kGrace = RouteDeployment::kStopGrace;
+/// Longest time that the configuration allows a request.
+constexpr int kLongestMs = 3000;
+
+/// The start of a planned stop.
+class PlannedStop
+{
+public:
+  explicit PlannedStop(RouteDeployment& aDeployment, Millis aGrace = kGrace)
+    : mDeployment(aDeployment)
+    , mGrace(aGrace)
+    , mAt(bootNow())
+  {
+    mDeployment.instance(0).signal(SIGTERM);
+  }
+
+  void sleepUntil(Millis aAfterSignal) const
+  {
+    std::this_thread::sleep_for(mAt + aAfterSignal - bootNow());
+  }
+
+  Millis elapsed() const { return duration_cast<Millis>(bootNow() - mAt); }
+
+  /// The process is gone, in order, before the grace period is over.
+  void checkEnd() const
+  {
+    const auto code = mDeployment.instance(0).wait(mAt + mGrace - bootNow());
+    BOOST_TEST_REQUIRE(code.has_value(), "still there after " << elapsed().count() << " ms");
+    BOOST_TEST(*code == 0, mDeployment.instance(0).errors().substr(0, 6000));
+  }
+
+private:
+  RouteDeployment& mDeployment;
+  Millis mGrace;
+  TimePoint mAt;
+};
+
+Call
+longCall(const std::string& aPath)
+{
+  auto call = callOf(aPath);
+  call.deadlineMs = kLongestMs;
+  return call;
+}
+
 struct Answer
 {
   /// 0: the connection ended without a complete answer.
@@ -25,6 +76,103 @@
   }
 }
 
+/// Requests of the first organisation in all usage windows reported.
+std::uint64_t
+usageReported(RouteDeployment& aDeployment)
+{
+  std::map<std::uint64_t, std::uint64_t> windows;
+  for (const auto& it : aDeployment.store().dutyCalls()) {
+    if (it.path == "/usage") {
+      windows[it.body.at("windowId").get<std::uint64_t>()] =
+        it.body.at("counts").value("one", std::uint64_t(0));
+    }
+  }
+  std::uint64_t sum = 0;
+  for (const auto& [window, requests] : windows) {
+    sum += requests;
+  }
+  return sum;
+}
+
+}
+
+// Guards against an instance that is still handing over usage when the grace period ends, and is
+// killed: a stream runs until the end, the store and the other instances do not answer.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_ends_in_time_beside_a_silent_store_and_silent_agents)
+{
+  RouteDeployment deployment(1, 3, Clocks::OfTheMachine, 2);
+  std::this_thread::sleep_for(Millis(4500));
+  deployment.store().setSilent(true);
+  deployment.instance(1).signal(SIGSTOP);
+  deployment.instance(2).signal(SIGSTOP);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  CallerConnection caller(deployment.callers());
+  caller.send(longCall("/events/slow10"));
+  stop.checkEnd();
+  deployment.instance(1).signal(SIGCONT);
+  deployment.instance(2).signal(SIGCONT);
+}
+
+// Guards against the same while the store refuses calls.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_ends_in_time_beside_a_store_that_is_down)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.store().setDown(true);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  CallerConnection caller(deployment.callers());
+  caller.send(longCall("/events/slow10"));
+  stop.checkEnd();
+}
+
+// Guards against streams that are cut before the last sixth of the grace period.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_lets_streams_run_until_the_last_sixth)
+{
+  RouteDeployment deployment(1, 1);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  CallerConnection caller(deployment.callers());
+  caller.send(longCall("/events/slow10"));
+  BOOST_TEST(nextAnswer(caller).status == 0U);
+  BOOST_TEST(stop.elapsed().count() >= 5 * kGrace.count() / 6);
+}
+
+// Guards against usage that is lost because it is counted after the first handover: the store is
+// out, and requests begin to run as the instance is about to end.
+BOOST_AUTO_TEST_CASE(routes_usage_counted_late_in_a_planned_stop_is_reported)
+{
+  constexpr int kCalls = 10;
+  RouteDeployment deployment(2, 2, Clocks::OfTheMachine, 2);
+  std::this_thread::sleep_for(Millis(4500));
+  if (deployment.adminPage(0, "/status").find("lease held") != std::string::npos) {
+    // The other instance has to report.
+    deployment.instance(0).kill();
+    deployment.startInstance(0);
+    BOOST_TEST_REQUIRE(waitUntil(Millis(9000), [&] {
+      return deployment.adminPage(1, "/status").find("lease held") != std::string::npos;
+    }));
+    deployment.awaitServing();
+    std::this_thread::sleep_for(Millis(3000));
+  }
+  const auto before = usageReported(deployment);
+  deployment.store().setDown(true);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  for (int i = 0; i < kCalls; ++i) {
+    callers.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    callers.back()->send(longCall("/plain/delayed1900"));
+  }
+  std::uint64_t served = 0;
+  for (auto& it : callers) {
+    served += nextAnswer(*it).status == 200U ? 1 : 0;
+  }
+  stop.checkEnd();
+  BOOST_TEST(served == kCalls);
+  deployment.store().setDown(false);
+  BOOST_TEST(waitUntil(Millis(9000), [&] { return usageReported(deployment) >= before + served; }),
+             usageReported(deployment) << " of " << before << " + " << served);
 }
 
 // Guards against a refusal that is lost because the connection is reset: the rest of the body
