LOST: a planned stop waits until answers have left the process

Callers that read slowly saw answers cut off that the instance had received and counted as complete.

Cause: a stop waited for requests in progress, which end when their answer is in the output buffer. It now also waits, within the grace period, for connections with output to be written or with a request that has arrived in part.

--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -105,6 +105,8 @@
   /// Accepts no further connections or requests and closes idle connections; responses in progress
   /// continue.
   void stopAccepting();
+  /// Whether a request is being received or is in progress, or output is still to be written.
+  bool isBusy() const;
   /// Requests in progress.
   std::size_t activeRequestCount() const;
   /// Open caller connections.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -221,7 +221,7 @@
   const auto until = std::min(aSchedule.end, bootNow() + kHandOverTime);
   bool handedOver = false;
   asio::co_spawn(io, handOver(), [&](const std::exception_ptr&) { handedOver = true; });
-  while (bootNow() < until && (!handedOver || gateway.activeRequestCount() > 0)) {
+  while (bootNow() < until && (!handedOver || gateway.isBusy())) {
     co_await pauseFor(kStopStep);
   }
   io.stop();
@@ -233,7 +233,7 @@
   const auto firstHandOver = aSchedule.answerUntil - kHandOverTime;
   const auto lastRequests = std::min(aSchedule.answerUntil, bootNow() + kLastRequestsTime);
   bool handedOver = false;
-  while ((bootNow() < aSchedule.answerUntil && gateway.activeRequestCount() > 0) ||
+  while ((bootNow() < aSchedule.answerUntil && gateway.isBusy()) ||
          (bootNow() < lastRequests && gateway.connectionCount() > 0)) {
     if (!handedOver && bootNow() >= firstHandOver) {
       handedOver = true;
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -66,6 +66,13 @@
   }
 }
 
+bool
+CallerConnection::isBusy() const
+{
+  const bool requestArrives = !mCloseAfterWrite && (mParser->got_some() || mBuffer.size() > 0);
+  return !mClosed && (mExchange || mWriting || !mPendingOutput.empty() || requestArrives);
+}
+
 void
 CallerConnection::resetParser()
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -27,6 +27,8 @@
   /// Closes the connection unless a request is being received or processed or output is still to be
   /// written.
   void closeIfIdle();
+  /// Whether a request is being received or is in progress, or output is still to be written.
+  bool isBusy() const;
   /// Applies the limits of a new configuration to the time for which the next request is awaited. A
   /// shorter limit holds from the next wait on: the caller may not know it yet.
   void extendReceiveTimer();
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace mustardplank::gateway {
@@ -242,6 +243,14 @@
   }
 }
 
+bool
+Gateway::isBusy() const
+{
+  const auto& connections = mImpl->context.callerConnections;
+  return std::any_of(
+    connections.begin(), connections.end(), [](const auto* aItem) { return aItem->isBusy(); });
+}
+
 std::size_t
 Gateway::activeRequestCount() const
 {
--- a/test/routes/planned_stop_test.cpp
+++ b/test/routes/planned_stop_test.cpp
@@ -175,6 +175,22 @@
              usageReported(deployment) << " of " << before << " + " << served);
 }
 
+// Guards against answers that are complete here and cut off because the process ends before the
+// caller has read them.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_waits_for_callers_that_read_slowly)
+{
+  constexpr std::size_t kKib = 15000;
+  RouteDeployment deployment(1, 1);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  CallerConnection caller(deployment.callers());
+  caller.send(longCall("/plain/large" + std::to_string(kKib)));
+  stop.sleepUntil(Millis(4000));
+  BOOST_TEST(nextAnswer(caller).status == 200U);
+  BOOST_TEST(caller.partialBody().size() == kKib * 1024);
+  stop.checkEnd();
+}
+
 // Guards against a refusal that is lost because the connection is reset: the rest of the body
 // arrives after it was closed.
 BOOST_AUTO_TEST_CASE(routes_refusal_reaches_a_caller_that_is_still_sending)
