LOST: a planned stop answers all requests that it has read

In a planned stop, requests that were taken late and passed on were cut without an answer at the end of the grace period; so were requests that waited for a server, and requests of which a part was missing.

Cause: the process ended without telling the gateway. Requests have an end of their own now: - Until 2.6 s, or half of a short grace period, they are taken. With a grace period of 3 s the process ended 2.6 s after the signal, as the last request was taken. - After two thirds of the grace period, requests that no server has got are answered 503, which is true of them, and are not sent any more. - At the beginning of the margin all others end: 503 if never sent, otherwise 504; streams that have begun are cut. That lies in the last sixth. Requests that have arrived in part are answered 503.

Requests that may last longer than the rest of the grace period are still taken during the first phase: nearly all end long before their limit, and refusing by the limit would turn away whole routes (10 s limit, 8 s grace period) to spare the few that are cut, which now get a status.

--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -105,6 +105,11 @@
   /// Accepts no further connections or requests and closes idle connections; responses in progress
   /// continue.
   void stopAccepting();
+  /// Answers requests that no server may have run yet with 503.
+  void refuseUnsentRequests();
+  /// Ends all requests: 503 if no server may have run them, otherwise 504; responses that callers
+  /// have received in part are cut. Returns the number of requests that were ended.
+  std::size_t endRequests();
   /// Whether a request is being received or is in progress, or output is still to be written.
   bool isBusy() const;
   /// Requests in progress.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -218,6 +218,9 @@
   co_await pauseUntil(aSchedule.takeUntil);
   gateway.stopAccepting();
   co_await awaitLastAnswers(aSchedule);
+  if (const auto n = gateway.endRequests(); n > 0) {
+    LogEvent(LogLevel::Info, "daemon.requests_ended").field("requests", n).write();
+  }
   const auto until = std::min(aSchedule.end, bootNow() + kHandOverTime);
   bool handedOver = false;
   asio::co_spawn(io, handOver(), [&](const std::exception_ptr&) { handedOver = true; });
@@ -232,9 +235,14 @@
 {
   const auto firstHandOver = aSchedule.answerUntil - kHandOverTime;
   const auto lastRequests = std::min(aSchedule.answerUntil, bootNow() + kLastRequestsTime);
+  bool refused = false;
   bool handedOver = false;
   while ((bootNow() < aSchedule.answerUntil && gateway.isBusy()) ||
          (bootNow() < lastRequests && gateway.connectionCount() > 0)) {
+    if (!refused && bootNow() >= aSchedule.sendUntil) {
+      refused = true;
+      gateway.refuseUnsentRequests();
+    }
     if (!handedOver && bootNow() >= firstHandOver) {
       handedOver = true;
       asio::co_spawn(io, handOver(), asio::detached);
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -73,6 +73,19 @@
   return !mClosed && (mExchange || mWriting || !mPendingOutput.empty() || requestArrives);
 }
 
+void
+CallerConnection::refuseUnfinishedRequest()
+{
+  if (mClosed || mExchange || mCloseAfterWrite) {
+    return;
+  }
+  if (mParser->got_some()) {
+    reject(503, "draining");
+  } else {
+    closeIfIdle();
+  }
+}
+
 void
 CallerConnection::resetParser()
 {
@@ -176,8 +189,12 @@
     const auto n = mParser->put(mBuffer.data(), ec);
     mBuffer.consume(n);
     if (ec == http::error::need_more) {
-      if (mParser->is_header_done() && !mContinueSent &&
-          boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
+      const bool awaitsContinue =
+        mParser->is_header_done() && !mContinueSent &&
+        boost::beast::iequals(mParser->get()[http::field::expect], "100-continue");
+      if (mContext.endingRequests || (awaitsContinue && !mContext.acceptingRequests)) {
+        reject(503, "draining");
+      } else if (awaitsContinue) {
         mContinueSent = true;
         write("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -233,7 +250,7 @@
 void
 CallerConnection::reject(unsigned aStatus, const char* aReason)
 {
-  LogEvent(LogLevel::Info, "request.malformed")
+  LogEvent(LogLevel::Info, aStatus == 503 ? "request.refused" : "request.malformed")
     .field("status", aStatus)
     .field("reason", aReason)
     .write();
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -29,6 +29,8 @@
   void closeIfIdle();
   /// Whether a request is being received or is in progress, or output is still to be written.
   bool isBusy() const;
+  /// Answers a request that has arrived in part with 503; closes the connection if there is none.
+  void refuseUnfinishedRequest();
   /// Applies the limits of a new configuration to the time for which the next request is awaited. A
   /// shorter limit holds from the next wait on: the caller may not know it yet.
   void extendReceiveTimer();
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -416,18 +416,28 @@
   return retry;
 }
 
+bool
+Exchange::mayHaveExecuted() const
+{
+  return mMayHaveExecuted || mPhase == Phase::AwaitingResponse ||
+         mPhase == Phase::ReceivingResponse;
+}
+
 void
-Exchange::onDeadline()
+Exchange::end(const char* aReason)
 {
-  if (mDone) {
-    return;
-  }
-  const bool sent =
-    mMayHaveExecuted || mPhase == Phase::AwaitingResponse || mPhase == Phase::ReceivingResponse;
-  if (sent) {
-    sendLocalResponse(504, "time_up", std::nullopt);
+  if (mayHaveExecuted()) {
+    sendLocalResponse(504, aReason, std::nullopt);
   } else {
-    sendLocalResponse(503, "time_up", kShortRetryDelay);
+    sendLocalResponse(503, aReason, kShortRetryDelay);
+  }
+}
+
+void
+Exchange::onDeadline()
+{
+  if (!mDone) {
+    end("time_up");
   }
 }
 
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -47,6 +47,10 @@
   /// A write to the caller has completed: resumes reading from the server.
   void onCallerWritable();
   bool isDone() const { return mDone; }
+  /// Whether a server may have executed the request, or executes it.
+  bool mayHaveExecuted() const;
+  /// Ends the request before it is answered, with a status that says whether it may have run.
+  void end(const char* aReason);
 
   bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
   void onResponseBody(std::string_view aBytes) override;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <vector>
 
 namespace mustardplank::gateway {
 
@@ -100,6 +101,34 @@
     }
   }
 
+  /// Exchanges start and end while they are gone through.
+  std::vector<dispatch::JobId> exchangeIds() const
+  {
+    std::vector<dispatch::JobId> ids;
+    for (const auto& [id, exchange] : context.exchanges) {
+      ids.push_back(id);
+    }
+    return ids;
+  }
+
+  /// Null if the exchange is done.
+  Exchange* findExchange(dispatch::JobId aId) const
+  {
+    const auto it = context.exchanges.find(aId);
+    return it == context.exchanges.end() || it->second->isDone() ? nullptr : it->second;
+  }
+
+  std::vector<std::shared_ptr<CallerConnection>> openConnections() const
+  {
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    for (auto* it : context.callerConnections) {
+      if (auto connection = it->weak_from_this().lock()) {
+        connections.push_back(std::move(connection));
+      }
+    }
+    return connections;
+  }
+
   AdminResponse handleReadinessGet(const std::string& aPath) const
   {
     if (aPath != context.options.readinessPath) {
@@ -243,6 +272,34 @@
   }
 }
 
+void
+Gateway::refuseUnsentRequests()
+{
+  for (const auto id : mImpl->exchangeIds()) {
+    if (auto* exchange = mImpl->findExchange(id); exchange && !exchange->mayHaveExecuted()) {
+      exchange->end("draining");
+    }
+  }
+}
+
+std::size_t
+Gateway::endRequests()
+{
+  auto& context = mImpl->context;
+  context.endingRequests = true;
+  std::size_t n = 0;
+  for (const auto id : mImpl->exchangeIds()) {
+    if (auto* exchange = mImpl->findExchange(id)) {
+      exchange->end("draining");
+      ++n;
+    }
+  }
+  for (const auto& it : mImpl->openConnections()) {
+    it->refuseUnfinishedRequest();
+  }
+  return n;
+}
+
 bool
 Gateway::isBusy() const
 {
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -52,6 +52,8 @@
   bool draining = false;
   /// Whether new requests are accepted.
   bool acceptingRequests = true;
+  /// Whether requests are refused before their last byte has arrived.
+  bool endingRequests = false;
   /// Open caller connections.
   std::size_t connectionCount = 0;
   std::set<CallerConnection*> callerConnections;
--- a/test/routes/planned_stop_test.cpp
+++ b/test/routes/planned_stop_test.cpp
@@ -175,6 +175,82 @@
              usageReported(deployment) << " of " << before << " + " << served);
 }
 
+// Guards against requests that were taken late and passed on, and are cut off without an answer.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_requests_that_are_still_running)
+{
+  RouteDeployment deployment(1, 1);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2300));
+  CallerConnection caller(deployment.callers());
+  caller.send(longCall("/plain/hang"));
+  const auto answer = nextAnswer(caller);
+  BOOST_TEST(answer.status == 504U);
+  BOOST_TEST(answer.closes);
+  BOOST_TEST(stop.elapsed().count() >= 5 * kGrace.count() / 6);
+  stop.checkEnd();
+}
+
+// Guards against requests that wait for a server until the process ends, without an answer or
+// passed on too late.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_refuses_requests_that_wait_for_a_server)
+{
+  constexpr std::size_t kCalls = 30;
+  RouteDeployment deployment(1, 1);
+  const PlannedStop stop(deployment);
+  stop.sleepUntil(Millis(2200));
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  std::vector<std::string> attempts;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    const auto call = longCall("/plain/hang");
+    attempts.push_back(call.attempt);
+    callers.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    callers.back()->send(call);
+  }
+  std::size_t refused = 0;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    const auto answer = nextAnswer(*callers[i]);
+    const bool ran = deployment.arrivals(attempts[i]) > 0;
+    BOOST_TEST(answer.status == (ran ? 504U : 503U));
+    BOOST_TEST(answer.closes);
+    refused += ran ? 0 : 1;
+  }
+  BOOST_TEST(refused > 0U);
+  stop.checkEnd();
+}
+
+// Guards against requests whose last part arrives after the last new request was taken, or never.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_requests_that_arrive_in_parts)
+{
+  RouteDeployment deployment(1, 1);
+  const PlannedStop stop(deployment);
+  const auto call = callOf("/plain/ok");
+  const auto text = CallerConnection::textOf(call);
+  const auto head = text.find("\r\n\r\n") + 4;
+  // The rest comes at this time, if it comes.
+  const std::vector<std::pair<std::size_t, Millis>> parts = {
+    { 10, Millis(2700) },   { head - 2, Millis(2900) }, { head, Millis(3000) },
+    { head, Millis(3900) }, { head + 1, Millis(4200) }, { head + 1, Millis(0) },
+  };
+  stop.sleepUntil(Millis(2300));
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  for (const auto& [sent, at] : parts) {
+    callers.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    callers.back()->sendText(text.substr(0, sent));
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    const auto& [sent, at] = parts[i];
+    if (at > Millis(0)) {
+      stop.sleepUntil(at);
+      callers[i]->sendText(text.substr(sent));
+    }
+    const auto answer = nextAnswer(*callers[i]);
+    BOOST_TEST(answer.status == 503U, "part " << i);
+    BOOST_TEST(answer.closes, "part " << i);
+  }
+  BOOST_TEST(deployment.arrivals(call.attempt) == 0U);
+  stop.checkEnd();
+}
+
 // Guards against answers that are complete here and cut off because the process ends before the
 // caller has read them.
 BOOST_AUTO_TEST_CASE(routes_planned_stop_waits_for_callers_that_read_slowly)
@@ -243,3 +319,87 @@
   BOOST_TEST(nextAnswer(caller).status == 200U);
   BOOST_TEST(caller.partialBody().size() == kKib * 1024);
 }
+
+// Guards against a short grace period that is over before the last request is refused.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_with_a_short_grace_answers_all_requests)
+{
+  for (const auto grace : { Millis(3000), Millis(3500), Millis(4000) }) {
+    RouteDeployment deployment(1, 1, Clocks::OfTheMachine, 1, grace);
+    CallerConnection running(deployment.callers());
+    const PlannedStop stop(deployment, grace);
+    running.send(longCall("/plain/delayed2000"));
+    unsigned served = 0;
+    while (stop.elapsed() < grace) {
+      try {
+        CallerConnection caller(deployment.callers());
+        caller.send(longCall("/plain/delayed400"));
+        const auto status = nextAnswer(caller).status;
+        BOOST_TEST((status == 200U || status == 503U || status == 504U),
+                   status << " after " << stop.elapsed().count() << " of " << grace.count());
+        served += status == 200U ? 1 : 0;
+      } catch (const boost::system::system_error&) {
+        break;
+      }
+    }
+    BOOST_TEST(served > 0U);
+    BOOST_TEST(nextAnswer(running).status == 200U);
+    stop.checkEnd();
+  }
+}
+
+// Guards against requests without an answer at an instance that is paused during its stop.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_of_a_paused_instance_answers_all_requests)
+{
+  for (const auto resumed : { Millis(3200), Millis(4300) }) {
+    RouteDeployment deployment(1, 1);
+    CallerConnection kept(deployment.callers());
+    BOOST_TEST(kept.call(callOf("/plain/ok")).result_int() == 200U);
+    const PlannedStop stop(deployment);
+    CallerConnection running(deployment.callers());
+    stop.sleepUntil(Millis(1800));
+    running.send(longCall("/plain/hang"));
+    stop.sleepUntil(Millis(2000));
+    deployment.instance(0).signal(SIGSTOP);
+    kept.send(callOf("/plain/ok"));
+    CallerConnection fresh(deployment.callers());
+    fresh.send(callOf("/plain/ok"));
+    stop.sleepUntil(resumed);
+    deployment.instance(0).signal(SIGCONT);
+    for (auto* it : { &kept, &fresh }) {
+      const auto status = nextAnswer(*it).status;
+      BOOST_TEST((status == 200U || status == 503U), status << " at " << resumed.count());
+    }
+    BOOST_TEST(nextAnswer(running).status == 504U);
+    stop.checkEnd();
+  }
+}
+
+// Guards against kept connections that are closed while a request arrives on them.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_requests_on_kept_connections)
+{
+  constexpr int kCallers = 30;
+  RouteDeployment deployment(1, 1);
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    BOOST_TEST(callers.back()->call(callOf("/plain/ok")).result_int() == 200U);
+  }
+  const PlannedStop stop(deployment);
+  int unanswered = 0;
+  for (int i = 0; i < kCallers; ++i) {
+    // From 2.54 to 2.66 s.
+    stop.sleepUntil(Millis(2540 + 4 * i));
+    const auto call = callOf("/plain/ok");
+    try {
+      callers[static_cast<std::size_t>(i)]->send(call);
+      const auto status = nextAnswer(*callers[static_cast<std::size_t>(i)]).status;
+      const auto ran = deployment.arrivals(call.attempt);
+      BOOST_TEST((status != 503U || ran == 0U));
+      unanswered += status == 0U && ran > 0U ? 1 : 0;
+    } catch (const boost::system::system_error&) {
+      BOOST_TEST(deployment.arrivals(call.attempt) == 0U);
+    }
+  }
+  BOOST_TEST(unanswered == 0);
+  stop.checkEnd();
+}
