LOST: requests sent ahead are answered in a planned stop

Callers that send requests ahead on a kept connection got no answer to them when the request before was answered during a stop, although they had been read.

Cause: while draining, every answer ended its connection, whatever had been read behind its request. The connection now ends with the last request that has been read; after the last one is taken, each gets 503.

A request that arrives after the head of an answer has announced the end of the connection stays unanswered: HTTP does not allow an answer to it, and it is not run.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -229,11 +229,11 @@
     mContext.timers.cancel(*mReceiveTimer);
     mReceiveTimer.reset();
   }
+  mRequestKeepAlive = mParser->get().keep_alive();
   if (!mContext.acceptingRequests) {
-    reject(503, "draining");
+    refuseWhileDraining();
     return;
   }
-  mRequestKeepAlive = mParser->get().keep_alive();
   auto request = mParser->release();
   resetParser();
   mExchange = std::make_unique<Exchange>(mContext, *this, std::move(request));
@@ -244,7 +244,7 @@
 bool
 CallerConnection::closesAfterResponse() const
 {
-  return !mRequestKeepAlive || mContext.draining;
+  return !mRequestKeepAlive || (mContext.draining && !hasNextRequest());
 }
 
 void
@@ -265,6 +265,25 @@
   write(text);
 }
 
+void
+CallerConnection::refuseWhileDraining()
+{
+  if (closesAfterResponse()) {
+    reject(503, "draining");
+    return;
+  }
+  LogEvent(LogLevel::Info, "request.refused")
+    .field("status", 503)
+    .field("reason", "draining")
+    .write();
+  resetParser();
+  armReceiveTimer();
+  std::string text;
+  appendStatusLine(text, 503);
+  text += "Content-Length: 0\r\n\r\n";
+  write(text);
+}
+
 void
 CallerConnection::linger()
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -47,6 +47,8 @@
   std::size_t pendingBytes() const { return mPendingOutput.size() + mOutputInFlight.size(); }
   /// Whether the response must announce that the connection closes.
   bool closesAfterResponse() const;
+  /// Whether bytes of a further request have been read.
+  bool hasNextRequest() const { return mBuffer.size() > 0; }
 
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -58,6 +60,9 @@
   /// Destroys the exchange after its own calls have returned.
   void releaseExchange();
   void reject(unsigned aStatus, const char* aReason);
+  /// Refuses the request that has just arrived; the connection closes with the last one that was
+  /// sent ahead.
+  void refuseWhileDraining();
   /// Announces the end of the connection and discards what still arrives: closing a socket with
   /// unread bytes resets the connection, and the caller may lose the response.
   void linger();
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -434,7 +434,8 @@
   }
   reportAnswered();
   finishRequest("request.answered", mResponseStatus, "complete");
-  mCaller.finishResponse(!mCloseAnnounced && mContext.acceptingRequests);
+  mCaller.finishResponse(!mCloseAnnounced &&
+                         (mContext.acceptingRequests || mCaller.hasNextRequest()));
 }
 
 void
--- a/test/routes/planned_stop_test.cpp
+++ b/test/routes/planned_stop_test.cpp
@@ -251,6 +251,39 @@
   stop.checkEnd();
 }
 
+// Guards against requests that were sent ahead and get no answer, because the connection ends after
+// the answer to the one before.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_requests_sent_ahead)
+{
+  constexpr int kAhead = 3;
+  RouteDeployment deployment(1, 1);
+  for (const auto* path : { "/plain/delayed", "/events/stream20", "/plain/hang" }) {
+    deployment.instance(0).kill();
+    deployment.startInstance(0);
+    deployment.awaitServing();
+    CallerConnection caller(deployment.callers());
+    BOOST_TEST(caller.call(callOf("/plain/ok")).result_int() == 200U);
+    const PlannedStop stop(deployment);
+    stop.sleepUntil(Millis(2200));
+    std::string text = CallerConnection::textOf(longCall(path));
+    std::vector<Call> ahead;
+    for (int i = 0; i < kAhead; ++i) {
+      ahead.push_back(callOf("/plain/ok"));
+      text += CallerConnection::textOf(ahead.back());
+    }
+    caller.sendText(text);
+    const auto first = nextAnswer(caller);
+    BOOST_TEST(first.status == (std::string(path) == "/plain/hang" ? 504U : 200U), path);
+    for (int i = 0; i < kAhead; ++i) {
+      const auto answer = nextAnswer(caller);
+      BOOST_TEST(answer.status == 503U, path << " " << i);
+      BOOST_TEST(answer.closes == (i == kAhead - 1), path << " " << i);
+      BOOST_TEST(deployment.arrivals(ahead[static_cast<std::size_t>(i)].attempt) == 0U);
+    }
+    stop.checkEnd();
+  }
+}
+
 // Guards against answers that are complete here and cut off because the process ends before the
 // caller has read them.
 BOOST_AUTO_TEST_CASE(routes_planned_stop_waits_for_callers_that_read_slowly)
