--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -21,6 +21,8 @@
 
 /// Unparsed bytes of pipelined requests at which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/// How long a connection that ends waits for the caller to close its side.
+constexpr Duration kLingerTime = Seconds(1);
 
 bool
 isTransferEncodingSupported(const http::request<http::string_body>& aRequest)
@@ -66,6 +68,26 @@
   }
 }
 
+bool
+CallerConnection::isBusy() const
+{
+  const bool requestArrives = !mCloseAfterWrite && (mParser->got_some() || mBuffer.size() > 0);
+  return !mClosed && (mExchange || mWriting || !mPendingOutput.empty() || requestArrives);
+}
+
+void
+CallerConnection::refuseUnfinishedRequest()
+{
+  if (mClosed || mExchange || mCloseAfterWrite) {
+    return;
+  }
+  if (mParser->got_some()) {
+    reject(503, "draining");
+  } else {
+    closeIfIdle();
+  }
+}
+
 void
 CallerConnection::resetParser()
 {
@@ -106,7 +128,7 @@
     mParser->body_limit(mParserLimits.bodyBytes);
   }
   const auto at = mReceivingSince + receiveTimeout();
-  if (mReceiveTimer && mReceiveTimer->first < at) {
+  if (!mLingering && mReceiveTimer && mReceiveTimer->first < at) {
     mContext.timers.cancel(*mReceiveTimer);
     setReceiveTimer(at);
   }
@@ -153,6 +175,10 @@
     close();
     return;
   }
+  if (mLingering) {
+    read();
+    return;
+  }
   mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
   if (!mExchange) {
     const bool wasIdle = !mParser->got_some();
@@ -172,8 +198,12 @@
     const auto n = mParser->put(mBuffer.data(), ec);
     mBuffer.consume(n);
     if (ec == http::error::need_more) {
-      if (mParser->is_header_done() && !mContinueSent &&
-          boost::beast::iequals(mParser->get()[http::field::expect], "100-continue")) {
+      const bool awaitsContinue =
+        mParser->is_header_done() && !mContinueSent &&
+        boost::beast::iequals(mParser->get()[http::field::expect], "100-continue");
+      if (mContext.endingRequests || (awaitsContinue && !mContext.acceptingRequests)) {
+        reject(503, "draining");
+      } else if (awaitsContinue) {
         mContinueSent = true;
         write("HTTP/1.1 100 Continue\r\n\r\n");
       }
@@ -208,30 +238,35 @@
     mContext.timers.cancel(*mReceiveTimer);
     mReceiveTimer.reset();
   }
+  mRequestKeepAlive = mParser->get().keep_alive();
   if (!mContext.acceptingRequests) {
-    reject(503, "draining");
+    refuseWhileDraining();
     return;
   }
-  mRequestKeepAlive = mParser->get().keep_alive();
   auto request = mParser->release();
   resetParser();
   mExchange = std::make_unique<Exchange>(mContext, *this, std::move(request));
+  mExchangeOwner = shared_from_this();
   mExchange->start();
 }
 
 bool
 CallerConnection::closesAfterResponse() const
 {
-  return !mRequestKeepAlive || mContext.draining;
+  return !mRequestKeepAlive || (mContext.draining && !hasNextRequest());
 }
 
 void
 CallerConnection::reject(unsigned aStatus, const char* aReason)
 {
-  LogEvent(LogLevel::Info, "request.malformed")
+  LogEvent(LogLevel::Info, aStatus == 503 ? "request.refused" : "request.malformed")
     .field("status", aStatus)
     .field("reason", aReason)
     .write();
+  if (mReceiveTimer) {
+    mContext.timers.cancel(*mReceiveTimer);
+    mReceiveTimer.reset();
+  }
   std::string text;
   appendStatusLine(text, aStatus);
   text += "Connection: close\r\nContent-Length: 0\r\n\r\n";
@@ -239,6 +274,51 @@
   write(text);
 }
 
+void
+CallerConnection::refuseWhileDraining()
+{
+  if (closesAfterResponse()) {
+    reject(503, "draining");
+    return;
+  }
+  LogEvent(LogLevel::Info, "request.refused")
+    .field("status", 503)
+    .field("reason", "draining")
+    .write();
+  resetParser();
+  armReceiveTimer();
+  std::string text;
+  appendStatusLine(text, 503);
+  text += "Content-Length: 0\r\n\r\n";
+  write(text);
+}
+
+void
+CallerConnection::linger()
+{
+  if (mLingering) {
+    return;
+  }
+  BoostErrorCode ec;
+  mSocket.shutdown(Tcp::socket::shutdown_send, ec);
+  if (ec) {
+    close();
+    return;
+  }
+  mLingering = true;
+  mBuffer.clear();
+  if (mReceiveTimer) {
+    mContext.timers.cancel(*mReceiveTimer);
+  }
+  mReceiveTimer = mContext.timers.set(bootNow() + kLingerTime, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->mReceiveTimer.reset();
+      self->close();
+    }
+  });
+  read();
+}
+
 void
 CallerConnection::write(std::string_view aBytes)
 {
@@ -257,7 +337,7 @@
   }
   if (mPendingOutput.empty()) {
     if (mCloseAfterWrite) {
-      close();
+      linger();
     }
     return;
   }
@@ -279,11 +359,18 @@
                     });
 }
 
+void
+CallerConnection::releaseExchange()
+{
+  asio::post(mContext.io,
+             [owner = std::move(mExchangeOwner),
+              ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+}
+
 void
 CallerConnection::finishResponse(bool aKeepOpen)
 {
-  // Called by the exchange itself, so destroy it after its call has returned.
-  asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+  releaseExchange();
   if (mClosed) {
     return;
   }
@@ -306,7 +393,7 @@
 void
 CallerConnection::abort()
 {
-  asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+  releaseExchange();
   close();
 }
 
@@ -326,7 +413,7 @@
   mSocket.close(ec);
   if (mExchange) {
     mExchange->onCallerClosed();
-    asio::post(mContext.io, [ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+    releaseExchange();
   }
 }
 
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -27,6 +27,10 @@
   /// Closes the connection unless a request is being received or processed or output is still to be
   /// written.
   void closeIfIdle();
+  /// Whether a request is being received or is in progress, or output is still to be written.
+  bool isBusy() const;
+  /// Answers a request that has arrived in part with 503; closes the connection if there is none.
+  void refuseUnfinishedRequest();
   /// Applies the limits of a new configuration to the next request and the time for which it is
   /// awaited. A lower limit holds from the next wait on: the caller may not know it yet.
   void extendLimits();
@@ -43,6 +47,8 @@
   std::size_t pendingBytes() const { return mPendingOutput.size() + mOutputInFlight.size(); }
   /// Whether the response must announce that the connection closes.
   bool closesAfterResponse() const;
+  /// Whether bytes of a further request have been read.
+  bool hasNextRequest() const { return mBuffer.size() > 0; }
 
 private:
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
@@ -51,7 +57,15 @@
   void onRead(BoostErrorCode aError, std::size_t aBytes);
   void parse();
   void startExchange();
+  /// Destroys the exchange after its own calls have returned.
+  void releaseExchange();
   void reject(unsigned aStatus, const char* aReason);
+  /// Refuses the request that has just arrived; the connection closes with the last one that was
+  /// sent ahead.
+  void refuseWhileDraining();
+  /// Announces the end of the connection and discards what still arrives: closing a socket with
+  /// unread bytes resets the connection, and the caller may lose the response.
+  void linger();
   void flush();
   void resetParser();
   /// Starts the timer that closes an idle connection or rejects a request that does not arrive in
@@ -73,6 +87,9 @@
   /// Of mParser, in bytes.
   route::CallerLimits mParserLimits;
   std::unique_ptr<Exchange> mExchange;
+  /// Keeps the connection while mExchange is in progress: with reading paused and nothing to write,
+  /// no operation on the socket does.
+  std::shared_ptr<CallerConnection> mExchangeOwner;
   std::string mPendingOutput;
   std::string mOutputInFlight;
   std::optional<AlarmQueue::Id> mReceiveTimer;
@@ -82,6 +99,7 @@
   bool mWriting = false;
   bool mClosed = false;
   bool mCloseAfterWrite = false;
+  bool mLingering = false;
   bool mRequestKeepAlive = true;
   bool mContinueSent = false;
 };
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -436,7 +436,8 @@
   }
   reportAnswered();
   finishRequest("request.answered", mResponse.status, "complete");
-  mCaller.finishResponse(!mCloseAnnounced && mContext.acceptingRequests);
+  mCaller.finishResponse(!mCloseAnnounced &&
+                         (mContext.acceptingRequests || mCaller.hasNextRequest()));
 }
 
 void
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -27,7 +27,8 @@
 ///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
 ///     silentN  six events; falls silent for 1.5 s after the Nth, unless the caller resumes
-///     delayed  an answer after 1.2 s
+///     delayedN an answer after N ms; without N after 1.2 s
+///     largeN   an answer with N KiB
 ///     halfN    an answer's head and half of its body, the rest after N ms
 ///     drip     an answer's head, then a byte of its body every 50 ms for 10 s
 ///     headN    the head of a stream, its six events after N ms
