LOST: reject CBOR that is nested deeper than the system's own

Seen: with deeply nested records in the topics that instances share, an instance ended with status 139 (SIGSEGV) within 3 s, and again at each start, as it reads the same records. Every instance that reads the logs is concerned.

Cause: nlohmann::json::from_cbor() reads arrays, maps and strings of indefinite length by recursion. 100000 bytes 0x81 in one record use up the stack. The handlers around the call catch exceptions only. The same call read board updates, usage intents, the baseline, the directory of agents, sync messages, parts of logs, datagrams of load and of crashes, and the messages of mode "pools".

Fix: decodeCbor() in base is now the one place where CBOR is read. It walks the heads of the items with a stack of fixed size and rejects more than 16 levels, items of indefinite length, tags, and lengths beyond the end, before the library sees the bytes. No encoder of the system writes any of these.

--- /dev/null
+++ b/include/mustardplank/base/cbor.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <string_view>
+
+namespace mustardplank {
+
+/// Levels of arrays and maps that a CBOR document may have; no document of the system has more.
+inline constexpr std::size_t kMaxCborDepth = 16;
+
+/// Reads one CBOR item that fills aBytes. Returns a discarded value if the bytes are malformed, are
+/// nested deeper than kMaxCborDepth, or hold a tag or an item of indefinite length, which no
+/// encoder of the system writes. Does not throw.
+nlohmann::json
+decodeCbor(std::string_view aBytes);
+
+}
--- a/src/mustardplank/agent/crash_exchange.cpp
+++ b/src/mustardplank/agent/crash_exchange.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/agent/crash_exchange.hpp"
 
+#include "mustardplank/base/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -98,7 +100,7 @@
 decodeCrashNotes(const std::string& aBytes, Findings& aFindings)
 {
   try {
-    const auto message = json::from_cbor(aBytes);
+    const auto message = decodeCbor(aBytes);
     if (message.at(0).get<int>() != kMessageKind) {
       throw std::invalid_argument("no message of crash notes");
     }
--- a/src/mustardplank/agent/directory.cpp
+++ b/src/mustardplank/agent/directory.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/agent/directory.hpp"
 
+#include "mustardplank/base/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -35,7 +37,7 @@
 decodeAgents(const std::string& aBytes, Findings& aFindings)
 {
   try {
-    const auto list = json::from_cbor(aBytes);
+    const auto list = decodeCbor(aBytes);
     if (!list.is_array()) {
       aFindings.add("agents", "is not a CBOR array");
       return std::nullopt;
--- a/src/mustardplank/agent/load_exchange_test.cpp
+++ b/src/mustardplank/agent/load_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "mustardplank/agent/crash_exchange.hpp"
 #include "mustardplank/agent/load_exchange.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -221,6 +222,19 @@
   }
 }
 
+// Guards against a datagram that is nested deeper than the stack is large and ends the process.
+BOOST_AUTO_TEST_CASE(deeply_nested_datagrams_are_rejected_with_a_finding)
+{
+  for (const char it : { '\x81', '\x9f', '\x7f' }) {
+    // The start of a message of crash notes.
+    const auto bytes = "\x82\x10" + std::string(1000000, it);
+    Findings findings;
+    BOOST_TEST(!decodeLoadMessage(bytes, findings).has_value());
+    BOOST_TEST(!decodeCrashNotes(bytes, findings).has_value());
+    BOOST_TEST(findings.size() == 2U);
+  }
+}
+
 // Guards against forged datagrams: what no agent of the directory sent changes nothing, and a
 // report makes nobody else receive tables.
 BOOST_AUTO_TEST_CASE(messages_of_others_than_agents_are_ignored)
--- a/src/mustardplank/agent/load_messages.cpp
+++ b/src/mustardplank/agent/load_messages.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/agent/load_messages.hpp"
 
+#include "mustardplank/base/cbor.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -152,7 +154,7 @@
 decodeLoadMessage(const std::string& aBytes, Findings& aFindings)
 {
   try {
-    return messageFromJson(json::from_cbor(aBytes));
+    return messageFromJson(decodeCbor(aBytes));
   } catch (const std::exception& aError) {
     aFindings.add("load message", aError.what());
     return std::nullopt;
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -1,6 +1,7 @@
 #include "mustardplank/agent/sync_messages.hpp"
 
 #include "compression.hpp"
+#include "mustardplank/base/cbor.hpp"
 #include "mustardplank/control/crash_report_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -30,17 +31,6 @@
   return bytes;
 }
 
-/// from_cbor() throws for an excessive length even though exceptions are disabled by its argument.
-json
-decodeCbor(std::string_view aBytes)
-{
-  try {
-    return json::from_cbor(aBytes, true, false);
-  } catch (const std::exception&) {
-    return json(json::value_t::discarded);
-  }
-}
-
 json
 binary(std::string_view aBytes)
 {
--- a/src/mustardplank/agent/sync_messages_test.cpp
+++ b/src/mustardplank/agent/sync_messages_test.cpp
@@ -1,3 +1,4 @@
+#include "mustardplank/agent/directory.hpp"
 #include "mustardplank/agent/sync_messages.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -144,4 +145,18 @@
   }
 }
 
+// Guards against a message or a record of agents that is nested deeper than the stack is large and
+// ends the process.
+BOOST_AUTO_TEST_CASE(deeply_nested_messages_are_rejected_with_a_finding)
+{
+  for (const char it : { '\x81', '\x9f', '\x7f' }) {
+    const auto bytes = "\xa1\x61p" + std::string(1000000, it);
+    Findings findings;
+    BOOST_TEST(!decodeRequest(bytes, findings).has_value());
+    BOOST_TEST(!decodeReply(bytes, findings).has_value());
+    BOOST_TEST(!decodeAgents(bytes, findings).has_value());
+    BOOST_TEST(findings.size() == 3U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -1,5 +1,6 @@
 #include "mustardplank/control/records.hpp"
 
+#include "mustardplank/base/cbor.hpp"
 #include "mustardplank/control/crash_report_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -20,17 +21,6 @@
   return bytes;
 }
 
-/// from_cbor() throws for an excessive length even though exceptions are disabled by its argument.
-json
-decodeCbor(const std::string& aBytes)
-{
-  try {
-    return json::from_cbor(aBytes, true, false);
-  } catch (const std::exception&) {
-    return json(json::value_t::discarded);
-  }
-}
-
 json
 countsToJson(const UsageCounts& aCounts)
 {
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -62,6 +62,19 @@
   }
 }
 
+// Guards against a record that is nested deeper than the stack is large and ends the process.
+BOOST_AUTO_TEST_CASE(deeply_nested_records_are_rejected_with_a_finding)
+{
+  for (const char it : { '\x81', '\x9f', '\x7f' }) {
+    const auto bytes = "\xa1\x61w" + std::string(1000000, it);
+    Findings findings;
+    BOOST_TEST(!decodeUpdate(bytes, findings).has_value());
+    BOOST_TEST(!decodeIntent(bytes, findings).has_value());
+    BOOST_TEST(!decodeBaseline(bytes, findings).has_value());
+    BOOST_TEST(findings.size() == 3U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(intent_and_baseline_round_trip)
 {
   Findings findings;
--- a/src/mustardplank/peer/codec.cpp
+++ b/src/mustardplank/peer/codec.cpp
@@ -1,8 +1,8 @@
 #include "mustardplank/peer/codec.hpp"
 
 #include "archive.hpp"
-#include "cbor.hpp"
 #include "message_fields.hpp"
+#include "mustardplank/base/cbor.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -128,7 +128,7 @@
 std::optional<Message>
 decode(const std::vector<std::uint8_t>& aBytes, std::string& aError)
 {
-  const auto object = parseCbor(aBytes);
+  const auto object = decodeCbor({ reinterpret_cast<const char*>(aBytes.data()), aBytes.size() });
   if (!object.is_object()) {
     aError = "not a CBOR map";
     return std::nullopt;
--- a/src/mustardplank/peer/transport.cpp
+++ b/src/mustardplank/peer/transport.cpp
@@ -1,6 +1,6 @@
 #include "mustardplank/peer/transport.hpp"
 
-#include "cbor.hpp"
+#include "mustardplank/base/cbor.hpp"
 #include "mustardplank/base/hash.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -178,7 +178,7 @@
       receive(link.peer, link.failureDomain, Bytes(aPayload.begin(), aPayload.end()));
       return;
     }
-    const auto message = parseCbor(aPayload);
+    const auto message = decodeCbor(aPayload);
     if (!message.is_object()) {
       reject(aHandle, "not a handshake message");
       return;
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -137,6 +137,13 @@
   add(mLogs[aTopic], true, content);
 }
 
+void
+StoreStandin::append(const std::string& aTopic, const std::string& aContent)
+{
+  const std::lock_guard lock(mMutex);
+  add(mLogs[aTopic], false, aContent);
+}
+
 std::uint64_t
 StoreStandin::logEnd(const std::string& aTopic) const
 {
@@ -297,7 +304,8 @@
       const std::lock_guard lock(mMutex);
       page = newestPage(queryText(aRequest, "topic"));
     }
-    co_return co_await respondPaced(aSocket, aRequest, page.dump());
+    co_return co_await respondPaced(
+      aSocket, aRequest, page.dump(-1, ' ', false, json::error_handler_t::replace));
   }
   DutyCall call;
   call.path = path;
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -29,6 +29,8 @@
 
   /// Writes a keyed record; nothing as the value removes the key.
   void put(const std::string& aTopic, const std::string& aKey, std::optional<std::string> aValue);
+  /// Writes a record of a topic without keys.
+  void append(const std::string& aTopic, const std::string& aContent);
   /// While down, calls get 503.
   void setDown(bool aDown);
   /// While silent, calls get no answer, also later.
