--- a/include/mustardplank/base/time.hpp
+++ b/include/mustardplank/base/time.hpp
@@ -24,6 +24,12 @@
 
 using TimePoint = std::chrono::time_point<BootTime, Duration>;
 
+/// Bound for durations that others state (100 years): sums and differences of a few of them with
+/// any time do not overflow.
+inline constexpr Duration kMaxDuration = std::chrono::hours(24 * 365 * 100);
+/// Bound for Unix milliseconds that others state: the end of the year 9999.
+inline constexpr std::int64_t kMaxUnixMillis = 253'402'300'799'999;
+
 /// Length in milliseconds with fraction, for logs and metrics.
 inline double
 toMillis(Duration aDuration)
