LOST: reject JSON that is nested deeper than the stack allows

Seen: a chunk of a backend server with a member nested 1000000 levels deep ended the process in mode "pools".

Cause: the JSON library parses and frees without recursion, but compares, copies and dumps by recursion. ChatChunkReader compares each new kind of chunk. Only the bodies of callers were checked for depth.

The decoders of the platform's JSON did not end the process: they copy no part that they don't name.

--- a/src/mustardplank/traffic/chat_chunk.cpp
+++ b/src/mustardplank/traffic/chat_chunk.cpp
@@ -1,5 +1,7 @@
 #include "chat_chunk.hpp"
 
+#include "mustardplank/base/json_depth.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -150,6 +152,10 @@
 ChatChunkReader::parse(std::string_view aPayload)
 {
   ChatChunk chunk;
+  if (isDeeperThan(aPayload, kMaxJsonDepth)) {
+    chunk.problem = "a chunk is nested too deeply";
+    return chunk;
+  }
   const json body = json::parse(aPayload, nullptr, false);
   if (!body.is_object()) {
     chunk.problem = "a chunk is no JSON object";
--- a/src/mustardplank/traffic/chat_request.cpp
+++ b/src/mustardplank/traffic/chat_request.cpp
@@ -1,5 +1,6 @@
 #include "chat_request.hpp"
 
+#include "mustardplank/base/json_depth.hpp"
 #include "mustardplank/base/prefix_hash.hpp"
 
 #include <nlohmann/json.hpp>
@@ -13,8 +14,6 @@
 
 using nlohmann::json;
 
-/// Deeper JSON would overflow the stack when it is written again.
-constexpr int kMaxDepth = 64;
 constexpr std::size_t kBytesPerToken = 4;
 /// Longer prompts are told apart by their first 16 KiB only; bounds the size of a permit request.
 constexpr std::size_t kMaxPrefixBlocks = 64;
@@ -25,34 +24,6 @@
   return notRun(ErrorCode::InvalidRequest, std::move(aMessage));
 }
 
-bool
-tooDeep(std::string_view aText)
-{
-  int depth = 0;
-  bool inString = false;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    const char c = aText[i];
-    if (inString) {
-      if (c == '\\') {
-        ++i;
-      } else if (c == '"') {
-        inString = false;
-      }
-      continue;
-    }
-    if (c == '"') {
-      inString = true;
-    } else if (c == '{' || c == '[') {
-      if (++depth > kMaxDepth) {
-        return true;
-      }
-    } else if (c == '}' || c == ']') {
-      --depth;
-    }
-  }
-  return false;
-}
-
 /// Appends the text of one message's content, which is a string or a list of parts.
 std::optional<Refusal>
 appendContent(const json& aContent, const std::string& aPlace, std::string& aText)
@@ -183,9 +154,9 @@
 std::variant<ChatRequest, Refusal>
 parseChatRequest(std::string_view aBody)
 {
-  if (tooDeep(aBody)) {
+  if (isDeeperThan(aBody, kMaxJsonDepth)) {
     return notRun(ErrorCode::InvalidJson,
-                  "the body is nested deeper than " + std::to_string(kMaxDepth) + " levels");
+                  "the body is nested deeper than " + std::to_string(kMaxJsonDepth) + " levels");
   }
   json body;
   try {
--- a/src/mustardplank/traffic/chunk_test.cpp
+++ b/src/mustardplank/traffic/chunk_test.cpp
@@ -22,6 +22,19 @@
 
 BOOST_AUTO_TEST_SUITE(chunk_reader)
 
+// Guards against a chunk of a server that is nested deeper than the stack is large and ends the
+// process when it is compared.
+BOOST_AUTO_TEST_CASE(deeplyNestedChunkIsRejected)
+{
+  constexpr std::size_t kLevels = 1000000;
+  const auto nested = std::string(kLevels, '[') + std::string(kLevels, ']');
+  auto payload = chunk("a");
+  payload.insert(1, "\"other\":" + nested + ",");
+  ChatChunkReader reader("r1");
+  BOOST_TEST(!reader.read(payload).problem.empty());
+  BOOST_TEST(reader.read(chunk("a")).problem.empty());
+}
+
 // Guards against the comparison with earlier chunks accepting what a full parse would not.
 BOOST_AUTO_TEST_CASE(checksChunksAfterTheFirst)
 {
