--- a/include/mustardplank/base/log_event.hpp
+++ b/include/mustardplank/base/log_event.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -24,6 +25,9 @@
 class LogEvent
 {
 public:
+  /// Longer values are cut, and their length is stated.
+  static constexpr std::size_t kMaxValueBytes = 1024;
+
   LogEvent(LogLevel aLevel, std::string_view aName);
 
   LogEvent& field(std::string_view aKey, std::string_view aValue);
--- a/src/mustardplank/base/base_test.cpp
+++ b/src/mustardplank/base/base_test.cpp
@@ -18,6 +18,18 @@
   BOOST_TEST(event.line() == "event=a.b plain=x text=\"two words\\x0a\\\"q\\\"\" n=3");
 }
 
+// Guards against a line as long as the input that it reports, which would push others out.
+BOOST_AUTO_TEST_CASE(logEventCutsLongValues)
+{
+  LogEvent event(LogLevel::Info, "a.b");
+  event.field("plain", std::string(1000000, 'x')).field("binary", std::string(1000000, '\0'));
+  BOOST_TEST(event.line().size() < 10000U);
+  BOOST_TEST(event.line().find("xxx...(1000000_bytes) binary=") != std::string::npos);
+  LogEvent whole(LogLevel::Info, "a.b");
+  whole.field("plain", std::string(LogEvent::kMaxValueBytes, 'x'));
+  BOOST_TEST(whole.line().ends_with("x"));
+}
+
 // Guards against a chart with a misspelt target being accepted.
 BOOST_AUTO_TEST_CASE(stateChartReportsAllFindings)
 {
--- a/src/mustardplank/base/log_event.cpp
+++ b/src/mustardplank/base/log_event.cpp
@@ -85,15 +85,19 @@
   }
   mLine.append(aKey);
   mLine += '=';
-  if (!needsQuotes(aValue)) {
-    mLine.append(aValue);
-    return *this;
+  const auto shown = aValue.substr(0, kMaxValueBytes);
+  if (!needsQuotes(shown)) {
+    mLine.append(shown);
+  } else {
+    mLine += '"';
+    for (const char c : shown) {
+      appendEscaped(mLine, static_cast<unsigned char>(c));
+    }
+    mLine += '"';
   }
-  mLine += '"';
-  for (const char c : aValue) {
-    appendEscaped(mLine, static_cast<unsigned char>(c));
+  if (shown.size() < aValue.size()) {
+    mLine += "...(" + std::to_string(aValue.size()) + "_bytes)";
   }
-  mLine += '"';
   return *this;
 }
 
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <sstream>
 #include <thread>
 
 using namespace mustardplank;
@@ -12,26 +13,97 @@
 namespace {
 
 /// Time within which a change of the store's content takes effect.
-constexpr Millis kApplyBound{ 2000 };
+constexpr Millis kApplyBound{2000};
 /// Above the levels at which a recursive reader uses up its stack of 8 MiB.
 constexpr std::size_t kDeepLevels = 100000;
-unsigned
-statusOf(RouteDeployment& aDeployment, const Call& aCall)
-{
+/// Longest line of the log.
+constexpr std::size_t kMaxLogLine = 8192;
+
+unsigned statusOf(RouteDeployment &aDeployment, const Call &aCall) {
   try {
     CallerConnection connection(aDeployment.callers());
     return connection.call(aCall).result_int();
-  } catch (const boost::system::system_error&) {
+  } catch (const boost::system::system_error &) {
     return 0;
   }
 }
 
+/// The entry of a sound server at an address where nobody listens, with one
+/// member replaced.
+std::string entryWith(const std::string &aName, const std::string &aValue) {
+  std::string out = "{";
+  for (const auto &[name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"service", "\"svc\""},
+           {"address", "\"127.0.0.1:9\""},
+           {"zone", "\"fd-a\""},
+           {"slots", "8"},
+           {"state", "\"ready\""},
+           {"coldRemainingMs", "0"},
+           {"born", "1"},
+           {"sequence", "1"}}) {
+    out += (out.size() > 1 ? ",\"" : "\"") + name +
+           "\":" + (name == aName ? aValue : value);
+  }
+  return out + "}";
+}
+
+std::string nested(const std::string &aOpen, const std::string &aClose,
+                   std::size_t aLevels = kDeepLevels) {
+  std::string out;
+  for (std::size_t i = 0; i < aLevels; ++i) {
+    out += aOpen;
+  }
+  for (std::size_t i = 0; i < aLevels; ++i) {
+    out += aClose;
+  }
+  return out;
+}
+
+std::vector<std::string> oddEntries() {
+  std::vector<std::string> out{
+      "",
+      "null",
+      "[]",
+      "\xff\xfe",
+      nested("[", "]"),
+      entryWith("slots", nested("[", "]")),
+      // Sound but for the depth.
+      entryWith("sequence", "1,\"other\":" + nested("[", "]")),
+      entryWith("sequence",
+                "1,\"other\":" + nested("[{\"sequence\":[", "]}]", 20000)),
+  };
+  for (const auto *it :
+       {"127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999999999999",
+        "127.0.0.1:-1", "256.0.0.1:80", "[::1]:80", ":", ""}) {
+    out.push_back(entryWith("address", "\"" + std::string(it) + "\""));
+  }
+  for (const auto *it : {"-1", "0", "1.5", "4294967296", "4294967304",
+                         "18446744073709551615", "1e30", "1e400"}) {
+    out.push_back(entryWith("slots", it));
+  }
+  for (const auto *it :
+       {"-1", "1e300", "1e18", "9223372036854775807", "86400001", "1e400"}) {
+    out.push_back(entryWith("coldRemainingMs", it));
+  }
+  for (const auto *it :
+       {"-1", "1.5", "9223372036854775807", "18446744073709551615", "1e30"}) {
+    out.push_back(entryWith("born", it));
+  }
+  return out;
+}
+
+/// Keys that no server has, as they would not fit into a header field or a line
+/// of the log.
+std::vector<std::string> oddKeys() {
+  return {"", "a\r\nX-Odd: 1", "a b", "\xff\xfe"};
+}
+
 /// CBOR items that a recursive reader follows level by level.
-std::vector<std::string>
-deepRecords()
-{
+std::vector<std::string> deepRecords() {
   std::vector<std::string> out;
-  for (const auto* it : { "\x81", "\xa1\x61w", "\x9f", "\xbf\x61w", "\x7f", "\x5f", "\xc1" }) {
+  for (const auto *it :
+       {"\x81", "\xa1\x61w", "\x9f", "\xbf\x61w", "\x7f", "\x5f", "\xc1"}) {
     std::string text;
     for (std::size_t i = 0; i < kDeepLevels; ++i) {
       text += it;
@@ -43,9 +115,7 @@
   return out;
 }
 
-void
-checkServesAndFollows(RouteDeployment& aDeployment)
-{
+void checkServesAndFollows(RouteDeployment &aDeployment) {
   BOOST_TEST_REQUIRE(aDeployment.instance(0).running());
   for (int i = 0; i < 5; ++i) {
     BOOST_TEST(statusOf(aDeployment, callOf("/plain/ok")) == 200U);
@@ -61,18 +131,90 @@
   aDeployment.configure("key-new");
   auto call = callOf("/twice/ok");
   call.key = "key-new";
-  BOOST_TEST(waitUntil(kApplyBound, [&] { return statusOf(aDeployment, call) == 200U; }));
+  BOOST_TEST(waitUntil(kApplyBound,
+                       [&] { return statusOf(aDeployment, call) == 200U; }));
   BOOST_TEST_REQUIRE(aDeployment.instance(0).running());
 }
 
+/// Lines of the log that contain a text.
+std::vector<std::string> linesWith(RouteDeployment &aDeployment,
+                                   const std::string &aText) {
+  std::vector<std::string> out;
+  std::istringstream text(aDeployment.instance(0).output());
+  for (std::string line; std::getline(text, line);) {
+    if (line.find(aText) != std::string::npos) {
+      out.push_back(line);
+    }
+  }
+  return out;
 }
 
-// Guards against a record in the logs that instances share that ends each process that reads it.
-BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing)
-{
+} // namespace
+
+// Guards against an entry of another writer among those of the servers that
+// ends the process, stops it from following the list, is taken for a server, or
+// fills the log.
+BOOST_AUTO_TEST_CASE(routes_odd_server_entries_are_ignored) {
   RouteDeployment deployment(2, 1);
   deployment.removeServer(1);
-  for (const auto& it : deepRecords()) {
+  const auto entries = oddEntries();
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".",
+                           entries[i]);
+  }
+  // Sound but for the key.
+  for (const auto &it : oddKeys()) {
+    deployment.store().put("keyed.servers", it, entryWith("", ""));
+  }
+  std::this_thread::sleep_for(kApplyBound);
+  checkServesAndFollows(deployment);
+  // The writer goes on renewing its entries.
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".",
+                           entries[i]);
+  }
+  std::this_thread::sleep_for(kApplyBound);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    // An empty value removes the key.
+    const std::size_t expected = entries[i].empty() ? 0 : 1;
+    const auto name =
+        "event=server.entry_ignored server=odd" + std::to_string(i) + ". ";
+    const auto lines = linesWith(deployment, name);
+    BOOST_TEST(lines.size() == expected,
+               name << lines.size() << " " << entries[i].substr(0, 200));
+    for (const auto &it : lines) {
+      BOOST_TEST(it.size() <= kMaxLogLine);
+    }
+  }
+}
+
+// Guards against an entry that is odd already when an instance starts, which
+// reads the whole list.
+BOOST_AUTO_TEST_CASE(routes_start_beside_odd_entries) {
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  const auto entries = oddEntries();
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i),
+                           entries[i]);
+  }
+  for (const auto &it : oddKeys()) {
+    deployment.store().put("keyed.servers", it, entryWith("", ""));
+    deployment.store().put("keyed.agents", it, deepRecords().front());
+    deployment.store().put("keyed.state", it, deepRecords().front());
+  }
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
+// Guards against a record in the logs that instances share that ends each
+// process that reads it.
+BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing) {
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  for (const auto &it : deepRecords()) {
     deployment.store().append("board", it);
     deployment.store().append("reports", it);
     deployment.store().append("claims", it);
@@ -81,6 +223,46 @@
   }
   std::this_thread::sleep_for(Millis(3000));
   const auto status = deployment.instance(0).wait(Millis(0));
-  BOOST_TEST(!status.has_value(), "the process ended with " << status.value_or(0));
+  BOOST_TEST(!status.has_value(),
+             "the process ended with " << status.value_or(0));
+  checkServesAndFollows(deployment);
+}
+
+// Guards against a configuration with a number out of range that ends the
+// process or is taken in part.
+BOOST_AUTO_TEST_CASE(routes_odd_operator_records_change_nothing) {
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  auto &store = deployment.store();
+  store.put("keyed.op", "config", nested("[", "]"));
+  store.put("keyed.op", "config",
+            R"({"version":1000,"routes":)" + nested("[", "]") + "}");
+  store.put("keyed.op", "config", R"({"version":1e400})");
+  store.put("keyed.op", "config",
+            R"({"version":18446744073709551616,"routes":[]})");
+  for (const auto *it : {"1e300", "-1", "1e400", "9223372036854775807"}) {
+    const std::string text(it);
+    store.put("keyed.op", "config",
+              R"({"version":1000,"limits":{"idleTimeoutMs":)" + text + "}}");
+    store.put(
+        "keyed.op", "config",
+        R"({"version":1000,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","routeType":"idempotent","service":"svc","timeoutMs":)" +
+            text + "}]}");
+  }
+  std::string many = R"({"version":1000,"routes":[)";
+  for (int i = 0; i < 3000; ++i) {
+    many += (i > 0 ? ",{}" : "{}");
+  }
+  store.put("keyed.op", "config", many + "]}");
+  store.put("keyed.op", "", "{}");
+  store.put("keyed.op", "\xff\xfe\r\n", "{}");
+  store.put("keyed.op", "evacuate/", "{}");
+  store.put("keyed.op", "evacuate/\xff\r\n", nested("[", "]"));
+  std::this_thread::sleep_for(kApplyBound);
   checkServesAndFollows(deployment);
+  const auto lines = linesWith(deployment, "event=config.rejected");
+  BOOST_TEST(!lines.empty());
+  for (const auto &it : lines) {
+    BOOST_TEST(it.size() <= kMaxLogLine, it.size());
+  }
 }
