LOST: reject numbers out of range in records between instances

Seen: updates of instances with 1e300, negative numbers, NaN, true or 2^63-1 in place of counts, times, windows, durations and needs were decoded.

Cause: get<T>() of the JSON library converts between all types of numbers without a check: undefined from double to integer, with another result on arm64 than on x86-64, and wrapping from negative to unsigned. The values then overflow in sums with times (renewalAge, age, end of a window), and a name that is not UTF-8 cannot be written into the JSON of a usage report.

Fix: base/json_numbers.hpp reads numbers with bounds, in updates, intents, the baseline, crash reports and notes, sync messages and loads. Bounds: counts fit in 32 bits, times lie before the year 10000, durations are at most 100 years, windows last at least a second. Sums that the system itself states are clamped by the sender, so that one large value does not make its messages unreadable.

--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -8,6 +8,7 @@
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,6 +18,9 @@
 
 using dispatch::ServiceDemand;
 
+/// Bound for each member of a ServiceDemand that one instance states: counts fit in 32 bits.
+inline constexpr double kMaxNeed = std::numeric_limits<std::uint32_t>::max();
+
 /// Number of requests that began to run, by organisation.
 using UsageCounts = std::map<OrganisationId, std::uint64_t>;
 
--- a/src/mustardplank/agent/crash_exchange.cpp
+++ b/src/mustardplank/agent/crash_exchange.cpp
@@ -1,6 +1,7 @@
 #include "mustardplank/agent/crash_exchange.hpp"
 
 #include "mustardplank/base/cbor.hpp"
+#include "mustardplank/base/json_numbers.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -20,7 +21,7 @@
 namespace {
 
 /// First element of the message, unlike those of messages about load.
-constexpr int kMessageKind = 16;
+constexpr unsigned kMessageKind = 16;
 /// How a message begins: a CBOR array of two elements, the first of which is kMessageKind.
 constexpr const char* kMessageStart = "\x82\x10";
 
@@ -32,6 +33,18 @@
   PartBlocked = 3,
 };
 
+constexpr auto kMaxKind = static_cast<std::uint64_t>(Kind::PartBlocked);
+
+std::vector<dispatch::PromptPartId>
+partsOf(const json& aList)
+{
+  std::vector<dispatch::PromptPartId> parts;
+  for (const auto& it : aList) {
+    parts.push_back(unsignedOf(it));
+  }
+  return parts;
+}
+
 json
 toJson(const ServerLoss& aLoss)
 {
@@ -60,18 +73,16 @@
 CrashNote
 noteFromJson(const json& aRow)
 {
-  switch (aRow.at(0).get<Kind>()) {
+  switch (static_cast<Kind>(unsignedOf(aRow.at(0), kMaxKind))) {
     case Kind::ServerLoss:
       return ServerLoss{ BackendServerId(aRow.at(1).get<std::string>()),
-                         aRow.at(2).get<std::int64_t>(),
-                         aRow.at(3).get<std::int64_t>(),
-                         aRow.at(4).get<std::vector<dispatch::PromptPartId>>() };
+                         unixMillisOf(aRow.at(2)),
+                         unixMillisOf(aRow.at(3)),
+                         partsOf(aRow.at(4)) };
     case Kind::PartAnswered:
-      return PartAnswered{ aRow.at(1).get<dispatch::PromptPartId>(),
-                           aRow.at(2).get<std::int64_t>() };
+      return PartAnswered{ unsignedOf(aRow.at(1)), unixMillisOf(aRow.at(2)) };
     case Kind::PartBlocked:
-      return PartBlocked{ aRow.at(1).get<dispatch::PromptPartId>(),
-                          aRow.at(2).get<std::int64_t>() };
+      return PartBlocked{ unsignedOf(aRow.at(1)), unixMillisOf(aRow.at(2)) };
   }
   throw std::invalid_argument("an unknown kind of note");
 }
@@ -101,7 +112,7 @@
 {
   try {
     const auto message = decodeCbor(aBytes);
-    if (message.at(0).get<int>() != kMessageKind) {
+    if (unsignedOf(message.at(0)) != kMessageKind) {
       throw std::invalid_argument("no message of crash notes");
     }
     std::vector<CrashNote> notes;
--- a/src/mustardplank/agent/load_messages.cpp
+++ b/src/mustardplank/agent/load_messages.cpp
@@ -1,12 +1,14 @@
 #include "mustardplank/agent/load_messages.hpp"
 
 #include "mustardplank/base/cbor.hpp"
+#include "mustardplank/base/json_numbers.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <cmath>
 #include <exception>
+#include <limits>
 #include <stdexcept>
 
 namespace mustardplank::agent {
@@ -25,10 +27,15 @@
   Table = 3,
 };
 
+/// Requests or tokens, of one instance or a sum, which is stated as this if it is larger.
+constexpr std::uint64_t kMaxLoad = std::uint64_t(1) << 48;
+
+constexpr auto kMaxKind = static_cast<std::uint64_t>(Kind::Table);
+
 std::uint64_t
 rounded(double aValue)
 {
-  return static_cast<std::uint64_t>(std::llround(std::max(0.0, aValue)));
+  return static_cast<std::uint64_t>(std::llround(std::clamp<double>(aValue, 0.0, kMaxLoad)));
 }
 
 /// Part, parts, and then key, running requests and pending tokens of each server.
@@ -50,16 +57,17 @@
   constexpr std::size_t kHeaderFields = 2;
   constexpr std::size_t kServerFields = 3;
   LoadPart part;
-  part.part = aRow.at(0).get<std::uint32_t>();
-  part.parts = aRow.at(1).get<std::uint32_t>();
+  part.part = unsigned32Of(aRow.at(0));
+  part.parts = unsigned32Of(aRow.at(1));
   if (part.parts == 0 || part.part >= part.parts ||
       (aRow.size() - kHeaderFields) % kServerFields != 0) {
     throw std::invalid_argument("a malformed part of a load");
   }
   for (std::size_t i = kHeaderFields; i < aRow.size(); i += kServerFields) {
-    part.loads[aRow[i].get<ServerKey>()] = { static_cast<double>(aRow[i + 1].get<std::uint64_t>()),
-                                             static_cast<double>(
-                                               aRow[i + 2].get<std::uint64_t>()) };
+    part.loads[unsignedOf(aRow[i], std::numeric_limits<ServerKey>::max())] = {
+      static_cast<double>(unsignedOf(aRow[i + 1], kMaxLoad)),
+      static_cast<double>(unsignedOf(aRow[i + 2], kMaxLoad)),
+    };
   }
   return part;
 }
@@ -90,12 +98,12 @@
 LoadMessage
 messageFromJson(const json& aRow)
 {
-  switch (aRow.at(0).get<Kind>()) {
+  switch (static_cast<Kind>(unsignedOf(aRow.at(0), kMaxKind))) {
     case Kind::Report: {
       LoadReport report;
       report.instance = InstanceId(aRow.at(1).get<std::string>());
-      report.incarnation = aRow.at(2).get<std::uint64_t>();
-      report.sequence = aRow.at(3).get<std::uint64_t>();
+      report.incarnation = unsignedOf(aRow.at(2));
+      report.sequence = unsignedOf(aRow.at(3));
       report.address = aRow.at(4).get<std::string>();
       report.load = partFromJson(aRow.at(5));
       return report;
@@ -106,7 +114,7 @@
     case Kind::Table: {
       LoadTable table;
       table.agent = InstanceId(aRow.at(1).get<std::string>());
-      table.sequence = aRow.at(2).get<std::uint64_t>();
+      table.sequence = unsignedOf(aRow.at(2));
       table.load = partFromJson(aRow.at(3));
       return table;
     }
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "compression.hpp"
 #include "mustardplank/base/cbor.hpp"
+#include "mustardplank/base/json_numbers.hpp"
 #include "mustardplank/control/crash_report_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -18,6 +19,8 @@
 
 /// Shorter parts are not worth the time.
 constexpr std::size_t kMinCompressedBytes = 4096;
+/// Of up to a million instances.
+constexpr double kMaxTotalNeed = 1e6 * control::kMaxNeed;
 constexpr std::size_t kMaxPartBytes = 64 * 1024 * 1024;
 /// First byte of an encoded part.
 constexpr char kPlain = 'p';
@@ -47,13 +50,22 @@
 std::int64_t
 microsOf(Duration aDuration)
 {
-  return aDuration.count();
+  // The sum of an age that another instance stated and the time since may be above the bound.
+  return std::clamp(aDuration, Duration{}, kMaxDuration).count();
 }
 
 Duration
-durationOf(const json& aValue)
+microsFrom(const json& aValue)
 {
-  return Duration(aValue.get<std::int64_t>());
+  return durationOf(aValue, Duration(1));
+}
+
+/// A number that is 0 if it is not stated.
+std::uint64_t
+unsignedOrZero(const json& aObject, const char* aKey)
+{
+  const auto it = aObject.find(aKey);
+  return it == aObject.end() ? 0 : unsignedOf(*it);
 }
 
 LogPart
@@ -76,10 +88,10 @@
   const auto object = decodeCbor(content);
   LogPart part;
   part.full = object.at("f").get<bool>();
-  part.next = object.at("n").get<control::Offset>();
+  part.next = unsignedOf(object.at("n"));
   for (const auto& it : object.at("r")) {
     control::Record record;
-    record.offset = it.at(0).get<control::Offset>();
+    record.offset = unsignedOf(it.at(0));
     record.key = it.at(1).get<std::string>();
     if (it.size() > 2) {
       record.value = bytesOf(it.at(2));
@@ -96,7 +108,7 @@
   if (it == aObject.end()) {
     return std::nullopt;
   }
-  return LogReply{ decodePart(bytesOf(it->at(0))), durationOf(it->at(1)) };
+  return LogReply{ decodePart(bytesOf(it->at(0))), microsFrom(it->at(1)) };
 }
 
 json
@@ -116,15 +128,15 @@
 digestFromJson(const json& aObject)
 {
   BoardDigest digest;
-  digest.instances = aObject.at("i").get<std::size_t>();
+  digest.instances = unsigned32Of(aObject.at("i"));
   for (const auto& it : aObject.value("s", json::array())) {
-    digest.needs[route::ServiceId(it.at(0).get<std::string>())] = { it.at(1).get<double>(),
-                                                                    it.at(2).get<double>() };
+    digest.needs[route::ServiceId(it.at(0).get<std::string>())] = {
+      amountOf(it.at(1), kMaxTotalNeed), amountOf(it.at(2), kMaxTotalNeed)
+    };
   }
   if (const auto it = aObject.find("h"); it != aObject.end()) {
-    digest.holder = BoardDigest::Holder{ it->at(0).get<control::Offset>(),
-                                         it->at(1).get<bool>(),
-                                         durationOf(it->at(2)) };
+    digest.holder =
+      BoardDigest::Holder{ unsignedOf(it->at(0)), it->at(1).get<bool>(), microsFrom(it->at(2)) };
   }
   return digest;
 }
@@ -136,15 +148,15 @@
   request.instance = InstanceId(aObject.at("i").get<std::string>());
   request.domain = FailureDomainId(aObject.at("d").get<std::string>());
   if (const auto it = aObject.find("o"); it != aObject.end()) {
-    request.operatorsNext = it->get<control::Offset>();
+    request.operatorsNext = unsignedOf(*it);
   }
   if (const auto it = aObject.find("s"); it != aObject.end()) {
-    request.serversNext = it->get<control::Offset>();
+    request.serversNext = unsignedOf(*it);
   }
-  request.agentIncarnation = aObject.value("n", std::uint64_t(0));
-  request.crashesSeen = aObject.value("c", std::uint64_t(0));
-  request.directoryEnd = aObject.value("e", control::Offset(0));
-  request.maxHold = durationOf(aObject.at("h"));
+  request.agentIncarnation = unsignedOrZero(aObject, "n");
+  request.crashesSeen = unsignedOrZero(aObject, "c");
+  request.directoryEnd = unsignedOrZero(aObject, "e");
+  request.maxHold = microsFrom(aObject.at("h"));
   request.wantsPeers = aObject.value("w", false);
   for (const auto& it : aObject.value("u", json::array())) {
     request.updates.push_back(bytesOf(it));
@@ -157,19 +169,19 @@
 {
   SyncReply reply;
   reply.agent = InstanceId(aObject.at("i").get<std::string>());
-  reply.incarnation = aObject.at("n").get<std::uint64_t>();
+  reply.incarnation = unsignedOf(aObject.at("n"));
   reply.storeLost = aObject.value("x", false);
   reply.leaving = aObject.value("l", false);
-  reply.held = durationOf(aObject.at("h"));
+  reply.held = microsFrom(aObject.at("h"));
   reply.operators = readLog(aObject, "o");
   reply.servers = readLog(aObject, "s");
   for (const auto& it : aObject.value("p", json::array())) {
-    reply.published[it.at(0).get<std::uint64_t>()] = it.at(1).get<std::uint64_t>();
+    reply.published[unsignedOf(it.at(0))] = unsignedOf(it.at(1));
   }
   for (const auto& it : aObject.value("c", json::array())) {
     reply.crashes.push_back(control::crashReportFromJson(it));
   }
-  reply.crashesSeen = aObject.value("cn", std::uint64_t(0));
+  reply.crashesSeen = unsignedOrZero(aObject, "cn");
   if (const auto it = aObject.find("b"); it != aObject.end()) {
     reply.digest = digestFromJson(*it);
   }
@@ -180,8 +192,8 @@
     Findings findings;
     reply.agents = decodeAgents(bytesOf(*it), findings);
   }
-  reply.directoryEnd = aObject.value("e", control::Offset(0));
-  reply.domainInstances = aObject.value("m", std::size_t(0));
+  reply.directoryEnd = unsignedOrZero(aObject, "e");
+  reply.domainInstances = unsignedOrZero(aObject, "m");
   if (const auto it = aObject.find("q"); it != aObject.end()) {
     Findings findings;
     reply.peers = decodeAgents(bytesOf(*it), findings).value_or(AgentList());
@@ -203,9 +215,7 @@
   }
   try {
     return aFromJson(object);
-  } catch (const json::exception& aError) {
-    aFindings.add(aPlace, aError.what());
-  } catch (const std::invalid_argument& aError) {
+  } catch (const std::exception& aError) {
     aFindings.add(aPlace, aError.what());
   }
   return std::nullopt;
--- a/src/mustardplank/control/crash_report_json.cpp
+++ b/src/mustardplank/control/crash_report_json.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/control/crash_report_json.hpp"
 
+#include "mustardplank/base/json_numbers.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace mustardplank::control {
@@ -26,12 +28,12 @@
 crashReportFromJson(const nlohmann::json& aRow)
 {
   dispatch::CrashReport report;
-  report.digest = aRow.at(0).get<std::uint64_t>();
+  report.digest = unsignedOf(aRow.at(0));
   report.server = BackendServerId(aRow.at(1).get<std::string>());
   if (aRow.size() > kShortReportSize) {
-    report.serverStartTimeMs = aRow.at(2).get<std::int64_t>();
-    report.sentAtMs = aRow.at(3).get<std::int64_t>();
-    report.lostAtMs = aRow.at(4).get<std::int64_t>();
+    report.serverStartTimeMs = unixMillisOf(aRow.at(2));
+    report.sentAtMs = unixMillisOf(aRow.at(3));
+    report.lostAtMs = unixMillisOf(aRow.at(4));
     report.sharing =
       aRow.at(5).get<bool>() ? dispatch::DigestSharing::Common : dispatch::DigestSharing::Rare;
   }
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -1,6 +1,7 @@
 #include "mustardplank/control/records.hpp"
 
 #include "mustardplank/base/cbor.hpp"
+#include "mustardplank/base/json_numbers.hpp"
 #include "mustardplank/control/crash_report_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,15 @@
   return bytes;
 }
 
+/// Usage windows last at least a second.
+constexpr std::uint64_t kMaxWindow = kMaxUnixMillis / 1000;
+
+std::uint64_t
+windowOf(const json& aValue)
+{
+  return unsignedOf(aValue, kMaxWindow);
+}
+
 json
 countsToJson(const UsageCounts& aCounts)
 {
@@ -36,7 +46,9 @@
 {
   UsageCounts counts;
   for (const auto& [name, requests] : aObject.items()) {
-    counts[OrganisationId(name)] = requests.get<std::uint64_t>();
+    // Throws if the name is not UTF-8: usage reports are JSON.
+    json(name).dump();
+    counts[OrganisationId(name)] = unsigned32Of(requests);
   }
   return counts;
 }
@@ -47,24 +59,24 @@
   InstanceUpdate update;
   update.instance = InstanceId(aObject.at("i").get<std::string>());
   update.domain = FailureDomainId(aObject.at("d").get<std::string>());
-  update.incarnation = aObject.at("n").get<std::uint64_t>();
-  update.sequence = aObject.value("q", std::uint64_t(0));
-  update.countedToMs = aObject.at("t").get<std::int64_t>();
+  update.incarnation = unsignedOf(aObject.at("n"));
+  update.sequence = aObject.contains("q") ? unsignedOf(aObject.at("q")) : 0;
+  update.countedToMs = unixMillisOf(aObject.at("t"));
   update.leaving = aObject.value("l", false);
   update.relayAddress = aObject.value("a", std::string());
   if (aObject.contains("h")) {
-    update.claimsLogEnd = aObject.at("h").get<std::uint64_t>();
-    update.renewalAge = Millis(aObject.value("r", std::int64_t(0)));
+    update.claimsLogEnd = unsignedOf(aObject.at("h"));
+    update.renewalAge = aObject.contains("r") ? durationOf(aObject.at("r"), Millis(1)) : Duration{};
   }
   for (const auto& it : aObject.value("w", json::array())) {
-    update.windows[it.at(0).get<std::uint64_t>()] = countsFromJson(it.at(1));
+    update.windows[windowOf(it.at(0))] = countsFromJson(it.at(1));
   }
   for (const auto& it : aObject.value("c", json::array())) {
     update.crashes.push_back(crashReportFromJson(it));
   }
   for (const auto& it : aObject.value("s", json::array())) {
-    update.needs[route::ServiceId(it.at(0).get<std::string>())] = { it.at(1).get<double>(),
-                                                                    it.at(2).get<double>() };
+    update.needs[route::ServiceId(it.at(0).get<std::string>())] = { amountOf(it.at(1), kMaxNeed),
+                                                                    amountOf(it.at(2), kMaxNeed) };
   }
   return update;
 }
@@ -111,7 +123,7 @@
   }
   try {
     return updateFromJson(object);
-  } catch (const json::exception& aError) {
+  } catch (const std::exception& aError) {
     aFindings.add("board", aError.what());
     return std::nullopt;
   }
@@ -142,11 +154,11 @@
     Baseline baseline;
     for (const auto& [service, domains] : object.items()) {
       for (const auto& [domain, count] : domains.items()) {
-        baseline[route::ServiceId(service)][FailureDomainId(domain)] = count.get<std::uint32_t>();
+        baseline[route::ServiceId(service)][FailureDomainId(domain)] = unsigned32Of(count);
       }
     }
     return baseline;
-  } catch (const json::exception& aError) {
+  } catch (const std::exception& aError) {
     aFindings.add("baseline", aError.what());
     return std::nullopt;
   }
@@ -167,8 +179,8 @@
     return std::nullopt;
   }
   try {
-    return ReportIntent{ object.at("w").get<std::uint64_t>(), countsFromJson(object.at("c")) };
-  } catch (const json::exception& aError) {
+    return ReportIntent{ windowOf(object.at("w")), countsFromJson(object.at("c")) };
+  } catch (const std::exception& aError) {
     aFindings.add("reports", aError.what());
     return std::nullopt;
   }
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -1,6 +1,9 @@
 #include "mustardplank/control/records.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <limits>
 
 using namespace mustardplank;
 using namespace mustardplank::control;
@@ -75,6 +78,54 @@
   }
 }
 
+// Guards against a number that overflows or is converted to another one when it is used, and
+// against a name that cannot be reported.
+BOOST_AUTO_TEST_CASE(records_with_values_out_of_range_are_rejected_with_a_finding)
+{
+  using nlohmann::json;
+  const json sound{ { "i", "a" },
+                    { "d", "fd" },
+                    { "n", 1 },
+                    { "t", 1'790'000'000'000 },
+                    { "h", 3 },
+                    { "r", 10 },
+                    { "w", { { 9, { { "one", 3 } } } } },
+                    { "c", { { 1, "s", 5, 6, 7, true } } },
+                    { "s", { { "svc", 1.5, 0 } } } };
+  const auto decodes = [](const json& aObject) {
+    std::string bytes;
+    json::to_cbor(aObject, bytes);
+    Findings findings;
+    const bool decoded = decodeUpdate(bytes, findings).has_value();
+    BOOST_TEST(decoded == findings.empty());
+    return decoded;
+  };
+  BOOST_TEST(decodes(sound));
+  const json odd[] = { -1,
+                       true,
+                       "1",
+                       1e300,
+                       std::numeric_limits<double>::quiet_NaN(),
+                       std::numeric_limits<double>::infinity() };
+  const char* places[] = { "/n",     "/t",     "/h",     "/r",     "/w/0/0", "/w/0/1/one",
+                           "/c/0/0", "/c/0/2", "/c/0/3", "/c/0/4", "/s/0/1", "/s/0/2" };
+  for (const auto* place : places) {
+    for (const auto& it : odd) {
+      auto object = sound;
+      object[json::json_pointer(place)] = it;
+      BOOST_TEST(!decodes(object), place << " " << it);
+    }
+  }
+  for (const auto* place : { "/t", "/r", "/w/0/0", "/w/0/1/one", "/c/0/2", "/c/0/3", "/c/0/4" }) {
+    auto object = sound;
+    object[json::json_pointer(place)] = std::numeric_limits<std::int64_t>::max();
+    BOOST_TEST(!decodes(object), place);
+  }
+  auto unreadable = sound;
+  unreadable["w"] = { { 9, { { "\xff", 3 } } } };
+  BOOST_TEST(!decodes(unreadable));
+}
+
 BOOST_AUTO_TEST_CASE(intent_and_baseline_round_trip)
 {
   Findings findings;
