--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <chrono>
+#include <limits>
 #include <sstream>
 #include <thread>
 
@@ -13,43 +14,46 @@
 namespace {
 
 /// Time within which a change of the store's content takes effect.
-constexpr Millis kApplyBound{2000};
+constexpr Millis kApplyBound{ 2000 };
 /// Above the levels at which a recursive reader uses up its stack of 8 MiB.
 constexpr std::size_t kDeepLevels = 100000;
 /// Longest line of the log.
 constexpr std::size_t kMaxLogLine = 8192;
 
-unsigned statusOf(RouteDeployment &aDeployment, const Call &aCall) {
+unsigned
+statusOf(RouteDeployment& aDeployment, const Call& aCall)
+{
   try {
     CallerConnection connection(aDeployment.callers());
     return connection.call(aCall).result_int();
-  } catch (const boost::system::system_error &) {
+  } catch (const boost::system::system_error&) {
     return 0;
   }
 }
 
 /// The entry of a sound server at an address where nobody listens, with one
 /// member replaced.
-std::string entryWith(const std::string &aName, const std::string &aValue) {
+std::string
+entryWith(const std::string& aName, const std::string& aValue)
+{
   std::string out = "{";
-  for (const auto &[name, value] :
-       std::vector<std::pair<std::string, std::string>>{
-           {"service", "\"svc\""},
-           {"address", "\"127.0.0.1:9\""},
-           {"zone", "\"fd-a\""},
-           {"slots", "8"},
-           {"state", "\"ready\""},
-           {"coldRemainingMs", "0"},
-           {"born", "1"},
-           {"sequence", "1"}}) {
-    out += (out.size() > 1 ? ",\"" : "\"") + name +
-           "\":" + (name == aName ? aValue : value);
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{ { "service", "\"svc\"" },
+                                                         { "address", "\"127.0.0.1:9\"" },
+                                                         { "zone", "\"fd-a\"" },
+                                                         { "slots", "8" },
+                                                         { "state", "\"ready\"" },
+                                                         { "coldRemainingMs", "0" },
+                                                         { "born", "1" },
+                                                         { "sequence", "1" } }) {
+    out += (out.size() > 1 ? ",\"" : "\"") + name + "\":" + (name == aName ? aValue : value);
   }
   return out + "}";
 }
 
-std::string nested(const std::string &aOpen, const std::string &aClose,
-                   std::size_t aLevels = kDeepLevels) {
+std::string
+nested(const std::string& aOpen, const std::string& aClose, std::size_t aLevels = kDeepLevels)
+{
   std::string out;
   for (std::size_t i = 0; i < aLevels; ++i) {
     out += aOpen;
@@ -60,34 +64,38 @@
   return out;
 }
 
-std::vector<std::string> oddEntries() {
+std::vector<std::string>
+oddEntries()
+{
   std::vector<std::string> out{
-      "",
-      "null",
-      "[]",
-      "\xff\xfe",
-      nested("[", "]"),
-      entryWith("slots", nested("[", "]")),
-      // Sound but for the depth.
-      entryWith("sequence", "1,\"other\":" + nested("[", "]")),
-      entryWith("sequence",
-                "1,\"other\":" + nested("[{\"sequence\":[", "]}]", 20000)),
+    "",
+    "null",
+    "[]",
+    "\xff\xfe",
+    nested("[", "]"),
+    entryWith("slots", nested("[", "]")),
+    // Sound but for the depth.
+    entryWith("sequence", "1,\"other\":" + nested("[", "]")),
+    entryWith("sequence", "1,\"other\":" + nested("[{\"sequence\":[", "]}]", 20000)),
   };
-  for (const auto *it :
-       {"127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999999999999",
-        "127.0.0.1:-1", "256.0.0.1:80", "[::1]:80", ":", ""}) {
+  for (const auto* it : { "127.0.0.1:0",
+                          "127.0.0.1:65536",
+                          "127.0.0.1:99999999999999999999",
+                          "127.0.0.1:-1",
+                          "256.0.0.1:80",
+                          "[::1]:80",
+                          ":",
+                          "" }) {
     out.push_back(entryWith("address", "\"" + std::string(it) + "\""));
   }
-  for (const auto *it : {"-1", "0", "1.5", "4294967296", "4294967304",
-                         "18446744073709551615", "1e30", "1e400"}) {
+  for (const auto* it :
+       { "-1", "0", "1.5", "4294967296", "4294967304", "18446744073709551615", "1e30", "1e400" }) {
     out.push_back(entryWith("slots", it));
   }
-  for (const auto *it :
-       {"-1", "1e300", "1e18", "9223372036854775807", "86400001", "1e400"}) {
+  for (const auto* it : { "-1", "1e300", "1e18", "9223372036854775807", "86400001", "1e400" }) {
     out.push_back(entryWith("coldRemainingMs", it));
   }
-  for (const auto *it :
-       {"-1", "1.5", "9223372036854775807", "18446744073709551615", "1e30"}) {
+  for (const auto* it : { "-1", "1.5", "9223372036854775807", "18446744073709551615", "1e30" }) {
     out.push_back(entryWith("born", it));
   }
   return out;
@@ -95,15 +103,18 @@
 
 /// Keys that no server has, as they would not fit into a header field or a line
 /// of the log.
-std::vector<std::string> oddKeys() {
-  return {"", "a\r\nX-Odd: 1", "a b", "\xff\xfe"};
+std::vector<std::string>
+oddKeys()
+{
+  return { "", "a\r\nX-Odd: 1", "a b", "\xff\xfe" };
 }
 
 /// CBOR items that a recursive reader follows level by level.
-std::vector<std::string> deepRecords() {
+std::vector<std::string>
+deepRecords()
+{
   std::vector<std::string> out;
-  for (const auto *it :
-       {"\x81", "\xa1\x61w", "\x9f", "\xbf\x61w", "\x7f", "\x5f", "\xc1"}) {
+  for (const auto* it : { "\x81", "\xa1\x61w", "\x9f", "\xbf\x61w", "\x7f", "\x5f", "\xc1" }) {
     std::string text;
     for (std::size_t i = 0; i < kDeepLevels; ++i) {
       text += it;
@@ -115,7 +126,9 @@
   return out;
 }
 
-void checkServesAndFollows(RouteDeployment &aDeployment) {
+void
+checkServesAndFollows(RouteDeployment& aDeployment)
+{
   BOOST_TEST_REQUIRE(aDeployment.instance(0).running());
   for (int i = 0; i < 5; ++i) {
     BOOST_TEST(statusOf(aDeployment, callOf("/plain/ok")) == 200U);
@@ -131,14 +144,14 @@
   aDeployment.configure("key-new");
   auto call = callOf("/twice/ok");
   call.key = "key-new";
-  BOOST_TEST(waitUntil(kApplyBound,
-                       [&] { return statusOf(aDeployment, call) == 200U; }));
+  BOOST_TEST(waitUntil(kApplyBound, [&] { return statusOf(aDeployment, call) == 200U; }));
   BOOST_TEST_REQUIRE(aDeployment.instance(0).running());
 }
 
 /// Lines of the log that contain a text.
-std::vector<std::string> linesWith(RouteDeployment &aDeployment,
-                                   const std::string &aText) {
+std::vector<std::string>
+linesWith(RouteDeployment& aDeployment, const std::string& aText)
+{
   std::vector<std::string> out;
   std::istringstream text(aDeployment.instance(0).output());
   for (std::string line; std::getline(text, line);) {
@@ -154,35 +167,32 @@
 // Guards against an entry of another writer among those of the servers that
 // ends the process, stops it from following the list, is taken for a server, or
 // fills the log.
-BOOST_AUTO_TEST_CASE(routes_odd_server_entries_are_ignored) {
+BOOST_AUTO_TEST_CASE(routes_odd_server_entries_are_ignored)
+{
   RouteDeployment deployment(2, 1);
   deployment.removeServer(1);
   const auto entries = oddEntries();
   for (std::size_t i = 0; i < entries.size(); ++i) {
-    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".",
-                           entries[i]);
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".", entries[i]);
   }
   // Sound but for the key.
-  for (const auto &it : oddKeys()) {
+  for (const auto& it : oddKeys()) {
     deployment.store().put("keyed.servers", it, entryWith("", ""));
   }
   std::this_thread::sleep_for(kApplyBound);
   checkServesAndFollows(deployment);
   // The writer goes on renewing its entries.
   for (std::size_t i = 0; i < entries.size(); ++i) {
-    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".",
-                           entries[i]);
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i) + ".", entries[i]);
   }
   std::this_thread::sleep_for(kApplyBound);
   for (std::size_t i = 0; i < entries.size(); ++i) {
     // An empty value removes the key.
     const std::size_t expected = entries[i].empty() ? 0 : 1;
-    const auto name =
-        "event=server.entry_ignored server=odd" + std::to_string(i) + ". ";
+    const auto name = "event=server.entry_ignored server=odd" + std::to_string(i) + ". ";
     const auto lines = linesWith(deployment, name);
-    BOOST_TEST(lines.size() == expected,
-               name << lines.size() << " " << entries[i].substr(0, 200));
-    for (const auto &it : lines) {
+    BOOST_TEST(lines.size() == expected, name << lines.size() << " " << entries[i].substr(0, 200));
+    for (const auto& it : lines) {
       BOOST_TEST(it.size() <= kMaxLogLine);
     }
   }
@@ -190,15 +200,15 @@
 
 // Guards against an entry that is odd already when an instance starts, which
 // reads the whole list.
-BOOST_AUTO_TEST_CASE(routes_start_beside_odd_entries) {
+BOOST_AUTO_TEST_CASE(routes_start_beside_odd_entries)
+{
   RouteDeployment deployment(2, 1);
   deployment.removeServer(1);
   const auto entries = oddEntries();
   for (std::size_t i = 0; i < entries.size(); ++i) {
-    deployment.store().put("keyed.servers", "odd" + std::to_string(i),
-                           entries[i]);
+    deployment.store().put("keyed.servers", "odd" + std::to_string(i), entries[i]);
   }
-  for (const auto &it : oddKeys()) {
+  for (const auto& it : oddKeys()) {
     deployment.store().put("keyed.servers", it, entryWith("", ""));
     deployment.store().put("keyed.agents", it, deepRecords().front());
     deployment.store().put("keyed.state", it, deepRecords().front());
@@ -211,10 +221,11 @@
 
 // Guards against a record in the logs that instances share that ends each
 // process that reads it.
-BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing) {
+BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing)
+{
   RouteDeployment deployment(2, 1);
   deployment.removeServer(1);
-  for (const auto &it : deepRecords()) {
+  for (const auto& it : deepRecords()) {
     deployment.store().append("board", it);
     deployment.store().append("reports", it);
     deployment.store().append("claims", it);
@@ -223,31 +234,95 @@
   }
   std::this_thread::sleep_for(Millis(3000));
   const auto status = deployment.instance(0).wait(Millis(0));
-  BOOST_TEST(!status.has_value(),
-             "the process ended with " << status.value_or(0));
+  BOOST_TEST(!status.has_value(), "the process ended with " << status.value_or(0));
   checkServesAndFollows(deployment);
 }
 
+// Guards against a record in the logs that instances share with a value that
+// cannot be used, which ends each process that reads it or stops the duties.
+BOOST_AUTO_TEST_CASE(routes_odd_records_of_instances_change_nothing)
+{
+  using nlohmann::json;
+  constexpr std::int64_t kWindowMs = 2000;
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  const auto now =
+    std::chrono::duration_cast<Millis>(std::chrono::system_clock::now().time_since_epoch()).count();
+  const auto window = now / kWindowMs;
+  const auto append = [&](const std::string& aTopic, const json& aObject) {
+    std::string bytes;
+    json::to_cbor(aObject, bytes);
+    deployment.store().append(aTopic, bytes);
+  };
+  const json sound{ { "i", "other" }, { "d", "fd-a" }, { "n", 1 }, { "q", 1 }, { "t", now } };
+  for (const json& it : { json(1e300), json(-1), json(std::numeric_limits<std::int64_t>::max()) }) {
+    for (const auto* name : { "n", "q", "t" }) {
+      auto object = sound;
+      object[name] = it;
+      append("board", object);
+    }
+    auto object = sound;
+    object["w"] = { { it, { { "one", it } } } };
+    object["s"] = { { "svc", it, it } };
+    append("board", object);
+    append("reports", { { "w", it }, { "c", { { "one", it } } } });
+  }
+  for (std::int64_t i = 0; i < 3; ++i) {
+    auto object = sound;
+    object["w"] = { { window + i, { { "\xff\xfe", 1 } } } };
+    append("board", object);
+    append("reports", { { "w", window + i }, { "c", { { "\xff", 1 } } } });
+  }
+  std::this_thread::sleep_for(Millis(12000));
+  const auto status = deployment.instance(0).wait(Millis(0));
+  BOOST_TEST(!status.has_value(), "the process ended with " << status.value_or(0));
+  checkServesAndFollows(deployment);
+  const auto before = deployment.store().dutyCalls().size();
+  BOOST_TEST(
+    waitUntil(Millis(12000), [&] { return deployment.store().dutyCalls().size() > before; }));
+}
+
+// Guards against a record with an end of the claims beyond that of their log, after which no
+// instance takes the duties.
+BOOST_AUTO_TEST_CASE(routes_claims_end_beyond_the_log_stops_no_duty)
+{
+  RouteDeployment deployment(1, 1);
+  const nlohmann::json update{ { "i", "other" },
+                               { "d", "fd-a" },
+                               { "n", 1 },
+                               { "q", 1 },
+                               { "t", 1'790'000'000'000 },
+                               { "h", std::numeric_limits<std::int64_t>::max() },
+                               { "r", 0 } };
+  std::string bytes;
+  nlohmann::json::to_cbor(update, bytes);
+  deployment.store().append("board", bytes);
+  std::this_thread::sleep_for(Millis(6000));
+  const auto before = deployment.store().dutyCalls().size();
+  BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  BOOST_TEST(
+    waitUntil(Millis(12000), [&] { return deployment.store().dutyCalls().size() > before; }));
+}
+
 // Guards against a configuration with a number out of range that ends the
 // process or is taken in part.
-BOOST_AUTO_TEST_CASE(routes_odd_operator_records_change_nothing) {
+BOOST_AUTO_TEST_CASE(routes_odd_operator_records_change_nothing)
+{
   RouteDeployment deployment(2, 1);
   deployment.removeServer(1);
-  auto &store = deployment.store();
+  auto& store = deployment.store();
   store.put("keyed.op", "config", nested("[", "]"));
-  store.put("keyed.op", "config",
-            R"({"version":1000,"routes":)" + nested("[", "]") + "}");
+  store.put("keyed.op", "config", R"({"version":1000,"routes":)" + nested("[", "]") + "}");
   store.put("keyed.op", "config", R"({"version":1e400})");
-  store.put("keyed.op", "config",
-            R"({"version":18446744073709551616,"routes":[]})");
-  for (const auto *it : {"1e300", "-1", "1e400", "9223372036854775807"}) {
+  store.put("keyed.op", "config", R"({"version":18446744073709551616,"routes":[]})");
+  for (const auto* it : { "1e300", "-1", "1e400", "9223372036854775807" }) {
     const std::string text(it);
-    store.put("keyed.op", "config",
-              R"({"version":1000,"limits":{"idleTimeoutMs":)" + text + "}}");
+    store.put("keyed.op", "config", R"({"version":1000,"limits":{"idleTimeoutMs":)" + text + "}}");
     store.put(
-        "keyed.op", "config",
-        R"({"version":1000,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","routeType":"idempotent","service":"svc","timeoutMs":)" +
-            text + "}]}");
+      "keyed.op",
+      "config",
+      R"({"version":1000,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","routeType":"idempotent","service":"svc","timeoutMs":)" +
+        text + "}]}");
   }
   std::string many = R"({"version":1000,"routes":[)";
   for (int i = 0; i < 3000; ++i) {
@@ -262,7 +337,7 @@
   checkServesAndFollows(deployment);
   const auto lines = linesWith(deployment, "event=config.rejected");
   BOOST_TEST(!lines.empty());
-  for (const auto &it : lines) {
+  for (const auto& it : lines) {
     BOOST_TEST(it.size() <= kMaxLogLine, it.size());
   }
 }
