--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -119,6 +119,13 @@
   mLogs.put(aTopic, aKey, aValue);
 }
 
+void
+StoreStandin::append(const std::string& aTopic, const std::string& aContent)
+{
+  const std::lock_guard lock(mMutex);
+  mLogs.append(aTopic, aContent);
+}
+
 std::uint64_t
 StoreStandin::logEnd(const std::string& aTopic) const
 {
@@ -266,7 +273,8 @@
       page = mLogs.newestPage(queryText(aRequest, "topic"));
       era = mLogs.era();
     }
-    co_return co_await respondPaced(aSocket, aRequest, page.dump(), era);
+    co_return co_await respondPaced(
+      aSocket, aRequest, page.dump(-1, ' ', false, json::error_handler_t::replace), era);
   }
   DutyCall call;
   call.path = path;
