--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -72,7 +72,7 @@
     const auto bytes = "\xa1\x61w" + std::string(1000000, it);
     Findings findings;
     BOOST_TEST(!decodeUpdate(bytes, findings).has_value());
-    BOOST_TEST(!decodeIntent(bytes, findings).has_value());
+    BOOST_TEST(!decodeReportRecord(bytes, findings).has_value());
     BOOST_TEST(!decodeBaseline(bytes, findings).has_value());
     BOOST_TEST(findings.size() == 3U);
   }
