CONFIG: a restored copy brings no earlier start of a server back

Seen in the unit test; it would be seen as requests to a server that leaves (DRAIN): a server that starts again under its id and then drains, or leaves, is shown by an older copy of the store as it was in its earlier start.

Cause: such an entry was held back only if its start time was equal to the known one, so that of an earlier start took effect at once.

The test failed before: the server was not draining any more and had the start time of the earlier start. Entries with a start time before the known one, or that of the removed server, are now held back until the server has written its entry again or the grace time has passed. A later start still takes effect at once.

--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -102,11 +102,12 @@
 ServerRegistry::mayBeOutdated(const route::BackendServer& aServer) const
 {
   if (const auto known = mServers.find(aServer.id); known != mServers.end()) {
-    return known->second.startTimeMs == aServer.startTimeMs && known->second.draining &&
-           !aServer.draining;
+    const auto start = known->second.startTimeMs;
+    return aServer.startTimeMs < start ||
+           (aServer.startTimeMs == start && known->second.draining && !aServer.draining);
   }
   const auto removed = mRemoved.find(aServer.id);
-  return removed != mRemoved.end() && removed->second.startTimeMs == aServer.startTimeMs;
+  return removed != mRemoved.end() && removed->second.startTimeMs >= aServer.startTimeMs;
 }
 
 std::vector<ServerEvent>
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -30,7 +30,7 @@
   const auto space = aRecord.value->find(' ');
   server.address = "10.0.0.1:" + (space == std::string::npos ? aRecord.key : std::string("80"));
   server.startTimeMs = space == std::string::npos ? 0 : std::stoll(aRecord.value->substr(space));
-  server.draining = *aRecord.value == "draining";
+  server.draining = aRecord.value->starts_with("draining");
   return server;
 }
 
@@ -227,4 +227,23 @@
   BOOST_TEST(registry.servers().count(BackendServerId("a")) == 1U);
 }
 
+// Guards against requests to a server that leaves, as a restored store shows its earlier start.
+BOOST_AUTO_TEST_CASE(restored_copy_brings_no_earlier_start_of_a_server_back)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready 1" } }, makeDialect(), at(0));
+  registry.apply({ { 1, "a", "draining 2" } }, makeDialect(), at(500));
+  registry.apply({ { 10, "a", "ready 1" } }, makeDialect(), at(1000), RecordSource::RestoredCopy);
+  BOOST_TEST(registry.servers().at(BackendServerId("a")).draining);
+  BOOST_TEST(registry.servers().at(BackendServerId("a")).startTimeMs == 2);
+  registry.apply({ { 11, "a", {} } }, makeDialect(), at(1100));
+  BOOST_TEST(registry.servers().empty());
+  registry.apply({ { 20, "a", "ready 1" } }, makeDialect(), at(2000), RecordSource::RestoredCopy);
+  BOOST_TEST(registry.servers().empty());
+  // A later start is not outdated.
+  registry.apply({ { 30, "a", "ready 3" } }, makeDialect(), at(2500), RecordSource::RestoredCopy);
+  BOOST_TEST(registry.servers().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
