CONFIG: an earlier directory of agents does not replace a later one

Seen in the unit test; it would be seen as an instance that asks or names agents of the store before its restoration, for 5 to 10 s if it is an agent.

Cause: a reply of an agent that was under way while the directory was read from the restored store, or a late page of the former store, was taken whatever its position. It also counted as current.

The test failed before: the list at position 6 replaced that at 7. The planner now ignores a directory whose position is lower; a read that was due is retried after the usual pause, so there is no loop without one.

--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -130,6 +130,12 @@
 void
 SourcePlanner::setDirectory(Directory aDirectory, TimePoint aNow)
 {
+  if (aDirectory.logEnd < mDirectory.logEnd) {
+    if (isDirectoryReadDue(aNow)) {
+      recordDirectoryFailure(aNow);
+    }
+    return;
+  }
   mDirectory = std::move(aDirectory);
   mDirectoryCurrent = true;
   for (const auto& [domain, agents] : mDirectory.domains) {
--- a/src/mustardplank/agent/source_planner_test.cpp
+++ b/src/mustardplank/agent/source_planner_test.cpp
@@ -263,4 +263,15 @@
   BOOST_TEST(first.dueClaim(kStart + Seconds(25)).has_value());
 }
 
+// Guards against agents of a restored store that are forgotten: a reply that was under way during
+// the restoration states the former list.
+BOOST_AUTO_TEST_CASE(an_earlier_directory_does_not_replace_a_later_one)
+{
+  SourcePlanner planner(optionsOf("c"), kStart);
+  planner.setDirectory(directoryOf({ agentNamed("a"), agentNamed("c") }, {}, 7), kStart);
+  planner.setDirectory(directoryOf({ agentNamed("a"), agentNamed("b") }, {}, 6), kStart);
+  BOOST_TEST(planner.isAgent());
+  BOOST_TEST(planner.directory().logEnd == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
