CONFIG: no claim in an empty restored log on the first start

Seen in the unit test; it would be seen as two holders of the duties (ONE): on the first start an instance that has not seen the log of claims yet claims in a store that was restored to before the first claim, while the former holder's lease is valid. That holder then renews behind the claim, as it takes for granted that nobody else can have claimed.

Cause: on the first start an empty log was taken for complete whatever the era.

The lease is now told of the restoration before the answer that shows it; what it knows then permits no claim, so it observes the log and waits for a whole ttl. An instance that hears of no era but the restored one still claims at once.

--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -74,6 +74,8 @@
   /// The holder released the duties when the log ended at aEnd: another instance may claim
   /// without waiting for the ttl.
   void observeRelease(Offset aEnd, TimePoint aNow);
+  /// The store was restored from an older copy: an empty log may lack claims.
+  void noteRestored() { mFirstStart = false; }
   /// Position of this instance in the order in which instances claim; 0 claims first.
   void setRank(std::size_t aRank) { mRank = aRank; }
 
