CONFIG: later processes skip windows that may be reported

Cause: a process that runs through a restoration skips the windows before it, and one that starts later learns of it from EraStart. The first holder in an era that started after the restoration had neither; it writes EraStart itself.

A holder that does not know the decisions of an era that nobody has started now skips the windows that ended before it first saw that era. The log of intents counts as a sighting too, as it may be the first one read after a restoration.

--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -127,6 +127,7 @@
       continue;
     }
     const auto& records = std::get<control::RecordBatch>(chunk);
+    notePosition(records.logEnd);
     for (const auto& it : records.records) {
       Findings findings;
       const auto record = control::decodeReportRecord(it.value.value_or(std::string()), findings);
@@ -249,8 +250,13 @@
         continue;
       }
     }
+    const bool isNewEra = control::eraOf(next) > std::max(intentsEra, kFirstEra);
+    if (isNewEra && !knowsDecided) {
+      // A process that started in this era does not know which intents are lost.
+      usage.skipWindowsBefore(clock.now(storeEraAt));
+    }
     knowsDecided = true;
-    if (control::eraOf(next) > std::max(intentsEra, kFirstEra)) {
+    if (isNewEra) {
       co_await startEra(store, next);
       continue;
     }
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -292,6 +292,8 @@
   TimePoint lastUpdateSentAt{};
   /// Of the store, as far as known.
   std::optional<std::uint64_t> storeEra;
+  /// When storeEra was first seen.
+  TimePoint storeEraAt{};
   /// Of the records that were applied last.
   std::uint64_t operatorsEra = 0;
   std::uint64_t serversEra = 0;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -19,6 +19,7 @@
     return;
   }
   const auto before = std::exchange(storeEra, era);
+  storeEraAt = bootNow();
   if (!before) {
     return;
   }
--- a/test/routes/restored_store_test.cpp
+++ b/test/routes/restored_store_test.cpp
@@ -681,6 +681,34 @@
   checkDuties(HolderFate::AllStartAgain, 1, Claim::AfterCopy);
 }
 
+// Guards against a window with two figures: processes that start after the restoration have the
+// counts of a window, but not the decision on it.
+BOOST_AUTO_TEST_CASE(routes_window_reported_before_a_restoration_is_not_reported_again)
+{
+  constexpr std::size_t kInstances = 3;
+  RouteDeployment deployment(kDutyServers, kInstances);
+  Traffic traffic(deployment, kInstances);
+  std::this_thread::sleep_for(kDutiesStart);
+  const auto window = windowOf(std::chrono::system_clock::now()) + 1;
+  std::this_thread::sleep_until(std::chrono::system_clock::time_point(
+    kUsageWindow * static_cast<std::int64_t>(window + 1) - Millis(200)));
+  deployment.store().snapshot();
+  BOOST_TEST_REQUIRE(
+    waitUntil(kUsageLate, [&] { return checkedUsage(deployment).windows.contains(window); }));
+  restoreStore(deployment);
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    deployment.instance(i).kill();
+  }
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    deployment.startInstance(i);
+  }
+  deployment.store().rewriteOperators();
+  std::this_thread::sleep_for(kUsageLate + kUsageWindow);
+  traffic.stop();
+  BOOST_TEST(checkedUsage(deployment).windows.contains(window));
+  BOOST_TEST(holderOf(deployment, kInstances).has_value());
+}
+
 // Guards against instances that enter and leave the directory of agents in turns, as each knows
 // another one, and against instances without agency that no longer hear of changes.
 BOOST_AUTO_TEST_CASE(routes_directory_of_agents_settles_after_a_restoration)
