--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -19,9 +19,11 @@
     return;
   }
   const auto before = std::exchange(storeEra, era);
+  storeEraAt = bootNow();
   if (!before) {
     return;
   }
+  lease.noteRestored();
   const auto now = bootNow();
   knowsDecided = knowsDecided && lease.isValid(now);
   LogEvent(LogLevel::Warning, "store.restored")
