CONFIG: give up a list whose pages are of two eras

A list read while the store is restored would have the end of the former log and entries of the restored one, which would then not count as those of a copy.

The read fails and is repeated.

--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -41,6 +41,8 @@
       // Later pages may hold newer records: reading on from the first page's end repeats them.
       all.logEnd = records.logEnd;
       first = false;
+    } else if (control::eraOf(records.logEnd) != control::eraOf(all.logEnd)) {
+      co_return Failure{ control::FailureKind::Unknown, "the store was restored" };
     }
     all.more = records.more && !records.records.empty();
     if (all.more) {
