CONFIG: read the board to its end

After a restoration the whole retained board is read again, a call of at most 1 MB every one or two seconds: on a large deployment the holder of the duties would stay behind for longer than windows can be reported.

Reading goes on without a pause while the log has more.

--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -275,16 +275,22 @@
 awaitable<void>
 RouteDaemon::Impl::readBoard(StoreClient& aStore, control::Offset& aNext)
 {
-  auto chunk = co_await aStore.read(Topic::InstanceUpdates, aNext, Duration{});
-  if (const auto* failure = std::get_if<Failure>(&chunk)) {
-    if (failure->kind == FailureKind::LogTruncated) {
-      aNext = failure->first;
+  bool atEnd = false;
+  while (!atEnd) {
+    auto chunk = co_await aStore.read(Topic::InstanceUpdates, aNext, Duration{});
+    if (const auto* failure = std::get_if<Failure>(&chunk)) {
+      if (failure->kind == FailureKind::LogTruncated) {
+        aNext = failure->first;
+      }
+      co_return;
     }
-    co_return;
-  }
-  for (const auto& it : std::get<control::RecordBatch>(chunk).records) {
-    applyUpdate(it);
-    aNext = it.offset + 1;
+    const auto& batch = std::get<control::RecordBatch>(chunk);
+    for (const auto& it : batch.records) {
+      applyUpdate(it);
+      aNext = it.offset + 1;
+    }
+    // After a restoration the whole log is read again, which may take several calls.
+    atEnd = batch.records.empty() || aNext >= batch.logEnd;
   }
   applyDigest(makeDigest(), bootNow());
 }
