CONFIG: the first era of a store may be 0

Views without an era yet were told from those of era 0 by the value 0, so that the first restoration of a store that begins with 0 would not have counted as one.

--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -139,7 +139,8 @@
   void notePosition(control::Offset aPosition);
   void noteViews();
   /// Where the changes come from that the view has given last; aEra is that of the changes before.
-  static control::RecordSource sourceOf(const agent::KeyedView& aView, std::uint64_t& aEra);
+  static control::RecordSource sourceOf(const agent::KeyedView& aView,
+                                        std::optional<std::uint64_t>& aEra);
   /// Reads both logs when no agent has stated their changes for too long.
   awaitable<void> refreshLoop();
 
@@ -300,8 +301,8 @@
   /// When storeEra was first seen.
   TimePoint storeEraAt{};
   /// Of the records that were applied last.
-  std::uint64_t operatorsEra = 0;
-  std::uint64_t serversEra = 0;
+  std::optional<std::uint64_t> operatorsEra;
+  std::optional<std::uint64_t> serversEra;
   bool followed = false;
   bool wasAgent = false;
   agent::LoadExchange loads;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -51,11 +51,10 @@
 }
 
 control::RecordSource
-RouteDaemon::Impl::sourceOf(const agent::KeyedView& aView, std::uint64_t& aEra)
+RouteDaemon::Impl::sourceOf(const agent::KeyedView& aView, std::optional<std::uint64_t>& aEra)
 {
   const auto before = std::exchange(aEra, control::eraOf(aView.next()));
-  return before != 0 && aEra > before ? control::RecordSource::RestoredCopy
-                                      : control::RecordSource::Log;
+  return before && aEra > before ? control::RecordSource::RestoredCopy : control::RecordSource::Log;
 }
 
 void
