CONFIG: an empty log that was never restored delays no claim

A log that is empty in the first era has no claims. In a later era it may have lost some, and is observed for a whole ttl, as before.

--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -74,8 +74,6 @@
   /// The holder released the duties when the log ended at aEnd: another instance may claim
   /// without waiting for the ttl.
   void observeRelease(Offset aEnd, TimePoint aNow);
-  /// The store was restored from an older copy: an empty log may lack claims.
-  void noteRestored() { mFirstStart = false; }
   /// Position of this instance in the order in which instances claim; 0 claims first.
   void setRank(std::size_t aRank) { mRank = aRank; }
 
@@ -115,7 +113,6 @@
   void handleRestored(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow);
 
   DutyLeaseOptions mOptions;
-  bool mFirstStart;
   Offset mLogEnd = 0;
   /// When mLogEnd was last seen to be the end of the log; a claim is due one ttl plus the delay by
   /// rank later. Moved back by a ttl where a claim need not wait for the ttl.
--- a/include/mustardplank/control/log_position.hpp
+++ b/include/mustardplank/control/log_position.hpp
@@ -13,6 +13,8 @@
 /// are given out again, so only positions are compared: each one of a later era is greater than all
 /// of the eras before. Positions are below 2^53, as they serve as fencing tokens in JSON too.
 inline constexpr unsigned kOffsetBits = 36;
+/// Of a store that was never restored; 0 if it states no era.
+inline constexpr std::uint64_t kFirstEra = 1;
 
 constexpr platform::Offset
 makePosition(std::uint64_t aEra, platform::Offset aOffset)
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -11,8 +11,6 @@
 constexpr Duration kDutyInterval = Millis(500);
 /// Time after the start in which all servers have written an entry.
 constexpr Duration kBaselineTime = Millis(9000);
-/// Of a store that was never restored.
-constexpr std::uint64_t kFirstEra = 1;
 constexpr const char* kBaselineKey = "baseline";
 
 void
@@ -250,7 +248,7 @@
         continue;
       }
     }
-    const bool isNewEra = control::eraOf(next) > std::max(intentsEra, kFirstEra);
+    const bool isNewEra = control::eraOf(next) > std::max(intentsEra, control::kFirstEra);
     if (isNewEra && !knowsDecided) {
       // A process that started in this era does not know which intents are lost.
       usage.skipWindowsBefore(clock.now(storeEraAt));
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -23,7 +23,6 @@
   if (!before) {
     return;
   }
-  lease.noteRestored();
   const auto now = bootNow();
   knowsDecided = knowsDecided && lease.isValid(now);
   LogEvent(LogLevel::Warning, "store.restored")
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -6,7 +6,6 @@
 
 DutyLease::DutyLease(DutyLeaseOptions aOptions, bool aFirstStart, TimePoint aNow)
   : mOptions(aOptions)
-  , mFirstStart(aFirstStart)
   , mObservedAt(aFirstStart ? aNow - aOptions.ttl : aNow)
   , mLastAttemptAt(aNow - aOptions.renewInterval)
 {
@@ -38,8 +37,9 @@
   mLastReadAt = aSentAt;
   // An end that is known already says that nobody has renewed since it was observed.
   if (!mFence && aEnd > mLogEnd) {
+    const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
     mLogEnd = aEnd;
-    mObservedAt = std::max(mObservedAt, aSentAt);
+    mObservedAt = wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, aSentAt);
   }
 }
 
@@ -109,8 +109,8 @@
 bool
 DutyLease::isRestored(const AppendResult& aResult) const
 {
-  if (mLogEnd == 0 && mFirstStart) {
-    // An empty log is complete on the first start, whatever the era.
+  if (mLogEnd == 0 && eraOf(aResult.logEnd) <= kFirstEra) {
+    // The log has been empty so far, and was never restored.
     return false;
   }
   return eraOf(aResult.logEnd) != eraOf(mLogEnd);
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -390,12 +390,23 @@
   BOOST_TEST(lease.fenceIfActive(at(3100)).value() > makePosition(1, 1000));
 }
 
+// Guards against duties that rest for another ttl at a store that was never used.
+BOOST_AUTO_TEST_CASE(empty_log_that_was_never_restored_delays_no_claim)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeLog(makePosition(1, 0), at(1400));
+  BOOST_TEST(lease.dueAppendOffset(at(3000)).value() == makePosition(1, 0));
+  DutyLease restored({}, false, at(0));
+  restored.observeLog(makePosition(2, 0), at(1400));
+  BOOST_TEST(!restored.dueAppendOffset(at(4300)).has_value());
+  BOOST_TEST(restored.dueAppendOffset(at(4400)).value() == makePosition(2, 0));
+}
+
 // Guards against two holders: on the first start, one that has not seen the log yet claims in a
 // restored one that lacks all claims, while the lease of another is valid.
 BOOST_AUTO_TEST_CASE(empty_restored_log_is_not_complete_on_the_first_start)
 {
   DutyLease lease({}, true, at(0));
-  lease.noteRestored();
   BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(1000)).value() == 0U);
   lease.handleAppendResult(at(1000), { true, makePosition(2, 1) }, at(1010));
   BOOST_TEST(!lease.holdsDuties());
