Tests: ports of one test program are not given to another

Cause: freePort() only avoided ports on which something listened. This test kills its 40 instances before it starts them again; a test program beside it could take one of their ports meanwhile. The instance then ended with "bind: Address already in use".

--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -1,6 +1,7 @@
 #include "deployment.hpp"
 
 #include "mustardplank/base/clock.hpp"
+#include "support/free_port.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
--- a/test/routes/start_test.cpp
+++ b/test/routes/start_test.cpp
@@ -40,6 +40,9 @@
     }
     return ready == kInstances;
   });
+  if (ready < kInstances) {
+    BOOST_TEST_INFO("instance " << ready << ": " << deployment.instance(ready).errors());
+  }
   BOOST_TEST(ready == kInstances);
   for (std::size_t i = 0; i < kInstances; ++i) {
     CallerConnection connection(deployment.callers(i));
--- a/test/support/child_process.cpp
+++ b/test/support/child_process.cpp
@@ -2,8 +2,6 @@
 
 #include "support/wait.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
 #include <boost/process/env.hpp>
@@ -13,11 +11,9 @@
 
 #include <sys/prctl.h>
 
-#include <atomic>
 #include <csignal>
 #include <fstream>
 #include <iterator>
-#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <utility>
@@ -150,27 +146,4 @@
   return readFile(mImpl->log + ".err");
 }
 
-std::uint16_t
-freePort()
-{
-  // Below the usual range of ephemeral ports, so that no outgoing connection takes it meanwhile.
-  constexpr std::uint16_t kFirst = 10'000;
-  constexpr std::uint16_t kLast = 32'000;
-  // In order from a random start: drawn at random each time, a port could come twice before its
-  // first owner listens.
-  static std::atomic<unsigned> offset{ std::random_device{}() % (kLast - kFirst) };
-  using boost::asio::ip::tcp;
-  boost::asio::io_context io;
-  for (;;) {
-    const auto port = static_cast<std::uint16_t>(kFirst + offset++ % (kLast - kFirst));
-    boost::system::error_code ec;
-    tcp::acceptor acceptor(io);
-    acceptor.open(tcp::v4(), ec);
-    acceptor.bind({ boost::asio::ip::address_v4::loopback(), port }, ec);
-    if (!ec) {
-      return port;
-    }
-  }
-}
-
 }
--- a/test/support/child_process.hpp
+++ b/test/support/child_process.hpp
@@ -41,8 +41,4 @@
   std::unique_ptr<Impl> mImpl;
 };
 
-/// A TCP port on which nothing listens, outside the range that the system hands out by itself.
-std::uint16_t
-freePort();
-
 }
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -1,6 +1,7 @@
 #include "support/deployment.hpp"
 
 #include "mustardplank/base/hash.hpp"
+#include "support/free_port.hpp"
 #include "support/wait.hpp"
 
 #include <cstdlib>
