CONFIG: a restored copy makes no cold server warm

Seen in the unit test; it would be seen as too many requests for a cold server (FAILBACK, which counts all instances, in touch or not).

Cause: an entry of a restored copy was held back if it undid that a server leaves, is gone or has started again, but not if it undid that the server is cold. A server may become cold again at any moment, without another start time. The copy from before that took effect at once, and the dispatcher gave the server its full share until it had written its entry again.

The test failed before: server_registry_test.cpp(262): check (registry.servers().at(BackendServerId("a")).coldRemaining == Seconds(5)) has failed

An entry of the same start with a shorter cold time is now held back like the others: until the server has written its entry again, or for the grace time. A longer cold time takes effect at once.

--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -102,9 +102,11 @@
 ServerRegistry::mayBeOutdated(const route::BackendServer& aServer) const
 {
   if (const auto known = mServers.find(aServer.id); known != mServers.end()) {
-    const auto start = known->second.startTimeMs;
-    return aServer.startTimeMs < start ||
-           (aServer.startTimeMs == start && known->second.draining && !aServer.draining);
+    const auto& server = known->second;
+    return aServer.startTimeMs < server.startTimeMs ||
+           (aServer.startTimeMs == server.startTimeMs &&
+            ((server.draining && !aServer.draining) ||
+             aServer.coldRemaining < server.coldRemaining));
   }
   const auto removed = mRemoved.find(aServer.id);
   return removed != mRemoved.end() && removed->second.startTimeMs >= aServer.startTimeMs;
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -31,6 +31,7 @@
   server.address = "10.0.0.1:" + (space == std::string::npos ? aRecord.key : std::string("80"));
   server.startTimeMs = space == std::string::npos ? 0 : std::stoll(aRecord.value->substr(space));
   server.draining = aRecord.value->starts_with("draining");
+  server.coldRemaining = aRecord.value->starts_with("cold") ? Seconds(5) : Duration{};
   return server;
 }
 
@@ -246,4 +247,22 @@
   BOOST_TEST(registry.servers().size() == 1U);
 }
 
+// Guards against too many requests to a cold server, as a restored store shows it before it became
+// cold again.
+BOOST_AUTO_TEST_CASE(restored_copy_makes_no_cold_server_warm)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "cold" } }, makeDialect(), at(0));
+  registry.apply({ { 2, "a", "cold" }, { 3, "b", "ready" } }, makeDialect(), at(500));
+  registry.apply({ { 10, "a", "ready" }, { 11, "b", "cold" } },
+                 makeDialect(),
+                 at(1000),
+                 RecordSource::RestoredCopy);
+  BOOST_TEST((registry.servers().at(BackendServerId("a")).coldRemaining == Seconds(5)));
+  BOOST_TEST((registry.servers().at(BackendServerId("b")).coldRemaining == Seconds(5)));
+  registry.apply({ { 12, "a", "ready" } }, makeDialect(), at(1500));
+  BOOST_TEST((registry.servers().at(BackendServerId("a")).coldRemaining == Duration{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
