CONFIG: a claim under way does not count in a restored log

Cause: whether the store was restored since an append was sent was told by the position that is known when the answer arrives, not by that at which the record was to be appended. A claim sent where the former log ended can match the end of the restored one by chance. If a note of the holder, which has renewed its lease there, arrives before the answer, both positions are of the new era, and the claim counted although it was never made at an end that had been observed for a ttl.

The lease is now told the position of the append, and compares the era of the answer with that. The other calls in the tests state the positions that they had used.

--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -48,7 +48,7 @@
 /// have claimed since the restoration.
 ///
 ///     if (auto at = lease.dueAppendOffset(bootNow())) {
-///       lease.handleAppendResult(sentAt, append(*at), bootNow());
+///       lease.handleAppendResult(*at, sentAt, append(*at), bootNow());
 ///     }
 ///     if (auto fence = lease.fenceIfActive(bootNow())) {
 ///       lease.recordCall(bootNow());
@@ -79,9 +79,11 @@
 
   /// Offset at which a claim or renewal is to be appended now; nothing while none is due.
   std::optional<Offset> dueAppendOffset(TimePoint aNow) const;
-  /// The store answered an append, at the offset that dueAppendOffset() gave, that was sent at
-  /// aSentAt.
-  void handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow);
+  /// The store answered an append at aAt, which dueAppendOffset() gave, that was sent at aSentAt.
+  void handleAppendResult(Offset aAt,
+                          TimePoint aSentAt,
+                          const AppendResult& aResult,
+                          TimePoint aNow);
   /// An append failed, and it is not known whether the record was written.
   void handleAppendOutcomeUnknown(TimePoint aNow);
   /// Stops appending and calling; the lease expires.
@@ -108,8 +110,8 @@
   /// Gives up the fencing token and continues from aEnd: another instance appended.
   void dropLease(Offset aEnd, TimePoint aNow);
 
-  /// Whether the result is of a later era than what is known here.
-  bool isRestored(const AppendResult& aResult) const;
+  /// Whether the result is of another era than aAt, at which the record was to be appended.
+  static bool isRestored(Offset aAt, const AppendResult& aResult);
   void handleRestored(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow);
 
   DutyLeaseOptions mOptions;
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -72,7 +72,7 @@
   const bool before = lease.holdsDuties();
   if (const auto* answer = std::get_if<control::AppendResult>(&result)) {
     notePosition(answer->logEnd);
-    lease.handleAppendResult(sent, *answer, now);
+    lease.handleAppendResult(aAt, sent, *answer, now);
   } else {
     lease.handleAppendOutcomeUnknown(now);
   }
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -74,10 +74,13 @@
 }
 
 void
-DutyLease::handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow)
+DutyLease::handleAppendResult(Offset aAt,
+                              TimePoint aSentAt,
+                              const AppendResult& aResult,
+                              TimePoint aNow)
 {
   mLastAttemptAt = aNow;
-  if (isRestored(aResult)) {
+  if (isRestored(aAt, aResult)) {
     handleRestored(aSentAt, aResult, aNow);
     return;
   }
@@ -107,13 +110,13 @@
 }
 
 bool
-DutyLease::isRestored(const AppendResult& aResult) const
+DutyLease::isRestored(Offset aAt, const AppendResult& aResult)
 {
-  if (mLogEnd == 0 && eraOf(aResult.logEnd) <= kFirstEra) {
+  if (aAt == 0 && eraOf(aResult.logEnd) <= kFirstEra) {
     // The log has been empty so far, and was never restored.
     return false;
   }
-  return eraOf(aResult.logEnd) != eraOf(mLogEnd);
+  return eraOf(aResult.logEnd) != eraOf(aAt);
 }
 
 void
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -35,7 +35,7 @@
 step(DutyLease& aLease, Log& aLog, TimePoint aNow)
 {
   if (const auto offset = aLease.dueAppendOffset(aNow)) {
-    aLease.handleAppendResult(aNow, aLog.append(*offset), aNow);
+    aLease.handleAppendResult(*offset, aNow, aLog.append(*offset), aNow);
   }
 }
 
@@ -275,7 +275,7 @@
             log.append(*offset);
             lease.handleAppendOutcomeUnknown(at(now));
           } else {
-            lease.handleAppendResult(at(now), log.append(*offset), at(now));
+            lease.handleAppendResult(*offset, at(now), log.append(*offset), at(now));
           }
         }
         for (auto& other : leases) {
@@ -318,11 +318,11 @@
   DutyLease lease({}, false, at(0));
   lease.observeEnd(makePosition(1, 5), at(0));
   BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(3000)).value() == makePosition(1, 5));
-  lease.handleAppendResult(at(3000), { true, makePosition(2, 6) }, at(3010));
+  lease.handleAppendResult(makePosition(1, 5), at(3000), { true, makePosition(2, 6) }, at(3010));
   BOOST_TEST(!lease.holdsDuties());
   BOOST_TEST(!lease.dueAppendOffset(at(6000)).has_value());
   BOOST_TEST(lease.dueAppendOffset(at(6010)).value() == makePosition(2, 6));
-  lease.handleAppendResult(at(6010), { true, makePosition(2, 7) }, at(6020));
+  lease.handleAppendResult(makePosition(2, 6), at(6010), { true, makePosition(2, 7) }, at(6020));
   BOOST_TEST(lease.holdsDuties());
 }
 
@@ -345,12 +345,12 @@
 BOOST_AUTO_TEST_CASE(holder_goes_on_in_a_restored_log)
 {
   DutyLease lease({}, true, at(0));
-  lease.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
+  lease.handleAppendResult(0, at(0), { true, makePosition(1, 1) }, at(10));
   const auto fence = lease.fenceIfActive(at(400));
-  lease.handleAppendResult(at(1000), { false, makePosition(2, 0) }, at(1010));
+  lease.handleAppendResult(makePosition(1, 1), at(1000), { false, makePosition(2, 0) }, at(1010));
   BOOST_TEST((lease.fenceIfActive(at(1020)) == fence));
   BOOST_TEST(lease.dueAppendOffset(at(1020)).value() == makePosition(2, 0));
-  lease.handleAppendResult(at(1020), { true, makePosition(2, 1) }, at(1030));
+  lease.handleAppendResult(makePosition(2, 0), at(1020), { true, makePosition(2, 1) }, at(1030));
   BOOST_TEST((lease.fenceIfActive(at(2500)) == fence));
 }
 
@@ -359,8 +359,9 @@
 {
   for (const bool appended : { false, true }) {
     DutyLease lease({}, true, at(0));
-    lease.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
-    lease.handleAppendResult(at(3100), { appended, makePosition(2, 2) }, at(3110));
+    lease.handleAppendResult(0, at(0), { true, makePosition(1, 1) }, at(10));
+    lease.handleAppendResult(
+      makePosition(1, 1), at(3100), { appended, makePosition(2, 2) }, at(3110));
     BOOST_TEST(!lease.holdsDuties());
     BOOST_TEST(!lease.dueAppendOffset(at(6000)).has_value());
   }
@@ -371,10 +372,10 @@
 {
   DutyLease lease({}, false, at(0));
   BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(3000)).value() == 0U);
-  lease.handleAppendResult(at(3000), { true, makePosition(2, 1) }, at(3010));
+  lease.handleAppendResult(0, at(3000), { true, makePosition(2, 1) }, at(3010));
   BOOST_TEST(!lease.holdsDuties());
   DutyLease first({}, true, at(0));
-  first.handleAppendResult(at(0), { true, makePosition(1, 1) }, at(10));
+  first.handleAppendResult(0, at(0), { true, makePosition(1, 1) }, at(10));
   BOOST_TEST(first.holdsDuties());
 }
 
@@ -383,10 +384,10 @@
 {
   DutyLease lease({}, false, at(0));
   lease.observeRelease(makePosition(2, 3), at(0));
-  lease.handleAppendResult(at(0), { true, makePosition(2, 4) }, at(10));
+  lease.handleAppendResult(makePosition(2, 3), at(0), { true, makePosition(2, 4) }, at(10));
   BOOST_TEST(lease.fenceIfActive(at(3010)).value_or(0) == 0U);
-  lease.handleAppendResult(at(1500), { true, makePosition(2, 5) }, at(1510));
-  lease.handleAppendResult(at(2900), { true, makePosition(2, 6) }, at(2910));
+  lease.handleAppendResult(makePosition(2, 4), at(1500), { true, makePosition(2, 5) }, at(1510));
+  lease.handleAppendResult(makePosition(2, 5), at(2900), { true, makePosition(2, 6) }, at(2910));
   BOOST_TEST(lease.fenceIfActive(at(3100)).value() > makePosition(1, 1000));
 }
 
@@ -408,10 +409,24 @@
 {
   DutyLease lease({}, true, at(0));
   BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(1000)).value() == 0U);
-  lease.handleAppendResult(at(1000), { true, makePosition(2, 1) }, at(1010));
+  lease.handleAppendResult(0, at(1000), { true, makePosition(2, 1) }, at(1010));
   BOOST_TEST(!lease.holdsDuties());
   BOOST_TEST(!lease.dueAppendOffset(at(4000)).has_value());
   BOOST_TEST(lease.dueAppendOffset(at(4010)).value() == makePosition(2, 1));
 }
 
+// Guards against two holders: a claim where the former log ended is written to the restored one,
+// whose end becomes known before the answer.
+BOOST_AUTO_TEST_CASE(claim_under_way_does_not_count_in_a_restored_log)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeEnd(makePosition(1, 5), at(0));
+  BOOST_TEST_REQUIRE(lease.dueAppendOffset(at(3000)).value() == makePosition(1, 5));
+  // The holder has renewed its lease in the restored log.
+  lease.observeEnd(makePosition(2, 5), at(2900));
+  lease.handleAppendResult(makePosition(1, 5), at(3000), { true, makePosition(2, 6) }, at(3200));
+  BOOST_TEST(!lease.holdsDuties());
+  BOOST_TEST(!lease.dueAppendOffset(at(6100)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
