CONFIG: hold back what a second copy lacks as well

Callers would see requests sent to a domain that is out, or to a server that leaves: the store is restored a second time before the operator or the server has written to it again.

Cause: what a restored copy would undo is held back for 4 s, counted from the first restoration. A second copy that lacks the same entries changes nothing in what is known of the store, so the time was not counted anew, and ended before they were written again.

The time is now counted from the last restoration.

--- a/include/mustardplank/control/evacuated_domains.hpp
+++ b/include/mustardplank/control/evacuated_domains.hpp
@@ -21,6 +21,9 @@
 
   /// Applies a statement of the store; returns whether domains() has changed.
   bool apply(const DomainStatus& aStatus, RecordSource aSource, TimePoint aNow);
+  /// The store was restored from an older copy, which may lack the same statements as the one
+  /// before.
+  void noteRestored(TimePoint aNow);
   /// Applies what was held back; returns whether domains() has changed.
   bool tick(TimePoint aNow);
 
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -61,6 +61,9 @@
 {
   noteViews();
   const auto source = sourceOf(operatorsView, operatorsEra);
+  if (source == control::RecordSource::RestoredCopy) {
+    evacuatedDomains.noteRestored(bootNow());
+  }
   for (const auto& it : aChanges) {
     applyOperator(it, source);
   }
--- a/src/mustardplank/control/evacuated_domains.cpp
+++ b/src/mustardplank/control/evacuated_domains.cpp
@@ -19,6 +19,14 @@
   return mDomains.erase(aStatus.domain) > 0;
 }
 
+void
+EvacuatedDomains::noteRestored(TimePoint aNow)
+{
+  if (!mHeldBack.empty()) {
+    mRestoredUntil = aNow + kRestoreGrace;
+  }
+}
+
 bool
 EvacuatedDomains::tick(TimePoint aNow)
 {
--- a/src/mustardplank/control/evacuated_domains_test.cpp
+++ b/src/mustardplank/control/evacuated_domains_test.cpp
@@ -65,4 +65,17 @@
   BOOST_TEST(domains.apply({ kDomain, false }, RecordSource::Log, at(6100)));
 }
 
+// Guards against requests to a domain that is out when the store is restored again before the
+// operator has written so again: the second copy changes nothing.
+BOOST_AUTO_TEST_CASE(domain_is_held_back_from_the_last_restoration_on)
+{
+  EvacuatedDomains domains;
+  domains.apply({ kDomain, true }, RecordSource::Log, at(0));
+  domains.apply({ kDomain, false }, RecordSource::RestoredCopy, at(1000));
+  domains.noteRestored(at(4000));
+  BOOST_TEST(!domains.tick(at(7999)));
+  BOOST_TEST(domains.domains().contains(kDomain));
+  BOOST_TEST(domains.tick(at(8000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -120,6 +120,10 @@
 {
   const auto deferUntil =
     aSource == RecordSource::RestoredCopy ? std::optional(aNow + kReappearGrace) : mGraceUntil;
+  if (aSource == RecordSource::RestoredCopy && !mHeldBack.empty()) {
+    // The copy may lack the same entries as the one before.
+    mRestoredUntil = aNow + kRestoreGrace;
+  }
   std::vector<ServerEvent> events;
   for (const auto& it : aRecords) {
     if (it.value) {
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -265,4 +265,19 @@
   BOOST_TEST((registry.servers().at(BackendServerId("a")).coldRemaining == Duration{}));
 }
 
+// Guards against requests to a server that leaves when the store is restored again before the
+// server has written its entry: the second copy changes nothing.
+BOOST_AUTO_TEST_CASE(entries_are_held_back_from_the_last_restoration_on)
+{
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "draining" } }, makeDialect(), at(0));
+  registry.apply({ { 10, "a", "ready" } }, makeDialect(), at(1000), RecordSource::RestoredCopy);
+  registry.apply({}, makeDialect(), at(4000), RecordSource::RestoredCopy);
+  const auto end = at(4000) + ServerRegistry::kRestoreGrace;
+  BOOST_TEST(registry.tick(makeDialect(), end - Millis(1)).empty());
+  BOOST_TEST(registry.servers().at(BackendServerId("a")).draining);
+  BOOST_TEST(registry.tick(makeDialect(), end).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/routes/restored_store_test.cpp
+++ b/test/routes/restored_store_test.cpp
@@ -601,6 +601,27 @@
   checkDomainTakenOut(Growth::BeyondOldEnd);
 }
 
+// Guards against the same when the store goes back again before the operator has written to it.
+BOOST_AUTO_TEST_CASE(routes_domain_taken_out_stays_out_after_two_restorations)
+{
+  constexpr std::size_t kInstances = 3;
+  constexpr Millis kBetween{ 3000 };
+  RouteDeployment deployment(1, kInstances, Clocks::OfTheMachine, 2);
+  deployment.store().snapshot();
+  deployment.store().put("keyed.op", "evacuate/fd-a", "{}");
+  BOOST_TEST(allAnswer(deployment, kInstances, "key-one", 503U, kApplyBound));
+  std::this_thread::sleep_for(Millis(1000));
+  const auto before = arrivalsAt(deployment, 0);
+  restoreStore(deployment);
+  callFor(deployment, kInstances, kBetween);
+  restoreStore(deployment);
+  callFor(deployment, kInstances, kRewriteDelay);
+  BOOST_TEST(arrivalsAt(deployment, 0) == before, "before it is written again");
+  deployment.store().rewriteOperators();
+  callFor(deployment, kInstances, kWatched);
+  BOOST_TEST(arrivalsAt(deployment, 0) == before);
+}
+
 // Guards against servers that leave or start after the restoration and are not noticed.
 BOOST_AUTO_TEST_CASE(routes_servers_that_leave_and_start_after_a_restoration_are_seen)
 {
