CONFIG: forgotten removals leave a restored log incomplete before its list

Seen in the unit test; it would be seen as an instance that sends requests to a server that is gone, or keeps a domain out, until it starts again: it was cut off during a restoration and asks an agent later.

Cause: keys that a restored list lacks are dropped without a record of their removal, so changes from before the list are not known one by one, and an instance that is still in the former era gets the whole list. When the view forgot its oldest removal to stay within 2,048 of them, it set the start of what it knows completely to the offset after that removal. Removals of the former era are older than the list, so the start went back, and the instance got changes that lacked what the list had dropped. The same holds within an era for a list that was read after a gap.

The test failed before: keyed_view_test.cpp(278): check (contents(follower) == contents(view)) has failed

The start now never goes back.

--- a/src/mustardplank/agent/keyed_view.cpp
+++ b/src/mustardplank/agent/keyed_view.cpp
@@ -52,7 +52,7 @@
       ++it;
       continue;
     }
-    mCompleteFrom = it->first + 1;
+    mCompleteFrom = std::max(mCompleteFrom, it->first + 1);
     mEntries.erase(entry);
     it = mByOffset.erase(it);
     --mRemovals;
--- a/src/mustardplank/agent/keyed_view_test.cpp
+++ b/src/mustardplank/agent/keyed_view_test.cpp
@@ -254,4 +254,28 @@
   BOOST_TEST(other.next() == after(7));
 }
 
+// Guards against entries that an instance keeps for ever: those that a restored log lacks are no
+// removals, so a follower of the time before needs the whole list, whatever is forgotten later.
+BOOST_AUTO_TEST_CASE(forgotten_removals_leave_a_restored_log_incomplete_before_its_list)
+{
+  const auto before = [](Offset aOffset) { return control::makePosition(1, aOffset); };
+  const auto after = [](Offset aOffset) { return control::makePosition(2, aOffset); };
+  KeyedView view;
+  view.replace({ { before(0), "a", "one" } }, before(1));
+  Offset end = 1;
+  for (std::size_t i = 0; i < KeyedView::kMaxRemovals; ++i) {
+    const auto key = "removed" + std::to_string(i);
+    view.apply({ { before(end), key, "one" } }, before(end + 1));
+    view.apply({ { before(end + 1), key, {} } }, before(end + 2));
+    end += 2;
+  }
+  KeyedView follower;
+  follower.apply(view.changesSince(std::nullopt));
+  BOOST_TEST(contents(follower).contains("a"));
+  view.replace({ { after(0), "b", "one" } }, after(1));
+  view.apply({ { after(1), "b", {} } }, after(2));
+  follower.apply(view.changesSince(follower.next()));
+  BOOST_TEST((contents(follower) == contents(view)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
