--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -56,7 +56,7 @@
     answer = co_await aStore.read(Topic::Claims, failure->first, Duration{});
   }
   if (const auto* batch = std::get_if<control::RecordBatch>(&answer)) {
-    lease.observeLog(batch->logEnd, sentAt);
+    lease.observeLog(batch->logEnd, sentAt, bootNow());
   } else {
     lease.recordObservationFailure(sentAt);
   }
@@ -72,7 +72,7 @@
   const bool before = lease.holdsDuties();
   if (const auto* answer = std::get_if<control::AppendResult>(&result)) {
     notePosition(answer->logEnd);
-    lease.handleAppendResult(sent, *answer, now);
+    lease.handleAppendResult(aAt, sent, *answer, now);
   } else {
     lease.handleAppendOutcomeUnknown(now);
   }
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -32,14 +32,17 @@
 }
 
 void
-DutyLease::observeLog(Offset aEnd, TimePoint aSentAt)
+DutyLease::observeLog(Offset aEnd, TimePoint aSentAt, TimePoint aReceivedAt)
 {
   mLastReadAt = aSentAt;
   // An end that is known already says that nobody has renewed since it was observed.
   if (!mFence && aEnd > mLogEnd) {
     const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
+    // A renewal of an earlier era that a restored log lacks may have been sent after the read.
+    const bool isRestored = eraOf(aEnd) > std::max(eraOf(mLogEnd), kFirstEra);
     mLogEnd = aEnd;
-    mObservedAt = wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, aSentAt);
+    mObservedAt =
+      wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, isRestored ? aReceivedAt : aSentAt);
   }
 }
 
@@ -74,10 +77,13 @@
 }
 
 void
-DutyLease::handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow)
+DutyLease::handleAppendResult(Offset aAt,
+                              TimePoint aSentAt,
+                              const AppendResult& aResult,
+                              TimePoint aNow)
 {
   mLastAttemptAt = aNow;
-  if (isRestored(aResult)) {
+  if (isRestored(aAt, aResult)) {
     handleRestored(aSentAt, aResult, aNow);
     return;
   }
@@ -107,13 +113,13 @@
 }
 
 bool
-DutyLease::isRestored(const AppendResult& aResult) const
+DutyLease::isRestored(Offset aAt, const AppendResult& aResult)
 {
-  if (mLogEnd == 0 && eraOf(aResult.logEnd) <= kFirstEra) {
+  if (aAt == 0 && eraOf(aResult.logEnd) <= kFirstEra) {
     // The log has been empty so far, and was never restored.
     return false;
   }
-  return eraOf(aResult.logEnd) != eraOf(mLogEnd);
+  return eraOf(aResult.logEnd) != eraOf(aAt);
 }
 
 void
