LOST: the idle limit does not cut an answer that is still being written

A caller that read a large answer slowly lost the rest of it when the idle limit passed after the server's last byte, e.g. after a configuration with a shorter limit.

Cause: the idle time began when the response was complete in the instance, and its timer closed the connection with output still to be written. Class: that of, a timer that does not hold for the state that it ends.

The connection counts as idle from its last written byte on; while output is left the timer starts again.

Evidence: routes_answer_that_is_read_slowly_is_whole_after_the_idle_limit (idle limit of 1 s, the caller begins to read 15,000 KiB after 2 s) failed before: 0 of bytes came as a whole, and no answer to the request after it. It passes, as do the tests of the idle limit and of endings without a reset.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -145,6 +145,9 @@
     self->mReceiveTimer.reset();
     if (self->mParser->got_some()) {
       self->reject(408, "timeout");
+    } else if (self->pendingBytes() > 0) {
+      // Not idle: the caller still reads. The kernel ends the connection if it stops.
+      self->armReceiveTimer();
     } else {
       self->close();
     }
@@ -355,10 +358,21 @@
                       self->flush();
                       if (self->mExchange) {
                         self->mExchange->onCallerWritable();
+                      } else {
+                        self->onOutputWritten();
                       }
                     });
 }
 
+void
+CallerConnection::onOutputWritten()
+{
+  // The connection is idle from now on.
+  if (mReceiveTimer && !mCloseAfterWrite && !mParser->got_some() && pendingBytes() == 0) {
+    armReceiveTimer();
+  }
+}
+
 void
 CallerConnection::releaseExchange()
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -67,6 +67,8 @@
   /// unread bytes resets the connection, and the caller may lose the response.
   void linger();
   void flush();
+  /// Restarts the idle time once a response has been written.
+  void onOutputWritten();
   void resetParser();
   /// Starts the timer that closes an idle connection or rejects a request that does not arrive in
   /// time.
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -123,6 +123,25 @@
   BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
 }
 
+// Guards against an answer that is cut off at the idle limit while its caller still reads it.
+BOOST_AUTO_TEST_CASE(routes_answer_that_is_read_slowly_is_whole_after_the_idle_limit)
+{
+  constexpr std::size_t kKib = 15000;
+  RouteDeployment deployment(1, 1);
+  deployment.setIdleTimeout(Millis(1000));
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(2000));
+  CallerConnection connection(deployment.callers());
+  connection.send(callOf("/plain/large" + std::to_string(kKib)));
+  std::this_thread::sleep_for(Millis(2000));
+  BOOST_TEST(nextBody(connection).size() == kKib * 1024);
+  // Less than the idle limit after the end of the answer.
+  std::this_thread::sleep_for(Millis(700));
+  const auto call = callOf("/plain/ok");
+  connection.send(call);
+  BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
+}
+
 // Guards against a connection that ends after an answer that did not announce it.
 BOOST_AUTO_TEST_CASE(routes_connection_is_kept_after_a_stream_that_began_before_a_stop)
 {
