LOST: a failure that ends late does not end the other attempt

Callers got status 500, in part with half of its body, although a second server was about to answer.

A silent response with status 5xx now drops its own attempt when it ends, and its body is read by the kind of the response, not of the route.

Evidence: routes_two_attempts_failure_that_ends_late_leaves_the_other_one failed before with "/twice/failing_half900+delayed: 500 failed" and "/resume/failing_half1200+after1200_stream6: 500 f"; it passes, twice, with the tests of late failures and dripping answers.

--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -179,7 +179,8 @@
 Exchange::StalledResponse::onResponseBody(std::string_view aBytes)
 {
   auto& stalled = *mExchange.mStalled;
-  if (!mExchange.isStreamingRoute()) {
+  const bool streamed = stalled.head ? mExchange.isStreamingRoute() : stalled.response.streamed;
+  if (!streamed) {
     stalled.response.body.append(aBytes);
     if (stalled.response.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
@@ -199,6 +200,11 @@
 void
 Exchange::StalledResponse::onResponseEnd()
 {
+  const auto& stalled = *mExchange.mStalled;
+  if (!stalled.head && stalled.response.status >= 500) {
+    mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
+    return;
+  }
   if (resume()) {
     mExchange.onResponseEnd();
   }
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -176,6 +176,11 @@
                                    "Transfer-Encoding: chunked\r\n\r\n" + chunkText(event) +
                                    "0\r\n\r\n");
   }
+  if (mode.starts_with("failing_half")) {
+    co_await writeInParts(
+      aSocket, answerText(500, attempt, signature, "failed"), mode.substr(mode.find("half")));
+    co_return false;
+  }
   if (mode.starts_with("half") || mode == "drip") {
     co_await writeInParts(aSocket, whole, mode);
     co_return false;
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -124,6 +124,13 @@
   }
 }
 
+// Guards against a failure of a silent server whose head came before it fell silent.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_failure_that_ends_late_leaves_the_other_one)
+{
+  checkAnswered("/twice/failing_half900+delayed");
+  checkStreamed("/resume/failing_half1200+after1200_stream6");
+}
+
 // Guards against bytes now and then that end the attempt at the server that would answer.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_dripping_answer_leaves_the_other_one)
 {
