LOST: an answer that was awaited beside another server is taken once

A caller whose silent server answered without X-Attempt-Id got 504 at its time limit instead of the answer.

Cause: when the silent attempt was resumed, the head kept from it was checked again. Whether a response that names no request may be an earlier one depends on whether its connection was used before, and by then the response itself had been counted. The head was rejected, and the request went on waiting on a connection that was back in the pool and could serve another request, which would be reset with it at the time limit (by reading, not shown).

The head is checked when it arrives, and only processed on resumption.

Evidence: routes_two_attempts_answer_that_names_no_request_is_kept failed before with "504 " and passes, twice, with the tests of kept heads and statuses.

--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -127,6 +127,11 @@
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
   bool isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const;
+  /// Processes the head of a response that belongs to the request in progress.
+  void acceptResponseHead(const ResponseHead& aHead,
+                          unsigned aStatus,
+                          const Fields& aFields,
+                          BodyFraming aFraming);
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -65,39 +65,49 @@
   if (!isResponseToThis(head, *mConnection)) {
     return false;
   }
+  acceptResponseHead(head, aStatus, aFields, aFraming);
+  return true;
+}
+
+void
+Exchange::acceptResponseHead(const ResponseHead& aHead,
+                             unsigned aStatus,
+                             const Fields& aFields,
+                             BodyFraming aFraming)
+{
   const auto now = bootNow();
   mResponse.status = aStatus;
   mResponse.framing = aFraming;
-  if (head.load) {
+  if (aHead.load) {
     mContext.dispatcher.recordReportedLoad(
-      mGrant->server, head.load->running, head.load->waiting, now);
+      mGrant->server, aHead.load->running, aHead.load->waiting, now);
   }
-  if (!head.misdirected) {
-    recordAdmission(head);
+  if (!aHead.misdirected) {
+    recordAdmission(aHead);
   }
-  if (head.misdirected || head.notExecuted) {
+  if (aHead.misdirected || aHead.notExecuted) {
     const auto outcome =
-      head.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
+      aHead.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
     const auto address = mGrant->address;
-    if (!retryOnOtherServer(outcome, true, head.misdirected ? "misdirected" : "rejected")) {
+    if (!retryOnOtherServer(outcome, true, aHead.misdirected ? "misdirected" : "rejected")) {
       if (mMayHaveExecuted) {
         failResponse("rejected");
       } else {
         sendLocalResponse(503, "rejected", kShortRetryDelay);
       }
     }
-    if (head.misdirected) {
+    if (aHead.misdirected) {
       mContext.connectionPool.closeIdle(address);
     }
-    return true;
+    return;
   }
   const bool success = aStatus / 100 == 2;
-  if (!mayRelay(head, aStatus, aFields)) {
+  if (!mayRelay(aHead, aStatus, aFields)) {
     onResponseFailure(ResponseFailure::Malformed);
-    return true;
+    return;
   }
   if (aStatus >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
-    return true;
+    return;
   }
   recordResponseStart();
   if (!isStreamingRoute() || !success) {
@@ -109,7 +119,6 @@
     removeHopByHopFields(mResponse.fields);
   }
   mResponse.streamed = isStreamingRoute() && success;
-  return true;
 }
 
 bool
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -120,8 +120,11 @@
   // Not asked again at once.
   mLastProgressAt = bootNow();
   armStallTimer();
-  if (stalled.head) {
-    onResponseHead(stalled.head->status, stalled.head->fields, stalled.head->framing);
+  if (const auto& head = stalled.head) {
+    acceptResponseHead(mContext.dialect.parseResponseHead(head->status, head->fields),
+                       head->status,
+                       head->fields,
+                       head->framing);
   }
   // Last: another request may be granted, and take the connection if this response is complete.
   endJob(replacement, aOutcome);
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -233,6 +233,12 @@
     co_return co_await writeText(aSocket,
                                  answerText(503, "other", "X-Not-Executed: 1\r\n", "") + whole);
   }
+  if (mode == "nameless") {
+    const auto body = "answer to " + attempt;
+    co_return co_await writeText(aSocket,
+                                 "HTTP/1.1 200 OK\r\n" + signature + "Content-Length: " +
+                                   std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
   if (mode == "nameless_refusal") {
     co_return co_await writeText(
       aSocket, "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" + whole);
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -31,6 +31,7 @@
 ///     largeN   an answer with N KiB
 ///     halfN    an answer's head and half of its body, the rest after N ms
 ///     failing_halfN  the same with status 500
+///     nameless an answer that does not name its request
 ///     drip     an answer's head, then a byte of its body every 50 ms for 10 s
 ///     headN    the head of a stream, its six events after N ms
 ///     wide     a stream of one event of 600 KB
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -131,6 +131,17 @@
   checkStreamed("/resume/failing_half1200+after1200_stream6");
 }
 
+// Guards against an answer of a silent server that does not name its request and is lost as it
+// ends.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_answer_that_names_no_request_is_kept)
+{
+  RouteDeployment deployment(2, 1);
+  // On connections that are kept from before, such an answer is taken for an earlier one.
+  std::this_thread::sleep_for(Millis(5000));
+  const auto outcome = outcomeOf(deployment, "/twice/after1200_nameless+hang");
+  BOOST_TEST(outcome.text == "200 answer to " + outcome.attempt, outcome.text);
+}
+
 // Guards against bytes now and then that end the attempt at the server that would answer.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_dripping_answer_leaves_the_other_one)
 {
