LOST: two engines work on one prompt for moments only

While an engine was silent and another one had the prompt, both worked on it until the second one gave its first event, however long that took. A prompt that goes on at another engine may be at work at the one before for 400 ms (TWICE).

Cause: keeps the attempt at a silent server until another one responds, without a bound; before it the silent attempt was cancelled first. Class: a fix of one rule without a look at another one.

The attempt at the silent engine is now cancelled 250 ms after the prompt has been sent to the other one. Refusals, failed connects and connections that break before that still leave it in place; requests without a prompt are as before.

Evidence: routes_two_attempts_of_a_prompt_run_together_for_moments_only failed before on both paths (no attempt was cancelled within 400 ms of the second arrival) and passes, as do all tests of silent servers and of two attempts, 20 cases. Its companion, of a second engine that fails, passed before and guards against a bound that is too strict.

--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -71,6 +71,7 @@
   if (mStallTimer) {
     mContext.timers.cancel(*mStallTimer);
   }
+  cancelSharedRunTimer();
 }
 
 bool
@@ -329,6 +330,7 @@
   aConnection->send(serializeRequest(), mRequest.method() == http::verb::head, *this);
   mLastProgressAt = now;
   armStallTimer();
+  limitSharedRun();
 }
 
 std::string
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -94,6 +94,10 @@
   /// Submits the request to another server and keeps the attempt in progress until that one
   /// responds.
   void replaceStalledAttempt();
+  /// Starts the time after which the stalled attempt is cancelled: a prompt that is with another
+  /// engine.
+  void limitSharedRun();
+  void cancelSharedRunTimer();
   /// Gives up the attempt in progress, if any, and goes on with the stalled one. False if there is
   /// none.
   bool resumeStalledAttempt(dispatch::JobOutcome aOutcome);
@@ -241,6 +245,8 @@
   std::optional<AlarmQueue::Id> mDeadlineTimer;
   std::optional<AlarmQueue::Id> mConnectTimer;
   std::optional<AlarmQueue::Id> mStallTimer;
+  /// Runs only while mStalled is set.
+  std::optional<AlarmQueue::Id> mSharedRunTimer;
   /// When the request was sent or stream data last arrived.
   TimePoint mLastProgressAt{};
 
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -20,6 +20,9 @@
 /// not before kMinEventGapTimeout.
 constexpr int kEventGapFactor = 2;
 constexpr Duration kMinEventGapTimeout = Millis(800);
+/// Two engines work on the same prompt for no longer than this, even if the second one has not
+/// begun to respond.
+constexpr Duration kMaxSharedRun = Millis(250);
 
 }
 
@@ -93,12 +96,34 @@
   submit();
 }
 
+void
+Exchange::limitSharedRun()
+{
+  if (!mStalled || mJob.prompt.empty()) {
+    return;
+  }
+  mSharedRunTimer = mContext.timers.set(bootNow() + kMaxSharedRun, [this] {
+    mSharedRunTimer.reset();
+    dropStalledAttempt(dispatch::JobOutcome::Stalled);
+  });
+}
+
+void
+Exchange::cancelSharedRunTimer()
+{
+  if (mSharedRunTimer) {
+    mContext.timers.cancel(*mSharedRunTimer);
+    mSharedRunTimer.reset();
+  }
+}
+
 bool
 Exchange::resumeStalledAttempt(dispatch::JobOutcome aOutcome)
 {
   if (!mStalled) {
     return false;
   }
+  cancelSharedRunTimer();
   cancelConnection();
   auto stalled = std::move(*mStalled);
   mStalled.reset();
@@ -137,6 +162,7 @@
   if (!mStalled) {
     return;
   }
+  cancelSharedRunTimer();
   const auto stalled = std::move(*mStalled);
   mStalled.reset();
   mContext.exchanges.erase(stalled.job);
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -14,6 +14,8 @@
 
 /// GONE: at work for no longer after the caller has left.
 constexpr Millis kCancelBound{ 500 };
+/// TWICE: two servers at work on the same prompt.
+constexpr Millis kSharedRunBound{ 400 };
 
 struct Outcome
 {
@@ -22,6 +24,18 @@
   std::string text;
 };
 
+/// What comes of a call that has been sent.
+Outcome
+outcomeOf(CallerConnection& aConnection, const Call& aCall)
+{
+  try {
+    const auto answer = aConnection.read();
+    return { aCall.attempt, std::to_string(answer.result_int()) + " " + answer.body() };
+  } catch (const boost::system::system_error&) {
+    return { aCall.attempt, "broken off after " + aConnection.partialBody() };
+  }
+}
+
 /// Calls from a caller that waits for longer than a server is silent.
 Outcome
 outcomeOf(RouteDeployment& aDeployment, const std::string& aPath, int aDeadlineMs = 2900)
@@ -29,12 +43,18 @@
   auto call = callOf(aPath);
   call.deadlineMs = aDeadlineMs;
   CallerConnection connection(aDeployment.callers());
-  try {
-    const auto answer = connection.call(call);
-    return { call.attempt, std::to_string(answer.result_int()) + " " + answer.body() };
-  } catch (const boost::system::system_error&) {
-    return { call.attempt, "broken off after " + connection.partialBody() };
-  }
+  connection.send(call);
+  return outcomeOf(connection, call);
+}
+
+/// A call with a prompt, from a caller that waits for longer than a server is silent.
+Call
+promptCallOf(const std::string& aPath)
+{
+  auto call = callOf(aPath);
+  call.deadlineMs = 2900;
+  call.fields = { { "X-Prefix-Hash", "5c1e07a2:10,91bd3f06:10" }, { "X-Token-Usage", "20,6" } };
+  return call;
 }
 
 std::string
@@ -192,6 +212,39 @@
   }
 }
 
+// Guards against two engines that work on the same prompt for long.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_of_a_prompt_run_together_for_moments_only)
+{
+  for (const auto* path :
+       { "/resume/hang+after1400_stream6", "/resume/stuck2+after1400_stream6" }) {
+    RouteDeployment deployment(2, 1);
+    auto call = promptCallOf(path);
+    CallerConnection connection(deployment.callers());
+    connection.send(call);
+    BOOST_TEST(
+      support::waitUntil(Millis(2500), [&] { return deployment.arrivals(call.attempt) == 2; }),
+      path);
+    BOOST_TEST(support::waitUntil(kSharedRunBound, [&] { return cancelledAtAll(deployment) == 1; }),
+               path);
+    const auto outcome = outcomeOf(connection, call);
+    BOOST_TEST(outcome.text == wholeStream(), path << ": " << outcome.text);
+  }
+}
+
+// Guards against a prompt that loses its silent engine although no other one takes it.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_of_a_prompt_keep_the_first_when_the_second_fails)
+{
+  for (const auto* other : { "error", "not_run", "cut" }) {
+    RouteDeployment deployment(2, 1);
+    const auto call = promptCallOf(std::string("/resume/silent3+") + other);
+    CallerConnection connection(deployment.callers());
+    connection.send(call);
+    const auto outcome = outcomeOf(connection, call);
+    BOOST_TEST(outcome.text == wholeStream(), other << ": " << outcome.text);
+    BOOST_TEST(deployment.arrivals(call.attempt) == 2U, other);
+  }
+}
+
 // Guards against servers that work on after the time limit, and a request without an answer then.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_are_both_cancelled_at_the_deadline)
 {
