--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -20,6 +20,9 @@
 /// not before kMinEventGapTimeout.
 constexpr int kEventGapFactor = 2;
 constexpr Duration kMinEventGapTimeout = Millis(800);
+/// Two engines work on the same prompt for no longer than this, even if the second one has not
+/// begun to respond.
+constexpr Duration kMaxSharedRun = Millis(250);
 
 }
 
@@ -93,12 +96,34 @@
   submit();
 }
 
+void
+Exchange::limitSharedRun()
+{
+  if (!mStalled || mJob.prompt.empty()) {
+    return;
+  }
+  mSharedRunTimer = mContext.timers.set(bootNow() + kMaxSharedRun, [this] {
+    mSharedRunTimer.reset();
+    dropStalledAttempt(dispatch::JobOutcome::Stalled);
+  });
+}
+
+void
+Exchange::cancelSharedRunTimer()
+{
+  if (mSharedRunTimer) {
+    mContext.timers.cancel(*mSharedRunTimer);
+    mSharedRunTimer.reset();
+  }
+}
+
 bool
 Exchange::resumeStalledAttempt(dispatch::JobOutcome aOutcome)
 {
   if (!mStalled) {
     return false;
   }
+  cancelSharedRunTimer();
   cancelConnection();
   auto stalled = std::move(*mStalled);
   mStalled.reset();
@@ -120,8 +145,11 @@
   // Not asked again at once.
   mLastProgressAt = bootNow();
   armStallTimer();
-  if (stalled.head) {
-    onResponseHead(stalled.head->status, stalled.head->fields, stalled.head->framing);
+  if (const auto& head = stalled.head) {
+    acceptResponseHead(mContext.dialect.parseResponseHead(head->status, head->fields),
+                       head->status,
+                       head->fields,
+                       head->framing);
   }
   // Last: another request may be granted, and take the connection if this response is complete.
   endJob(replacement, aOutcome);
@@ -134,6 +162,7 @@
   if (!mStalled) {
     return;
   }
+  cancelSharedRunTimer();
   const auto stalled = std::move(*mStalled);
   mStalled.reset();
   mContext.exchanges.erase(stalled.job);
@@ -179,7 +208,8 @@
 Exchange::StalledResponse::onResponseBody(std::string_view aBytes)
 {
   auto& stalled = *mExchange.mStalled;
-  if (!mExchange.isStreamingRoute()) {
+  const bool streamed = stalled.head ? mExchange.isStreamingRoute() : stalled.response.streamed;
+  if (!streamed) {
     stalled.response.body.append(aBytes);
     if (stalled.response.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
@@ -199,6 +229,11 @@
 void
 Exchange::StalledResponse::onResponseEnd()
 {
+  const auto& stalled = *mExchange.mStalled;
+  if (!stalled.head && stalled.response.status >= 500) {
+    mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
+    return;
+  }
   if (resume()) {
     mExchange.onResponseEnd();
   }
