--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -102,6 +102,7 @@
   if (!mStalled || mJob.prompt.empty()) {
     return;
   }
+  cancelSharedRunTimer();
   mSharedRunTimer = mContext.timers.set(bootNow() + kMaxSharedRun, [this] {
     mSharedRunTimer.reset();
     dropStalledAttempt(dispatch::JobOutcome::Stalled);
