LOST: a note beyond the claims' log stops no duty

After one board update of another writer that stated an end of the claims' log beyond its real one (2^63-1, but also by one), nobody sent usage reports or server orders any more, also after a restart: the holder gave up a valid lease, and the others appended at the stated end, were turned away with the real one, waited for a ttl, and took the same note again from the board's digest, which repeats the last note. The end that a read of the log stated was ignored, as it was smaller.

The log never gets shorter within an era, and eras only rise: an end that the log states in the answer to a call refutes each greater one that was noted before the call was sent. The lease keeps the last end that the log stated and takes no note, and no release, that it refutes; a read corrects a greater end that was noted before. A holder with a valid lease takes no note at all, as nobody else can have claimed: its next renewal is answered by the log.

Claims are safe as before: they are appended only where the log ends, after a whole ttl since that end was observed. A true note whose append was overtaken by the read is ignored once; the claim is then turned away. Notes of renewals after the answer count.

The schedules without false notes are the same as before.

--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -42,6 +42,10 @@
 /// a whole ttl later succeeds only if nobody has renewed meanwhile, so the former holder's lease
 /// has expired.
 ///
+/// Notes of other instances only tell where to claim, and may be wrong. The log never gets shorter
+/// within an era and eras only rise, so an end that the log states refutes each greater one that
+/// was noted before. A holder with a valid lease takes no note: nobody else can have claimed.
+///
 /// A store that is restored from an older copy loses claims and may end at an expected offset by
 /// chance. What was observed in an earlier era therefore permits no claim: it is observed anew and
 /// a whole ttl passes. Only a holder whose lease is still valid renews at once: nobody else can
@@ -61,6 +65,7 @@
   DutyLease(DutyLeaseOptions aOptions, bool aFirstStart, TimePoint aNow);
 
   /// The holder reported aEnd as the end of the log after a renewal at aRenewedAt or before.
+  /// Ignored where the log has refuted it.
   void observeEnd(Offset aEnd, TimePoint aRenewedAt);
   /// Whether the holder has been silent for so long that the log's end should be read.
   ///
@@ -105,6 +110,10 @@
   Offset logEnd() const { return mLogEnd; }
 
 private:
+  /// The log stated aEnd in the answer to a call that was sent at aSentAt.
+  void recordStatedEnd(Offset aEnd, TimePoint aSentAt);
+  /// Whether the log, asked after aNotedAt, ended below aEnd.
+  bool isRefuted(Offset aEnd, TimePoint aNotedAt) const;
   /// Gives up the fencing token and continues from aEnd: another instance appended.
   void dropLease(Offset aEnd, TimePoint aNow);
 
@@ -117,6 +126,9 @@
   /// When mLogEnd was last seen to be the end of the log; a claim is due one ttl plus the delay by
   /// rank later. Moved back by a ttl where a claim need not wait for the ttl.
   TimePoint mObservedAt;
+  /// End that the log itself stated last, and when the call was sent that it answered.
+  Offset mStatedEnd = 0;
+  TimePoint mStatedAt = TimePoint::min();
   std::optional<std::uint64_t> mFence;
   TimePoint mMayActFrom{};
   TimePoint mRenewedAt{};
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -17,6 +17,10 @@
 void
 DutyLease::observeEnd(Offset aEnd, TimePoint aRenewedAt)
 {
+  const bool isOwnLease = !mStopped && isValid(aRenewedAt);
+  if (isOwnLease || isRefuted(aEnd, aRenewedAt)) {
+    return;
+  }
   if (aEnd > mLogEnd) {
     dropLease(aEnd, aRenewedAt);
   } else if (aEnd == mLogEnd && !mFence) {
@@ -35,14 +39,36 @@
 DutyLease::observeLog(Offset aEnd, TimePoint aSentAt)
 {
   mLastReadAt = aSentAt;
+  recordStatedEnd(aEnd, aSentAt);
+  if (mFence) {
+    return;
+  }
   // An end that is known already says that nobody has renewed since it was observed.
-  if (!mFence && aEnd > mLogEnd) {
+  if (aEnd > mLogEnd) {
     const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
     mLogEnd = aEnd;
     mObservedAt = wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, aSentAt);
+  } else if (aEnd < mLogEnd && mObservedAt <= aSentAt) {
+    mLogEnd = aEnd;
+    mObservedAt = aSentAt;
   }
 }
 
+void
+DutyLease::recordStatedEnd(Offset aEnd, TimePoint aSentAt)
+{
+  if (aSentAt >= mStatedAt) {
+    mStatedEnd = aEnd;
+    mStatedAt = aSentAt;
+  }
+}
+
+bool
+DutyLease::isRefuted(Offset aEnd, TimePoint aNotedAt) const
+{
+  return aEnd > mStatedEnd && aNotedAt <= mStatedAt;
+}
+
 void
 DutyLease::dropLease(Offset aEnd, TimePoint aNow)
 {
@@ -55,7 +81,7 @@
 DutyLease::observeRelease(Offset aEnd, TimePoint aNow)
 {
   // If the log is known to be longer, another instance has claimed the duties since.
-  if (!mFence && aEnd >= mLogEnd) {
+  if (!mFence && aEnd >= mLogEnd && !isRefuted(aEnd, aNow)) {
     mLogEnd = aEnd;
     mObservedAt = aNow - mOptions.ttl;
   }
@@ -77,6 +103,7 @@
 DutyLease::handleAppendResult(TimePoint aSentAt, const AppendResult& aResult, TimePoint aNow)
 {
   mLastAttemptAt = aNow;
+  recordStatedEnd(aResult.logEnd, aSentAt);
   if (isRestored(aResult)) {
     handleRestored(aSentAt, aResult, aNow);
     return;
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <random>
 #include <vector>
@@ -39,6 +40,114 @@
   }
 }
 
+/// Instances act in random schedules with lost answers, late appends, pauses and restarts. With
+/// aFalseNotes, another writer states ends far beyond that of the log.
+void
+checkSchedules(bool aFalseNotes)
+{
+  constexpr int kSchedules = 2000;
+  constexpr int kSteps = 400;
+  constexpr int kInstances = 4;
+  for (int seed = 1; seed <= kSchedules; ++seed) {
+    std::mt19937 random(static_cast<unsigned>(seed));
+    const auto chance = [&](int aPercent) { return static_cast<int>(random() % 100) < aPercent; };
+    Log log;
+    std::vector<DutyLease> leases;
+    std::vector<int> pausedUntil(kInstances, 0);
+    struct DelayedAppend
+    {
+      int atMs;
+      Offset offset;
+    };
+    std::vector<DelayedAppend> delayed;
+    for (int i = 0; i < kInstances; ++i) {
+      leases.emplace_back(DutyLeaseOptions{}, true, at(0));
+      leases.back().setRank(static_cast<std::size_t>(i));
+    }
+    std::uint64_t highestFence = 0;
+    int lastActor = -1;
+    int lastActAt = -100000;
+    std::map<int, int> actedAt;
+    Offset falseEnd = 0;
+    TimePoint falseNotedAt{};
+    for (int n = 0; n < kSteps; ++n) {
+      const int now = n * 100;
+      if (aFalseNotes && chance(2)) {
+        falseEnd = log.end + 1000 + random() % 1000;
+        falseNotedAt = at(now) - Millis(random() % 5000);
+      }
+      for (auto it = delayed.begin(); it != delayed.end();) {
+        if (it->atMs <= now) {
+          log.append(it->offset);
+          it = delayed.erase(it);
+        } else {
+          ++it;
+        }
+      }
+      for (int i = 0; i < kInstances; ++i) {
+        auto& lease = leases[static_cast<std::size_t>(i)];
+        if (pausedUntil[static_cast<std::size_t>(i)] > now) {
+          continue;
+        }
+        if (chance(1)) {
+          pausedUntil[static_cast<std::size_t>(i)] = now + static_cast<int>(random() % 8000);
+          continue;
+        }
+        if (chance(1)) {
+          lease = DutyLease({}, false, at(now));
+          lease.setRank(static_cast<std::size_t>(i));
+          actedAt.erase(i);
+        }
+        if (const auto offset = lease.dueAppendOffset(at(now))) {
+          if (chance(10)) {
+            delayed.push_back({ now + static_cast<int>(random() % 6000), *offset });
+            lease.handleAppendOutcomeUnknown(at(now));
+          } else if (chance(10)) {
+            log.append(*offset);
+            lease.handleAppendOutcomeUnknown(at(now));
+          } else {
+            lease.handleAppendResult(at(now), log.append(*offset), at(now));
+          }
+        }
+        if (falseEnd != 0 && chance(50)) {
+          if (chance(20)) {
+            lease.observeRelease(falseEnd, falseNotedAt);
+          } else {
+            lease.observeEnd(falseEnd, falseNotedAt);
+          }
+        }
+        for (auto& other : leases) {
+          if (lease.holdsDuties() && &other != &lease && chance(30)) {
+            // The age of the renewal is stated; how long the update was on its way is not known.
+            const auto way = Millis(random() % 1500);
+            const auto renewedAt = chance(50) ? lease.renewedAt() + way : at(now);
+            other.observeEnd(lease.logEnd(), std::min(renewedAt, at(now)));
+          }
+          if (&other != &lease && other.isObservationDue(at(now)) && chance(50)) {
+            other.observeLog(log.end, at(now));
+          }
+        }
+        if (const auto fence = lease.fenceIfActive(at(now))) {
+          lease.recordCall(at(now));
+          BOOST_REQUIRE_MESSAGE(*fence >= highestFence, "a fence fell, seed " << seed);
+          highestFence = *fence;
+          if (lastActor != i) {
+            BOOST_REQUIRE_MESSAGE(now - lastActAt >= 1000,
+                                  "two holders acted within a call's time, seed " << seed);
+            const auto before = actedAt.find(i);
+            BOOST_REQUIRE_MESSAGE(before == actedAt.end() || now - before->second >= 3000,
+                                  "instances acted in the order A, B, A within a lease, seed "
+                                    << seed);
+          }
+          lastActor = i;
+          lastActAt = now;
+          actedAt[i] = now;
+        }
+      }
+    }
+  }
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(duty_lease)
@@ -132,6 +241,83 @@
   BOOST_TEST(claimedAtMs == 3000);
 }
 
+// Guards against a note beyond the log's end, repeated by other instances, after which nobody takes
+// the duties.
+BOOST_AUTO_TEST_CASE(note_beyond_the_log_ends_with_an_answer_of_the_log)
+{
+  const Offset ends[] = { makePosition(1, 8),
+                          makePosition(1, 1000),
+                          makePosition(7, 3),
+                          std::numeric_limits<std::int64_t>::max() };
+  for (const auto noted : ends) {
+    for (const std::size_t rank : { 0, 3 }) {
+      for (const bool release : { false, true }) {
+        Log log;
+        log.end = makePosition(1, 7);
+        DutyLease lease({}, false, at(0));
+        lease.setRank(rank);
+        lease.observeEnd(log.end, at(0));
+        int claimedAtMs = 0;
+        for (int now = 100; now < 12000 && claimedAtMs == 0; now += 100) {
+          if (release) {
+            lease.observeRelease(noted, at(100));
+          } else {
+            lease.observeEnd(noted, at(100));
+          }
+          if (lease.isObservationDue(at(now))) {
+            lease.observeLog(log.end, at(now));
+          }
+          step(lease, log, at(now));
+          claimedAtMs = lease.holdsDuties() ? now : 0;
+        }
+        BOOST_TEST(claimedAtMs >= 3000);
+      }
+    }
+  }
+}
+
+// Guards against a holder that gives up a valid lease for a note beyond the log's end.
+BOOST_AUTO_TEST_CASE(holder_with_a_valid_lease_ignores_notes)
+{
+  Log log;
+  DutyLease lease({}, true, at(0));
+  step(lease, log, at(0));
+  const auto fence = lease.fenceIfActive(at(500));
+  for (int now = 600; now < 6000; now += 100) {
+    lease.observeEnd(std::numeric_limits<std::int64_t>::max(), at(now));
+    step(lease, log, at(now));
+    BOOST_TEST((lease.fenceIfActive(at(now)) == fence));
+  }
+  // Others may have claimed since this lease expired.
+  lease.observeEnd(log.end + 1, at(9000));
+  BOOST_TEST(!lease.holdsDuties());
+}
+
+// Guards against two holders: renewals that follow an answer of the log still count.
+BOOST_AUTO_TEST_CASE(renewal_after_an_answer_of_the_log_delays_a_claim)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeEnd(1000, at(0));
+  lease.observeLog(7, at(1400));
+  BOOST_TEST(lease.logEnd() == 7U);
+  lease.observeEnd(1000, at(0));
+  BOOST_TEST(lease.logEnd() == 7U);
+  lease.observeEnd(8, at(2400));
+  BOOST_TEST(!lease.dueAppendOffset(at(5300)).has_value());
+  BOOST_TEST(lease.dueAppendOffset(at(5400)).value() == 8U);
+}
+
+// Guards against a late answer that undoes what was observed since its call was sent.
+BOOST_AUTO_TEST_CASE(late_answer_of_the_log_does_not_undo_a_later_renewal)
+{
+  DutyLease lease({}, false, at(0));
+  lease.observeEnd(7, at(0));
+  lease.observeEnd(8, at(1500));
+  lease.observeLog(7, at(1400));
+  BOOST_TEST(lease.logEnd() == 8U);
+  BOOST_TEST(lease.dueAppendOffset(at(4500)).value() == 8U);
+}
+
 // Guards against a read that counts as a renewal by the holder although nothing was renewed.
 BOOST_AUTO_TEST_CASE(reading_the_known_end_does_not_delay_a_claim)
 {
@@ -220,94 +406,13 @@
 // never fall.
 BOOST_AUTO_TEST_CASE(random_schedules_never_have_two_active_holders)
 {
-  constexpr int kSchedules = 2000;
-  constexpr int kSteps = 400;
-  constexpr int kInstances = 4;
-  for (int seed = 1; seed <= kSchedules; ++seed) {
-    std::mt19937 random(static_cast<unsigned>(seed));
-    const auto chance = [&](int aPercent) { return static_cast<int>(random() % 100) < aPercent; };
-    Log log;
-    std::vector<DutyLease> leases;
-    std::vector<int> pausedUntil(kInstances, 0);
-    struct DelayedAppend
-    {
-      int atMs;
-      Offset offset;
-    };
-    std::vector<DelayedAppend> delayed;
-    for (int i = 0; i < kInstances; ++i) {
-      leases.emplace_back(DutyLeaseOptions{}, true, at(0));
-      leases.back().setRank(static_cast<std::size_t>(i));
-    }
-    std::uint64_t highestFence = 0;
-    int lastActor = -1;
-    int lastActAt = -100000;
-    std::map<int, int> actedAt;
-    for (int n = 0; n < kSteps; ++n) {
-      const int now = n * 100;
-      for (auto it = delayed.begin(); it != delayed.end();) {
-        if (it->atMs <= now) {
-          log.append(it->offset);
-          it = delayed.erase(it);
-        } else {
-          ++it;
-        }
-      }
-      for (int i = 0; i < kInstances; ++i) {
-        auto& lease = leases[static_cast<std::size_t>(i)];
-        if (pausedUntil[static_cast<std::size_t>(i)] > now) {
-          continue;
-        }
-        if (chance(1)) {
-          pausedUntil[static_cast<std::size_t>(i)] = now + static_cast<int>(random() % 8000);
-          continue;
-        }
-        if (chance(1)) {
-          lease = DutyLease({}, false, at(now));
-          lease.setRank(static_cast<std::size_t>(i));
-          actedAt.erase(i);
-        }
-        if (const auto offset = lease.dueAppendOffset(at(now))) {
-          if (chance(10)) {
-            delayed.push_back({ now + static_cast<int>(random() % 6000), *offset });
-            lease.handleAppendOutcomeUnknown(at(now));
-          } else if (chance(10)) {
-            log.append(*offset);
-            lease.handleAppendOutcomeUnknown(at(now));
-          } else {
-            lease.handleAppendResult(at(now), log.append(*offset), at(now));
-          }
-        }
-        for (auto& other : leases) {
-          if (lease.holdsDuties() && &other != &lease && chance(30)) {
-            // The age of the renewal is stated; how long the update was on its way is not known.
-            const auto way = Millis(random() % 1500);
-            const auto renewedAt = chance(50) ? lease.renewedAt() + way : at(now);
-            other.observeEnd(lease.logEnd(), std::min(renewedAt, at(now)));
-          }
-          if (&other != &lease && other.isObservationDue(at(now)) && chance(50)) {
-            other.observeLog(log.end, at(now));
-          }
-        }
-        if (const auto fence = lease.fenceIfActive(at(now))) {
-          lease.recordCall(at(now));
-          BOOST_REQUIRE_MESSAGE(*fence >= highestFence, "a fence fell, seed " << seed);
-          highestFence = *fence;
-          if (lastActor != i) {
-            BOOST_REQUIRE_MESSAGE(now - lastActAt >= 1000,
-                                  "two holders acted within a call's time, seed " << seed);
-            const auto before = actedAt.find(i);
-            BOOST_REQUIRE_MESSAGE(before == actedAt.end() || now - before->second >= 3000,
-                                  "instances acted in the order A, B, A within a lease, seed "
-                                    << seed);
-          }
-          lastActor = i;
-          lastActAt = now;
-          actedAt[i] = now;
-        }
-      }
-    }
-  }
+  checkSchedules(false);
+}
+
+// Guards against two active holders where false notes displace true ones.
+BOOST_AUTO_TEST_CASE(false_notes_never_make_two_active_holders)
+{
+  checkSchedules(true);
 }
 
 // Guards against two holders after the store was restored from a copy that lacks the holder's last
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -162,6 +162,17 @@
   return out;
 }
 
+/// Appends an update of another instance that states this end of the log of claims.
+void
+appendClaimsEnd(RouteDeployment& aDeployment, std::int64_t aEnd)
+{
+  const nlohmann::json update{ { "i", "other" },           { "d", "fd-a" }, { "n", 1 }, { "q", 1 },
+                               { "t", 1'790'000'000'000 }, { "h", aEnd },   { "r", 0 } };
+  std::string bytes;
+  nlohmann::json::to_cbor(update, bytes);
+  aDeployment.store().append("board", bytes);
+}
+
 } // namespace
 
 // Guards against an entry of another writer among those of the servers that
@@ -287,16 +298,7 @@
 BOOST_AUTO_TEST_CASE(routes_claims_end_beyond_the_log_stops_no_duty)
 {
   RouteDeployment deployment(1, 1);
-  const nlohmann::json update{ { "i", "other" },
-                               { "d", "fd-a" },
-                               { "n", 1 },
-                               { "q", 1 },
-                               { "t", 1'790'000'000'000 },
-                               { "h", std::numeric_limits<std::int64_t>::max() },
-                               { "r", 0 } };
-  std::string bytes;
-  nlohmann::json::to_cbor(update, bytes);
-  deployment.store().append("board", bytes);
+  appendClaimsEnd(deployment, std::numeric_limits<std::int64_t>::max());
   std::this_thread::sleep_for(Millis(6000));
   const auto before = deployment.store().dutyCalls().size();
   BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
@@ -304,6 +306,23 @@
     waitUntil(Millis(12000), [&] { return deployment.store().dutyCalls().size() > before; }));
 }
 
+// Guards against such a record that keeps an instance from taking over the duties of one that was
+// killed.
+BOOST_AUTO_TEST_CASE(routes_claims_end_beyond_the_log_stops_no_takeover)
+{
+  RouteDeployment deployment(1, 1);
+  BOOST_TEST_REQUIRE(
+    waitUntil(Millis(12000), [&] { return !deployment.store().dutyCalls().empty(); }));
+  deployment.instance(0).kill();
+  const auto before = deployment.store().dutyCalls().size();
+  appendClaimsEnd(deployment, 1'000'000);
+  appendClaimsEnd(deployment, std::numeric_limits<std::int64_t>::max());
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  BOOST_TEST(
+    waitUntil(Millis(18000), [&] { return deployment.store().dutyCalls().size() > before; }));
+}
+
 // Guards against a configuration with a number out of range that ends the
 // process or is taken in part.
 BOOST_AUTO_TEST_CASE(routes_odd_operator_records_change_nothing)
