--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -230,6 +230,21 @@
   checkServesAndFollows(deployment);
 }
 
+// Guards against keys that are not UTF-8 and make the lists unreadable for an instance that starts.
+BOOST_AUTO_TEST_CASE(routes_start_beside_keys_that_are_not_utf8)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  deployment.store().setRawKeys(true);
+  for (const auto* topic : { "keyed.servers", "keyed.op", "keyed.agents", "keyed.state" }) {
+    deployment.store().put(topic, "\xff\xfe", entryWith("", ""));
+  }
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
 // Guards against a record in the logs that instances share that ends each
 // process that reads it.
 BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing)
--- a/test/routes/store_logs.cpp
+++ b/test/routes/store_logs.cpp
@@ -37,6 +37,19 @@
   return out;
 }
 
+/// Escapes what has to be escaped in a JSON string, and leaves bytes that are not ASCII.
+std::string
+escapeAscii(const std::string& aText)
+{
+  std::string out;
+  for (const char c : aText) {
+    const bool isAscii = static_cast<unsigned char>(c) < 0x80;
+    const auto quoted = isAscii ? json(std::string(1, c)).dump() : std::string();
+    out += isAscii ? quoted.substr(1, quoted.size() - 2) : std::string(1, c);
+  }
+  return out;
+}
+
 }
 
 std::uint64_t
@@ -93,6 +106,22 @@
   return page;
 }
 
+std::string
+StoreLogs::rawNewestPage(const std::string& aTopic) const
+{
+  auto page = newestPage(aTopic);
+  const auto entries = page["entries"];
+  page.erase("entries");
+  std::string rows;
+  for (auto row : entries) {
+    const auto key = row["key"].get<std::string>();
+    row.erase("key");
+    rows += rows.empty() ? "" : ",";
+    rows += "{\"key\":\"" + escapeAscii(key) + "\"," + row.dump().substr(1);
+  }
+  return "{\"entries\":[" + rows + "]," + page.dump().substr(1);
+}
+
 void
 StoreLogs::append(const std::string& aTopic, const std::string& aContent)
 {
--- a/test/routes/store_logs.hpp
+++ b/test/routes/store_logs.hpp
@@ -25,6 +25,8 @@
   /// Records from aFrom on, as a read returns them; holds() must be true.
   std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
   nlohmann::json newestPage(const std::string& aTopic) const;
+  /// The same as text, with the bytes of the keys as they are: no valid JSON if one is not UTF-8.
+  std::string rawNewestPage(const std::string& aTopic) const;
 
   /// A record as it is in the body of an append, without its length.
   void append(const std::string& aTopic, const std::string& aContent);
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -189,6 +189,13 @@
   mReadRate = aBytesPerSecond;
 }
 
+void
+StoreStandin::setRawKeys(bool aRaw)
+{
+  const std::lock_guard lock(mMutex);
+  mRawKeys = aRaw;
+}
+
 std::int64_t
 StoreStandin::reserveRead(std::size_t aBytes)
 {
@@ -266,15 +273,17 @@
     co_return co_await append(aSocket, aRequest);
   }
   if (path == "/log-newest") {
-    json page;
+    std::string page;
     std::uint64_t era = 0;
     {
       const std::lock_guard lock(mMutex);
-      page = mLogs.newestPage(queryText(aRequest, "topic"));
+      const auto topic = queryText(aRequest, "topic");
+      page = mRawKeys
+               ? mLogs.rawNewestPage(topic)
+               : mLogs.newestPage(topic).dump(-1, ' ', false, json::error_handler_t::replace);
       era = mLogs.era();
     }
-    co_return co_await respondPaced(
-      aSocket, aRequest, page.dump(-1, ' ', false, json::error_handler_t::replace), era);
+    co_return co_await respondPaced(aSocket, aRequest, std::move(page), era);
   }
   DutyCall call;
   call.path = path;
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -41,6 +41,9 @@
   void compact(const std::string& aTopic);
   /// All reads of whole topics together get this many bytes a second; 0: as many as there are.
   void setReadRate(std::size_t aBytesPerSecond);
+  /// Lists of newest records have the bytes of the keys as they are, so that a list is no valid
+  /// JSON if one is not UTF-8; otherwise U+FFFD replaces them.
+  void setRawKeys(bool aRaw);
   /// Remembers the whole content for restore(), as it is now.
   void snapshot();
   /// Puts all topics back to the snapshot, raises Store-Era and breaks calls that wait off. What
@@ -82,6 +85,7 @@
   bool mAway = false;
   int mLoseAnswers = 0;
   std::size_t mReadRate = 0;
+  bool mRawKeys = false;
   /// When the bytes that were sent are through, in ms of ledgerMillis().
   double mReadUntilMs = 0.0;
   std::string mAddress;
