LOST: a page that ends with an odd key is passed

An instance that starts beside a page of a list whose last key is empty, with more to follow, did not serve: the next page was requested after the empty key, which asks for the first page again, without end and without a pause (31,405 calls in 3 s where the stand-in repeats a page). After a key that is not UTF-8 the next page was requested after its replacement, which may leave rows out.

The next page now starts after the last key of the page that is stated as the store has it; rows after it come again, which changes nothing. A list in which a start of a page repeats is a failure, which has its pauses, and no list that lacks rows.

The stand-in for the store gives its lists in pages.

--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -85,12 +85,14 @@
   std::vector<Record> records;
 };
 
-/// One page of a keyed log's newest record of each key; the next page starts after its last key.
+/// One page of a keyed log's newest record of each key.
 struct NewestPage
 {
   std::vector<Record> records;
   /// Further pages follow.
   bool more = false;
+  /// Key after which the next page starts; it may repeat rows. Empty without rows.
+  std::string resumeAfter;
   /// End of the log when the page was read.
   Offset logEnd = 0;
 };
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -1,5 +1,7 @@
 #include "store_client.hpp"
 
+#include <set>
+
 namespace mustardplank::daemon {
 
 namespace asio = boost::asio;
@@ -23,6 +25,7 @@
 {
   control::NewestPage all;
   std::string after;
+  std::set<std::string> resumed;
   bool first = true;
   do {
     auto call = mDialect.makeNewestCall(aTopic, after);
@@ -45,9 +48,10 @@
       co_return Failure{ control::FailureKind::Unknown, "the store was restored" };
     }
     all.more = records.more && !records.records.empty();
-    if (all.more) {
-      after = records.records.back().key;
+    if (all.more && !resumed.insert(records.resumeAfter).second) {
+      co_return Failure{ control::FailureKind::Unknown, "a page of the list repeats" };
     }
+    after = records.resumeAfter;
     for (auto& it : records.records) {
       all.records.push_back(std::move(it));
     }
--- a/src/mustardplank/base/json_text.cpp
+++ b/src/mustardplank/base/json_text.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::string_view kReplacement = "\xef\xbf\xbd";
 /// Length of an escape such as \ufffd.
 constexpr std::size_t kEscapeSize = 6;
 
@@ -95,7 +94,7 @@
       out += aJson.substr(0, size);
       aJson.remove_prefix(size);
     } else {
-      out += kReplacement;
+      out += kReplacementCharacter;
       aJson.remove_prefix(isEscape ? kEscapeSize : 1);
     }
   }
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -245,6 +245,41 @@
   checkServesAndFollows(deployment);
 }
 
+// Guards against a page that is read again and again as its last key is empty.
+BOOST_AUTO_TEST_CASE(routes_start_beside_a_page_that_ends_with_an_empty_key)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  for (const auto* topic : { "keyed.servers", "keyed.op", "keyed.agents", "keyed.state" }) {
+    deployment.store().put(topic, "", entryWith("", ""));
+  }
+  deployment.store().setPageRows(1);
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
+// Guards against calls without pause, and without end, for a page that repeats.
+BOOST_AUTO_TEST_CASE(routes_repeated_page_is_not_requested_without_end)
+{
+  constexpr std::size_t kMaxCalls = 200;
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  deployment.store().setPageRows(1);
+  deployment.store().setRepeatFirstPage(true);
+  deployment.store().put("keyed.op", "evacuate/fd-z", "{}");
+  deployment.store().put("keyed.servers", "odd", "{}");
+  deployment.instance(0).kill();
+  const auto before = deployment.store().pageCalls();
+  deployment.startInstance(0);
+  std::this_thread::sleep_for(Millis(3000));
+  BOOST_TEST(deployment.store().pageCalls() - before <= kMaxCalls);
+  deployment.store().setRepeatFirstPage(false);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
 // Guards against a record in the logs that instances share that ends each
 // process that reads it.
 BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing)
--- a/test/routes/store_logs.cpp
+++ b/test/routes/store_logs.cpp
@@ -52,6 +52,21 @@
 
 }
 
+std::string
+rawPage(json aPage)
+{
+  const auto entries = aPage["entries"];
+  aPage.erase("entries");
+  std::string rows;
+  for (auto row : entries) {
+    const auto key = row["key"].get<std::string>();
+    row.erase("key");
+    rows += rows.empty() ? "" : ",";
+    rows += "{\"key\":\"" + escapeAscii(key) + "\"," + row.dump().substr(1);
+  }
+  return "{\"entries\":[" + rows + "]," + aPage.dump().substr(1);
+}
+
 std::uint64_t
 StoreLogs::startOf(const std::string& aTopic) const
 {
@@ -91,13 +106,22 @@
 }
 
 json
-StoreLogs::newestPage(const std::string& aTopic) const
+StoreLogs::newestPage(const std::string& aTopic,
+                      const std::string& aAfter,
+                      std::size_t aMaxRows) const
 {
   json page{ { "hasMore", false }, { "endOffset", endOf(aTopic) } };
   page["entries"] = json::array();
   const auto it = mLogs.find(aTopic);
   if (it != mLogs.end()) {
     for (const auto& [key, entry] : it->second.newest) {
+      if (!aAfter.empty() && key <= aAfter) {
+        continue;
+      }
+      if (page["entries"].size() == aMaxRows) {
+        page["hasMore"] = true;
+        break;
+      }
       json row{ { "key", key }, { "offset", entry.first } };
       row["value"] = toBase64(entry.second);
       page["entries"].push_back(std::move(row));
@@ -106,22 +130,6 @@
   return page;
 }
 
-std::string
-StoreLogs::rawNewestPage(const std::string& aTopic) const
-{
-  auto page = newestPage(aTopic);
-  const auto entries = page["entries"];
-  page.erase("entries");
-  std::string rows;
-  for (auto row : entries) {
-    const auto key = row["key"].get<std::string>();
-    row.erase("key");
-    rows += rows.empty() ? "" : ",";
-    rows += "{\"key\":\"" + escapeAscii(key) + "\"," + row.dump().substr(1);
-  }
-  return "{\"entries\":[" + rows + "]," + page.dump().substr(1);
-}
-
 void
 StoreLogs::append(const std::string& aTopic, const std::string& aContent)
 {
--- a/test/routes/store_logs.hpp
+++ b/test/routes/store_logs.hpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -11,6 +12,10 @@
 
 namespace mustardplank::routes {
 
+/// A page as text, with the bytes of the keys as they are: no valid JSON if one is not UTF-8.
+std::string
+rawPage(nlohmann::json aPage);
+
 /// The content of the store's topics, which can be put back to an older copy. The operator and the
 /// servers write what the copy lacks again: the newest record of each key.
 class StoreLogs
@@ -24,9 +29,10 @@
   bool holds(const std::string& aTopic, std::uint64_t aFrom) const;
   /// Records from aFrom on, as a read returns them; holds() must be true.
   std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
-  nlohmann::json newestPage(const std::string& aTopic) const;
-  /// The same as text, with the bytes of the keys as they are: no valid JSON if one is not UTF-8.
-  std::string rawNewestPage(const std::string& aTopic) const;
+  /// The newest record of each key after aAfter, up to so many.
+  nlohmann::json newestPage(const std::string& aTopic,
+                            const std::string& aAfter,
+                            std::size_t aMaxRows) const;
 
   /// A record as it is in the body of an append, without its length.
   void append(const std::string& aTopic, const std::string& aContent);
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -31,6 +31,19 @@
   return target.substr(begin, target.find('&', begin) - begin);
 }
 
+std::string
+percentDecode(const std::string& aText)
+{
+  std::string out;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const bool isEncoded = aText[i] == '%' && i + 2 < aText.size();
+    out +=
+      isEncoded ? static_cast<char>(std::stoul(aText.substr(i + 1, 2), nullptr, 16)) : aText[i];
+    i += isEncoded ? 2 : 0;
+  }
+  return out;
+}
+
 http::response<http::string_body>
 answerOf(const Request& aRequest, unsigned aStatus, std::string aBody, std::uint64_t aEra)
 {
@@ -196,6 +209,27 @@
   mRawKeys = aRaw;
 }
 
+void
+StoreStandin::setPageRows(std::size_t aRows)
+{
+  const std::lock_guard lock(mMutex);
+  mPageRows = aRows;
+}
+
+void
+StoreStandin::setRepeatFirstPage(bool aRepeat)
+{
+  const std::lock_guard lock(mMutex);
+  mRepeatFirstPage = aRepeat;
+}
+
+std::size_t
+StoreStandin::pageCalls() const
+{
+  const std::lock_guard lock(mMutex);
+  return mPageCalls;
+}
+
 std::int64_t
 StoreStandin::reserveRead(std::size_t aBytes)
 {
@@ -277,10 +311,11 @@
     std::uint64_t era = 0;
     {
       const std::lock_guard lock(mMutex);
-      const auto topic = queryText(aRequest, "topic");
-      page = mRawKeys
-               ? mLogs.rawNewestPage(topic)
-               : mLogs.newestPage(topic).dump(-1, ' ', false, json::error_handler_t::replace);
+      ++mPageCalls;
+      const auto after = mRepeatFirstPage ? "" : percentDecode(queryText(aRequest, "after"));
+      auto rows = mLogs.newestPage(queryText(aRequest, "topic"), after, mPageRows);
+      page = mRawKeys ? rawPage(std::move(rows))
+                      : rows.dump(-1, ' ', false, json::error_handler_t::replace);
       era = mLogs.era();
     }
     co_return co_await respondPaced(aSocket, aRequest, std::move(page), era);
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -44,6 +44,12 @@
   /// Lists of newest records have the bytes of the keys as they are, so that a list is no valid
   /// JSON if one is not UTF-8; otherwise U+FFFD replaces them.
   void setRawKeys(bool aRaw);
+  /// Rows of a page of a list of newest records.
+  void setPageRows(std::size_t aRows);
+  /// Answers each call for a page with the first one.
+  void setRepeatFirstPage(bool aRepeat);
+  /// Calls for a page so far.
+  std::size_t pageCalls() const;
   /// Remembers the whole content for restore(), as it is now.
   void snapshot();
   /// Puts all topics back to the snapshot, raises Store-Era and breaks calls that wait off. What
@@ -86,6 +92,9 @@
   int mLoseAnswers = 0;
   std::size_t mReadRate = 0;
   bool mRawKeys = false;
+  std::size_t mPageRows = 500;
+  bool mRepeatFirstPage = false;
+  std::size_t mPageCalls = 0;
   /// When the bytes that were sent are through, in ms of ledgerMillis().
   double mReadUntilMs = 0.0;
   std::string mAddress;
