--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -17,6 +17,10 @@
 void
 DutyLease::observeEnd(Offset aEnd, TimePoint aRenewedAt)
 {
+  const bool isOwnLease = !mStopped && isValid(aRenewedAt);
+  if (isOwnLease || isRefuted(aEnd, aRenewedAt)) {
+    return;
+  }
   if (aEnd > mLogEnd) {
     dropLease(aEnd, aRenewedAt);
   } else if (aEnd == mLogEnd && !mFence) {
@@ -35,17 +39,40 @@
 DutyLease::observeLog(Offset aEnd, TimePoint aSentAt, TimePoint aReceivedAt)
 {
   mLastReadAt = aSentAt;
+  recordStatedEnd(aEnd, aSentAt);
+  if (mFence) {
+    return;
+  }
   // An end that is known already says that nobody has renewed since it was observed.
-  if (!mFence && aEnd > mLogEnd) {
+  if (aEnd > mLogEnd) {
     const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
     // A renewal of an earlier era that a restored log lacks may have been sent after the read.
     const bool isRestored = eraOf(aEnd) > std::max(eraOf(mLogEnd), kFirstEra);
     mLogEnd = aEnd;
     mObservedAt =
       wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, isRestored ? aReceivedAt : aSentAt);
+  } else if (aEnd < mLogEnd && mObservedAt <= aSentAt) {
+    // Whether the log was restored meanwhile is not known beside a false end.
+    mLogEnd = aEnd;
+    mObservedAt = aReceivedAt;
   }
 }
 
+void
+DutyLease::recordStatedEnd(Offset aEnd, TimePoint aSentAt)
+{
+  if (aSentAt >= mStatedAt) {
+    mStatedEnd = aEnd;
+    mStatedAt = aSentAt;
+  }
+}
+
+bool
+DutyLease::isRefuted(Offset aEnd, TimePoint aNotedAt) const
+{
+  return aEnd > mStatedEnd && aNotedAt <= mStatedAt;
+}
+
 void
 DutyLease::dropLease(Offset aEnd, TimePoint aNow)
 {
@@ -58,7 +85,7 @@
 DutyLease::observeRelease(Offset aEnd, TimePoint aNow)
 {
   // If the log is known to be longer, another instance has claimed the duties since.
-  if (!mFence && aEnd >= mLogEnd) {
+  if (!mFence && aEnd >= mLogEnd && !isRefuted(aEnd, aNow)) {
     mLogEnd = aEnd;
     mObservedAt = aNow - mOptions.ttl;
   }
@@ -83,6 +110,7 @@
                               TimePoint aNow)
 {
   mLastAttemptAt = aNow;
+  recordStatedEnd(aResult.logEnd, aSentAt);
   if (isRestored(aAt, aResult)) {
     handleRestored(aSentAt, aResult, aNow);
     return;
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -162,6 +162,17 @@
   return out;
 }
 
+/// Appends an update of another instance that states this end of the log of claims.
+void
+appendClaimsEnd(RouteDeployment& aDeployment, std::int64_t aEnd)
+{
+  const nlohmann::json update{ { "i", "other" },           { "d", "fd-a" }, { "n", 1 }, { "q", 1 },
+                               { "t", 1'790'000'000'000 }, { "h", aEnd },   { "r", 0 } };
+  std::string bytes;
+  nlohmann::json::to_cbor(update, bytes);
+  aDeployment.store().append("board", bytes);
+}
+
 } // namespace
 
 // Guards against an entry of another writer among those of the servers that
@@ -219,6 +230,56 @@
   checkServesAndFollows(deployment);
 }
 
+// Guards against keys that are not UTF-8 and make the lists unreadable for an instance that starts.
+BOOST_AUTO_TEST_CASE(routes_start_beside_keys_that_are_not_utf8)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  deployment.store().setRawKeys(true);
+  for (const auto* topic : { "keyed.servers", "keyed.op", "keyed.agents", "keyed.state" }) {
+    deployment.store().put(topic, "\xff\xfe", entryWith("", ""));
+  }
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
+// Guards against a page that is read again and again as its last key is empty.
+BOOST_AUTO_TEST_CASE(routes_start_beside_a_page_that_ends_with_an_empty_key)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  for (const auto* topic : { "keyed.servers", "keyed.op", "keyed.agents", "keyed.state" }) {
+    deployment.store().put(topic, "", entryWith("", ""));
+  }
+  deployment.store().setPageRows(1);
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
+// Guards against calls without pause, and without end, for a page that repeats.
+BOOST_AUTO_TEST_CASE(routes_repeated_page_is_not_requested_without_end)
+{
+  constexpr std::size_t kMaxCalls = 200;
+  RouteDeployment deployment(2, 1);
+  deployment.removeServer(1);
+  deployment.store().setPageRows(1);
+  deployment.store().setRepeatFirstPage(true);
+  deployment.store().put("keyed.op", "evacuate/fd-z", "{}");
+  deployment.store().put("keyed.servers", "odd", "{}");
+  deployment.instance(0).kill();
+  const auto before = deployment.store().pageCalls();
+  deployment.startInstance(0);
+  std::this_thread::sleep_for(Millis(3000));
+  BOOST_TEST(deployment.store().pageCalls() - before <= kMaxCalls);
+  deployment.store().setRepeatFirstPage(false);
+  deployment.awaitServing();
+  checkServesAndFollows(deployment);
+}
+
 // Guards against a record in the logs that instances share that ends each
 // process that reads it.
 BOOST_AUTO_TEST_CASE(routes_deeply_nested_records_change_nothing)
@@ -287,16 +348,7 @@
 BOOST_AUTO_TEST_CASE(routes_claims_end_beyond_the_log_stops_no_duty)
 {
   RouteDeployment deployment(1, 1);
-  const nlohmann::json update{ { "i", "other" },
-                               { "d", "fd-a" },
-                               { "n", 1 },
-                               { "q", 1 },
-                               { "t", 1'790'000'000'000 },
-                               { "h", std::numeric_limits<std::int64_t>::max() },
-                               { "r", 0 } };
-  std::string bytes;
-  nlohmann::json::to_cbor(update, bytes);
-  deployment.store().append("board", bytes);
+  appendClaimsEnd(deployment, std::numeric_limits<std::int64_t>::max());
   std::this_thread::sleep_for(Millis(6000));
   const auto before = deployment.store().dutyCalls().size();
   BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
@@ -304,6 +356,23 @@
     waitUntil(Millis(12000), [&] { return deployment.store().dutyCalls().size() > before; }));
 }
 
+// Guards against such a record that keeps an instance from taking over the duties of one that was
+// killed.
+BOOST_AUTO_TEST_CASE(routes_claims_end_beyond_the_log_stops_no_takeover)
+{
+  RouteDeployment deployment(1, 1);
+  BOOST_TEST_REQUIRE(
+    waitUntil(Millis(12000), [&] { return !deployment.store().dutyCalls().empty(); }));
+  deployment.instance(0).kill();
+  const auto before = deployment.store().dutyCalls().size();
+  appendClaimsEnd(deployment, 1'000'000);
+  appendClaimsEnd(deployment, std::numeric_limits<std::int64_t>::max());
+  deployment.startInstance(0);
+  deployment.awaitServing();
+  BOOST_TEST(
+    waitUntil(Millis(18000), [&] { return deployment.store().dutyCalls().size() > before; }));
+}
+
 // Guards against a configuration with a number out of range that ends the
 // process or is taken in part.
 BOOST_AUTO_TEST_CASE(routes_odd_operator_records_change_nothing)
--- a/test/routes/store_logs.cpp
+++ b/test/routes/store_logs.cpp
@@ -37,6 +37,34 @@
   return out;
 }
 
+/// Escapes what has to be escaped in a JSON string, and leaves bytes that are not ASCII.
+std::string
+escapeAscii(const std::string& aText)
+{
+  std::string out;
+  for (const char c : aText) {
+    const bool isAscii = static_cast<unsigned char>(c) < 0x80;
+    const auto quoted = isAscii ? json(std::string(1, c)).dump() : std::string();
+    out += isAscii ? quoted.substr(1, quoted.size() - 2) : std::string(1, c);
+  }
+  return out;
+}
+
+}
+
+std::string
+rawPage(json aPage)
+{
+  const auto entries = aPage["entries"];
+  aPage.erase("entries");
+  std::string rows;
+  for (auto row : entries) {
+    const auto key = row["key"].get<std::string>();
+    row.erase("key");
+    rows += rows.empty() ? "" : ",";
+    rows += "{\"key\":\"" + escapeAscii(key) + "\"," + row.dump().substr(1);
+  }
+  return "{\"entries\":[" + rows + "]," + aPage.dump().substr(1);
 }
 
 std::uint64_t
@@ -78,13 +106,22 @@
 }
 
 json
-StoreLogs::newestPage(const std::string& aTopic) const
+StoreLogs::newestPage(const std::string& aTopic,
+                      const std::string& aAfter,
+                      std::size_t aMaxRows) const
 {
   json page{ { "hasMore", false }, { "endOffset", endOf(aTopic) } };
   page["entries"] = json::array();
   const auto it = mLogs.find(aTopic);
   if (it != mLogs.end()) {
     for (const auto& [key, entry] : it->second.newest) {
+      if (!aAfter.empty() && key <= aAfter) {
+        continue;
+      }
+      if (page["entries"].size() == aMaxRows) {
+        page["hasMore"] = true;
+        break;
+      }
       json row{ { "key", key }, { "offset", entry.first } };
       row["value"] = toBase64(entry.second);
       page["entries"].push_back(std::move(row));
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -31,6 +31,19 @@
   return target.substr(begin, target.find('&', begin) - begin);
 }
 
+std::string
+percentDecode(const std::string& aText)
+{
+  std::string out;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const bool isEncoded = aText[i] == '%' && i + 2 < aText.size();
+    out +=
+      isEncoded ? static_cast<char>(std::stoul(aText.substr(i + 1, 2), nullptr, 16)) : aText[i];
+    i += isEncoded ? 2 : 0;
+  }
+  return out;
+}
+
 http::response<http::string_body>
 answerOf(const Request& aRequest, unsigned aStatus, std::string aBody, std::uint64_t aEra)
 {
@@ -189,6 +202,34 @@
   mReadRate = aBytesPerSecond;
 }
 
+void
+StoreStandin::setRawKeys(bool aRaw)
+{
+  const std::lock_guard lock(mMutex);
+  mRawKeys = aRaw;
+}
+
+void
+StoreStandin::setPageRows(std::size_t aRows)
+{
+  const std::lock_guard lock(mMutex);
+  mPageRows = aRows;
+}
+
+void
+StoreStandin::setRepeatFirstPage(bool aRepeat)
+{
+  const std::lock_guard lock(mMutex);
+  mRepeatFirstPage = aRepeat;
+}
+
+std::size_t
+StoreStandin::pageCalls() const
+{
+  const std::lock_guard lock(mMutex);
+  return mPageCalls;
+}
+
 std::int64_t
 StoreStandin::reserveRead(std::size_t aBytes)
 {
@@ -266,15 +307,18 @@
     co_return co_await append(aSocket, aRequest);
   }
   if (path == "/log-newest") {
-    json page;
+    std::string page;
     std::uint64_t era = 0;
     {
       const std::lock_guard lock(mMutex);
-      page = mLogs.newestPage(queryText(aRequest, "topic"));
+      ++mPageCalls;
+      const auto after = mRepeatFirstPage ? "" : percentDecode(queryText(aRequest, "after"));
+      auto rows = mLogs.newestPage(queryText(aRequest, "topic"), after, mPageRows);
+      page = mRawKeys ? rawPage(std::move(rows))
+                      : rows.dump(-1, ' ', false, json::error_handler_t::replace);
       era = mLogs.era();
     }
-    co_return co_await respondPaced(
-      aSocket, aRequest, page.dump(-1, ' ', false, json::error_handler_t::replace), era);
+    co_return co_await respondPaced(aSocket, aRequest, std::move(page), era);
   }
   DutyCall call;
   call.path = path;
