LOST: a server whose entry stays malformed is not used for good

Where another writer replaces the entry of a server by an odd one, and renews it, requests went on to the server as it was before, also after it has ended or moved, until the key was removed: in the test all of ten. The users' pages say that such an entry names no server to use.

The server keeps its last well-formed entry for 10 s, in which it mostly renews its own; removing it at once would let one odd entry take a working server out (malformed_entry_changes_nothing, which stays as it is). Then it counts as gone, but only after a read at that time or later, and not within the grace period after an outage: while the store is away a server cannot write. With a well-formed entry, changed or not, it stays or comes back at once.

On the code before, routes_server_whose_entry_stays_malformed_is_not_used failed (11 requests at the server instead of 1), and in server_registry server_whose_entry_stays_malformed_is_removed and server_with_a_malformed_entry_is_not_removed_in_an_outage (no removal). They pass now.

--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -34,6 +34,9 @@
 /// the servers have written them again. Entries of such a copy by which a draining or removed
 /// server would take requests again are held back for kRestoreGrace, unless the log has newer ones;
 /// servers that it lacks have time to reappear, as after an outage.
+///
+/// A malformed entry of another writer may replace that of a server, which goes on renewing its
+/// own: the server keeps its last well-formed entry for kMalformedGrace.
 class ServerRegistry
 {
 public:
@@ -41,6 +44,9 @@
   static constexpr Duration kReappearGrace = Millis(2000);
   /// Time after a restoration within which servers write their entries again.
   static constexpr Duration kRestoreGrace = Millis(4000);
+  /// Time within which a server whose entry became malformed writes it again; longer than the
+  /// platform keeps the entry of a silent server.
+  static constexpr Duration kMalformedGrace = Seconds(10);
   /// A removed server is remembered for this long.
   static constexpr Duration kRemovalMemory = Seconds(60);
   /// Time without a successful read after which the next read counts as the end of an outage,
@@ -66,8 +72,8 @@
   /// A read of the store succeeded, by this instance or one that hands on what it reads. Call
   /// before apply() or applyFullList().
   void recordRead(TimePoint aNow);
-  /// Removes servers whose entries have not reappeared within the grace period, and applies entries
-  /// that were held back and have not changed since.
+  /// Removes servers whose entries have not reappeared, or are still malformed, after the grace
+  /// period, and applies entries that were held back and have not changed since.
   std::vector<ServerEvent> tick(const StoreDialect& aDialect, TimePoint aNow);
 
   const std::map<BackendServerId, route::BackendServer>& servers() const { return mServers; }
@@ -94,6 +100,8 @@
   std::map<BackendServerId, std::uint64_t> mDigests;
   /// Removals deferred until the given time, in case the entry reappears.
   std::map<BackendServerId, TimePoint> mPendingRemovals;
+  /// Servers whose newest entry is malformed, with the end of kMalformedGrace.
+  std::map<BackendServerId, TimePoint> mMalformedUntil;
   Duration mOutageThreshold;
   std::optional<TimePoint> mLastReadAt;
   std::optional<TimePoint> mGraceUntil;
--- a/src/mustardplank/control/server_registry.cpp
+++ b/src/mustardplank/control/server_registry.cpp
@@ -35,6 +35,7 @@
   aEvents.emplace_back(ServerRemoved{ aId, it->second.address });
   mRemoved[aId] = { it->second.startTimeMs, aNow };
   mPendingRemovals.erase(aId);
+  mMalformedUntil.erase(aId);
   mDigests.erase(aId);
   const auto address = mByAddress.find(it->second.address);
   if (address != mByAddress.end() && address->second == aId) {
@@ -55,6 +56,7 @@
   const auto known = mDigests.find(id);
   if (known != mDigests.end() && known->second == digest) {
     mPendingRemovals.erase(id);
+    mMalformedUntil.erase(id);
     mHeldBack.erase(id);
     return;
   }
@@ -66,6 +68,9 @@
       .field("offset", aRecord.offset)
       .field("detail", findings.text())
       .write();
+    if (mServers.contains(id)) {
+      mMalformedUntil.try_emplace(id, aNow + kMalformedGrace);
+    }
     return;
   }
   if (aSource == RecordSource::RestoredCopy && mayBeOutdated(*server)) {
@@ -87,12 +92,14 @@
       // renewals.
       aEvents.emplace_back(ServerRemoved{ old->first, old->second.address });
       mPendingRemovals.erase(old->first);
+      mMalformedUntil.erase(old->first);
       mDigests.erase(old->first);
       mServers.erase(old);
     }
   }
   mByAddress[server->address] = server->id;
   mPendingRemovals.erase(server->id);
+  mMalformedUntil.erase(server->id);
   mDigests[server->id] = digest;
   mServers[server->id] = *server;
   aEvents.emplace_back(ServerUpdated{ std::move(*server) });
@@ -174,6 +181,13 @@
       due.push_back(id);
     }
   }
+  // Only a read shows that the server has not written its entry again.
+  const bool mayReappear = mGraceUntil && aNow < *mGraceUntil;
+  for (const auto& [id, until] : mMalformedUntil) {
+    if (!mayReappear && mLastReadAt >= until) {
+      due.push_back(id);
+    }
+  }
   for (const auto& it : due) {
     removeOrDefer(it, aNow, std::nullopt, events);
   }
--- a/src/mustardplank/control/server_registry_test.cpp
+++ b/src/mustardplank/control/server_registry_test.cpp
@@ -125,6 +125,50 @@
   BOOST_TEST(registry.servers().size() == 1U);
 }
 
+// Guards against requests to a server whose entry is malformed for good, as another writer renews
+// it, and against a server that does not come back when it writes its entry again.
+BOOST_AUTO_TEST_CASE(server_whose_entry_stays_malformed_is_removed)
+{
+  const auto end = at(10) + ServerRegistry::kMalformedGrace;
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "ready" } }, makeDialect(), at(0));
+  registry.apply({ { 2, "a", "bad" }, { 3, "b", "bad" } }, makeDialect(), at(10));
+  registry.apply({ { 4, "a", "bad" } }, makeDialect(), at(1000));
+  // A renewal without changes keeps the server.
+  registry.apply({ { 5, "b", "ready" } }, makeDialect(), at(1100));
+  for (auto now = at(1000); now < end; now += Millis(1000)) {
+    registry.recordRead(now);
+    BOOST_TEST(registry.tick(makeDialect(), now).empty());
+  }
+  BOOST_TEST(registry.tick(makeDialect(), end).empty());
+  registry.recordRead(end);
+  BOOST_TEST(countRemoved(registry.tick(makeDialect(), end)) == 1U);
+  BOOST_TEST(registry.servers().count(BackendServerId("b")) == 1U);
+  BOOST_TEST(registry.servers().size() == 1U);
+  BOOST_TEST(registry.apply({ { 6, "a", "ready" } }, makeDialect(), end + Millis(10)).size() == 1U);
+  BOOST_TEST(registry.tick(makeDialect(), end + Seconds(60)).empty());
+  BOOST_TEST(registry.servers().size() == 2U);
+}
+
+// Guards against a server that is removed in an outage, in which it cannot write its entry again.
+BOOST_AUTO_TEST_CASE(server_with_a_malformed_entry_is_not_removed_in_an_outage)
+{
+  const auto end = at(10) + ServerRegistry::kMalformedGrace;
+  ServerRegistry registry;
+  registry.recordRead(at(0));
+  registry.apply({ { 0, "a", "ready" }, { 1, "b", "ready" } }, makeDialect(), at(0));
+  registry.apply({ { 2, "a", "bad" }, { 3, "b", "bad" } }, makeDialect(), at(10));
+  BOOST_TEST(registry.tick(makeDialect(), end + Seconds(20)).empty());
+  const auto back = end + Seconds(30);
+  registry.recordRead(back);
+  BOOST_TEST(registry.tick(makeDialect(), back).empty());
+  registry.apply({ { 4, "a", "ready" } }, makeDialect(), back + Millis(500));
+  const auto later = back + ServerRegistry::kReappearGrace;
+  BOOST_TEST(countRemoved(registry.tick(makeDialect(), later)) == 1U);
+  BOOST_TEST(registry.servers().count(BackendServerId("a")) == 1U);
+}
+
 // Guards against a deployment without servers after a store outage in which entries expired.
 BOOST_AUTO_TEST_CASE(entries_that_expired_in_an_outage_may_reappear)
 {
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -209,6 +209,26 @@
   }
 }
 
+// Guards against a server whose entry another writer replaced, which is used for good, or does not
+// come back when it writes its entry again.
+BOOST_AUTO_TEST_CASE(routes_server_whose_entry_stays_malformed_is_not_used)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.store().put("keyed.servers", "server0", entryWith("slots", "1e30"));
+  // Longer than the instance waits for the server to write its entry again.
+  std::this_thread::sleep_for(Millis(12000));
+  const auto before = deployment.server(0).arrivals().size();
+  for (int i = 0; i < 10; ++i) {
+    BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  }
+  BOOST_TEST(deployment.server(0).arrivals().size() == before);
+  deployment.writeServer(0);
+  deployment.removeServer(1);
+  std::this_thread::sleep_for(kApplyBound);
+  BOOST_TEST(statusOf(deployment, callOf("/plain/ok")) == 200U);
+  BOOST_TEST(deployment.server(0).arrivals().size() > before);
+}
+
 // Guards against an entry that is odd already when an instance starts, which
 // reads the whole list.
 BOOST_AUTO_TEST_CASE(routes_start_beside_odd_entries)
