CONFIG: observe the log of claims from the answer on within an era too

It would be seen as two holders of the duties (ONE). Found by reading in a review.

Cause: an observation counted from the moment at which a read was sent.

renewal_during_a_read_counts_from_the_answer_on failed before (check !observer.dueAppendOffset(at(4800)).has_value()) and passes, as do all tests of the library. A claim is due later by the time that a read takes.

--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -46,13 +46,10 @@
   // An end that is known already says that nobody has renewed since it was observed.
   if (aEnd > mLogEnd) {
     const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
-    // A renewal of an earlier era that a restored log lacks may have been sent after the read.
-    const bool isRestored = eraOf(aEnd) > std::max(eraOf(mLogEnd), kFirstEra);
     mLogEnd = aEnd;
-    mObservedAt =
-      wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, isRestored ? aReceivedAt : aSentAt);
+    // The last renewal, which a restored log may lack, may have been sent after the read.
+    mObservedAt = wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, aReceivedAt);
   } else if (aEnd < mLogEnd && mObservedAt <= aSentAt) {
-    // Whether the log was restored meanwhile is not known beside a false end.
     mLogEnd = aEnd;
     mObservedAt = aReceivedAt;
   }
--- a/src/mustardplank/control/duty_lease_test.cpp
+++ b/src/mustardplank/control/duty_lease_test.cpp
@@ -748,6 +748,19 @@
   BOOST_TEST(!observer.dueAppendOffset(at(4900)).has_value());
 }
 
+// Guards against two holders: the last renewal is sent while a read is under way that sees it.
+BOOST_AUTO_TEST_CASE(renewal_during_a_read_counts_from_the_answer_on)
+{
+  DutyLease holder({}, true, at(0));
+  holder.handleAppendResult(0, at(0), { true, makePosition(1, 1) }, at(10));
+  DutyLease observer({}, false, at(0));
+  observer.observeEnd(holder.logEnd(), at(0));
+  holder.handleAppendResult(makePosition(1, 1), at(1900), { true, makePosition(1, 2) }, at(1910));
+  observer.observeLog(makePosition(1, 2), at(1400), at(2200));
+  BOOST_TEST(holder.isValid(at(4800)));
+  BOOST_TEST(!observer.dueAppendOffset(at(4800)).has_value());
+}
+
 // Guards against two active holders, and fences that fall, when the store is restored from older
 // copies beside calls that are under way, late notes and restarts.
 BOOST_AUTO_TEST_CASE(random_restorations_never_make_two_active_holders)
