--- a/include/mustardplank/control/duty_lease.hpp
+++ b/include/mustardplank/control/duty_lease.hpp
@@ -42,9 +42,9 @@
 /// a whole ttl later succeeds only if nobody has renewed meanwhile, so the former holder's lease
 /// has expired.
 ///
-/// Notes of other instances only tell where to claim, and may be wrong. The log never gets shorter
-/// within an era and eras only rise, so an end that the log states refutes each greater one that
-/// was noted before. A holder with a valid lease takes no note: nobody else can have claimed.
+/// Notes of other instances tell where and when to claim, and may be wrong. The log never gets
+/// shorter within an era and eras only rise, so an end that the log states refutes each greater one
+/// that was noted before. A holder with a valid lease takes no note: nobody else can have claimed.
 ///
 /// A store that is restored from an older copy loses claims and may end at an expected offset by
 /// chance. What was observed in an earlier era therefore permits no claim: it is observed anew and
@@ -114,7 +114,7 @@
 private:
   /// The log stated aEnd in the answer to a call that was sent at aSentAt.
   void recordStatedEnd(Offset aEnd, TimePoint aSentAt);
-  /// Whether the log, asked after aNotedAt, ended below aEnd.
+  /// Whether the log, asked at aNotedAt or later, ended below aEnd.
   bool isRefuted(Offset aEnd, TimePoint aNotedAt) const;
   /// Gives up the fencing token and continues from aEnd: another instance appended.
   void dropLease(Offset aEnd, TimePoint aNow);
--- a/include/mustardplank/control/server_registry.hpp
+++ b/include/mustardplank/control/server_registry.hpp
@@ -32,8 +32,9 @@
 ///
 /// A store that is restored from an older copy shows entries as they were some seconds ago, until
 /// the servers have written them again. Entries of such a copy by which a draining or removed
-/// server would take requests again, or a cold one more of them, are held back for kRestoreGrace,
-/// unless the log has newer ones; servers that it lacks have time to reappear, as after an outage.
+/// server would take requests again, or a cold one would count as warm, are held back for
+/// kRestoreGrace, unless the log has newer ones; servers that it lacks have time to reappear, as
+/// after an outage.
 ///
 /// A malformed entry of another writer may replace that of a server, which goes on renewing its
 /// own: the server keeps its last well-formed entry for kMalformedGrace.
--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -91,7 +91,7 @@
   std::vector<Record> records;
   /// Further pages follow.
   bool more = false;
-  /// Key after which the next page starts; it may repeat rows. Empty without rows.
+  /// Key after which the next page starts; that page may repeat rows. Empty without rows.
   std::string resumeAfter;
   /// End of the log when the page was read.
   Offset logEnd = 0;
--- a/src/mustardplank/control/duty_lease.cpp
+++ b/src/mustardplank/control/duty_lease.cpp
@@ -47,7 +47,7 @@
   if (aEnd > mLogEnd) {
     const bool wasAlwaysEmpty = offsetOf(aEnd) == 0 && eraOf(aEnd) <= kFirstEra;
     mLogEnd = aEnd;
-    // The last renewal, which a restored log may lack, may have been sent after the read.
+    // The last renewal, which a restored log may lack, may have been sent after the read was.
     mObservedAt = wasAlwaysEmpty ? mObservedAt : std::max(mObservedAt, aReceivedAt);
   } else if (aEnd < mLogEnd && mObservedAt <= aSentAt) {
     mLogEnd = aEnd;
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -94,8 +94,8 @@
   /// Submits the request to another server and keeps the attempt in progress until that one
   /// responds.
   void replaceStalledAttempt();
-  /// Starts the time after which the stalled attempt is cancelled: a prompt that is with another
-  /// engine.
+  /// Limits the time for which two engines work on the same prompt: the stalled attempt is
+  /// cancelled then.
   void limitSharedRun();
   void cancelSharedRunTimer();
   /// Gives up the attempt in progress, if any, and goes on with the stalled one. False if there is
