--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exit status: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0: without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+program=target/review/endless_body
+[ -x "$program" ] && [ -x target/src/daemon/mustardplankd ] || { echo "run the build of the deploy file and review/build.sh" >&2; exit 2; }
+exec timeout -k 5 115 "$program" review/1/record.txt
