--- a/review/standins/small_deployment.cpp
+++ b/review/standins/small_deployment.cpp
@@ -35,6 +35,9 @@
 /// The program that deploy/system.toml builds and starts.
 constexpr const char* kProgram = "target/src/daemon/mustardplankd";
 constexpr std::size_t kMaxHeadBytes = 64UL * 1024;
+/// Clients use a connection that has been idle for four fifths of idleTimeoutMs at most. The
+/// scripts set 10 s.
+constexpr std::int64_t kMaxIdleMs = 8000;
 
 std::string
 freeAddress()
@@ -156,6 +159,7 @@
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buf;
+  std::int64_t usedAtMs = 0;
 };
 
 Clients::Clients(asio::io_context& aIo, std::string aAddress)
@@ -169,6 +173,10 @@
 {
   Answer answer;
   std::shared_ptr<Connection> connection;
+  // The one that was used last is at the back.
+  if (!mIdle.empty() && standins::ledgerMillis() - mIdle.back()->usedAtMs > kMaxIdleMs) {
+    mIdle.clear();
+  }
   if (!mIdle.empty()) {
     connection = std::move(mIdle.back());
     mIdle.pop_back();
@@ -200,6 +208,7 @@
   answer.complete = !ec && parser.is_done();
   if (answer.complete && parser.keep_alive()) {
     connection->stream.expires_never();
+    connection->usedAtMs = standins::ledgerMillis();
     mIdle.push_back(std::move(connection));
   }
   co_return answer;
