--- a/review/1/truncated_stream.cpp
+++ b/review/1/truncated_stream.cpp
@@ -50,7 +50,7 @@
 constexpr int kDeadlineMs = 4000;
 constexpr int kMinEvents = 4;
 constexpr int kMaxEvents = 24;
-constexpr int kEventPauseMs = 30;
+constexpr int kEventPauseMs = 45;
 /// Time in which a runner reads a prompt before the first event.
 constexpr int kMinPrefillMs = 60;
 constexpr int kMaxPrefillMs = 260;
