ORDER: a resumed stream is complete only by the events of its own attempt

Cause: a stream with neither a length nor chunks counts as broken off if it ends without any event. Exchange::isStreamBrokenOff asked EventSplitter::eventCount(), which counts the events of all attempts. Once the first server had sent an event, an empty response of the resuming server passed for the rest of the stream.

Change: Response::eventCount belongs to one attempt. It starts at 0 with each head, is kept with a stalled attempt and comes back with it.

Ruled out: the HTTP framing (the connection ends by FIN, which is the proper end of such a response).

Conclusion: with the event count of the attempt, an empty response of a resuming server is a failure like at a first attempt: the stream is resumed again where that is allowed, or ends visibly incomplete.

--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -107,9 +107,6 @@
   void onStalledAttemptLost(ResponseFailure aFailure);
   void writeResponseHead(unsigned aStatus, Fields& aFields, bool aIsStreamed);
   void relayEvents();
-  /// Whether the stream that has ended lacks its end, however it was framed: it ends inside an
-  /// event, or without any event where only the end of the connection ends it.
-  bool isStreamBrokenOff() const;
   /// Responds without a body on the gateway's own behalf; aborts a response whose head has been
   /// sent to the caller.
   void sendLocalResponse(unsigned aStatus,
@@ -139,7 +136,8 @@
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
-  /// What has come of a server's response, but for events.
+  /// What has come of a server's response, but for an event in progress. The fields stay those of
+  /// the head that the caller got, once it got one; the rest is of one attempt.
   struct Response
   {
     unsigned status = 0;
@@ -147,6 +145,8 @@
     std::string body;
     BodyFraming framing = BodyFraming::NoBody;
     bool streamed = false;
+    /// Events that were relayed to the caller.
+    std::size_t eventCount = 0;
   };
   struct ResponseStart
   {
@@ -195,6 +195,12 @@
     Exchange& mExchange;
   };
 
+  /// Whether a stream that has ended lacks its end, however it was framed: it ends inside an event,
+  /// or without any event where only the end of the connection ends it. aEvents holds what is left
+  /// of the attempt's stream.
+  static bool isStreamBrokenOff(const Response& aResponse, const EventSplitter& aEvents);
+  /// How the end of a stream that was broken off counts.
+  static ResponseFailure brokenOffFailure(const Response& aResponse);
   /// Logs the loss of a server during the request and reports it, with the parts of the prompt if
   /// the server was lost as it began to answer.
   void reportServerLoss(const dispatch::Grant& aGrant, std::int64_t aSentAtMs);
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -78,6 +78,7 @@
   const auto now = bootNow();
   mResponse.status = aStatus;
   mResponse.framing = aFraming;
+  mResponse.eventCount = 0;
   if (aHead.load) {
     mContext.dispatcher.recordReportedLoad(
       mGrant->server, aHead.load->running, aHead.load->waiting, now);
@@ -219,10 +220,12 @@
 void
 Exchange::relayEvents()
 {
+  const auto eventsBefore = mEventSplitter.eventCount();
   const auto events = mEventSplitter.takeEvents();
   if (events.empty()) {
     return;
   }
+  mResponse.eventCount += mEventSplitter.eventCount() - eventsBefore;
   dropStalledAttempt(dispatch::JobOutcome::Stalled);
   const auto now = bootNow();
   mContext.dispatcher.recordFirstEvent(mJob.id, now);
@@ -280,10 +283,8 @@
     return;
   }
   if (mResponse.streamed) {
-    if (isStreamBrokenOff()) {
-      onResponseFailure(mResponse.framing == BodyFraming::ConnectionClose
-                          ? ResponseFailure::ConnectionLost
-                          : ResponseFailure::Malformed);
+    if (isStreamBrokenOff(mResponse, mEventSplitter)) {
+      onResponseFailure(brokenOffFailure(mResponse));
       return;
     }
     dropStalledAttempt(dispatch::JobOutcome::Stalled);
@@ -321,10 +322,17 @@
 }
 
 bool
-Exchange::isStreamBrokenOff() const
+Exchange::isStreamBrokenOff(const Response& aResponse, const EventSplitter& aEvents)
 {
-  const bool endsWithConnection = mResponse.framing == BodyFraming::ConnectionClose;
-  return mEventSplitter.isInsideEvent() || (endsWithConnection && mEventSplitter.eventCount() == 0);
+  const bool endsWithConnection = aResponse.framing == BodyFraming::ConnectionClose;
+  return aEvents.isInsideEvent() || (endsWithConnection && aResponse.eventCount == 0);
+}
+
+ResponseFailure
+Exchange::brokenOffFailure(const Response& aResponse)
+{
+  return aResponse.framing == BodyFraming::ConnectionClose ? ResponseFailure::ConnectionLost
+                                                           : ResponseFailure::Malformed;
 }
 
 void
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -158,6 +158,11 @@
     co_await writeEndlessly(aSocket, attempt, mode.substr(8));
     co_return false;
   }
+  if (mode.starts_with("open_empty")) {
+    co_await writeEmptyStream(
+      aSocket, attempt, numberIn(mode, std::string("open_empty").size()));
+    co_return false;
+  }
   if (mode.starts_with("no_resume")) {
     if (std::string(aRequest["Last-Event-Id"]).empty()) {
       co_return co_await stream(aSocket, aRequest, { 2, StreamEnd::ConnectionClosed });
@@ -324,6 +329,16 @@
   ++mCancelled;
 }
 
+Awaitable<void>
+ServerStandin::writeEmptyStream(SocketPtr aSocket, std::string aAttempt, int aForMs)
+{
+  co_await writeText(aSocket,
+                     "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + aAttempt +
+                       "\r\nX-Response-Signature: sig-" + mId +
+                       "\r\nContent-Type: text/event-stream\r\n\r\n");
+  co_await standins::sleepMillis(aForMs);
+}
+
 std::optional<ServerStandin::StreamPlan>
 ServerStandin::streamPlan(const std::string& aMode)
 {
@@ -333,14 +348,17 @@
     { "torn", { 0, StreamEnd::LastChunk } },
     { "trickle", { 0, StreamEnd::Trickle } },
     { "stuck", { 0, StreamEnd::Stuck } },
+    { "slow_broken", { 0, StreamEnd::ConnectionClosed, 600 } },
     { "slow", { 0, StreamEnd::Complete, 600 } },
+    { "open_late_broken", { 0, StreamEnd::ConnectionClosed, 50, Framing::None, 0, 0, kDelayMs } },
     { "open_stream", { 0, StreamEnd::Complete, 50, Framing::None } },
     { "open_broken", { 0, StreamEnd::ConnectionClosed, 50, Framing::None } },
     { "open_reset", { 0, StreamEnd::ConnectionReset, 50, Framing::None } },
   };
-  if (aMode.starts_with("silent")) {
+  if (aMode.starts_with("silent") || aMode.starts_with("open_silent")) {
     StreamPlan plan;
     plan.events = kTotalEvents;
+    plan.framing = aMode.starts_with("open") ? Framing::None : Framing::Chunked;
     plan.silentAfter = std::atoi(aMode.c_str() + aMode.rfind('t') + 1);
     return plan;
   }
@@ -367,7 +385,8 @@
   const auto framed = [&](const std::string& aText) { return chunked ? chunkText(aText) : aText; };
   const std::string last(aRequest["Last-Event-Id"]);
   const bool stuck = aPlan.end == StreamEnd::Stuck;
-  const bool breaks = aPlan.end != StreamEnd::Complete && (last.empty() || stuck) && mFailing;
+  const bool always = stuck || aPlan.lastPauseMs > 0;
+  const bool breaks = aPlan.end != StreamEnd::Complete && (last.empty() || always) && mFailing;
   const int total = aPlan.end != StreamEnd::Complete ? kTotalEvents : aPlan.events;
   std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(aRequest["X-Attempt-Id"]) +
                      "\r\nX-Response-Signature: sig-" + mId +
@@ -377,7 +396,7 @@
   co_await standins::sleepMillis(aPlan.firstEventMs);
   const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
   for (int i = first; open && i <= total; ++i) {
-    if (breaks && i - (stuck ? first - 1 : 0) > aPlan.events) {
+    if (breaks && i - (always ? first - 1 : 0) > aPlan.events) {
       if (stuck) {
         co_await awaitClose(aSocket);
         co_return false;
@@ -386,6 +405,7 @@
         co_await trickle(aSocket);
         co_return false;
       }
+      co_await standins::sleepMillis(aPlan.lastPauseMs);
       co_await writeText(aSocket, framed("id: " + std::to_string(i) + "\nda"));
       if (aPlan.end == StreamEnd::LastChunk) {
         co_return co_await writeText(aSocket, "0\r\n\r\n");
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -42,6 +42,10 @@
 ///     tornN    N events and half of one, then the last chunk, unless the caller resumes
 ///     open_streamN, open_brokenN, open_resetN  like streamN and brokenN with neither a length nor
 ///              chunks; open_reset ends with a reset of the connection
+///     open_silentN  like silentN with neither a length nor chunks
+///     open_late_brokenN  like open_brokenN, 1.2 s later; also when the caller resumes
+///     open_emptyN  the head of such a stream and no event, then the end after N ms
+///     slow_brokenN like brokenN, 600 ms apart
 ///     crash    no answer, and the connection ends
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
 ///     mode. trickleN N events, then a byte every 50 ms and no further event, unless the caller
@@ -108,6 +112,8 @@
     int silentAfter = 0;
     /// Time between the head and the first event.
     int firstEventMs = 0;
+    /// Silence before the half of an event with which the stream ends.
+    int lastPauseMs = 0;
   };
 
   std::string moreFields() const;
@@ -124,6 +130,9 @@
                                            std::string aAttempt,
                                            std::string aPart);
   standins::Awaitable<void> trickle(standins::SocketPtr aSocket);
+  standins::Awaitable<void> writeEmptyStream(standins::SocketPtr aSocket,
+                                             std::string aAttempt,
+                                             int aForMs);
   standins::Awaitable<void> awaitClose(standins::SocketPtr aSocket);
 
   std::string mId;
