A stalled stream that is broken off leaves the attempt that replaces it

Seen by callers: 502, or a stream that is cut, although a second server was about to go on with it.

Cause: StalledResponse::onResponseEnd resumed the stalled attempt whenever its stream ended, and so cancelled the second one. Only then was the end looked at: inside an event, or without any. With two attempts nothing was left.

Change: the end of a stalled stream is looked at, by its own framing and events, before it is resumed; one that is broken off counts as lost.

--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -230,11 +230,20 @@
 void
 Exchange::StalledResponse::onResponseEnd()
 {
-  const auto& stalled = *mExchange.mStalled;
+  auto& stalled = *mExchange.mStalled;
   if (!stalled.head && stalled.response.status >= 500) {
     mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
     return;
   }
+  if (stalled.head) {
+    stalled.response.framing = stalled.head->framing;
+    stalled.response.streamed = mExchange.isStreamingRoute();
+    stalled.response.eventCount = 0;
+  }
+  if (stalled.response.streamed && isStreamBrokenOff(stalled.response, stalled.events)) {
+    onResponseFailure(brokenOffFailure(stalled.response));
+    return;
+  }
   if (resume()) {
     mExchange.onResponseEnd();
   }
--- a/test/routes/resumed_streams_test.cpp
+++ b/test/routes/resumed_streams_test.cpp
@@ -100,3 +100,11 @@
     checkWhole(2, std::string("/resume/") + mode + "+error", 2);
   }
 }
+
+// Guards against a stalled stream that is broken off and takes the attempt that replaces it with
+// it.
+BOOST_AUTO_TEST_CASE(routes_stalled_attempt_that_is_broken_off_leaves_the_other_one)
+{
+  checkWhole(2, "/resume/open_empty1200+after1200_stream6", 2);
+  checkWhole(2, "/resume/open_late_broken2+after900_stream6", 2);
+}
