A loss as a server begins to answer is judged by the time of its own attempt

When the first server had begun more than 300 ms before, the loss of the resuming server as it began to answer was not reported with the parts of the prompt. A stalled attempt was judged by the times of the other one too.

Change: Response::startedAt belongs to one attempt. request.server_lost names the events and the time of that attempt.

--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -317,6 +317,8 @@
     return;
   }
   mPhase = Phase::AwaitingResponse;
+  mResponse.eventCount = 0;
+  mResponse.startedAt.reset();
   mConnection = aConnection;
   mSentAt = now;
   mSentAtMs = mContext.callbacks.sharedTimeMs();
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -128,11 +128,6 @@
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
   bool isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const;
-  /// Processes the head of a response that belongs to the request in progress.
-  void acceptResponseHead(const ResponseHead& aHead,
-                          unsigned aStatus,
-                          const Fields& aFields,
-                          BodyFraming aFraming);
   void recordResponseStart();
   /// dispatch::CrashReport::digest of this request.
   std::uint64_t makeDigest() const;
@@ -147,13 +142,18 @@
     bool streamed = false;
     /// Events that were relayed to the caller.
     std::size_t eventCount = 0;
+    /// When its head came.
+    std::optional<TimePoint> startedAt;
   };
   struct ResponseStart
   {
     unsigned status = 0;
     Fields fields;
     BodyFraming framing = BodyFraming::NoBody;
+    TimePoint at{};
   };
+  /// Processes the head of a response that belongs to the request in progress.
+  void acceptResponseHead(const ResponseHead& aHead, const ResponseStart& aStart);
   /// An attempt at a server.
   struct Attempt
   {
@@ -202,11 +202,13 @@
   /// How the end of a stream that was broken off counts.
   static ResponseFailure brokenOffFailure(const Response& aResponse);
   /// Logs the loss of a server during the request and reports it, with the parts of the prompt if
-  /// the server was lost as it began to answer.
-  void reportServerLoss(const dispatch::Grant& aGrant, std::int64_t aSentAtMs);
+  /// the server was lost as it began to answer. aResponse is what came of this attempt.
+  void reportServerLoss(const dispatch::Grant& aGrant,
+                        std::int64_t aSentAtMs,
+                        const Response& aResponse);
   void reportAnswered();
   /// Writes what is known of a request during which the connection to its server broke.
-  void logServerLost(const dispatch::Grant& aGrant);
+  void logServerLost(const dispatch::Grant& aGrant, const Response& aResponse);
   /// Marks the request as done, logs the event aEventName and releases the server.
   void finishRequest(const char* aEventName, unsigned aStatus, std::string_view aReason);
   LogEvent makeLogEvent(LogLevel aLevel, std::string_view aEventName) const;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -65,20 +65,18 @@
   if (!isResponseToThis(head, *mConnection)) {
     return false;
   }
-  acceptResponseHead(head, aStatus, aFields, aFraming);
+  acceptResponseHead(head, { aStatus, aFields, aFraming, bootNow() });
   return true;
 }
 
 void
-Exchange::acceptResponseHead(const ResponseHead& aHead,
-                             unsigned aStatus,
-                             const Fields& aFields,
-                             BodyFraming aFraming)
+Exchange::acceptResponseHead(const ResponseHead& aHead, const ResponseStart& aStart)
 {
   const auto now = bootNow();
-  mResponse.status = aStatus;
-  mResponse.framing = aFraming;
+  mResponse.status = aStart.status;
+  mResponse.framing = aStart.framing;
   mResponse.eventCount = 0;
+  mResponse.startedAt = aStart.at;
   if (aHead.load) {
     mContext.dispatcher.recordReportedLoad(
       mGrant->server, aHead.load->running, aHead.load->waiting, now);
@@ -102,12 +100,12 @@
     }
     return;
   }
-  const bool success = aStatus / 100 == 2;
-  if (!mayRelay(aHead, aStatus, aFields)) {
+  const bool success = aStart.status / 100 == 2;
+  if (!mayRelay(aHead, aStart.status, aStart.fields)) {
     onResponseFailure(ResponseFailure::Malformed);
     return;
   }
-  if (aStatus >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
+  if (aStart.status >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
     return;
   }
   recordResponseStart();
@@ -116,7 +114,7 @@
   }
   mPhase = Phase::ReceivingResponse;
   if (!mResponseHeadSent) {
-    mResponse.fields = aFields;
+    mResponse.fields = aStart.fields;
     removeHopByHopFields(mResponse.fields);
   }
   mResponse.streamed = isStreamingRoute() && success;
@@ -336,9 +334,11 @@
 }
 
 void
-Exchange::reportServerLoss(const dispatch::Grant& aGrant, std::int64_t aSentAtMs)
+Exchange::reportServerLoss(const dispatch::Grant& aGrant,
+                           std::int64_t aSentAtMs,
+                           const Response& aResponse)
 {
-  logServerLost(aGrant);
+  logServerLost(aGrant, aResponse);
   const auto nowMs = mContext.callbacks.sharedTimeMs();
   const bool hasBody = mJob.streaming || !mRequest.body().empty();
   mContext.callbacks.onConnectionLost(
@@ -349,7 +349,8 @@
       nowMs,
       hasBody ? dispatch::DigestSharing::Rare : dispatch::DigestSharing::Common });
   auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
-  const bool isBeginning = !mResponseStarted || bootNow() - mResponseStartedAt < kResponseBeginning;
+  const bool isBeginning =
+    !aResponse.startedAt || bootNow() - *aResponse.startedAt < kResponseBeginning;
   if (isBeginning && !parts.empty()) {
     mContext.callbacks.onServerLost(
       { aGrant.server, aGrant.serverStartTimeMs, nowMs, std::move(parts) });
@@ -366,20 +367,21 @@
 }
 
 void
-Exchange::logServerLost(const dispatch::Grant& aGrant)
+Exchange::logServerLost(const dispatch::Grant& aGrant, const Response& aResponse)
 {
   std::ostringstream parts;
   parts << std::hex;
   for (const auto& it : mJob.prompt) {
     parts << (parts.tellp() > 0 ? "," : "") << it.id;
   }
-  log(makeLogEvent(LogLevel::Info, "request.server_lost")
-        .field("server", aGrant.server.str())
-        .field("digest", mRequestDigest)
-        .field("events", mEventSplitter.eventCount())
-        .field("response_ms", mResponseStarted ? toMillis(bootNow() - mResponseStartedAt) : -1.0)
-        .field("prompt_parts", parts.str()),
-      false);
+  log(
+    makeLogEvent(LogLevel::Info, "request.server_lost")
+      .field("server", aGrant.server.str())
+      .field("digest", mRequestDigest)
+      .field("events", aResponse.eventCount)
+      .field("response_ms", aResponse.startedAt ? toMillis(bootNow() - *aResponse.startedAt) : -1.0)
+      .field("prompt_parts", parts.str()),
+    false);
 }
 
 void
@@ -390,7 +392,7 @@
   }
   const bool lost = aFailure == ResponseFailure::ConnectionLost;
   if (lost && mGrant) {
-    reportServerLoss(*mGrant, mSentAtMs);
+    reportServerLoss(*mGrant, mSentAtMs, mResponse);
   }
   const auto outcome = lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed;
   const auto* reason = failureReason(aFailure);
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -147,10 +147,7 @@
   mLastProgressAt = bootNow();
   armStallTimer();
   if (const auto& head = stalled.head) {
-    acceptResponseHead(mContext.dialect.parseResponseHead(head->status, head->fields),
-                       head->status,
-                       head->fields,
-                       head->framing);
+    acceptResponseHead(mContext.dialect.parseResponseHead(head->status, head->fields), *head);
   }
   // Last: another request may be granted, and take the connection if this response is complete.
   endJob(replacement, aOutcome);
@@ -198,7 +195,10 @@
     mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
     return true;
   }
-  stalled.head = ResponseStart{ aStatus, aFields, aFraming };
+  stalled.head = ResponseStart{ aStatus, aFields, aFraming, bootNow() };
+  stalled.response.framing = aFraming;
+  stalled.response.streamed = mExchange.isStreamingRoute();
+  stalled.response.startedAt = stalled.head->at;
   if (mExchange.isStreamingRoute() && aStatus / 100 != 2) {
     resume();
   }
@@ -209,8 +209,7 @@
 Exchange::StalledResponse::onResponseBody(std::string_view aBytes)
 {
   auto& stalled = *mExchange.mStalled;
-  const bool streamed = stalled.head ? mExchange.isStreamingRoute() : stalled.response.streamed;
-  if (!streamed) {
+  if (!stalled.response.streamed) {
     stalled.response.body.append(aBytes);
     if (stalled.response.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
@@ -235,11 +234,6 @@
     mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
     return;
   }
-  if (stalled.head) {
-    stalled.response.framing = stalled.head->framing;
-    stalled.response.streamed = mExchange.isStreamingRoute();
-    stalled.response.eventCount = 0;
-  }
   if (stalled.response.streamed && isStreamBrokenOff(stalled.response, stalled.events)) {
     onResponseFailure(brokenOffFailure(stalled.response));
     return;
@@ -263,7 +257,7 @@
   }
   const bool lost = aFailure == ResponseFailure::ConnectionLost;
   if (lost) {
-    reportServerLoss(mStalled->grant, mStalled->sentAtMs);
+    reportServerLoss(mStalled->grant, mStalled->sentAtMs, mStalled->response);
   }
   dropStalledAttempt(lost ? dispatch::JobOutcome::ConnectionLost : dispatch::JobOutcome::Failed);
 }
--- a/test/routes/crashes_test.cpp
+++ b/test/routes/crashes_test.cpp
@@ -25,6 +25,15 @@
   return call;
 }
 
+/// The second server crashes as it begins to answer, more than a moment after the first one began.
+Call
+callThatCrashesTheSecondServer()
+{
+  auto call = callWithPart("c1");
+  call.path = "/resume/slow_broken1+begin_crash";
+  return call;
+}
+
 /// Two attempts are allowed. No organisation, body or prompt tells these requests apart, only the
 /// target does.
 Call
@@ -118,6 +127,37 @@
   BOOST_TEST(unserved == 0);
 }
 
+// Guards against a part of prompts that crashes the servers that resume a stream, as the time since
+// the first server began is taken for that of the resuming one.
+BOOST_AUTO_TEST_CASE(routes_prompt_part_that_crashes_resuming_servers_is_refused)
+{
+  constexpr std::size_t kServers = 6;
+  constexpr int kRequests = 16;
+  constexpr auto kPause = Millis(300);
+  constexpr auto kBound = Millis(3000);
+  RouteDeployment deployment(kServers, 1);
+  Servers servers(deployment, kServers);
+  std::optional<Clock::time_point> fifthCrash;
+  int lateArrivals = 0;
+  int unserved = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto before = servers.crashes();
+    const auto sent = Clock::now();
+    const auto status = statusOf(deployment.callers(), callThatCrashesTheSecondServer());
+    BOOST_TEST(status != 200U);
+    servers.restartCrashed();
+    const bool arrived = servers.crashes() > before;
+    lateArrivals += arrived && fifthCrash && sent > *fifthCrash + kBound ? 1 : 0;
+    if (!fifthCrash && servers.crashes() >= 5) {
+      fifthCrash = Clock::now();
+    }
+    unserved += statusOf(deployment.callers(), callWithPart("b1")) == 200 ? 0 : 1;
+    std::this_thread::sleep_for(kPause);
+  }
+  BOOST_TEST(lateArrivals <= 3);
+  BOOST_TEST(unserved == 0);
+}
+
 // Guards against a request without a body that crashes server after server, as its losses were not
 // reported; and against refusing other requests of its route and organisation.
 BOOST_AUTO_TEST_CASE(routes_request_without_body_that_crashes_servers_is_refused)
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -158,9 +158,13 @@
     co_await writeEndlessly(aSocket, attempt, mode.substr(8));
     co_return false;
   }
+  if (mode == "begin_crash") {
+    co_await writeEmptyStream(aSocket, attempt, 0);
+    ++mCrashes;
+    co_return false;
+  }
   if (mode.starts_with("open_empty")) {
-    co_await writeEmptyStream(
-      aSocket, attempt, numberIn(mode, std::string("open_empty").size()));
+    co_await writeEmptyStream(aSocket, attempt, numberIn(mode, std::string("open_empty").size()));
     co_return false;
   }
   if (mode.starts_with("no_resume")) {
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -47,6 +47,7 @@
 ///     open_emptyN  the head of such a stream and no event, then the end after N ms
 ///     slow_brokenN like brokenN, 600 ms apart
 ///     crash    no answer, and the connection ends
+///     begin_crash  the head of a stream, and the connection ends
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
 ///     mode. trickleN N events, then a byte every 50 ms and no further event, unless the caller
 ///     resumes endless_X  bytes until the connection is closed; X is head, interim, other (an
@@ -71,7 +72,7 @@
   std::vector<Arrival> arrivals() const;
   /// Requests whose connection the system closed before they had ended.
   int cancelled() const { return mCancelled; }
-  /// Requests with the mode "crash" or the prompt part "dead".
+  /// Requests with the mode "crash" or "begin_crash" or the prompt part "dead".
   int crashes() const { return mCrashes; }
   /// Bytes written for the modes endless_X.
   std::size_t endlessBytes() const { return mEndlessBytes; }
