LOST: a length beyond all memory ends one request, not the instance

Seen: one response with "Content-Length:" ends the instance at once, and with it the requests of all callers.

Cause: http::string_body reserves memory for the length that the response states; without a body limit that is 90 GB, std::bad_alloc, and the process ends.

Change: the connection parses into a body that hands on its pieces and reserves nothing (SinkBody, moved from traffic to base as both modes use it).

Looked at for the same cause: callers' requests, replies of the store and of other instances have body limits, which are checked before memory is reserved; mode "pools" used SinkBody before.

--- a/bench/load/client.cpp
+++ b/bench/load/client.cpp
@@ -1,7 +1,7 @@
 #include "client.hpp"
 
 #include "mustardplank/base/hash.hpp"
-#include "mustardplank/traffic/sink_body.hpp"
+#include "mustardplank/base/sink_body.hpp"
 #include "mustardplank/traffic/sse.hpp"
 #include "standins/common/answer.hpp"
 
@@ -174,7 +174,7 @@
 
   std::string refusal;
   AnswerCheck check(std::move(expected), record, aGaps);
-  http::response_parser<traffic::SinkBody> parser;
+  http::response_parser<SinkBody> parser;
   parser.body_limit(boost::none);
   parser.eager(true);
   parser.get().body() = [&](std::string_view aBytes) {
--- a/src/mustardplank/traffic/sink_body.hpp
+++ b/include/mustardplank/base/sink_body.hpp
@@ -10,7 +10,7 @@
 #include <functional>
 #include <string_view>
 
-namespace mustardplank::traffic {
+namespace mustardplank {
 
 /// A Beast body that hands each piece to a function instead of storing it, without a copy.
 struct SinkBody
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -88,6 +88,11 @@
   mParser->header_limit(kMaxHeaderBytes);
   mParser->body_limit(boost::none);
   mParser->skip(mIsHeadRequest);
+  mBodyBytes.clear();
+  mParser->get().body() = [this](std::string_view aBytes) {
+    mBodyBytes.append(aBytes);
+    return true;
+  };
   mHeadDelivered = false;
   mSkippingResponse = false;
 }
@@ -227,8 +232,8 @@
       return;
     }
   }
-  if (!message.body().empty()) {
-    const std::string bytes = std::exchange(message.body(), {});
+  if (!mBodyBytes.empty()) {
+    const std::string bytes = std::exchange(mBodyBytes, {});
     if (!mSkippingResponse && mListener) {
       mListener->onResponseBody(bytes);
     }
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -3,11 +3,11 @@
 #include "body_framing.hpp"
 
 #include "mustardplank/base/name_table.hpp"
+#include "mustardplank/base/sink_body.hpp"
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/gateway/types.hpp"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -87,7 +87,8 @@
   bool isRequestWritten() const { return !mWriting; }
 
 private:
-  using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+  /// string_body would reserve memory for the length that a server states, however large.
+  using Parser = boost::beast::http::response_parser<SinkBody>;
 
   void read();
   void onRead(BoostErrorCode aError, std::size_t aBytes);
@@ -105,6 +106,8 @@
   ReleaseCallback mOnRelease;
   boost::beast::flat_buffer mBuffer;
   std::optional<Parser> mParser;
+  /// Parsed and not delivered yet.
+  std::string mBodyBytes;
   ResponseListener* mListener = nullptr;
   std::string mRequest;
   bool mIsHeadRequest = false;
--- a/src/mustardplank/traffic/backend_exchange.hpp
+++ b/src/mustardplank/traffic/backend_exchange.hpp
@@ -2,7 +2,8 @@
 
 #include "asio_types.hpp"
 #include "backend_client.hpp"
-#include "sink_body.hpp"
+
+#include "mustardplank/base/sink_body.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -267,6 +267,7 @@
   constexpr std::size_t kMaxBytes = 256 * 1024 * 1024;
   const std::string signed200 =
     "HTTP/1.1 200 OK\r\nX-Response-Signature: sig\r\nX-Attempt-Id: " + aAttempt + "\r\n";
+  const std::string failed500 = "HTTP/1.1 500 X\r\nX-Attempt-Id: " + aAttempt + "\r\n";
   const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
   std::string begin;
   std::string repeated(64 * 1024, 'x');
@@ -285,6 +286,18 @@
     begin = signed200 + chunked + "1\r\na\r\n0\r\nX-Trailer: ";
   } else if (aPart == "event") {
     begin = signed200 + "Content-Type: text/event-stream\r\n\r\ndata: ";
+  } else if (aPart == "length") {
+    begin = signed200 + "Content-Length: 90000000000\r\n\r\n";
+  } else if (aPart == "length_event") {
+    begin =
+      signed200 + "Content-Type: text/event-stream\r\nContent-Length: 90000000000\r\n\r\ndata: ";
+  } else if (aPart == "chunked_body") {
+    begin = signed200 + chunked;
+    repeated = chunkText(repeated);
+  } else if (aPart == "failure_body") {
+    begin = failed500 + "\r\n";
+  } else if (aPart == "failure_length") {
+    begin = failed500 + "Content-Length: 90000000000\r\n\r\n";
   } else {
     begin = signed200 + "\r\n";
   }
@@ -292,6 +305,9 @@
   for (std::size_t sum = 0; open && sum < kMaxBytes; sum += repeated.size()) {
     open = co_await writeText(aSocket, repeated);
     mEndlessBytes += repeated.size();
+    if (const int ms = mEndlessPauseMs; ms > 0) {
+      co_await standins::sleepMillis(ms);
+    }
   }
   if (!open) {
     ++mCancelled;
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -48,11 +48,13 @@
 ///     slow_brokenN like brokenN, 600 ms apart
 ///     crash    no answer, and the connection ends
 ///     begin_crash  the head of a stream, and the connection ends
+///     trickleN N events, then a byte every 50 ms and no further event, unless the caller resumes
+///     endless_X  bytes until the connection is closed; X is head, interim, other (an answer to
+///              another request), chunk, trailer, event, body, chunked_body, failure_body (status
+///              500), length (of 90 GB), length_event (the same, a stream) or failure_length (the
+///              same, status 500)
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
-///     mode. trickleN N events, then a byte every 50 ms and no further event, unless the caller
-///     resumes endless_X  bytes until the connection is closed; X is head, interim, other (an
-///     answer to
-///              another request), chunk, trailer, event or body
+///     mode.
 class ServerStandin
 {
 public:
@@ -76,6 +78,8 @@
   int crashes() const { return mCrashes; }
   /// Bytes written for the modes endless_X.
   std::size_t endlessBytes() const { return mEndlessBytes; }
+  /// Pause between 64 KB of the modes endless_X.
+  void setEndlessPause(int aMs) { mEndlessPauseMs = aMs; }
   /// Answers with 421, as another server that has got the address.
   void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
   /// Header lines, each with CRLF, that are added to all answers from now on but those with 421.
@@ -144,6 +148,7 @@
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
+  std::atomic<int> mEndlessPauseMs{ 0 };
   std::atomic<bool> mReplaced{ false };
   std::atomic<bool> mFailing{ true };
   std::atomic<bool> mFull{ false };
--- a/test/routes/unbounded_answers_test.cpp
+++ b/test/routes/unbounded_answers_test.cpp
@@ -62,6 +62,22 @@
   }
 }
 
+// Guards against a length beyond all memory that a server states and that ends the instance, with
+// the requests of all callers.
+BOOST_AUTO_TEST_CASE(routes_length_beyond_all_memory_ends_one_request_only)
+{
+  RouteDeployment deployment(2, 1);
+  CallerConnection sound(deployment.callers());
+  sound.send(callOf("/events/slow4", 8000));
+  for (const auto* path : { "/plain/endless_length",
+                            "/plain/endless_failure_length",
+                            "/events/endless_length_event" }) {
+    CallerConnection connection(deployment.callers());
+    BOOST_TEST(connection.call(callOf(path, 4000)).result_int() == 502U, path);
+  }
+  BOOST_TEST(sound.read().body() == eventTexts(4));
+}
+
 BOOST_AUTO_TEST_CASE(routes_unbounded_answers_are_tried_at_another_server)
 {
   RouteDeployment deployment(2, 1);
