LOST: the responses of a process together keep to a limit that follows from its memory

Cause: each response had a limit of its own (16 MiB, an event of a stream 1 MiB), all of them together had none. Output that callers do not take had none either.

Change: ResponseMemory accounts for what each attempt holds of its response, also of a head, chunk header or trailer that cannot be parsed yet. Beyond a quarter of the memory (setting memory_mb, from the platform's limits.memoryMb; 100 where it states none) the largest response of the server that holds most fails, as one beyond its own limit did. Output is accounted for apart, with the same limit: callers' servers are paused earlier, then the connection with most unread output closes. Bodies are kept in blocks, as a growing string takes up to three times its size.

Failed try: a test with 120 answers of 8 MB at once, none read: only a few fit in the memory, the others fail with 502 and the service counts as overloaded (503 to other callers), with and without this change. The test sends its large answers one after another now.

--- /dev/null
+++ b/include/mustardplank/gateway/body_buffer.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mustardplank::gateway {
+
+/// The body of a response that is not relayed before it is complete. Blocks of a fixed size keep
+/// the memory close to the size of the body: a single string needs up to three times as much while
+/// it grows.
+class BodyBuffer
+{
+public:
+  void append(std::string_view aBytes);
+  std::size_t size() const { return mSize; }
+  void clear();
+  const std::vector<std::string>& blocks() const { return mBlocks; }
+
+private:
+  std::vector<std::string> mBlocks;
+  std::size_t mSize = 0;
+};
+
+}
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -38,6 +38,9 @@
   std::uint32_t maxCallerConnections = 3000;
   /// Unsent bytes for one caller above which reading from its backend server is paused.
   std::size_t maxBufferedBytes = 256 * 1024;
+  /// Limit on the bytes that are held at the same time of all responses that servers send, and
+  /// again of those that callers have not taken yet.
+  std::size_t maxResponseBytes = 25'000'000;
   /// The routine log events of one in this many requests are written. An event that is not routine
   /// is always written, together with the earlier and later events of its request.
   std::uint32_t logSamplingInterval = 16;
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -82,6 +82,8 @@
   std::uint32_t domainAgents = 2;
   /// Share of a processor core that the process may use; instances with more become agents first.
   double processorShare = 0.25;
+  /// Memory that the process may use, in MB (1,000,000 bytes).
+  std::uint32_t memoryMb = 100;
   /// One in so many routine requests is logged.
   std::uint32_t logSampling = 16;
 };
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -21,6 +21,8 @@
 /// Bytes of one element (chunk size, extension or trailer) that the parser may leave unread until
 /// the rest arrives.
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+/// With fewer unparsed bytes the listener is not told of them.
+constexpr std::size_t kMinReportedBytes = 8UL * 1024;
 /// Interim responses and responses to other requests, in bytes, before the response.
 constexpr std::size_t kMaxSkippedBytes = 16 * 1024 * 1024;
 /// A server closes an idle connection after the timeout it announces. The connection is not reused
@@ -64,6 +66,7 @@
   mRequestActive = true;
   mWriting = true;
   mSkippedBytes = 0;
+  mReportedUnparsedBytes = 0;
   resetParser();
   asio::async_write(mSocket,
                     asio::buffer(mRequest),
@@ -206,9 +209,20 @@
     }
     deliverParsed();
     if (!mRequestActive || ec == http::error::need_more) {
-      return;
+      break;
     }
   }
+  reportUnparsedBytes();
+}
+
+void
+BackendConnection::reportUnparsedBytes()
+{
+  const auto n = mBuffer.size() < kMinReportedBytes ? 0 : mBuffer.size();
+  if (mRequestActive && mListener && n != mReportedUnparsedBytes) {
+    mReportedUnparsedBytes = n;
+    mListener->onUnparsedBytes(n);
+  }
 }
 
 void
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -28,12 +28,15 @@
   Malformed,
   /// The response, or one event of a stream, exceeds the size that is buffered.
   TooLarge,
+  /// All responses together exceed the memory for them.
+  MemoryExceeded,
 };
 
-inline constexpr NameTable<ResponseFailure, 3> kResponseFailureNames{ { {
+inline constexpr NameTable<ResponseFailure, 4> kResponseFailureNames{ { {
   { ResponseFailure::ConnectionLost, "lost" },
   { ResponseFailure::Malformed, "malformed" },
   { ResponseFailure::TooLarge, "too_large" },
+  { ResponseFailure::MemoryExceeded, "memory_exceeded" },
 } } };
 
 /// Receives the response to the request sent on a connection.
@@ -44,6 +47,9 @@
   /// Returns false if the response belongs to another request; the connection then skips it.
   virtual bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) = 0;
   virtual void onResponseBody(std::string_view aBytes) = 0;
+  /// The connection holds aBytes that it cannot parse before more arrive, such as part of a head.
+  /// Not called for few bytes.
+  virtual void onUnparsedBytes(std::size_t aBytes) = 0;
   virtual void onResponseEnd() = 0;
   virtual void onResponseFailure(ResponseFailure aFailure) = 0;
 };
@@ -94,6 +100,7 @@
   void onRead(BoostErrorCode aError, std::size_t aBytes);
   void parse();
   void deliverParsed();
+  void reportUnparsedBytes();
   void completeResponse();
   void failResponse(ResponseFailure aFailure);
   void closeAndRelease();
@@ -121,6 +128,8 @@
   std::size_t mResponseCount = 0;
   /// Bytes read since the request was sent that are not part of its response.
   std::size_t mSkippedBytes = 0;
+  /// Last value given to ResponseListener::onUnparsedBytes().
+  std::size_t mReportedUnparsedBytes = 0;
   TimePoint mReusableUntil = TimePoint::max();
 };
 
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -21,6 +21,10 @@
 
 /// Unparsed bytes of pipelined requests at which reading from the caller is paused.
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/// With less output the connection is not accounted for.
+constexpr std::size_t kMinAccountedBytes = 16UL * 1024;
+/// A larger output buffer is freed once it is written.
+constexpr std::size_t kMaxKeptCapacity = 64UL * 1024;
 /// How long a connection that ends waits for the caller to close its side.
 constexpr Duration kLingerTime = Seconds(1);
 
@@ -37,6 +41,7 @@
   : mSharedContext(std::move(aContext))
   , mContext(*mSharedContext)
   , mSocket(std::move(aSocket))
+  , mOutputId(++mContext.lastOutputId)
 {
   ++mContext.connectionCount;
   mContext.callerConnections.insert(this);
@@ -46,6 +51,7 @@
 {
   --mContext.connectionCount;
   mContext.callerConnections.erase(this);
+  mContext.callerOutput.remove(mOutputId);
 }
 
 void
@@ -330,6 +336,40 @@
   }
   mPendingOutput.append(aBytes);
   flush();
+  accountOutput();
+}
+
+void
+CallerConnection::reserveOutput(std::size_t aBytes)
+{
+  mPendingOutput.reserve(mPendingOutput.size() + aBytes);
+}
+
+void
+CallerConnection::accountOutput()
+{
+  const auto n = pendingBytes();
+  if (n < kMinAccountedBytes && mAccountedBytes == 0) {
+    return;
+  }
+  mAccountedBytes = n < kMinAccountedBytes ? 0 : n;
+  auto& memory = mContext.callerOutput;
+  memory.set(mOutputId, std::to_string(mOutputId), mAccountedBytes);
+  if (memory.totalBytes() > memory.limitBytes()) {
+    // The exchange that writes goes on with its response first.
+    asio::post(mContext.io, [context = mSharedContext] { context->freeCallerOutput(); });
+  }
+}
+
+void
+CallerConnection::onMemoryExceeded()
+{
+  LogEvent(LogLevel::Warning, "caller.output_dropped")
+    .field("bytes", mAccountedBytes)
+    .field("all_bytes", mContext.callerOutput.totalBytes())
+    .field("limit_bytes", mContext.callerOutput.limitBytes())
+    .write();
+  close();
 }
 
 void
@@ -350,7 +390,7 @@
                     asio::buffer(mOutputInFlight),
                     [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
                       self->mWriting = false;
-                      self->mOutputInFlight.clear();
+                      self->releaseWrittenOutput();
                       if (aError) {
                         self->close();
                         return;
@@ -364,6 +404,16 @@
                     });
 }
 
+void
+CallerConnection::releaseWrittenOutput()
+{
+  mOutputInFlight.clear();
+  if (mOutputInFlight.capacity() > kMaxKeptCapacity) {
+    mOutputInFlight.shrink_to_fit();
+  }
+  accountOutput();
+}
+
 void
 CallerConnection::onOutputWritten()
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -34,9 +34,15 @@
   /// Applies the limits of a new configuration to the next request and the time for which it is
   /// awaited. A lower limit holds from the next wait on: the caller may not know it yet.
   void extendLimits();
+  /// Identifies the connection's output in GatewayContext::callerOutput.
+  ResponseMemory::HolderId outputId() const { return mOutputId; }
+  /// Closes the connection, as the caller leaves too much of its output unread.
+  void onMemoryExceeded();
 
   // For Exchange.
   void write(std::string_view aBytes);
+  /// Announces further output of this size, so that it is not copied as it grows.
+  void reserveOutput(std::size_t aBytes);
   /// Ends a complete response and destroys the exchange. Closes the connection after the pending
   /// bytes are written, unless aKeepOpen.
   void finishResponse(bool aKeepOpen);
@@ -67,6 +73,8 @@
   /// unread bytes resets the connection, and the caller may lose the response.
   void linger();
   void flush();
+  void accountOutput();
+  void releaseWrittenOutput();
   /// Restarts the idle time once a response has been written.
   void onOutputWritten();
   void resetParser();
@@ -92,8 +100,11 @@
   /// Keeps the connection while mExchange is in progress: with reading paused and nothing to write,
   /// no operation on the socket does.
   std::shared_ptr<CallerConnection> mExchangeOwner;
+  const ResponseMemory::HolderId mOutputId;
   std::string mPendingOutput;
   std::string mOutputInFlight;
+  /// Of the output, in GatewayContext::callerOutput.
+  std::size_t mAccountedBytes = 0;
   std::optional<AlarmQueue::Id> mReceiveTimer;
   /// When the wait that mReceiveTimer limits began.
   TimePoint mReceivingSince{};
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -318,6 +318,7 @@
   }
   mPhase = Phase::AwaitingResponse;
   mResponse.eventCount = 0;
+  mResponse.unparsedBytes = 0;
   mResponse.startedAt.reset();
   mConnection = aConnection;
   mSentAt = now;
@@ -381,6 +382,7 @@
 void
 Exchange::endJob(dispatch::JobId aJob, dispatch::JobOutcome aOutcome)
 {
+  mContext.serverResponses.remove(aJob);
   dispatch::Effects effects;
   mContext.dispatcher.endJob(aJob, aOutcome, bootNow(), effects);
   mContext.applyEffects(effects);
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -4,6 +4,7 @@
 #include "gateway_context.hpp"
 
 #include "mustardplank/dispatch/job.hpp"
+#include "mustardplank/gateway/body_buffer.hpp"
 #include "mustardplank/gateway/event_splitter.hpp"
 
 #include <boost/beast/http/message.hpp>
@@ -49,6 +50,8 @@
   /// A write to the caller has completed: resumes reading from the server.
   void onCallerWritable();
   bool isDone() const { return mDone; }
+  /// The attempt with this job has to give up what it holds of its response.
+  void onMemoryExceeded(dispatch::JobId aJob);
   /// Whether a server may have executed the request, or executes it.
   bool mayHaveExecuted() const;
   /// Ends the request before it is answered, with a status that says whether it may have run.
@@ -56,6 +59,7 @@
 
   bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
   void onResponseBody(std::string_view aBytes) override;
+  void onUnparsedBytes(std::size_t aBytes) override;
   void onResponseEnd() override;
   void onResponseFailure(ResponseFailure aFailure) override;
 
@@ -137,7 +141,9 @@
   {
     unsigned status = 0;
     Fields fields;
-    std::string body;
+    BodyBuffer body;
+    /// Bytes that the connection holds unparsed.
+    std::size_t unparsedBytes = 0;
     BodyFraming framing = BodyFraming::NoBody;
     bool streamed = false;
     /// Events that were relayed to the caller.
@@ -185,6 +191,7 @@
 
     bool onResponseHead(unsigned aStatus, Fields& aFields, BodyFraming aFraming) override;
     void onResponseBody(std::string_view aBytes) override;
+    void onUnparsedBytes(std::size_t aBytes) override;
     void onResponseEnd() override;
     void onResponseFailure(ResponseFailure aFailure) override;
 
@@ -195,6 +202,12 @@
     Exchange& mExchange;
   };
 
+  /// Accounts for what the attempt holds of its response; responses end if all of them hold too
+  /// much, also this one.
+  void accountMemory(dispatch::JobId aJob,
+                     const dispatch::Grant& aGrant,
+                     const Response& aResponse,
+                     const EventSplitter& aEvents);
   /// Whether a stream that has ended lacks its end, however it was framed: it ends inside an event,
   /// or without any event where only the end of the connection ends it. aEvents holds what is left
   /// of the attempt's stream.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -48,6 +48,8 @@
       return "malformed_answer";
     case ResponseFailure::TooLarge:
       return "answer_too_large";
+    case ResponseFailure::MemoryExceeded:
+      return "memory_exceeded";
   }
   return "malformed_answer";
 }
@@ -205,13 +207,58 @@
     mResponse.body.append(aBytes);
     if (mResponse.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
+      return;
+    }
+  } else {
+    mEventSplitter.append(aBytes);
+    relayEvents();
+    if (mDone) {
+      return;
+    }
+    if (mEventSplitter.remainder().size() > kMaxEventBytes) {
+      onResponseFailure(ResponseFailure::TooLarge);
+      return;
     }
-    return;
   }
-  mEventSplitter.append(aBytes);
-  relayEvents();
-  if (mEventSplitter.remainder().size() > kMaxEventBytes) {
-    onResponseFailure(ResponseFailure::TooLarge);
+  accountMemory(mJob.id, *mGrant, mResponse, mEventSplitter);
+}
+
+void
+Exchange::onUnparsedBytes(std::size_t aBytes)
+{
+  mResponse.unparsedBytes = aBytes;
+  accountMemory(mJob.id, *mGrant, mResponse, mEventSplitter);
+}
+
+void
+Exchange::accountMemory(dispatch::JobId aJob,
+                        const dispatch::Grant& aGrant,
+                        const Response& aResponse,
+                        const EventSplitter& aEvents)
+{
+  mContext.serverResponses.set(aJob,
+                               aGrant.server.str(),
+                               aResponse.body.size() + aResponse.unparsedBytes +
+                                 aEvents.remainder().size());
+  mContext.freeServerResponses();
+}
+
+void
+Exchange::onMemoryExceeded(dispatch::JobId aJob)
+{
+  const bool stalled = mStalled && mStalled->job == aJob;
+  const auto& grant = stalled ? mStalled->grant : *mGrant;
+  const auto& memory = mContext.serverResponses;
+  log(makeLogEvent(LogLevel::Warning, "request.response_dropped")
+        .field("server", grant.server.str())
+        .field("bytes", memory.bytesOf(aJob))
+        .field("all_bytes", memory.totalBytes())
+        .field("limit_bytes", memory.limitBytes()),
+      false);
+  if (stalled) {
+    onStalledAttemptLost(ResponseFailure::MemoryExceeded);
+  } else {
+    onResponseFailure(ResponseFailure::MemoryExceeded);
   }
 }
 
@@ -240,7 +287,7 @@
   text.reserve(events.size() + 16);
   appendChunk(text, events);
   mCaller.write(text);
-  if (mConnection && mCaller.pendingBytes() > mContext.options.maxBufferedBytes) {
+  if (mConnection && mCaller.pendingBytes() > mContext.outputPauseBytes()) {
     mConnection->pause();
   }
 }
@@ -315,7 +362,11 @@
   }
   dropStalledAttempt(dispatch::JobOutcome::Stalled);
   writeResponseHead(mResponse.status, mResponse.fields, false);
-  mCaller.write(mResponse.body);
+  mCaller.reserveOutput(mResponse.body.size());
+  for (const auto& it : mResponse.body.blocks()) {
+    mCaller.write(it);
+  }
+  mResponse.body.clear();
   finishResponse();
 }
 
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -85,10 +85,11 @@
   mMayHaveExecuted = true;
   mJob.excludedServers.push_back(mGrant->server);
   mConnection->setListener(mStalledResponse);
+  auto body = std::exchange(mResponse.body, {});
   mStalled = Attempt{ mJob.id,   *mGrant,   std::move(mConnection), mPhase, mSentAt, mSentAtMs,
                       mResponse, mSendCount };
+  mStalled->response.body = std::move(body);
   mStalled->events.append(mEventSplitter.takeRemainder());
-  mResponse.body.clear();
   mConnection.reset();
   mGrant.reset();
   mJob.id = ++mContext.lastJobId;
@@ -213,7 +214,9 @@
     stalled.response.body.append(aBytes);
     if (stalled.response.body.size() > kMaxBufferedResponseBytes) {
       onResponseFailure(ResponseFailure::TooLarge);
+      return;
     }
+    mExchange.accountMemory(stalled.job, stalled.grant, stalled.response, stalled.events);
     return;
   }
   stalled.events.append(aBytes);
@@ -223,9 +226,19 @@
     }
   } else if (stalled.events.remainder().size() > kMaxEventBytes) {
     onResponseFailure(ResponseFailure::TooLarge);
+  } else {
+    mExchange.accountMemory(stalled.job, stalled.grant, stalled.response, stalled.events);
   }
 }
 
+void
+Exchange::StalledResponse::onUnparsedBytes(std::size_t aBytes)
+{
+  auto& stalled = *mExchange.mStalled;
+  stalled.response.unparsedBytes = aBytes;
+  mExchange.accountMemory(stalled.job, stalled.grant, stalled.response, stalled.events);
+}
+
 void
 Exchange::StalledResponse::onResponseEnd()
 {
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -21,6 +21,10 @@
 
 namespace {
 
+/// Unread bytes of one caller above which its server is paused, once the output of all callers is
+/// above half of its limit.
+constexpr std::size_t kScarceOutputBytes = 16UL * 1024;
+
 Tcp::endpoint
 parseEndpoint(const std::string& aAddress)
 {
@@ -54,6 +58,39 @@
   }
 }
 
+void
+GatewayContext::freeServerResponses()
+{
+  while (const auto job = serverResponses.findExcess()) {
+    const auto it = exchanges.find(*job);
+    if (it != exchanges.end()) {
+      it->second->onMemoryExceeded(*job);
+    }
+    serverResponses.remove(*job);
+  }
+}
+
+void
+GatewayContext::freeCallerOutput()
+{
+  while (const auto id = callerOutput.findExcess()) {
+    const auto it = std::find_if(callerConnections.begin(),
+                                 callerConnections.end(),
+                                 [&](const auto* aItem) { return aItem->outputId() == *id; });
+    if (it != callerConnections.end()) {
+      (*it)->onMemoryExceeded();
+    }
+    callerOutput.remove(*id);
+  }
+}
+
+std::size_t
+GatewayContext::outputPauseBytes() const
+{
+  const bool scarce = callerOutput.totalBytes() > callerOutput.limitBytes() / 2;
+  return scarce ? std::min(kScarceOutputBytes, options.maxBufferedBytes) : options.maxBufferedBytes;
+}
+
 struct Gateway::Impl
 {
   Impl(asio::io_context& aIo,
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -4,6 +4,7 @@
 
 #include "mustardplank/dispatch/caller_retry_detector.hpp"
 #include "mustardplank/gateway/gateway.hpp"
+#include "mustardplank/gateway/response_memory.hpp"
 #include "mustardplank/gateway/types.hpp"
 
 #include <random>
@@ -33,12 +34,21 @@
     , metrics(aMetrics)
     , callbacks(std::move(aCallbacks))
     , connectionPool(aIo)
+    , serverResponses(options.maxResponseBytes)
+    , callerOutput(options.maxResponseBytes)
   {
   }
 
   /// Executes grants and refusals, including those that are appended to aEffects during the call.
   /// Exchanges may start and end meanwhile.
   void applyEffects(dispatch::Effects& aEffects);
+  /// Ends responses until those that are held keep the limit. Exchanges may start and end
+  /// meanwhile.
+  void freeServerResponses();
+  /// Closes callers' connections until the output that they have not taken keeps the limit.
+  void freeCallerOutput();
+  /// Bytes that a caller may leave unread before reading from its server is paused.
+  std::size_t outputPauseBytes() const;
 
   boost::asio::io_context& io;
   GatewayOptions options;
@@ -58,6 +68,11 @@
   std::size_t connectionCount = 0;
   std::set<CallerConnection*> callerConnections;
   dispatch::JobId lastJobId = 0;
+  /// Bytes of responses that servers have not completed, by job.
+  ResponseMemory serverResponses;
+  /// Bytes that callers have not taken, by CallerConnection::outputId().
+  ResponseMemory callerOutput;
+  ResponseMemory::HolderId lastOutputId = 0;
   /// Detects callers that retry after a refusal: they have less time left than usual on the route.
   dispatch::CallerRetryDetector callerRetries;
   std::unordered_map<dispatch::JobId, Exchange*> exchanges;
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -16,6 +16,8 @@
 constexpr Millis kMinChangeBound = Millis(500);
 constexpr std::uint32_t kMaxDomainAgents = 8;
 constexpr double kMaxProcessorShare = 1024.0;
+constexpr std::uint32_t kMinMemoryMb = 1;
+constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
 
 void
 readBounds(const JsonNode& aNode,
@@ -87,6 +89,7 @@
   reader.enumeration("log_level", settings.logLevel, kLogLevelNames);
   reader.integer("domain_agents", settings.domainAgents, 0, kMaxDomainAgents);
   reader.real("processor_share", settings.processorShare, 0.001, kMaxProcessorShare);
+  reader.integer("memory_mb", settings.memoryMb, kMinMemoryMb, kMaxMemoryMb);
   reader.integer("log_sampling", settings.logSampling, 1, 1'000'000);
   if (const auto* node = reader.object("bounds", Presence::Optional)) {
     readBounds(*node, aFileName, aFindings, settings.bounds);
--- a/src/mustardplank/settings/route_settings_test.cpp
+++ b/src/mustardplank/settings/route_settings_test.cpp
@@ -82,6 +82,15 @@
   BOOST_TEST(toMillis(settings.bounds.evacuation) == 4000.0);
 }
 
+BOOST_AUTO_TEST_CASE(memory_is_a_setting)
+{
+  Findings findings;
+  BOOST_TEST(parse(kLeast + R"(, "memory_mb": 260 })", findings).memoryMb == 260U);
+  BOOST_TEST(findings.text() == "");
+  parse(kLeast + R"(, "memory_mb": 0 })", findings);
+  BOOST_TEST(findings.text().find("memory_mb") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(agents_out_of_range_are_reported)
 {
   Findings findings;
--- a/test/routes/unbounded_answers_test.cpp
+++ b/test/routes/unbounded_answers_test.cpp
@@ -2,7 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <memory>
 
 using namespace mustardplank;
 using namespace mustardplank::routes;
@@ -28,6 +32,18 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now() - aStart).count();
 }
 
+double
+residentMb(int aProcess)
+{
+  std::ifstream file("/proc/" + std::to_string(aProcess) + "/status");
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("VmRSS:")) {
+      return std::strtod(line.c_str() + 6, nullptr) * 1024 / 1e6;
+    }
+  }
+  return 0.0;
+}
+
 std::string
 eventTexts(int aCount)
 {
@@ -38,20 +54,75 @@
   return text;
 }
 
+/// Requests of the path, whose callers do not read, leave the instance in its memory, and other
+/// callers get their answers meanwhile.
+void
+checkMemory(const std::string& aPath, int aRequests, Millis aPause)
+{
+  // The setting memory_mb where the platform states none.
+  constexpr double kMemoryMb = 100.0;
+  constexpr std::size_t kServers = 3;
+  constexpr double kSeconds = 2.5;
+  RouteDeployment deployment(kServers, 1);
+  for (std::size_t i = 0; i < kServers; ++i) {
+    deployment.server(i).setEndlessPause(50);
+    deployment.writeServer(i, "ready", R"({"slots": 64})");
+  }
+  std::this_thread::sleep_for(Millis(500));
+  std::vector<std::unique_ptr<CallerConnection>> connections;
+  double mostMb = 0.0;
+  const auto start = std::chrono::steady_clock::now();
+  for (int i = 0; i < aRequests; ++i) {
+    connections.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    connections.back()->send(callOf(aPath, 4000));
+    std::this_thread::sleep_for(aPause);
+    mostMb = std::max(mostMb, residentMb(deployment.instance(0).id()));
+  }
+  int whole = 0;
+  int calls = 0;
+  while (secondsSince(start) < kSeconds) {
+    mostMb = std::max(mostMb, residentMb(deployment.instance(0).id()));
+    try {
+      CallerConnection connection(deployment.callers());
+      const bool streamed = calls++ % 2 == 0;
+      const auto call = callOf(streamed ? "/events/stream2" : "/plain/ok", 4000);
+      const auto answer = connection.call(call);
+      const auto expected = streamed ? eventTexts(2) : "answer to " + call.attempt;
+      whole += answer.result_int() == 200 && answer.body() == expected ? 1 : 0;
+    } catch (const boost::system::system_error&) {
+      std::this_thread::sleep_for(Millis(10));
+    }
+  }
+  BOOST_TEST_MESSAGE(aPath << ": most " << mostMb << " MB, whole " << whole << " of " << calls);
+  BOOST_TEST(mostMb < kMemoryMb);
+  BOOST_TEST(calls > 0);
+  BOOST_TEST(whole == calls);
+}
+
 }
 
 // Guards against servers in trouble that send bytes without end: each costs one connection and
 // bounded memory, and the caller is answered in time.
 BOOST_AUTO_TEST_CASE(routes_unbounded_answers_are_cut_off)
 {
-  for (const std::string part :
-       { "head", "interim", "other", "chunk", "trailer", "body", "event" }) {
+  for (const std::string part : { "head",
+                                  "interim",
+                                  "other",
+                                  "chunk",
+                                  "trailer",
+                                  "body",
+                                  "chunked_body",
+                                  "failure_body",
+                                  "length",
+                                  "failure_length",
+                                  "length_event",
+                                  "event" }) {
     BOOST_TEST_CONTEXT(part)
     {
       RouteDeployment deployment(1, 1);
       CallerConnection connection(deployment.callers());
       const auto start = std::chrono::steady_clock::now();
-      const auto* route = part == "event" ? "/events/endless_" : "/plain/endless_";
+      const auto* route = part.ends_with("event") ? "/events/endless_" : "/plain/endless_";
       const auto answer = connection.call(callOf(route + part, 8000));
       BOOST_TEST(answer.result_int() == 502U);
       BOOST_TEST(secondsSince(start) < 4.0);
@@ -78,6 +149,26 @@
   BOOST_TEST(sound.read().body() == eventTexts(4));
 }
 
+// Guards against responses without end that are each below their own limit, take the instance over
+// its memory together and end it with the requests of all callers.
+BOOST_AUTO_TEST_CASE(routes_unbounded_answers_keep_to_the_memory_together)
+{
+  for (const std::string part :
+       { "body", "chunked_body", "failure_body", "length", "event", "chunk", "head" }) {
+    BOOST_TEST_CONTEXT(part)
+    {
+      checkMemory(
+        (part == "event" ? "/events/endless_" : "/plain/endless_") + part, 120, Millis(0));
+    }
+  }
+}
+
+// Guards against large answers that callers do not read, and take the instance over its memory.
+BOOST_AUTO_TEST_CASE(routes_unread_answers_keep_to_the_memory_together)
+{
+  checkMemory("/plain/large15000", 15, Millis(100));
+}
+
 BOOST_AUTO_TEST_CASE(routes_unbounded_answers_are_tried_at_another_server)
 {
   RouteDeployment deployment(2, 1);
