BUDGET: a late refusal of a silent server is heeded also while another server is asked

Cause: StalledResponse::onResponseHead dropped a refusal or failure without passing on what its head states: Retry-After, Server-Leaving, Server-Limit and the load.

Change: recordAdmission takes the grant and the time of the attempt, and is called for the head of a stalled attempt too.

--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -124,8 +124,8 @@
   void armStallTimer();
   Duration stallTimeout() const;
   void checkStall();
-  /// Passes on what the server states about the requests that it takes.
-  void recordAdmission(const ResponseHead& aHead);
+  /// Passes on what the server states about its load and the requests that it takes.
+  void recordAdmission(const ResponseHead& aHead, const dispatch::Grant& aGrant, TimePoint aSentAt);
   /// Whether the caller may get this response.
   bool mayRelay(const ResponseHead& aHead, unsigned aStatus, const Fields& aFields) const;
   /// Whether the response has the media type of the stream that the caller receives.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -79,13 +79,7 @@
   mResponse.framing = aStart.framing;
   mResponse.eventCount = 0;
   mResponse.startedAt = aStart.at;
-  if (aHead.load) {
-    mContext.dispatcher.recordReportedLoad(
-      mGrant->server, aHead.load->running, aHead.load->waiting, now);
-  }
-  if (!aHead.misdirected) {
-    recordAdmission(aHead);
-  }
+  recordAdmission(aHead, *mGrant, mSentAt);
   if (aHead.misdirected || aHead.notExecuted) {
     const auto outcome =
       aHead.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
@@ -157,9 +151,18 @@
 }
 
 void
-Exchange::recordAdmission(const ResponseHead& aHead)
+Exchange::recordAdmission(const ResponseHead& aHead,
+                          const dispatch::Grant& aGrant,
+                          TimePoint aSentAt)
 {
-  const dispatch::ServerIncarnation server{ mGrant->server, mGrant->serverStartTimeMs };
+  if (aHead.load) {
+    mContext.dispatcher.recordReportedLoad(
+      aGrant.server, aHead.load->running, aHead.load->waiting, bootNow());
+  }
+  if (aHead.misdirected) {
+    return;
+  }
+  const dispatch::ServerIncarnation server{ aGrant.server, aGrant.serverStartTimeMs };
   if (aHead.isLeaving && mContext.dispatcher.recordLeaving(server)) {
     LogEvent(LogLevel::Info, "server.leaving")
       .field("server", std::string_view(server.id.str()))
@@ -176,7 +179,7 @@
   if (aHead.notExecuted && !aHead.requestLimit) {
     return;
   }
-  if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit, mSentAt, bootNow())) {
+  if (mContext.dispatcher.recordRequestLimit(server, aHead.requestLimit, aSentAt, bootNow())) {
     LogEvent(LogLevel::Info, aHead.requestLimit ? "server.limited" : "server.unlimited")
       .field("server", std::string_view(server.id.str()))
       .field("per_second", aHead.requestLimit.value_or(0.0))
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -187,6 +187,7 @@
   if (!mExchange.isResponseToThis(head, *stalled.connection)) {
     return false;
   }
+  mExchange.recordAdmission(head, stalled.grant, stalled.sentAt);
   if (head.misdirected || head.notExecuted) {
     mExchange.dropStalledAttempt(head.misdirected ? dispatch::JobOutcome::Misdirected
                                                   : dispatch::JobOutcome::Rejected);
--- a/test/routes/server_backpressure_test.cpp
+++ b/test/routes/server_backpressure_test.cpp
@@ -140,3 +140,21 @@
     return countArrivals(server, after, Clock::now()) > 0;
   }));
 }
+
+// Guards against the same demand that is lost as it comes late, while another server is asked.
+BOOST_AUTO_TEST_CASE(routes_silent_server_that_turns_a_request_away_late_gets_none)
+{
+  constexpr auto kPause = Millis(25);
+  RouteDeployment deployment(2, 1);
+  deployment.awaitServing();
+  deployment.server(0).setMoreFields("Retry-After: 2.5\r\n");
+  deployment.server(1).setMoreFields("Retry-After: 2.5\r\n");
+  sendFor(deployment, 1, kPause, kPause, "/twice/after1000_not_run+delayed");
+  const auto first = deployment.server(0).arrivals().back();
+  const auto other = deployment.server(1).arrivals().back();
+  const bool isFirst = first.path.ends_with("+delayed") && first.at < other.at;
+  auto& silent = deployment.server(isFirst ? 0 : 1);
+  const auto refused = silent.arrivals().back().at + Millis(1000);
+  sendFor(deployment, 1, Millis(2000), kPause, "/twice/ok");
+  BOOST_TEST(countArrivals(silent, refused + Millis(500), refused + Millis(2500)) <= 2);
+}
