--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -26,9 +26,9 @@
 /// Part of the time for which a leaving server still serves; requests wait for a newer list when
 /// that of the servers is older.
 constexpr double kMaxServerListPart = 0.9;
-/// Part of the process's memory that responses of servers may take, and the same once more for
+/// Share of the process's memory that responses of servers may take, and the same once more for
 /// output that callers have not taken.
-constexpr double kResponseMemoryPart = 0.25;
+constexpr double kResponseMemoryShare = 0.25;
 constexpr double kBytesPerMb = 1e6;
 /// How long handing over counts may take. The first time it begins so long before the last
 /// requests are ended; the second time the end of the process may come earlier.
@@ -60,7 +60,7 @@
   options.adminAddress = aSettings.admin.text();
   options.logSamplingInterval = aSettings.logSampling;
   options.maxResponseBytes =
-    static_cast<std::size_t>(kResponseMemoryPart * kBytesPerMb * aSettings.memoryMb);
+    static_cast<std::size_t>(kResponseMemoryShare * kBytesPerMb * aSettings.memoryMb);
   return options;
 }
 
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -21,7 +21,7 @@
 /// Bytes of one element (chunk size, extension or trailer) that the parser may leave unread until
 /// the rest arrives.
 constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
-/// With fewer unparsed bytes the listener is not told of them.
+/// Fewer unparsed bytes are not reported to the listener.
 constexpr std::size_t kMinReportedBytes = 8UL * 1024;
 /// Interim responses and responses to other requests, in bytes, before the response.
 constexpr std::size_t kMaxSkippedBytes = 16 * 1024 * 1024;
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -85,6 +85,7 @@
   mMayHaveExecuted = true;
   mJob.excludedServers.push_back(mGrant->server);
   mConnection->setListener(mStalledResponse);
+  // Moved apart, as the rest of the response is copied.
   auto body = std::exchange(mResponse.body, {});
   mStalled = Attempt{ mJob.id,   *mGrant,   std::move(mConnection), mPhase, mSentAt, mSentAtMs,
                       mResponse, mSendCount };
