Requests without an answer are logged and counted by the reason for which their connection ended

A connection now ends in one place, with one reason (ConnectionEnd); a request that had arrived whole and got no complete answer leaves caller.unanswered and counts in mustardplank_unanswered_requests_total by reason. Connections beyond the limit are logged and counted; they left no line.

--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace mustardplank::metrics {
 
@@ -186,6 +187,9 @@
   void set(Gauge aGauge, double aValue);
   void set(PoolGauge aGauge, const PoolId& aPool, double aValue);
   void count(Event aEvent, std::uint64_t aCount = 1);
+  /// A request that had arrived whole got no complete answer. Series
+  /// "mustardplank_unanswered_requests_total{reason}"; aReason is never a caller's text.
+  void countUnanswered(std::string_view aReason);
 
   /// Everything in the Prometheus text format.
   std::string scrape() const;
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -67,7 +67,14 @@
            " ms.";
   }
   if (event == "request.cancelled") {
-    return "The caller left after " + valueOf(aLast, "total_ms") + " ms.";
+    const auto ms = valueOf(aLast, "total_ms") + " ms";
+    if (reason == "write_failed") {
+      return "The caller did not take its answer, or could not be reached, after " + ms + ".";
+    }
+    if (reason == "output_dropped") {
+      return "The caller left too much of its answer unread, after " + ms + ".";
+    }
+    return "The caller left after " + ms + ".";
   }
   const auto text = reasonTexts().find(reason);
   const std::string why = text == reasonTexts().end() ? "reason " + reason : text->second;
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -70,7 +70,7 @@
   const bool requestArrives =
     mParser->got_some() || mBuffer.size() > 0 || mSocket.available(ec) > 0;
   if (!mExchange && !mWriting && mPendingOutput.empty() && !requestArrives) {
-    close();
+    close(ConnectionEnd::Draining);
   }
 }
 
@@ -155,7 +155,7 @@
       // Not idle: the caller still reads. The kernel ends the connection if it stops.
       self->armReceiveTimer();
     } else {
-      self->close();
+      self->close(ConnectionEnd::Idle);
     }
   });
 }
@@ -181,10 +181,11 @@
     return;
   }
   if (aError) {
-    close();
+    close(mLingering ? ConnectionEnd::Announced : ConnectionEnd::CallerClosed);
     return;
   }
   if (mLingering) {
+    mBytesAfterEnd += aBytes;
     read();
     return;
   }
@@ -311,7 +312,7 @@
   BoostErrorCode ec;
   mSocket.shutdown(Tcp::socket::shutdown_send, ec);
   if (ec) {
-    close();
+    close(ConnectionEnd::Announced);
     return;
   }
   mLingering = true;
@@ -322,7 +323,7 @@
   mReceiveTimer = mContext.timers.set(bootNow() + kLingerTime, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->mReceiveTimer.reset();
-      self->close();
+      self->close(ConnectionEnd::Announced);
     }
   });
   read();
@@ -369,7 +370,7 @@
     .field("all_bytes", mContext.callerOutput.totalBytes())
     .field("limit_bytes", mContext.callerOutput.limitBytes())
     .write();
-  close();
+  close(ConnectionEnd::OutputDropped);
 }
 
 void
@@ -392,7 +393,7 @@
                       self->mWriting = false;
                       self->releaseWrittenOutput();
                       if (aError) {
-                        self->close();
+                        self->close(ConnectionEnd::WriteFailed);
                         return;
                       }
                       self->flush();
@@ -455,14 +456,15 @@
 }
 
 void
-CallerConnection::abort()
+CallerConnection::abort(const char* aReason)
 {
   releaseExchange();
-  close();
+  noteUnanswered(aReason);
+  close(ConnectionEnd::BrokenOff);
 }
 
 void
-CallerConnection::close()
+CallerConnection::close(ConnectionEnd aEnd)
 {
   if (mClosed) {
     return;
@@ -475,10 +477,29 @@
   BoostErrorCode ec;
   mSocket.shutdown(Tcp::socket::shutdown_send, ec);
   mSocket.close(ec);
+  if (mExchange || (pendingBytes() > 0 && aEnd != ConnectionEnd::BrokenOff)) {
+    noteUnanswered(kConnectionEndNames.name(aEnd));
+  }
+  if (mBytesAfterEnd > 0) {
+    LogEvent(LogLevel::Info, "caller.bytes_dropped").field("bytes", mBytesAfterEnd).write();
+  }
   if (mExchange) {
-    mExchange->onCallerClosed();
+    mExchange->onCallerClosed(aEnd);
     releaseExchange();
   }
 }
 
+void
+CallerConnection::noteUnanswered(std::string_view aReason) const
+{
+  mContext.metrics.countUnanswered(aReason);
+  LogEvent(LogLevel::Info, "caller.unanswered")
+    .field("reason", aReason)
+    .field("read_ahead_bytes", mBuffer.size())
+    .field("unwritten_bytes", pendingBytes())
+    .field("config", mContext.table ? mContext.table->version() : 0)
+    .field("draining", static_cast<int>(mContext.draining))
+    .write();
+}
+
 }
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection_end.hpp"
 #include "exchange.hpp"
 #include "gateway_context.hpp"
 
@@ -47,8 +48,8 @@
   /// bytes are written, unless aKeepOpen.
   void finishResponse(bool aKeepOpen);
   /// Closes the connection in the middle of a response, so that the caller detects that the
-  /// response is incomplete.
-  void abort();
+  /// response is incomplete. aReason is the one of the request's end.
+  void abort(const char* aReason);
   /// Bytes that have not been written to the socket yet.
   std::size_t pendingBytes() const { return mPendingOutput.size() + mOutputInFlight.size(); }
   /// Whether the response must announce that the connection closes.
@@ -83,7 +84,10 @@
   void armReceiveTimer();
   void setReceiveTimer(TimePoint aAt);
   Duration receiveTimeout() const;
-  void close();
+  /// The only end of the connection, but for that of the process.
+  void close(ConnectionEnd aEnd);
+  /// Logs and counts a request that was read whole and gets no complete answer.
+  void noteUnanswered(std::string_view aReason) const;
 
   /// Keeps the context alive until the last connection is destroyed.
   std::shared_ptr<GatewayContext> mSharedContext;
@@ -115,6 +119,8 @@
   bool mLingering = false;
   bool mRequestKeepAlive = true;
   bool mContinueSent = false;
+  /// Bytes that arrived after the last response had announced the end.
+  std::size_t mBytesAfterEnd = 0;
 };
 
 }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -460,10 +460,11 @@
 }
 
 void
-Exchange::onCallerClosed()
+Exchange::onCallerClosed(ConnectionEnd aEnd)
 {
   if (!mDone) {
-    finishRequest("request.cancelled", 0, "caller_left");
+    const bool left = aEnd == ConnectionEnd::CallerClosed;
+    finishRequest("request.cancelled", 0, left ? "caller_left" : kConnectionEndNames.name(aEnd));
   }
 }
 
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_connection.hpp"
+#include "connection_end.hpp"
 #include "gateway_context.hpp"
 
 #include "mustardplank/dispatch/job.hpp"
@@ -45,8 +46,8 @@
   void start();
   void onGranted(const dispatch::Grant& aGrant);
   void onRefused(const dispatch::Refusal& aRefusal);
-  /// The caller has closed its connection.
-  void onCallerClosed();
+  /// The caller's connection has ended.
+  void onCallerClosed(ConnectionEnd aEnd);
   /// A write to the caller has completed: resumes reading from the server.
   void onCallerWritable();
   bool isDone() const { return mDone; }
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -466,7 +466,7 @@
     return;
   }
   finishRequest("request.broken_off", mResponse.status, aReason);
-  mCaller.abort();
+  mCaller.abort(aReason);
 }
 
 void
@@ -476,7 +476,7 @@
 {
   if (mResponseHeadSent) {
     finishRequest("request.broken_off", mResponse.status, aReason);
-    mCaller.abort();
+    mCaller.abort(aReason);
     return;
   }
   Fields fields;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -117,6 +117,11 @@
       // A connection may have been accepted just before the listener closed.
       if (!aError && context.connectionCount < context.options.maxCallerConnections) {
         std::make_shared<CallerConnection>(sharedContext, std::move(aSocket))->start();
+      } else if (!aError) {
+        context.metrics.count(metrics::Event::RefusedConnection);
+        LogEvent(LogLevel::Warning, "caller.connection_refused")
+          .field("connections", context.connectionCount)
+          .write();
       }
       if (acceptor->is_open()) {
         accept();
--- a/src/mustardplank/metrics/metrics.cpp
+++ b/src/mustardplank/metrics/metrics.cpp
@@ -119,6 +119,27 @@
   std::map<PoolId, Gauges> mPools;
 };
 
+/// The series of requests without an answer, by reason.
+class UnansweredCounters
+{
+public:
+  explicit UnansweredCounters(prometheus::Registry& aRegistry)
+    : mFamily(prometheus::BuildCounter()
+                .Name("mustardplank_unanswered_requests_total")
+                .Help("Requests that arrived whole and got no complete answer.")
+                .Register(aRegistry))
+  {
+  }
+
+  void count(std::string_view aReason)
+  {
+    mFamily.Add({ { "reason", std::string(aReason) } }).Increment();
+  }
+
+private:
+  prometheus::Family<prometheus::Counter>& mFamily;
+};
+
 }
 
 struct Metrics::Impl
@@ -128,6 +149,7 @@
     , organisations(registry, "organisation", aLimits.organisations)
     , all(makeRefusalsByCode(registry))
     , pools(registry, aLimits.pools)
+    , unanswered(registry)
   {
     for (const auto& [gauge, name] : kGaugeNames.entries) {
       auto& family = prometheus::BuildGauge()
@@ -150,6 +172,7 @@
   SeriesTable organisations;
   Series all;
   PoolGauges pools;
+  UnansweredCounters unanswered;
   std::array<PrometheusGauge*, kGaugeNames.entries.size()> gauges{};
   std::array<prometheus::Counter*, kEventNames.entries.size()> events{};
 };
@@ -187,6 +210,12 @@
   mImpl->events[static_cast<std::size_t>(aEvent)]->Increment(static_cast<double>(aCount));
 }
 
+void
+Metrics::countUnanswered(std::string_view aReason)
+{
+  mImpl->unanswered.count(aReason);
+}
+
 std::string
 Metrics::scrape() const
 {
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -260,6 +260,9 @@
     route["hostname"] = "host" + std::to_string(i) + ".example";
     config["routes"].push_back(std::move(route));
   }
+  for (auto& it : config["routes"]) {
+    it["timeoutMs"] = mRouteTimeout.count();
+  }
   config["services"] =
     json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
   config["limits"] = { { "maxHeaderBytes", 8192 },
@@ -323,6 +326,22 @@
   }
 }
 
+std::map<std::string, int>
+RouteDeployment::unanswered(std::size_t aIndex) const
+{
+  const std::string name = "mustardplank_unanswered_requests_total{reason=\"";
+  std::map<std::string, int> counts;
+  std::istringstream page(adminPage(aIndex, "/metrics"));
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with(name)) {
+      const auto end = line.find('"', name.size());
+      counts[line.substr(name.size(), end - name.size())] =
+        std::atoi(line.c_str() + line.rfind(' '));
+    }
+  }
+  return counts;
+}
+
 void
 RouteDeployment::awaitServing()
 {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -105,6 +106,8 @@
   void setMoreRoutes(std::size_t aCount) { mMoreRoutes = aCount; }
   /// The limits on idle connections that configure() sets.
   void setIdleTimeout(Millis aTimeout) { mIdleTimeout = aTimeout; }
+  /// The time limit of all routes that configure() sets.
+  void setRouteTimeout(Millis aTimeout) { mRouteTimeout = aTimeout; }
   /// The limit on bodies that configure() sets.
   void setMaxBodyBytes(std::size_t aBytes) { mMaxBodyBytes = aBytes; }
   void writeServer(std::size_t aIndex,
@@ -114,6 +117,8 @@
   /// Waits until every instance serves requests.
   void awaitServing();
   int readinessStatus(std::size_t aIndex = 0);
+  /// Requests of the instance that arrived whole and got no complete answer, by reason.
+  std::map<std::string, int> unanswered(std::size_t aIndex = 0) const;
   /// Answer of the instance's admin address; empty if there is none.
   std::string adminPage(std::size_t aIndex, const std::string& aPath) const;
 
@@ -139,6 +144,7 @@
   int mVersion = 0;
   std::size_t mMoreRoutes = 0;
   Millis mIdleTimeout{ 3000 };
+  Millis mRouteTimeout{ 3000 };
   std::size_t mMaxBodyBytes = 100000;
   std::thread mThread;
 };
