LOST: a sound engine that is silent for a second or so keeps its prompt

What callers saw: a stream ended after its first events, or 502, 500 or 504 came, although its server was about to go on: it had been silent for 1.5 s, another one was asked after 0.8 s, and the silent one was given up 250 ms later (two engines may not work on one prompt for longer); then the other one broke off, failed, refused or hung. Cause: what is certain is given up for what is not, before a sound server's silence is over. Change: the attempt at a prompt counts as stalled after 1.6 s, unless the server is in doubt for other reasons: it is no longer listed, or connecting to it failed, or requests to it were lost or stalled since its last success. Callers wait for 2 s at least, and once a pause has made a stream late, waiting costs it nothing more. Requests without a prompt keep both attempts and are not affected.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -166,6 +166,10 @@
   /// while jobs wait.
   void tick(TimePoint aNow, Effects& aEffects);
 
+  /// Whether requests to the server were lost or stalled, or connecting to it failed, since its
+  /// last success; also if it is no longer known.
+  bool isInDoubt(const BackendServerId& aServer) const;
+
   CrashSuspects& crashSuspects() { return mCrashSuspects; }
   PromptPartSuspects& promptPartSuspects() { return mPromptPartSuspects; }
 
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -166,6 +166,14 @@
   }
 }
 
+bool
+Dispatcher::isInDoubt(const BackendServerId& aServer) const
+{
+  const auto it = mServers.find(aServer);
+  return it == mServers.end() || it->second->consecutiveLossesOrStalls > 0 ||
+         it->second->suspensionBackoff > Duration{};
+}
+
 void
 Dispatcher::updateFailureRates(TimePoint aNow)
 {
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -130,6 +130,8 @@
   /// Whether the caller may get this response.
   bool mayRelay(const ResponseHead& aHead, unsigned aStatus, const Fields& aFields) const;
   /// Whether the response has the media type of the stream that the caller receives.
+  /// When the silence of the server counts as a stall.
+  TimePoint stalledAt() const;
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
   bool isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const;
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -23,6 +23,11 @@
 /// Two engines work on the same prompt for no longer than this, even if the second one has not
 /// begun to respond.
 constexpr Duration kMaxSharedRun = Millis(250);
+/// A sound server may be silent for so long. The attempt at a prompt is given up for another one,
+/// so that it counts as stalled only then, unless the server is in doubt for other reasons.
+constexpr Duration kMaxSoundSilence = Millis(1600);
+/// How often a silent server is checked for other reasons.
+constexpr Duration kDoubtCheckInterval = Millis(200);
 
 }
 
@@ -36,6 +41,15 @@
          (isStreamingRoute() ? kStreamStallSlack : kNonStreamStallSlack);
 }
 
+TimePoint
+Exchange::stalledAt() const
+{
+  const auto timeout = stallTimeout();
+  const bool isSoundSilence =
+    !mJob.prompt.empty() && !mContext.dispatcher.isInDoubt(mGrant->server);
+  return mLastProgressAt + (isSoundSilence ? std::max(timeout, kMaxSoundSilence) : timeout);
+}
+
 void
 Exchange::armStallTimer()
 {
@@ -46,7 +60,11 @@
   if (!mJob.retryable || mStalled || mSendCount >= mRoute->maxAttempts) {
     return;
   }
-  const auto at = std::max(mLastProgressAt + stallTimeout(), bootNow() + Millis(1));
+  const auto now = bootNow();
+  const auto checkAt = mLastProgressAt + stallTimeout();
+  const auto at =
+    checkAt > now ? checkAt
+                  : std::clamp<TimePoint>(stalledAt(), now + Millis(1), now + kDoubtCheckInterval);
   mStallTimer = mContext.timers.set(at, [this] {
     mStallTimer.reset();
     checkStall();
@@ -64,7 +82,7 @@
     // The caller does not read.
     mLastProgressAt = bootNow();
   }
-  if (bootNow() < mLastProgressAt + stallTimeout()) {
+  if (bootNow() < stalledAt()) {
     armStallTimer();
     return;
   }
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -27,6 +27,7 @@
 ///     old_refusal, nameless_refusal  a refusal of another request first, or one that names none
 ///     slowN    N events, 600 ms apart
 ///     silentN  six events; falls silent for 1.5 s after the Nth, unless the caller resumes
+///     long_silentN  the same for 2.2 s
 ///     delayedN an answer after N ms; without N after 1.2 s
 ///     largeN   an answer with N KiB
 ///     halfN    an answer's head and half of its body, the rest after N ms
@@ -119,6 +120,8 @@
     int firstEventMs = 0;
     /// Silence before the half of an event with which the stream ends.
     int lastPauseMs = 0;
+    /// How long it is silent after silentAfter events.
+    int silenceMs = 1500;
   };
 
   std::string moreFields() const;
