LOST: a request that is read after the last response ends its connection soon

Cause: a connection that has announced its end reads on for a second and drops what it reads, without looking at it. Change: what arrives is parsed; once a whole request is there, the connection ends within 100 ms and the request is counted (after_last_response). The rest of a request that was rejected is still awaited for a second, as a reset may cost the caller the refusal.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t kMaxKeptCapacity = 64UL * 1024;
 /// How long a connection that ends waits for the caller to close its side.
 constexpr Duration kLingerTime = Seconds(1);
+/// The same once a request has arrived that gets no answer. Leaves the caller time to take the last
+/// response, as bytes that it has not read may be lost with the connection.
+constexpr Duration kLingerAfterRequest = Millis(100);
 
 bool
 isTransferEncodingSupported(const http::request<http::string_body>& aRequest)
@@ -185,7 +188,8 @@
     return;
   }
   if (mLingering) {
-    mBytesAfterEnd += aBytes;
+    mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
+    findRequestAfterEnd();
     read();
     return;
   }
@@ -316,17 +320,46 @@
     return;
   }
   mLingering = true;
-  mBuffer.clear();
+  armLingerTimer(kLingerTime);
+  // The rest of a request that was rejected is expected, and no further request.
+  mFindsRequestAfterEnd = !mParser->got_some() || mParser->is_done();
+  if (mFindsRequestAfterEnd) {
+    resetParser();
+  }
+  findRequestAfterEnd();
+  read();
+}
+
+void
+CallerConnection::armLingerTimer(Duration aTime)
+{
   if (mReceiveTimer) {
     mContext.timers.cancel(*mReceiveTimer);
   }
-  mReceiveTimer = mContext.timers.set(bootNow() + kLingerTime, [weak = weak_from_this()] {
+  mReceiveTimer = mContext.timers.set(bootNow() + aTime, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->mReceiveTimer.reset();
       self->close(ConnectionEnd::Announced);
     }
   });
-  read();
+}
+
+void
+CallerConnection::findRequestAfterEnd()
+{
+  while (mFindsRequestAfterEnd && mBuffer.size() > 0) {
+    BoostErrorCode ec;
+    mBuffer.consume(mParser->put(mBuffer.data(), ec));
+    if (ec == http::error::need_more) {
+      return;
+    }
+    mFindsRequestAfterEnd = !ec && !mParser->is_done();
+    if (mParser->is_done()) {
+      noteUnanswered("after_last_response");
+      armLingerTimer(kLingerAfterRequest);
+    }
+  }
+  mBuffer.clear();
 }
 
 void
@@ -480,9 +513,6 @@
   if (mExchange || (pendingBytes() > 0 && aEnd != ConnectionEnd::BrokenOff)) {
     noteUnanswered(kConnectionEndNames.name(aEnd));
   }
-  if (mBytesAfterEnd > 0) {
-    LogEvent(LogLevel::Info, "caller.bytes_dropped").field("bytes", mBytesAfterEnd).write();
-  }
   if (mExchange) {
     mExchange->onCallerClosed(aEnd);
     releaseExchange();
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -73,6 +73,10 @@
   /// Announces the end of the connection and discards what still arrives: closing a socket with
   /// unread bytes resets the connection, and the caller may lose the response.
   void linger();
+  void armLingerTimer(Duration aTime);
+  /// Looks for a whole request among the bytes that arrive after the last response; the connection
+  /// then ends soon, so that its caller need not wait.
+  void findRequestAfterEnd();
   void flush();
   void accountOutput();
   void releaseWrittenOutput();
@@ -119,8 +123,8 @@
   bool mLingering = false;
   bool mRequestKeepAlive = true;
   bool mContinueSent = false;
-  /// Bytes that arrived after the last response had announced the end.
-  std::size_t mBytesAfterEnd = 0;
+  /// While lingering: what arrives may be a request, which gets no answer.
+  bool mFindsRequestAfterEnd = false;
 };
 
 }
--- a/test/routes/unanswered_requests_test.cpp
+++ b/test/routes/unanswered_requests_test.cpp
@@ -226,6 +226,33 @@
   BOOST_TEST(callers.lost().empty(), callers.lost());
 }
 
+// Guards against a request that is read after the last answer of its connection, and whose
+// connection ends late.
+BOOST_AUTO_TEST_CASE(routes_request_after_the_last_answer_ends_its_connection_soon)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  auto call = callOf("/plain/ok");
+  call.fields.emplace_back("Connection", "close");
+  BOOST_TEST(connection.call(call).result_int() == 200U);
+  const auto late = callOf("/plain/ok");
+  connection.send(late);
+  const auto sentAt = bootNow();
+  bool ended = false;
+  // Bytes on a connection that has ended are answered by a reset.
+  while (!ended && bootNow() < sentAt + Millis(900)) {
+    std::this_thread::sleep_for(Millis(20));
+    try {
+      connection.sendText("G");
+    } catch (const boost::system::system_error&) {
+      ended = true;
+    }
+  }
+  const auto elapsed = duration_cast<Millis>(bootNow() - sentAt);
+  BOOST_TEST(elapsed <= kLossSlack, "ended after " << elapsed.count() << " ms");
+  BOOST_TEST(deployment.arrivals(late.attempt) == 0U);
+}
+
 // Guards against an idle connection that is closed while a request waits in its receive buffer, as
 // the instance is busy at the idle limit.
 BOOST_AUTO_TEST_CASE(routes_request_at_the_idle_limit_of_a_busy_instance_is_answered)
