An idle connection is closed only if no bytes wait in its receive buffer

Alarms that became due during a long handler run before reads that the loop has not seen yet, so that the idle limit could close a connection behind whose bytes a whole request stood. The check is the one that a planned stop makes.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -158,11 +158,26 @@
       // Not idle: the caller still reads. The kernel ends the connection if it stops.
       self->armReceiveTimer();
     } else {
-      self->close(ConnectionEnd::Idle);
+      // Reads that have completed are handled first.
+      asio::post(self->mContext.io, [self] { self->closeAtIdleLimit(); });
     }
   });
 }
 
+void
+CallerConnection::closeAtIdleLimit()
+{
+  BoostErrorCode ec;
+  if (mExchange || mReceiveTimer || mParser->got_some()) {
+    return;
+  }
+  if (mSocket.available(ec) > 0) {
+    armReceiveTimer();
+    return;
+  }
+  close(ConnectionEnd::Idle);
+}
+
 void
 CallerConnection::read()
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -77,6 +77,8 @@
   /// Looks for a whole request among the bytes that arrive after the last response; the connection
   /// then ends soon, so that its caller need not wait.
   void findRequestAfterEnd();
+  /// Closes the connection unless bytes have arrived.
+  void closeAtIdleLimit();
   void flush();
   void accountOutput();
   void releaseWrittenOutput();
