LOST: a longer time limit holds for streams in progress

What callers saw: a stream was cut at the time limit of the configuration under which it had arrived, although a newer one allows more. Change: at its limit, a stream that the caller has begun to receive takes the limit of its route in the newest configuration if that is longer, up to the caller's own. Other requests get 504 at the older limit, which is an answer. Evidence: routes_longer_time_limit_holds_for_streams_in_progress was broken off before, is whole now. A server that stops at the time that it was given with the request still ends the stream.

--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -142,10 +142,7 @@
     sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
     return false;
   }
-  mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
-    mDeadlineTimer.reset();
-    onDeadline();
-  });
+  armDeadlineTimer();
   return true;
 }
 
@@ -191,8 +188,7 @@
   mJob.streaming = isStreamingRoute();
   // A caller that retries after a refusal has less time left than is usual on the route.
   mJob.callerRetry = aHead.timeLeft && mContext.callerRetries.isRetry(mRoute->id, *aHead.timeLeft);
-  const auto left = std::min(aHead.timeLeft.value_or(kDefaultTimeout), mRoute->timeout);
-  mJob.deadline = mJob.arrived + left;
+  mJob.deadline = mJob.arrived + timeLimit(*mRoute);
   mJob.targetDeadline = mJob.arrived + mRoute->latencyTarget;
   mRecorder.emplace(
     mContext.metrics.recorder(ClassId(mRoute->id.str()), OrganisationId(mJob.organisation)));
@@ -454,11 +450,46 @@
 void
 Exchange::onDeadline()
 {
-  if (!mDone) {
+  if (!mDone && !extendDeadline()) {
     end("time_up");
   }
 }
 
+bool
+Exchange::extendDeadline()
+{
+  if (!mResponseHeadSent || !mContext.table) {
+    return false;
+  }
+  const auto* route = mContext.table->matchRoute(std::string(mRequest[http::field::host]),
+                                                 std::string(mRequest.target()));
+  if (!route || route->id != mRoute->id) {
+    return false;
+  }
+  const auto extended = mJob.arrived + timeLimit(*route);
+  if (extended <= mJob.deadline) {
+    return false;
+  }
+  mJob.deadline = extended;
+  armDeadlineTimer();
+  return true;
+}
+
+void
+Exchange::armDeadlineTimer()
+{
+  mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
+    mDeadlineTimer.reset();
+    onDeadline();
+  });
+}
+
+Duration
+Exchange::timeLimit(const route::Route& aRoute) const
+{
+  return std::min(mRequestHead.timeLeft.value_or(kDefaultTimeout), aRoute.timeout);
+}
+
 void
 Exchange::onCallerClosed(ConnectionEnd aEnd)
 {
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -121,17 +121,23 @@
   /// Ends the request with status 502, or aborts a response whose head has been sent to the caller.
   void failResponse(const char* aReason);
   void onDeadline();
+  void armDeadlineTimer();
+  /// Applies a longer time limit of a newer configuration to a stream that the caller has begun to
+  /// receive. False if there is none.
+  bool extendDeadline();
+  /// Time that the caller and the route leave, from the arrival of the request.
+  Duration timeLimit(const route::Route& aRoute) const;
   /// Starts the check for a server that stops sending, if the request may be sent to another one.
   void armStallTimer();
   Duration stallTimeout() const;
+  /// When the silence of the server counts as a stall.
+  TimePoint stalledAt() const;
   void checkStall();
   /// Passes on what the server states about its load and the requests that it takes.
   void recordAdmission(const ResponseHead& aHead, const dispatch::Grant& aGrant, TimePoint aSentAt);
   /// Whether the caller may get this response.
   bool mayRelay(const ResponseHead& aHead, unsigned aStatus, const Fields& aFields) const;
   /// Whether the response has the media type of the stream that the caller receives.
-  /// When the silence of the server counts as a stall.
-  TimePoint stalledAt() const;
   bool continuesStream(const Fields& aFields) const;
   /// Whether the response belongs to the request in progress, by the attempt id that it names.
   bool isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const;
--- a/test/routes/unanswered_requests_test.cpp
+++ b/test/routes/unanswered_requests_test.cpp
@@ -302,6 +302,24 @@
   BOOST_TEST(unanswered == 0);
 }
 
+// Guards against a stream that is cut at a time limit that is no longer in force.
+BOOST_AUTO_TEST_CASE(routes_longer_time_limit_holds_for_streams_in_progress)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  auto call = callOf("/events/slow7");
+  call.deadlineMs = 8000;
+  connection.send(call);
+  std::this_thread::sleep_for(Millis(500));
+  deployment.setRouteTimeout(Millis(9000));
+  deployment.configure();
+  try {
+    BOOST_TEST(connection.read().body() == eventTexts(7));
+  } catch (const boost::system::system_error&) {
+    BOOST_ERROR("broken off after " << connection.partialBody());
+  }
+}
+
 // Guards against an instance that runs out of memory, as streams in progress keep the
 // configurations under which they arrived.
 BOOST_AUTO_TEST_CASE(routes_storm_of_large_configurations_keeps_the_memory_limit)
