LOST: a server that is lost late in its response is no sign of a request that crashes servers

What callers saw: with three attempts, a stream that two servers broke off ended although a third sound one was there: the request counted as one that crashes servers. Cause: a request (or a part of its prompt) that crashes servers does so as they begin to answer. That was asked for parts of prompts only. Change: a loss later than 300 ms after the head of the response counts for neither. Two losses as servers begin, the load that the suspicion is for, still refuse the request. Evidence: routes_stream_broken_off_late_and_once_more_is_resumed_by_a_third_server ended after two arrivals before, is whole after three now.

--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -54,8 +54,8 @@
   return "malformed_answer";
 }
 
-/// A prompt part that crashes servers does so when they begin to answer; a server that is lost
-/// later than this after the head of the response had another cause.
+/// Requests and prompt parts that crash servers do so when these begin to answer; the loss of a
+/// server later than this after the head of its response has another cause.
 constexpr Duration kResponseBeginning = Millis(300);
 
 }
@@ -393,6 +393,11 @@
                            const Response& aResponse)
 {
   logServerLost(aGrant, aResponse);
+  const bool isBeginning =
+    !aResponse.startedAt || bootNow() - *aResponse.startedAt < kResponseBeginning;
+  if (!isBeginning) {
+    return;
+  }
   const auto nowMs = mContext.callbacks.sharedTimeMs();
   const bool hasBody = mJob.streaming || !mRequest.body().empty();
   mContext.callbacks.onConnectionLost(
@@ -403,9 +408,7 @@
       nowMs,
       hasBody ? dispatch::DigestSharing::Rare : dispatch::DigestSharing::Common });
   auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
-  const bool isBeginning =
-    !aResponse.startedAt || bootNow() - *aResponse.startedAt < kResponseBeginning;
-  if (isBeginning && !parts.empty()) {
+  if (!parts.empty()) {
     mContext.callbacks.onServerLost(
       { aGrant.server, aGrant.serverStartTimeMs, nowMs, std::move(parts) });
   }
--- a/test/routes/resumed_streams_test.cpp
+++ b/test/routes/resumed_streams_test.cpp
@@ -85,6 +85,15 @@
   checkWhole(3, "/thrice/torn2+open_empty+open_stream6", 3);
 }
 
+// Guards against a stream that no third server is asked for, although the first one had been
+// answering for long when it broke off: only a loss as a server begins speaks against the request.
+BOOST_AUTO_TEST_CASE(routes_stream_broken_off_late_and_once_more_is_resumed_by_a_third_server)
+{
+  for (const auto* second : { "open_empty", "cut", "begin_crash" }) {
+    checkWhole(3, std::string("/thrice/slow_broken2+") + second + "+stream6", 3);
+  }
+}
+
 // Guards against a stalled attempt without an event that goes on and ends, and counts the events of
 // the attempt before it as its own.
 BOOST_AUTO_TEST_CASE(routes_stalled_attempt_counts_its_own_events)
