--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -10,7 +10,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/field.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 
 namespace mustardplank::gateway {
 
@@ -377,6 +380,14 @@
   mBuffer.clear();
 }
 
+bool
+CallerConnection::hasCallerLeft()
+{
+  char byte = 0;
+  const auto n = ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n == 0 || (n < 0 && errno == ECONNRESET);
+}
+
 void
 CallerConnection::write(std::string_view aBytes)
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -54,6 +54,10 @@
   std::size_t pendingBytes() const { return mPendingOutput.size() + mOutputInFlight.size(); }
   /// Whether the response must announce that the connection closes.
   bool closesAfterResponse() const;
+  /// Whether the caller has closed the connection, which may not have been noticed yet.
+  bool hasCallerLeft();
+  /// The caller was found to have left.
+  void closeAfterCaller() { close(ConnectionEnd::CallerClosed); }
   /// Whether bytes of a further request have been read.
   bool hasNextRequest() const { return mBuffer.size() > 0; }
 
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -283,6 +283,12 @@
 Exchange::send(const BackendConnectionPool::ConnectionPtr& aConnection)
 {
   const auto now = bootNow();
+  // An instance that got no processor time handles the end of the connection after the request.
+  if (mCaller.hasCallerLeft()) {
+    aConnection->close();
+    mCaller.closeAfterCaller();
+    return;
+  }
   // Servers may have been lost while the request waited or was on another server.
   if (isCrashSuspect()) {
     aConnection->close();
--- a/test/routes/unanswered_requests_test.cpp
+++ b/test/routes/unanswered_requests_test.cpp
@@ -355,3 +355,30 @@
   BOOST_TEST_MESSAGE("most memory " << mb << " MB");
   BOOST_TEST(mb < kMemoryMb, mb << " MB");
 }
+
+// Guards against requests that reach a server after their callers have left, as the instance did
+// not run meanwhile.
+BOOST_AUTO_TEST_CASE(routes_request_of_a_caller_that_has_left_is_not_sent_on)
+{
+  RouteDeployment deployment(1, 1);
+  std::vector<std::unique_ptr<CallerConnection>> connections;
+  for (int i = 0; i < 10; ++i) {
+    connections.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+    BOOST_TEST(connections.back()->call(callOf("/twice/ok")).result_int() == 200U);
+  }
+  deployment.instance(0).signal(SIGSTOP);
+  std::vector<Call> calls;
+  for (auto& it : connections) {
+    calls.push_back(callOf("/twice/ok"));
+    it->send(calls.back());
+    it->close();
+  }
+  std::this_thread::sleep_for(Millis(1200));
+  deployment.instance(0).signal(SIGCONT);
+  std::this_thread::sleep_for(Millis(1000));
+  std::size_t arrivals = 0;
+  for (const auto& it : calls) {
+    arrivals += deployment.arrivals(it.attempt);
+  }
+  BOOST_TEST(arrivals == 0U);
+}
