LOST: an answer waits for a caller that reads nothing for some seconds

Cause: one TCP user timeout, made to notice servers that cannot be reached, held for callers as well; it also ends a connection whose other side takes no data for a while. Change: connections of callers have a user timeout of 15 s. A caller that cannot be reached is noticed later; its requests end at their deadlines. Evidence: routes_answer_waits_for_a_caller_that_reads_nothing_for_seconds: 0 of 15,360,000 bytes as a whole before, all now.

--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -50,7 +50,7 @@
     aEndpoint,
     [self = shared_from_this(), aCallback = std::move(aCallback)](BoostErrorCode aError) {
       if (!aError) {
-        setConnectionOptions(self->mSocket);
+        setServerConnectionOptions(self->mSocket);
         self->read();
       }
       aCallback(aError);
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -63,7 +63,7 @@
 void
 CallerConnection::start()
 {
-  setConnectionOptions(mSocket);
+  setCallerConnectionOptions(mSocket);
   resetParser();
   armReceiveTimer();
   read();
--- a/src/mustardplank/gateway/socket_options.cpp
+++ b/src/mustardplank/gateway/socket_options.cpp
@@ -8,13 +8,14 @@
 namespace {
 
 /// Seconds without traffic before the first probe, seconds between probes, and unanswered probes
-/// after which the connection is closed. An unreachable peer is detected after
-/// kKeepaliveIdleSeconds + kMaxUnansweredProbes * kKeepaliveIntervalSeconds.
+/// after which the connection is closed, if the user timeout has passed.
 constexpr int kKeepaliveIdleSeconds = 2;
 constexpr int kKeepaliveIntervalSeconds = 1;
 constexpr int kMaxUnansweredProbes = 2;
-/// Longest time for which sent data may stay unacknowledged before the connection is closed.
-constexpr int kUserTimeoutMs = 3000;
+/// Longest time for which a peer may take no data, or not answer, before the connection is closed.
+/// Callers may read nothing for a while.
+constexpr int kServerUserTimeoutMs = 3000;
+constexpr int kCallerUserTimeoutMs = 15000;
 
 void
 setOption(Socket& aSocket, int aLevel, int aName, int aValue)
@@ -22,17 +23,29 @@
   ::setsockopt(aSocket.native_handle(), aLevel, aName, &aValue, sizeof aValue);
 }
 
-}
-
 void
-setConnectionOptions(Socket& aSocket)
+setOptions(Socket& aSocket, int aUserTimeoutMs)
 {
   setOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
   setOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
   setOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveIdleSeconds);
   setOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveIntervalSeconds);
   setOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kMaxUnansweredProbes);
-  setOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  setOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, aUserTimeoutMs);
+}
+
+}
+
+void
+setServerConnectionOptions(Socket& aSocket)
+{
+  setOptions(aSocket, kServerUserTimeoutMs);
+}
+
+void
+setCallerConnectionOptions(Socket& aSocket)
+{
+  setOptions(aSocket, kCallerUserTimeoutMs);
 }
 
 }
--- a/src/mustardplank/gateway/socket_options.hpp
+++ b/src/mustardplank/gateway/socket_options.hpp
@@ -5,9 +5,11 @@
 namespace mustardplank::gateway {
 
 /// Disables Nagle's algorithm, and enables keepalive probes and a user timeout, which detect an
-/// unreachable peer within a few seconds. Failures are ignored: the connection works
-/// without these options.
+/// unreachable server within a few seconds, and a caller within the time for which it may read
+/// nothing. Failures are ignored: the connection works without these options.
 void
-setConnectionOptions(Socket& aSocket);
+setServerConnectionOptions(Socket& aSocket);
+void
+setCallerConnectionOptions(Socket& aSocket);
 
 }
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -189,3 +189,14 @@
   BOOST_TEST(nextBody(connection) == "answer to " + call.attempt);
   BOOST_TEST((arrivedBody(deployment, call) == call.body));
 }
+
+// Guards against an answer that is lost because its caller reads nothing for some seconds.
+BOOST_AUTO_TEST_CASE(routes_answer_waits_for_a_caller_that_reads_nothing_for_seconds)
+{
+  constexpr std::size_t kKib = 15000;
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  connection.send(callOf("/plain/large" + std::to_string(kKib)));
+  std::this_thread::sleep_for(Millis(6000));
+  BOOST_TEST(nextBody(connection).size() == kKib * 1024);
+}
