LOST: a request after a stream that announced no end is answered in a planned stop

What callers saw: a stream that had begun before a planned stop, and ended after the last new request was taken, ended its connection without having announced that; a request that its caller sent next got no answer. Cause: the end of the connection is decided as the response ends, while its head has promised the contrary. Change: such a connection is kept, and counts as busy for 500 ms; a request on it is refused with 503 and the announcement of the end. Evidence: routes_planned_stop_answers_a_request_after_a_stream_that_began_before got no answer before, 503 now.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t kMinAccountedBytes = 16UL * 1024;
 /// A larger output buffer is freed once it is written.
 constexpr std::size_t kMaxKeptCapacity = 64UL * 1024;
+/// How long a connection is kept in a planned stop for a request after a response that did not
+/// announce its end.
+constexpr Duration kNextRequestTime = Millis(500);
 /// How long a connection that ends waits for the caller to close its side.
 constexpr Duration kLingerTime = Seconds(1);
 /// The same once a request has arrived that gets no answer. Leaves the caller time to take the last
@@ -84,7 +87,9 @@
 CallerConnection::isBusy() const
 {
   const bool requestArrives = !mCloseAfterWrite && (mParser->got_some() || mBuffer.size() > 0);
-  return !mClosed && (mExchange || mWriting || !mPendingOutput.empty() || requestArrives);
+  const bool mayGetRequest = !mCloseAfterWrite && bootNow() < mExpectsRequestUntil;
+  return !mClosed &&
+         (mExchange || mWriting || !mPendingOutput.empty() || requestArrives || mayGetRequest);
 }
 
 void
@@ -503,6 +508,9 @@
     flush();
     return;
   }
+  if (!mContext.acceptingRequests) {
+    mExpectsRequestUntil = bootNow() + kNextRequestTime;
+  }
   armReceiveTimer();
   if (mBuffer.size() > 0) {
     asio::post(mContext.io, [self = shared_from_this()] {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -28,7 +28,8 @@
   /// Closes the connection unless a request is being received or processed or output is still to be
   /// written.
   void closeIfIdle();
-  /// Whether a request is being received or is in progress, or output is still to be written.
+  /// Whether a request is being received or is in progress, or output is still to be written; in a
+  /// planned stop also whether a further request may come.
   bool isBusy() const;
   /// Answers a request that has arrived in part with 503; closes the connection if there is none.
   void refuseUnfinishedRequest();
@@ -120,6 +121,8 @@
   /// Of the output, in GatewayContext::callerOutput.
   std::size_t mAccountedBytes = 0;
   std::optional<AlarmQueue::Id> mReceiveTimer;
+  /// In a planned stop, for a request after a response that did not announce the end.
+  TimePoint mExpectsRequestUntil{};
   /// When the wait that mReceiveTimer limits began.
   TimePoint mReceivingSince{};
   bool mReading = false;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -512,8 +512,7 @@
   }
   reportAnswered();
   finishRequest("request.answered", mResponse.status, "complete");
-  mCaller.finishResponse(!mCloseAnnounced &&
-                         (mContext.acceptingRequests || mCaller.hasNextRequest()));
+  mCaller.finishResponse(!mCloseAnnounced);
 }
 
 void
--- a/test/routes/planned_stop_test.cpp
+++ b/test/routes/planned_stop_test.cpp
@@ -436,3 +436,30 @@
   BOOST_TEST(unanswered == 0);
   stop.checkEnd();
 }
+
+// Guards against a request that gets no answer because the stream before it on its connection had
+// not announced that the connection ends: it had begun before the stop.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_answers_a_request_after_a_stream_that_began_before)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.setRouteTimeout(Millis(6000));
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(1000));
+  CallerConnection caller(deployment.callers());
+  auto streamed = callOf("/events/slow5");
+  streamed.deadlineMs = 5000;
+  caller.send(streamed);
+  std::this_thread::sleep_for(Millis(200));
+  const PlannedStop stop(deployment);
+  const auto stream = caller.read();
+  BOOST_TEST(stream.keep_alive());
+  BOOST_TEST(stop.elapsed() > Millis(2600));
+  std::this_thread::sleep_for(Millis(100));
+  const auto call = callOf("/plain/ok");
+  caller.send(call);
+  const auto answer = nextAnswer(caller);
+  BOOST_TEST(answer.status == 503U);
+  BOOST_TEST(answer.closes);
+  BOOST_TEST(deployment.arrivals(call.attempt) == 0U);
+  stop.checkEnd();
+}
