--- a/src/ctl/explain_test.cpp
+++ b/src/ctl/explain_test.cpp
@@ -46,6 +46,17 @@
              "Refused without having run: no server of its service could be used.");
 }
 
+// Guards against a caller that does not take its answer and is said to have left.
+BOOST_AUTO_TEST_CASE(callers_that_leave_are_told_from_those_that_do_not_read)
+{
+  const std::string line = "time=1 event=request.cancelled request=r4 total_ms=7.5 reason=";
+  BOOST_TEST(explain(line + "caller_left", "r4").cause == "The caller left after 7.5 ms.");
+  BOOST_TEST(explain(line + "write_failed", "r4").cause ==
+             "The caller did not take its answer, or could not be reached, after 7.5 ms.");
+  BOOST_TEST(explain(line + "output_dropped", "r4").cause ==
+             "The caller left too much of its answer unread, after 7.5 ms.");
+}
+
 BOOST_AUTO_TEST_CASE(missing_lines_are_said_to_be_missing)
 {
   BOOST_TEST(explain(kLog, "r3").cause.starts_with("No line names this request"));
