BUDGET: a request that crashes servers before their first event is suspected, however late

Cause: a request runs from its first event on; the head says nothing of that. Change: a loss before the first event counts for the request at any time. Parts of prompts are judged by the time since the head, as before.

--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -395,7 +395,8 @@
   logServerLost(aGrant, aResponse);
   const bool isBeginning =
     !aResponse.startedAt || bootNow() - *aResponse.startedAt < kResponseBeginning;
-  if (!isBeginning) {
+  // A request runs from its first event on, which may come long after the head.
+  if (!isBeginning && aResponse.eventCount > 0) {
     return;
   }
   const auto nowMs = mContext.callbacks.sharedTimeMs();
@@ -408,7 +409,7 @@
       nowMs,
       hasBody ? dispatch::DigestSharing::Rare : dispatch::DigestSharing::Common });
   auto parts = dispatch::PromptPartSuspects::suspectableParts(mJob.prompt);
-  if (!parts.empty()) {
+  if (isBeginning && !parts.empty()) {
     mContext.callbacks.onServerLost(
       { aGrant.server, aGrant.serverStartTimeMs, nowMs, std::move(parts) });
   }
--- a/test/routes/crashes_test.cpp
+++ b/test/routes/crashes_test.cpp
@@ -190,3 +190,20 @@
   BOOST_TEST(lateArrivals <= 3);
   BOOST_TEST(unserved == 0);
 }
+
+// Guards against a request that crashes servers long after the heads of their responses, as it
+// begins to run, and goes on reaching others.
+BOOST_AUTO_TEST_CASE(routes_request_that_crashes_servers_before_their_first_event_is_refused)
+{
+  for (const auto* path : { "/thrice/open_empty100", "/thrice/open_empty500" }) {
+    RouteDeployment deployment(3, 1);
+    std::size_t arrivals = 0;
+    for (int i = 0; i < 4; ++i) {
+      auto call = callOf(path);
+      call.deadlineMs = 2900;
+      statusOf(deployment.callers(), call);
+      arrivals += deployment.arrivals(call.attempt);
+    }
+    BOOST_TEST(arrivals == 2U, path << ": " << arrivals);
+  }
+}
