LOST: a stall, or a loss of long ago, does not make a silent engine one in doubt

Cause: the evidence that should tell a dead server from a silent one was the silence itself, or older than it. Change: a server is in doubt if a connection to it was lost, or could not be set up, since the attempt's last progress, or if it is no longer listed.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -166,9 +166,10 @@
   /// while jobs wait.
   void tick(TimePoint aNow, Effects& aEffects);
 
-  /// Whether requests to the server were lost or stalled, or connecting to it failed, since its
-  /// last success; also if it is no longer known.
-  bool isInDoubt(const BackendServerId& aServer) const;
+  /// Whether connections to the server were lost, or could not be set up, since aSince; also if it
+  /// is no longer known. A stall is no reason: a sound server that is silent stalls all its
+  /// requests.
+  bool isInDoubt(const BackendServerId& aServer, TimePoint aSince) const;
 
   CrashSuspects& crashSuspects() { return mCrashSuspects; }
   PromptPartSuspects& promptPartSuspects() { return mPromptPartSuspects; }
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -76,6 +76,8 @@
   double failureRate = 0.0;
   /// Lost connections and stalls since the last success.
   std::uint32_t consecutiveLossesOrStalls = 0;
+  /// When a connection to it was last lost or could not be set up.
+  TimePoint lastLoss{};
   /// Prompt lengths assigned by assignServerGroups(); both if it is alone in its failure domain.
   bool servesShort = true;
   bool servesLong = true;
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -130,6 +130,9 @@
     aServer.suspendedUntil = aNow + aServer.suspensionBackoff;
   };
   aServer.probeRunning = false;
+  if (aOutcome == JobOutcome::NotConnected || aOutcome == JobOutcome::ConnectionLost) {
+    aServer.lastLoss = aNow;
+  }
   auto& domain = refreshAndGetState(aServer.server.service).domains[aServer.server.domain];
   switch (aOutcome) {
     case JobOutcome::Finished:
@@ -167,11 +170,10 @@
 }
 
 bool
-Dispatcher::isInDoubt(const BackendServerId& aServer) const
+Dispatcher::isInDoubt(const BackendServerId& aServer, TimePoint aSince) const
 {
   const auto it = mServers.find(aServer);
-  return it == mServers.end() || it->second->consecutiveLossesOrStalls > 0 ||
-         it->second->suspensionBackoff > Duration{};
+  return it == mServers.end() || it->second->lastLoss > aSince;
 }
 
 void
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -46,7 +46,7 @@
 {
   const auto timeout = stallTimeout();
   const bool isSoundSilence =
-    !mJob.prompt.empty() && !mContext.dispatcher.isInDoubt(mGrant->server);
+    !mJob.prompt.empty() && !mContext.dispatcher.isInDoubt(mGrant->server, mLastProgressAt);
   return mLastProgressAt + (isSoundSilence ? std::max(timeout, kMaxSoundSilence) : timeout);
 }
 
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -260,6 +260,39 @@
   }
 }
 
+// Guards against the same, as other requests that are given up sooner, or were lost before, speak
+// against the silent server.
+BOOST_AUTO_TEST_CASE(routes_two_attempts_of_a_prompt_keep_the_first_beside_other_failures)
+{
+  {
+    RouteDeployment deployment(2, 1);
+    const auto call = promptCallOf("/resume/silent3+after400_cut");
+    CallerConnection connection(deployment.callers());
+    connection.send(call);
+    std::vector<std::unique_ptr<CallerConnection>> others;
+    for (int i = 0; i < 4; ++i) {
+      others.push_back(std::make_unique<CallerConnection>(deployment.callers()));
+      auto other = callOf("/twice/delayed1500+ok");
+      other.deadlineMs = 2900;
+      others.back()->send(other);
+    }
+    const auto outcome = outcomeOf(connection, call);
+    BOOST_TEST(outcome.text == wholeStream(), "beside stalled requests: " << outcome.text);
+  }
+  {
+    RouteDeployment deployment(2, 1);
+    for (int i = 0; i < 4; ++i) {
+      outcomeOf(deployment, "/plain/cut");
+    }
+    std::this_thread::sleep_for(Millis(3000));
+    const auto call = promptCallOf("/resume/silent3+after400_cut");
+    CallerConnection connection(deployment.callers());
+    connection.send(call);
+    const auto outcome = outcomeOf(connection, call);
+    BOOST_TEST(outcome.text == wholeStream(), "after lost requests: " << outcome.text);
+  }
+}
+
 // Guards against servers that work on after the time limit, and a request without an answer then.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_are_both_cancelled_at_the_deadline)
 {
