--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -420,6 +420,8 @@
 {
   const auto now = bootNow();
   const bool allowed = (aNotExecuted || mJob.retryable) && mSendCount < mRoute->maxAttempts &&
+  // The next server is given the time that is left under the newest limit.
+  extendDeadline();
                        deadline() - now >= kMinRetryTimeLeft && !isCrashSuspect();
   const bool retry = allowed && mContext.dispatcher.tryTakeRetry(mJob.service, now);
   log(makeLogEvent(LogLevel::Info, retry ? "request.retried" : "request.not_retried")
@@ -485,6 +487,9 @@
 Exchange::armDeadlineTimer()
 {
   mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
+  if (mDeadlineTimer) {
+    mContext.timers.cancel(*mDeadlineTimer);
+  }
     mDeadlineTimer.reset();
     onDeadline();
   });
--- a/test/routes/unanswered_requests_test.cpp
+++ b/test/routes/unanswered_requests_test.cpp
@@ -320,6 +320,30 @@
   }
 }
 
+// Guards against a stream that goes on at another server and is given the older time limit there.
+BOOST_AUTO_TEST_CASE(routes_longer_time_limit_holds_for_streams_that_are_resumed)
+{
+  RouteDeployment deployment(2, 1);
+  CallerConnection connection(deployment.callers());
+  auto call = callOf("/resume/slow_broken4+stream6");
+  call.deadlineMs = 8000;
+  connection.send(call);
+  std::this_thread::sleep_for(Millis(500));
+  deployment.setRouteTimeout(Millis(9000));
+  deployment.configure();
+  BOOST_TEST(connection.read().body() == eventTexts(6));
+  int mostLeftMs = 0;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& it : deployment.server(i).arrivals()) {
+      if (it.attempt == call.attempt && it.headers.contains("Last-Event-Id")) {
+        mostLeftMs = std::atoi(it.headers.at("X-Deadline-Ms").c_str());
+      }
+    }
+  }
+  BOOST_TEST(mostLeftMs > 4000);
+  BOOST_TEST(mostLeftMs < 8000);
+}
+
 // Guards against an instance that runs out of memory, as streams in progress keep the
 // configurations under which they arrived.
 BOOST_AUTO_TEST_CASE(routes_storm_of_large_configurations_keeps_the_memory_limit)
