An answer that could not be written is counted as unanswered

Found in the review: the output was released before the connection ended, so that nothing seemed to be unwritten. routes_answer_that_is_not_taken_is_counted saw no count before.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -455,11 +455,11 @@
                     asio::buffer(mOutputInFlight),
                     [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
                       self->mWriting = false;
-                      self->releaseWrittenOutput();
                       if (aError) {
                         self->close(ConnectionEnd::WriteFailed);
                         return;
                       }
+                      self->releaseWrittenOutput();
                       self->flush();
                       if (self->mExchange) {
                         self->mExchange->onCallerWritable();
--- a/test/routes/unanswered_requests_test.cpp
+++ b/test/routes/unanswered_requests_test.cpp
@@ -344,6 +344,19 @@
   BOOST_TEST(mostLeftMs < 8000);
 }
 
+// Guards against an answer that its caller does not take and that nobody sees.
+BOOST_AUTO_TEST_CASE(routes_answer_that_is_not_taken_is_counted)
+{
+  RouteDeployment deployment(1, 1);
+  deployment.setIdleTimeout(Millis(60000));
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(1000));
+  CallerConnection connection(deployment.callers());
+  connection.send(callOf("/plain/large15000"));
+  BOOST_TEST(
+    waitUntil(Millis(30000), [&] { return deployment.unanswered()["write_failed"] == 1; }));
+}
+
 // Guards against an instance that runs out of memory, as streams in progress keep the
 // configurations under which they arrived.
 BOOST_AUTO_TEST_CASE(routes_storm_of_large_configurations_keeps_the_memory_limit)
