LOST: a stream that has begun is not refused as late where it is to go on

What callers saw: a stream whose server was lost ended, although another one could have gone on with it: a long prompt is refused if its first event would come after the objective, and a request that has waited for 0.6 of it. Both had passed, as the caller had its first event long ago. Load pattern: long prompts behind each other on busy engines, one of which is lost. Change: a job whose caller has received a part of the response is placed if that can be before its deadline, and waits until then. Evidence: begun_stream_is_not_refused_as_late and begun_stream_waits_for_a_server replay it; without the mark both are refused.

--- a/include/mustardplank/dispatch/job.hpp
+++ b/include/mustardplank/dispatch/job.hpp
@@ -48,6 +48,8 @@
   TimePoint deadline{};
   /// The caller was refused before and sends the request again.
   bool callerRetry = false;
+  /// The caller has received a part of the response, which a refusal would break off.
+  bool begun = false;
   /// Servers that have failed this request and are not tried again.
   std::vector<BackendServerId> excludedServers;
 };
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -288,7 +288,7 @@
 bool
 Dispatcher::wouldBeLate(const Job& aJob, const Choice& aChoice, TimePoint aNow) const
 {
-  if (!knowsOthersLoads(aNow) || !isLongPrompt(aJob) || aJob.callerRetry) {
+  if (!knowsOthersLoads(aNow) || !isLongPrompt(aJob) || aJob.callerRetry || aJob.begun) {
     return false;
   }
   const bool isBusy = aChoice.server->pendingPrefillTokens > 0 ||
--- a/src/mustardplank/dispatch/dispatcher_queue.cpp
+++ b/src/mustardplank/dispatch/dispatcher_queue.cpp
@@ -151,7 +151,7 @@
     fullGroups.insert(group);
     const auto limit =
       std::max(kMinWaitLimit, scaleDuration(job.targetDeadline - job.arrived, kMaxWaitShare));
-    if (aNow - job.arrived >= limit || aNow >= job.deadline) {
+    if ((aNow - job.arrived >= limit && !job.begun) || aNow >= job.deadline) {
       refuse(job, refusalReason(job, aNow), aNow, aEffects);
       continue;
     }
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -71,6 +71,49 @@
   }
 }
 
+// Guards against a stream that is broken off because the server that is to go on with it could give
+// its first event too late only: the caller has got that.
+BOOST_AUTO_TEST_CASE(begun_stream_is_not_refused_as_late)
+{
+  for (const bool begun : { false, true }) {
+    auto dispatcher = makeDispatcher(makeConfig());
+    dispatcher.updateServer(makeServer("s1", "a"), atMillis(0));
+    dispatcher.setOthersLoads({}, atMillis(0));
+    Effects effects;
+    dispatcher.submit(makeEngineJob(1, 9000, 1, atMillis(0)), atMillis(0), effects);
+    BOOST_TEST_REQUIRE(findGrant(effects, 1) != nullptr);
+    auto late = makeEngineJob(2, 9000, 2, atMillis(-1500));
+    late.begun = begun;
+    dispatcher.submit(late, atMillis(10), effects);
+    BOOST_TEST((findGrant(effects, 2) != nullptr) == begun);
+    BOOST_TEST((findRefusal(effects, 2) != nullptr) == !begun);
+  }
+}
+
+// Guards against the same where all servers are full for a moment.
+BOOST_AUTO_TEST_CASE(begun_stream_waits_for_a_server)
+{
+  for (const bool begun : { false, true }) {
+    auto dispatcher = makeDispatcher(makeConfig(1));
+    dispatcher.updateServer(makeServer("s1", "a", "llm", 1), atMillis(0));
+    Effects effects;
+    JobId last = 0;
+    for (JobId id = 1; findGrant(effects, id - 1) != nullptr || id == 1; ++id) {
+      dispatcher.submit(makeEngineJob(id, 500, id, atMillis(0)), atMillis(0), effects);
+      last = id;
+    }
+    dispatcher.endJob(last, JobOutcome::Cancelled, atMillis(1), effects);
+    effects.clear();
+    auto late = makeEngineJob(100, 500, 100, atMillis(-1500));
+    late.begun = begun;
+    dispatcher.submit(late, atMillis(10), effects);
+    dispatcher.tick(atMillis(100), effects);
+    BOOST_TEST((findRefusal(effects, 100) != nullptr) == !begun);
+    dispatcher.endJob(1, JobOutcome::Finished, atMillis(200), effects);
+    BOOST_TEST((findGrant(effects, 100) != nullptr) == begun);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(evacuated_domain_gets_no_requests)
 {
   auto dispatcher = makeDispatcher(makeConfig());
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -199,6 +199,7 @@
 Exchange::submit()
 {
   mPhase = Phase::WaitingForServer;
+  mJob.begun = mResponseHeadSent;
   dispatch::Effects effects;
   mContext.dispatcher.submit(mJob, bootNow(), effects);
   mContext.applyEffects(effects);
@@ -419,9 +420,9 @@
 Exchange::takeRetry(const BackendServerId& aServer, bool aNotExecuted, const char* aCause)
 {
   const auto now = bootNow();
-  const bool allowed = (aNotExecuted || mJob.retryable) && mSendCount < mRoute->maxAttempts &&
   // The next server is given the time that is left under the newest limit.
   extendDeadline();
+  const bool allowed = (aNotExecuted || mJob.retryable) && mSendCount < mRoute->maxAttempts &&
                        deadline() - now >= kMinRetryTimeLeft && !isCrashSuspect();
   const bool retry = allowed && mContext.dispatcher.tryTakeRetry(mJob.service, now);
   log(makeLogEvent(LogLevel::Info, retry ? "request.retried" : "request.not_retried")
@@ -486,10 +487,10 @@
 void
 Exchange::armDeadlineTimer()
 {
-  mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
   if (mDeadlineTimer) {
     mContext.timers.cancel(*mDeadlineTimer);
   }
+  mDeadlineTimer = mContext.timers.set(deadline() - kDeadlineMargin, [this] {
     mDeadlineTimer.reset();
     onDeadline();
   });
