Ends of callers that cannot be reached are seen before a request is sent, reads before the end of a stop

Found by reading in the review, not shown: a connection that timed out gives another error than a reset; and the last step of a planned stop closed connections in front of reads that had completed.

--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -390,7 +390,7 @@
 {
   char byte = 0;
   const auto n = ::recv(mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n == 0 || (n < 0 && errno == ECONNRESET);
+  return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
 void
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -337,7 +337,8 @@
     }
   }
   for (const auto& it : mImpl->openConnections()) {
-    it->refuseUnfinishedRequest();
+    // Reads that have completed are handled first.
+    asio::post(context.io, [it] { it->refuseUnfinishedRequest(); });
   }
   return n;
 }
