--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -109,6 +109,7 @@
       it.join();
     }
     checkRecovery();
+    checkUnanswered();
     checkChange();
     std::this_thread::sleep_for(kSettle);
     checkAnswers();
@@ -388,6 +389,23 @@
     }
   }
 
+  /// Connections may end without an answer as servers break off or callers leave, but not so.
+  void checkUnanswered()
+  {
+    static const char* const kNeverExcused[] = {
+      "idle", "write_failed", "output_dropped", "after_last_response", "memory_exceeded",
+    };
+    for (std::size_t i = 0; i < mOptions.instances; ++i) {
+      const auto counts = mDeployment.unanswered(i);
+      for (const auto* reason : kNeverExcused) {
+        if (const auto it = counts.find(reason); it != counts.end()) {
+          mViolations.push_back(std::to_string(it->second) + " requests without an answer (" +
+                                reason + ") at instance" + std::to_string(i));
+        }
+      }
+    }
+  }
+
   void checkChange()
   {
     std::this_thread::sleep_for(kStabilityWindow);
