--- /dev/null
+++ b/scripts/check_machines.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Compiles the sources for x86-64 and for arm64, on a machine of either kind, in the build of the deployment (target/,
+# which it builds) and in that of the tests (build/). The other machine's objects are compiled and not linked. Any
+# diagnostic fails the check, also one that this machine's compiler is configured to report as a warning only.
+#   scripts/check_machines.sh                    both builds
+#   scripts/check_machines.sh --build DIR        a build folder that scripts/build.sh has made, for example build-tsan
+#   scripts/check_machines.sh --only PATTERN     the sources whose paths match the extended regular expression
+set -euo pipefail
+cd "$(dirname "$0")/.."
+dirs=()
+only=""
+while [ $# -gt 0 ]; do
+  case "$1" in
+    --build) dirs+=("${2:?folder}"); shift 2 ;;
+    --only) only=${2:?pattern}; shift 2 ;;
+    *) echo "check_machines.sh: unknown option $1" >&2; exit 2 ;;
+  esac
+done
+if [ ${#dirs[@]} -eq 0 ]; then
+  build=$(sed -n 's/^build = "\(.*\)"$/\1/p' deploy/system.toml)
+  bash -c "${build:?no build command in deploy/system.toml}" >/dev/null
+  dirs=(target build)
+fi
+# The headers of Boost, OpenSSL and gRPC are the same on both machines and come after those of the compiler.
+case "$(uname -m)" in
+  aarch64) own=arm64 other=x86-64 cross="x86_64-linux-gnu-g++ -idirafter /usr/include -idirafter /usr/include/aarch64-linux-gnu" ;;
+  x86_64) own=x86-64 other=arm64 cross="aarch64-linux-gnu-g++ -idirafter /usr/include -idirafter /usr/include/x86_64-linux-gnu" ;;
+  *) echo "check_machines.sh: no other machine is known for $(uname -m)" >&2; exit 2 ;;
+esac
+# Paths relative to the checkout let several checkouts share the compiler cache.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+results=$(mktemp -d)
+trap 'rm -rf "$results"' EXIT
+
+# compile DIR COMPILER NAME: prints each source that fails or has diagnostics, with them.
+compile() {
+  local out=$results/$3 n=0 command
+  mkdir -p "$out"
+  sed -n 's/^ *"command": "\(.*\)",\{0,1\}$/\1/p' "$1/compile_commands.json" | sed 's/\\"/"/g; s/\\\\/\\/g' |
+    { grep -E "${only:-.}" || true; } >"$out/commands"
+  while IFS= read -r command; do
+    n=$((n + 1))
+    command="ccache $2 $(sed -E "s# -o [^ ]+ # -o $out/$n.o #" <<<"${command#* }")"
+    printf '%s\0' "cd '$1'; $command >'$out/$n.log' 2>&1 || echo 'not compiled' >>'$out/$n.log'
+      [ ! -s '$out/$n.log' ] || { echo '$3: ${command##* -c }'; cat '$out/$n.log'; }; rm -f '$out/$n.o'"
+  done <"$out/commands" | xargs -0 -r -P "${JOBS:-$(nproc)}" -n 1 bash -c >"$out/findings"
+  cat "$out/findings"
+  echo "$3: $(wc -l <"$out/commands") sources, $(find "$out" -name '*.log' -size +0 | wc -l) with findings"
+  [ ! -s "$out/findings" ]
+}
+
+failed=0
+for dir in "${dirs[@]}"; do
+  compile "$dir" g++ "$dir-$own" || failed=1
+  compile "$dir" "$cross" "$dir-$other" || failed=1
+done
+[ $failed = 0 ] || echo "check_machines.sh: a source does not build without diagnostics on both machines" >&2
+exit $failed
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -4,7 +4,12 @@
 
 packages="g++ cmake ninja-build ccache lld clang-format clang-tidy
 libboost1.81-all-dev libwebsocketpp-dev nlohmann-json3-dev liblog4cplus-dev prometheus-cpp-dev
-libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libssl-dev zlib1g-dev curl ca-certificates"
+libgrpc++-dev libprotobuf-dev protobuf-compiler protobuf-compiler-grpc libssl-dev zlib1g-dev curl ca-certificates make"
+# scripts/check_machines.sh compiles for the other machine, too.
+case "$(dpkg --print-architecture)" in
+  arm64) packages="$packages g++-x86-64-linux-gnu" ;;
+  amd64) packages="$packages g++-aarch64-linux-gnu" ;;
+esac
 
 missing=""
 for package in $packages; do
--- a/src/mustardplank/traffic/asio_types.hpp
+++ b/src/mustardplank/traffic/asio_types.hpp
@@ -9,10 +9,6 @@
 
 #include <chrono>
 
-// g++ 12 does not see that coroutine frames of Asio have their own pair of operators new and delete
-// over aligned_alloc() once these are inlined.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace mustardplank::traffic {
 
 // The executor is named instead of type-erased: a relayed token then costs no virtual calls in
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -8,9 +8,6 @@
 #include <cstdio>
 #include <cstdlib>
 
-// g++ 12 takes the operators new and delete of coroutine frames of Asio for a mismatched pair.
-#pragma GCC diagnostic ignored "-Wmismatched-new-delete"
-
 namespace mustardplank::routes {
 
 namespace asio = boost::asio;
