An engine that states no slots does not make the need of servers infinite

What operators see: a service whose engine entry has no "slots", or 0: on arm64 the largest number of servers that may be ordered is ordered as soon as one short stream runs, on x86-64 none for the load. Instances put all servers of a failure domain into one group, for long prompts on arm64, for short ones on x86-64, and keep doing so after the entry is corrected.

Cause: streams were divided by the streams that an engine of 0 slots serves. The result, infinite or not a number, was converted to an integer, which x86-64 and arm64 do differently: lround(inf) is the smallest number on the one (0 servers after the cast), the largest on the other.

Change: an engine that states no slots is planned like a service without an engine; for groups, an engine is taken to serve kStreamsPerServer short streams.

--- a/include/mustardplank/route/model.hpp
+++ b/include/mustardplank/route/model.hpp
@@ -71,7 +71,7 @@
 /// Limits of a model engine.
 struct EngineLimits
 {
-  /// Requests that run concurrently.
+  /// Requests that run concurrently; 0 if not stated.
   std::uint32_t slots = 0;
   /// Capacity of the key-value cache.
   std::uint64_t memoryTokens = 0;
--- a/src/mustardplank/control/server_order_planner.cpp
+++ b/src/mustardplank/control/server_order_planner.cpp
@@ -97,7 +97,8 @@
   const bool usePreemptible = limits.preemptiblePrice < mOptions.maxPreemptiblePriceRatio;
   const bool idle = aInput.need.shortStreams + aInput.need.longTokensPerMs < kIdleNeed;
   auto supply = countSupply(aInput);
-  const double slots = service.engine ? service.engine->slots : mOptions.maxShortStreamsPerServer;
+  const bool statesSlots = service.engine && service.engine->slots > 0;
+  const double slots = statesSlots ? service.engine->slots : mOptions.maxShortStreamsPerServer;
   const double shortStreamsPerServer =
     std::min(mOptions.maxShortStreamsPerServer, mOptions.slotFillRatio * slots);
   const auto needed = static_cast<std::uint32_t>(
--- a/src/mustardplank/control/server_order_planner_test.cpp
+++ b/src/mustardplank/control/server_order_planner_test.cpp
@@ -185,6 +185,28 @@
   }
 }
 
+// Load pattern: streams before an engine whose entry states no slots. Guards against an infinite
+// number of servers needed, of which arm64 ordered the maximum and x86-64 none.
+BOOST_AUTO_TEST_CASE(engine_that_states_no_slots_is_ordered_like_a_plain_service)
+{
+  Fixture engine;
+  engine.service.engine->slots = 0;
+  Fixture plain;
+  plain.service.engine.reset();
+  for (const double streams : { 0.0, 90.0, 200.0 }) {
+    for (auto* it : { &engine, &plain }) {
+      it->input.need = { streams, 10.0 };
+    }
+    const auto expected = plain.decide(at(streams));
+    const auto orders = engine.decide(at(streams));
+    BOOST_TEST_REQUIRE(orders.size() == expected.size());
+    for (std::size_t i = 0; i < orders.size(); ++i) {
+      BOOST_TEST(orders[i].domain.str() == expected[i].domain.str());
+      BOOST_TEST(orders[i].count == expected[i].count);
+    }
+  }
+}
+
 // Load pattern: the first start, at which servers register over some seconds. Guards against the
 // fault in which an order for one regular server more than the two known ones removed the other 22
 // of a failure domain.
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -65,8 +65,9 @@
     return;
   }
   const double slots = service->engine->slots;
-  const double shortServersNeeded =
-    aDemand.shortStreams / std::min(kStreamsPerServer, kShortSlotUtilisation * slots);
+  const double streamsPerServer =
+    slots > 0.0 ? std::min(kStreamsPerServer, kShortSlotUtilisation * slots) : kStreamsPerServer;
+  const double shortServersNeeded = aDemand.shortStreams / streamsPerServer;
   const double longServersNeeded =
     aDemand.longTokensPerMs / (kLongPromptUtilisation * model.prefillTokensPerMs);
   if (shortServersNeeded + longServersNeeded >= kMinServersNeeded) {
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -427,6 +427,39 @@
   BOOST_TEST(granted == 9);
 }
 
+// Load pattern: short and long prompts before an engine whose entry states no slots. Guards against
+// a share of servers that is not a number: all servers of a domain were in one group, on arm64 the
+// one of long prompts, on x86-64 the other one.
+BOOST_AUTO_TEST_CASE(engine_that_states_no_slots_keeps_servers_for_short_and_long_prompts)
+{
+  for (const std::uint32_t slots : { 0U, 64U }) {
+    auto dispatcher = makeDispatcher(makeConfig(slots));
+    for (int i = 0; i < 8; ++i) {
+      dispatcher.updateServer(makeServer("s" + std::to_string(i), "a"), atMillis(0));
+    }
+    for (int i = 0; i < 20; ++i) {
+      dispatcher.setDemand(route::ServiceId("llm"), { 60.0, 40.0 });
+    }
+    std::set<std::string> usedByPrompts[2];
+    JobId id = 0;
+    for (const std::uint32_t tokens : { 100U, 6000U }) {
+      for (std::uint64_t session = 0; session < 40; ++session) {
+        Effects effects;
+        ++id;
+        const auto job = makeEngineJob(id, tokens, session, atMillis(static_cast<double>(id)));
+        dispatcher.submit(job, job.arrived, effects);
+        const auto* grant = findGrant(effects, id);
+        BOOST_TEST_REQUIRE(grant != nullptr);
+        usedByPrompts[tokens > 1000 ? 1 : 0].insert(grant->server.str());
+        dispatcher.endJob(id, JobOutcome::Finished, job.arrived, effects);
+      }
+    }
+    std::set<std::string> all = usedByPrompts[0];
+    all.insert(usedByPrompts[1].begin(), usedByPrompts[1].end());
+    BOOST_TEST(all.size() == usedByPrompts[0].size() + usedByPrompts[1].size());
+  }
+}
+
 // Guards against a process that was paused for seconds and then sends requests to a server that has
 // left meanwhile: they wait for the server list, which is read anew within moments.
 BOOST_AUTO_TEST_CASE(requests_wait_for_the_server_list_after_a_pause)
