A rate limit near zero states the longest wait on x86-64, too

What callers saw (mode pools): an organisation with a request rate below about 1e-13 a second, which is a valid one, was told to come back after 1 s on x86-64, after 60 s on arm64.

Cause: the wait in microseconds exceeds an integer of 64 bits; its conversion gives the smallest number on x86-64, the largest on arm64.

Change: durationFromMicros() bounds the number by kMaxDuration first. It is used where pool code turns a computed number into a duration: rate limit, expected slot time, expected wait. The other 150 casts of product code were read; their operands are bounded by checks of what comes in.

Tests: base/durationFromMicrosIsBounded (new function) and order/rateNearZeroStatesTheLongestWait.

--- a/src/mustardplank/base/base_test.cpp
+++ b/src/mustardplank/base/base_test.cpp
@@ -1,3 +1,4 @@
+#include "mustardplank/base/duration_from.hpp"
 #include "mustardplank/base/findings.hpp"
 #include "mustardplank/base/hash.hpp"
 #include "mustardplank/base/log_event.hpp"
@@ -6,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 using namespace mustardplank;
 
 BOOST_AUTO_TEST_SUITE(base)
@@ -30,6 +33,19 @@
   BOOST_TEST(whole.line().ends_with("x"));
 }
 
+// Guards against a duration that differs between machines, as an integer cannot hold the number.
+BOOST_AUTO_TEST_CASE(durationFromMicrosIsBounded)
+{
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  for (const double beyond : { 1e18, 1e19, 1e300, kInfinity }) {
+    BOOST_TEST((durationFromMicros(beyond) == kMaxDuration));
+    BOOST_TEST((durationFromMicros(-beyond) == -kMaxDuration));
+  }
+  BOOST_TEST((durationFromMicros(std::numeric_limits<double>::quiet_NaN()) == Duration{}));
+  BOOST_TEST((durationFromMicros(1999.9) == Duration(1999)));
+  BOOST_TEST((durationFromMicros(-1999.9) == Duration(-1999)));
+}
+
 // Guards against a chart with a misspelt target being accepted.
 BOOST_AUTO_TEST_CASE(stateChartReportsAllFindings)
 {
--- a/src/mustardplank/pool/estimator.cpp
+++ b/src/mustardplank/pool/estimator.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/pool/estimator.hpp"
 
+#include "mustardplank/base/duration_from.hpp"
+
 #include <algorithm>
 
 namespace mustardplank::pool {
@@ -32,7 +34,7 @@
 Duration
 toDuration(double aSeconds)
 {
-  return Duration(static_cast<Duration::rep>(aSeconds * 1e6));
+  return durationFromMicros(aSeconds * 1e6);
 }
 
 }
--- a/src/mustardplank/pool/order_test.cpp
+++ b/src/mustardplank/pool/order_test.cpp
@@ -289,6 +289,24 @@
   BOOST_TEST(countStartedWithIdPrefix(domain, "l") == 3U);
 }
 
+// Guards against a caller that is told to come back at once, as the wait at a rate near zero
+// exceeds what an integer can hold.
+BOOST_AUTO_TEST_CASE(rateNearZeroStatesTheLongestWait)
+{
+  for (const double rate : { 1e-3, 1e-15, 1e-300 }) {
+    PoolView view = oneServerView(8);
+    config::Organisation organisation;
+    organisation.id = OrganisationId("slow");
+    organisation.requestRate = rate;
+    view.organisations = { organisation };
+    TestFailureDomain domain = makeWarmDomain(8, view);
+    domain.submit("i0", makeRequest("s1", 0, "slow"));
+    domain.submit("i0", makeRequest("s2", 0, "slow"));
+    BOOST_REQUIRE(isRefused(domain, "s2"));
+    BOOST_TEST((domain.at("i0").refused[0].retryAfter == Seconds(60)));
+  }
+}
+
 // Guards against endless retries on failing servers.
 BOOST_AUTO_TEST_CASE(retriesAreBounded)
 {
--- a/src/mustardplank/pool/owner_admission.cpp
+++ b/src/mustardplank/pool/owner_admission.cpp
@@ -1,3 +1,4 @@
+#include "mustardplank/base/duration_from.hpp"
 #include "mustardplank/pool/owner_core.hpp"
 
 #include <algorithm>
@@ -187,7 +188,7 @@
       mQueue.queuedSlotTimeOfClass(aRequest.tier, aRequest.requestClass).count());
     wait = std::min(wait, (queued + meanSlotTime) / minShareSlots);
   }
-  return Duration(static_cast<Duration::rep>(std::max(wait, 0.0)));
+  return durationFromMicros(std::max(wait, 0.0));
 }
 
 bool
--- a/src/mustardplank/pool/token_bucket.hpp
+++ b/src/mustardplank/pool/token_bucket.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardplank/base/duration_from.hpp"
 #include "mustardplank/base/time.hpp"
 
 #include <algorithm>
@@ -40,7 +41,7 @@
   Duration timeUntilAvailable() const
   {
     const double missing = std::max(1.0 - mLevel, 0.0);
-    return mRate > 0.0 ? Duration(static_cast<Duration::rep>(missing / mRate * 1e6)) : Seconds(60);
+    return mRate > 0.0 ? durationFromMicros(missing / mRate * 1e6) : Seconds(60);
   }
 
 private:
