The consumer of a ring acquires the items of pushes that found the wake-up pending

Found by reading (order of memory accesses), not shown by a run. drain() cleared the flag by a sequentially consistent store and then read the queue with acquire. The language lets that read overtake the store; a push in between finds the flag set, does not wake, and its item waits for the next push.

Change: an exchange, which reads the push's exchange and so acquires what the push wrote before it.

Test: base/ringLosesNoWakeUpBetweenThreads; it passes on the old code, too, on this machine.

--- a/include/mustardplank/base/ring.hpp
+++ b/include/mustardplank/base/ring.hpp
@@ -42,8 +42,9 @@
   template<typename Handle>
   std::size_t drain(Handle&& aHandle)
   {
-    // Cleared before reading: an item pushed from here on wakes the consumer again.
-    mWakePending.store(false);
+    // Cleared before reading: an item pushed from here on wakes the consumer again. Unlike a store,
+    // the exchange also acquires the items of pushes that found the wake-up pending.
+    mWakePending.exchange(false);
     return mQueue.consume_all([&](T& aItem) { aHandle(std::move(aItem)); });
   }
 
--- a/src/mustardplank/base/base_test.cpp
+++ b/src/mustardplank/base/base_test.cpp
@@ -7,7 +7,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <limits>
+#include <random>
+#include <thread>
 
 using namespace mustardplank;
 
@@ -80,6 +84,40 @@
   BOOST_TEST(wakes == 2);
 }
 
+// Guards against an item that is pushed while the consumer begins to drain and is never seen, as
+// the push finds the wake-up still pending.
+BOOST_AUTO_TEST_CASE(ringLosesNoWakeUpBetweenThreads)
+{
+  constexpr long kRounds = 20000;
+  std::atomic<bool> woken{ false };
+  std::atomic<bool> stopping{ false };
+  std::atomic<long> received{ 0 };
+  Ring<int> ring(8, [&] { woken.store(true); });
+  std::thread consumer([&] {
+    while (!stopping.load()) {
+      if (woken.exchange(false)) {
+        ring.drain([&](int) { received.fetch_add(1); });
+      }
+    }
+  });
+  std::minstd_rand random;
+  long lost = 0;
+  for (long round = 1; round <= kRounds && lost == 0; ++round) {
+    ring.push(1);
+    for (auto n = random() % 256; n > 0; --n) {
+      std::atomic_signal_fence(std::memory_order_seq_cst);
+    }
+    ring.push(2);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (received.load() < 2 * round && lost == 0) {
+      lost = std::chrono::steady_clock::now() > end ? 1 : 0;
+    }
+  }
+  stopping.store(true);
+  consumer.join();
+  BOOST_TEST(lost == 0);
+}
+
 BOOST_AUTO_TEST_CASE(hashesMatchPublishedVectors)
 {
   BOOST_TEST(sha256Hex("abc") ==
