--- a/scripts/check_machines.sh
+++ b/scripts/check_machines.sh
@@ -32,20 +32,27 @@
 results=$(mktemp -d)
 trap 'rm -rf "$results"' EXIT
 
-# compile DIR COMPILER NAME: prints each source that fails or has diagnostics, with them.
+# entries DIR: directory and command of each source, separated by a tab.
+entries() {
+  sed -n 's/^ *"\(directory\|command\)": "\(.*\)",\{0,1\}$/\2/p' "$1/compile_commands.json" | sed 's/\\"/"/g; s/\\\\/\\/g' |
+    paste - - | { grep -E "${only:-.}" || true; }
+}
+
+# compile DIR COMPILER NAME: prints each source that fails or has diagnostics, with them. The dependency options are
+# those of the build, so that its objects are found in the compiler cache.
 compile() {
-  local out=$results/$3 n=0 command
+  local out=$results/$3 n=0 directory command object
   mkdir -p "$out"
-  sed -n 's/^ *"command": "\(.*\)",\{0,1\}$/\1/p' "$1/compile_commands.json" | sed 's/\\"/"/g; s/\\\\/\\/g' |
-    { grep -E "${only:-.}" || true; } >"$out/commands"
-  while IFS= read -r command; do
+  entries "$1" | while IFS=$'\t' read -r directory command; do
     n=$((n + 1))
-    command="ccache $2 $(sed -E "s# -o [^ ]+ # -o $out/$n.o #" <<<"${command#* }")"
-    printf '%s\0' "cd '$1'; $command >'$out/$n.log' 2>&1 || echo 'not compiled' >>'$out/$n.log'
+    object=$(sed -E 's#.* -o ([^ ]+) .*#\1#' <<<"$command")
+    [ "$directory" = "$PWD/$1" ] || object=${directory#"$PWD/$1/"}/$object
+    command=$(sed -E "s# -o [^ ]+ # -MD -MT $object -MF $out/$n.d -o $out/$n.o #" <<<"${command#* }")
+    printf '%s\0' "cd '$directory'; ccache $2 $command >'$out/$n.log' 2>&1 || echo 'not compiled' >>'$out/$n.log'
       [ ! -s '$out/$n.log' ] || { echo '$3: ${command##* -c }'; cat '$out/$n.log'; }; rm -f '$out/$n.o'"
-  done <"$out/commands" | xargs -0 -r -P "${JOBS:-$(nproc)}" -n 1 bash -c >"$out/findings"
+  done | xargs -0 -r -P "${JOBS:-$(nproc)}" -n 1 bash -c >"$out/findings"
   cat "$out/findings"
-  echo "$3: $(wc -l <"$out/commands") sources, $(find "$out" -name '*.log' -size +0 | wc -l) with findings"
+  echo "$3: $(find "$out" -name '*.log' | wc -l) sources, $(find "$out" -name '*.log' -size +0 | wc -l) with findings"
   [ ! -s "$out/findings" ]
 }
 
