The check of both machines finds objects of this machine in the compiler cache

It called the compiler by another name than the build, which the cache takes for another compiler; so all sources were compiled again for this machine.

--- a/scripts/check_machines.sh
+++ b/scripts/check_machines.sh
@@ -38,28 +38,28 @@
     paste - - | { grep -E "${only:-.}" || true; }
 }
 
-# compile DIR COMPILER NAME: prints each source that fails or has diagnostics, with them. The dependency options are
-# those of the build, so that its objects are found in the compiler cache.
+# compile DIR NAME [COMPILER]: prints each source that fails or has diagnostics, with them. Without COMPILER the command
+# is that of the build, whose objects are found in the compiler cache.
 compile() {
-  local out=$results/$3 n=0 directory command object
+  local out=$results/$2 n=0 directory command object
   mkdir -p "$out"
   entries "$1" | while IFS=$'\t' read -r directory command; do
     n=$((n + 1))
     object=$(sed -E 's#.* -o ([^ ]+) .*#\1#' <<<"$command")
     [ "$directory" = "$PWD/$1" ] || object=${directory#"$PWD/$1/"}/$object
-    command=$(sed -E "s# -o [^ ]+ # -MD -MT $object -MF $out/$n.d -o $out/$n.o #" <<<"${command#* }")
-    printf '%s\0' "cd '$directory'; ccache $2 $command >'$out/$n.log' 2>&1 || echo 'not compiled' >>'$out/$n.log'
-      [ ! -s '$out/$n.log' ] || { echo '$3: ${command##* -c }'; cat '$out/$n.log'; }; rm -f '$out/$n.o'"
+    command=$(sed -E "s# -o [^ ]+ # -MD -MT $object -MF $out/$n.d -o $out/$n.o #" <<<"${3:-${command%% *}} ${command#* }")
+    printf '%s\0' "cd '$directory'; ccache $command >'$out/$n.log' 2>&1 || echo 'not compiled' >>'$out/$n.log'
+      [ ! -s '$out/$n.log' ] || { echo '$2: ${command##* -c }'; cat '$out/$n.log'; }; rm -f '$out/$n.o'"
   done | xargs -0 -r -P "${JOBS:-$(nproc)}" -n 1 bash -c >"$out/findings"
   cat "$out/findings"
-  echo "$3: $(find "$out" -name '*.log' | wc -l) sources, $(find "$out" -name '*.log' -size +0 | wc -l) with findings"
+  echo "$2: $(find "$out" -name '*.log' | wc -l) sources, $(find "$out" -name '*.log' -size +0 | wc -l) with findings"
   [ ! -s "$out/findings" ]
 }
 
 failed=0
 for dir in "${dirs[@]}"; do
-  compile "$dir" g++ "$dir-$own" || failed=1
-  compile "$dir" "$cross" "$dir-$other" || failed=1
+  compile "$dir" "$dir-$own" || failed=1
+  compile "$dir" "$dir-$other" "$cross" || failed=1
 done
 [ $failed = 0 ] || echo "check_machines.sh: a source does not build without diagnostics on both machines" >&2
 exit $failed
