Metrics and a log line for the lag of the event loop and for messages between instances

Change: daemon.lagging with the latest timer of the last second and the messages sent meanwhile by kind; event_loop_lag_seconds, control_messages_total, control_bytes_total, server_changes_total.

--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -35,9 +35,11 @@
   /// Age of what is known of the configuration and of the servers; -1 if nothing is.
   OperatorsAgeSeconds,
   ServersAgeSeconds,
+  /// How late the event loop handled a timer, the latest within a second.
+  EventLoopLagSeconds,
 };
 
-inline constexpr NameTable<Gauge, 15> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 16> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -53,6 +55,7 @@
   { Gauge::FollowsStore, "follows_store" },
   { Gauge::OperatorsAgeSeconds, "configuration_age_seconds" },
   { Gauge::ServersAgeSeconds, "servers_age_seconds" },
+  { Gauge::EventLoopLagSeconds, "event_loop_lag_seconds" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -103,9 +106,11 @@
   RefusedConnection,
   /// The store was restored from an older copy.
   StoreRestored,
+  /// Changes of servers' registry entries that were applied.
+  ServerChange,
 };
 
-inline constexpr NameTable<Event, 19> kEventNames{ { {
+inline constexpr NameTable<Event, 20> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -125,6 +130,24 @@
   { Event::OperatorCall, "operator_calls" },
   { Event::RefusedConnection, "refused_connections" },
   { Event::StoreRestored, "store_restorations" },
+  { Event::ServerChange, "server_changes" },
+} } };
+
+/// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
+/// and "mustardplank_control_bytes_total{kind}".
+enum class ControlMessage
+{
+  Sync,
+  SyncReply,
+  Loads,
+  CrashNotes,
+};
+
+inline constexpr NameTable<ControlMessage, 4> kControlMessageNames{ { {
+  { ControlMessage::Sync, "sync" },
+  { ControlMessage::SyncReply, "sync_reply" },
+  { ControlMessage::Loads, "loads" },
+  { ControlMessage::CrashNotes, "crash_notes" },
 } } };
 
 struct Limits
@@ -187,6 +210,8 @@
   void set(Gauge aGauge, double aValue);
   void set(PoolGauge aGauge, const PoolId& aPool, double aValue);
   void count(Event aEvent, std::uint64_t aCount = 1);
+  /// A message without its headers.
+  void countControl(ControlMessage aKind, std::size_t aBytes);
   /// A request that had arrived whole got no complete answer. Series
   /// "mustardplank_unanswered_requests_total{reason}"; aReason is never a caller's text.
   void countUnanswered(std::string_view aReason);
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -187,7 +187,9 @@
 RouteDaemon::Impl::tickLoop()
 {
   for (;;) {
+    const auto due = bootNow() + kTick;
     co_await pauseFor(kTick);
+    noteLag(bootNow() - due);
     dispatch::Effects effects;
     dispatcher.tick(bootNow(), effects);
     gateway.applyEffects(effects);
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -181,6 +181,7 @@
   call.contentType = "application/cbor";
   call.timeout = aTarget.hold + kSyncTimeout;
   metrics.count(metrics::Event::Sync);
+  controlTraffic.count(metrics::ControlMessage::Sync, call.body.size());
   return call;
 }
 
@@ -346,9 +347,11 @@
     relay.accept(*update, std::move(it), now);
   }
   request->updates.clear();
-  syncServer.receive(std::move(*request), std::move(senders), now, [aRespond](std::string aReply) {
-    aRespond(std::move(aReply));
-  });
+  syncServer.receive(
+    std::move(*request), std::move(senders), now, [this, aRespond](std::string aReply) {
+      controlTraffic.count(metrics::ControlMessage::SyncReply, aReply.size());
+      aRespond(std::move(aReply));
+    });
   answerSyncs();
 }
 
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control_traffic.hpp"
 #include "notifier.hpp"
 #include "route_daemon.hpp"
 #include "stop_schedule.hpp"
@@ -108,6 +109,8 @@
   // Alarms.
   void armAlarms();
   awaitable<void> tickLoop();
+  /// A timer was handled so late. Writes a line for a second with a long lag.
+  void noteLag(Duration aLag);
 
   // Configuration.
   void applyOperators(const std::vector<control::Record>& aChanges);
@@ -177,7 +180,7 @@
   /// Tells instances that have just started, or missed it, what is blocked.
   void repeatBlockedParts();
   void sendCrashNote(dispatch::CrashNote aNote);
-  void sendDatagram(const agent::Datagram& aDatagram);
+  void sendDatagram(const agent::Datagram& aDatagram, metrics::ControlMessage aKind);
 
   // Board.
   control::InstanceUpdate makeUpdate();
@@ -282,6 +285,12 @@
   control::SharedClock clock{ wallMillis(), bootNow() };
   AlarmQueue alarms;
   metrics::Metrics metrics;
+  ControlTraffic controlTraffic{ metrics };
+  /// Changes of servers' registry entries since lagNotedAt.
+  std::uint64_t serverChanges = 0;
+  /// Since lagNotedAt.
+  Duration longestLag{};
+  TimePoint lagNotedAt{};
   dispatch::Dispatcher dispatcher;
 
   agent::SourcePlanner planner;
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -83,13 +83,13 @@
     loads.setOwnLoads(dispatcher.ownLoads());
   }
   for (const auto& it : loads.takeDue(now)) {
-    sendDatagram(it);
+    sendDatagram(it, metrics::ControlMessage::Loads);
     metrics.count(metrics::Event::LoadMessage);
   }
   const auto crashNotesAt = crashExchange.nextAt();
   if (crashNotesAt && *crashNotesAt <= now) {
     for (const auto& it : crashExchange.takeDue(loads.neighbours(), now)) {
-      sendDatagram(it);
+      sendDatagram(it, metrics::ControlMessage::CrashNotes);
     }
   }
   if (const auto others = loads.takeOthersLoads()) {
@@ -99,13 +99,14 @@
 }
 
 void
-RouteDaemon::Impl::sendDatagram(const agent::Datagram& aDatagram)
+RouteDaemon::Impl::sendDatagram(const agent::Datagram& aDatagram, metrics::ControlMessage aKind)
 {
   const auto address = settings::parseAddress(aDatagram.address);
   if (!address) {
     return;
   }
   const auto endpoint = endpointOf(*address);
+  controlTraffic.count(aKind, aDatagram.bytes.size());
   // What cannot be sent at once is dropped, as it is repeated or newer values follow.
   boost::system::error_code ec;
   loadSocket.send_to(asio::buffer(aDatagram.bytes),
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -129,6 +129,8 @@
 void
 RouteDaemon::Impl::applyServers(const std::vector<control::ServerEvent>& aEvents)
 {
+  metrics.count(metrics::Event::ServerChange, aEvents.size());
+  serverChanges += aEvents.size();
   for (const auto& it : aEvents) {
     std::visit([this](const auto& aEvent) { applyServer(aEvent); }, it);
   }
--- a/src/mustardplank/metrics/metrics.cpp
+++ b/src/mustardplank/metrics/metrics.cpp
@@ -140,6 +140,40 @@
   prometheus::Family<prometheus::Counter>& mFamily;
 };
 
+/// Messages to other instances, and their bytes, by kind.
+class ControlCounters
+{
+public:
+  explicit ControlCounters(prometheus::Registry& aRegistry)
+  {
+    auto& messages = prometheus::BuildCounter()
+                       .Name("mustardplank_control_messages_total")
+                       .Help("Messages sent to other instances.")
+                       .Register(aRegistry);
+    auto& bytes = prometheus::BuildCounter()
+                    .Name("mustardplank_control_bytes_total")
+                    .Help("Bytes of messages sent to other instances, without headers.")
+                    .Register(aRegistry);
+    for (const auto& [kind, name] : kControlMessageNames.entries) {
+      const prometheus::Labels labels{ { "kind", std::string(name) } };
+      mMessages[static_cast<std::size_t>(kind)] = &messages.Add(labels);
+      mBytes[static_cast<std::size_t>(kind)] = &bytes.Add(labels);
+    }
+  }
+
+  void count(ControlMessage aKind, std::size_t aBytes)
+  {
+    mMessages[static_cast<std::size_t>(aKind)]->Increment();
+    mBytes[static_cast<std::size_t>(aKind)]->Increment(static_cast<double>(aBytes));
+  }
+
+private:
+  using Counters = std::array<prometheus::Counter*, kControlMessageNames.entries.size()>;
+
+  Counters mMessages{};
+  Counters mBytes{};
+};
+
 }
 
 struct Metrics::Impl
@@ -150,6 +184,7 @@
     , all(makeRefusalsByCode(registry))
     , pools(registry, aLimits.pools)
     , unanswered(registry)
+    , control(registry)
   {
     for (const auto& [gauge, name] : kGaugeNames.entries) {
       auto& family = prometheus::BuildGauge()
@@ -173,6 +208,7 @@
   Series all;
   PoolGauges pools;
   UnansweredCounters unanswered;
+  ControlCounters control;
   std::array<PrometheusGauge*, kGaugeNames.entries.size()> gauges{};
   std::array<prometheus::Counter*, kEventNames.entries.size()> events{};
 };
@@ -216,6 +252,12 @@
   mImpl->unanswered.count(aReason);
 }
 
+void
+Metrics::countControl(ControlMessage aKind, std::size_t aBytes)
+{
+  mImpl->control.count(aKind, aBytes);
+}
+
 std::string
 Metrics::scrape() const
 {
--- a/src/mustardplank/metrics/metrics_test.cpp
+++ b/src/mustardplank/metrics/metrics_test.cpp
@@ -95,6 +95,19 @@
   BOOST_TEST(hasLine(text, "mustardplank_organisation_refusals_total{organisation=\"none\"} 1"));
 }
 
+// Guards against messages to other instances that fill a link unseen.
+BOOST_AUTO_TEST_CASE(messagesToOtherInstancesAreCountedByKind)
+{
+  Metrics metrics;
+  metrics.countControl(ControlMessage::CrashNotes, 100);
+  metrics.countControl(ControlMessage::CrashNotes, 20);
+  metrics.countControl(ControlMessage::Loads, 7);
+  const auto text = metrics.scrape();
+  BOOST_TEST(hasLine(text, "mustardplank_control_messages_total{kind=\"crash_notes\"} 2"));
+  BOOST_TEST(hasLine(text, "mustardplank_control_bytes_total{kind=\"crash_notes\"} 120"));
+  BOOST_TEST(hasLine(text, "mustardplank_control_bytes_total{kind=\"loads\"} 7"));
+}
+
 // Guards against names that break the text format.
 BOOST_AUTO_TEST_CASE(labelsAreEscaped)
 {
