--- a/test/routes/crashes_test.cpp
+++ b/test/routes/crashes_test.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <thread>
 
 using namespace mustardplank;
 using namespace mustardplank::routes;
@@ -58,6 +60,34 @@
   }
 }
 
+/// No other call has a part of its prompt.
+Call
+callThatCrashesAServer()
+{
+  static std::atomic<int> number{ 5000000 };
+  auto call = callOf("/events/begin_crash");
+  const int own = ++number;
+  call.body = "request " + std::to_string(own);
+  call.fields = { { "X-Prefix-Hash",
+                    std::to_string(own) + ":100," + std::to_string(own + 1000000) + ":50" } };
+  return call;
+}
+
+/// Datagrams with crash notes that the instances have sent.
+std::size_t
+crashNotesSent(const RouteDeployment& aDeployment, std::size_t aInstances)
+{
+  const std::string name = "mustardplank_control_messages_total{kind=\"crash_notes\"} ";
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < aInstances; ++i) {
+    const auto page = aDeployment.adminPage(i, "/metrics");
+    const auto at = page.find(name);
+    BOOST_TEST_REQUIRE((at != std::string::npos));
+    n += std::stoul(page.substr(at + name.size()));
+  }
+  return n;
+}
+
 /// A server that has crashed starts again under its id.
 class Servers
 {
@@ -207,3 +237,47 @@
     BOOST_TEST(arrivals == 2U, path << ": " << arrivals);
   }
 }
+
+// Guards against instances that pass on the losses of servers to each other without end, and fill
+// their links, once more servers are lost at a time than they remember.
+BOOST_AUTO_TEST_CASE(routes_losses_of_many_servers_are_passed_on_a_bounded_number_of_times)
+{
+  constexpr std::size_t kInstances = 9;
+  constexpr std::size_t kDomains = 3;
+  constexpr std::size_t kAgents = 6;
+  constexpr std::size_t kServers = 40;
+  constexpr int kCallsPerInstance = 60;
+  constexpr auto kQuietAfter = Millis(3000);
+  constexpr auto kObserved = Millis(2000);
+  RouteDeployment deployment(kServers, kInstances, Clocks::OfTheMachine, kDomains);
+  Servers servers(deployment, kServers);
+  std::atomic<std::size_t> callers{ kInstances };
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    threads.emplace_back([&, i] {
+      for (int n = 0; n < kCallsPerInstance; ++n) {
+        statusOf(deployment.callers(i), callThatCrashesAServer());
+        std::this_thread::sleep_for(Millis(20));
+      }
+      --callers;
+    });
+  }
+  while (callers > 0) {
+    servers.restartCrashed();
+    std::this_thread::sleep_for(Millis(5));
+  }
+  for (auto& it : threads) {
+    it.join();
+  }
+  servers.restartCrashed();
+  std::this_thread::sleep_for(kQuietAfter);
+  const auto sent = crashNotesSent(deployment, kInstances);
+  const auto losses = static_cast<std::size_t>(servers.crashes());
+  BOOST_TEST_MESSAGE("losses " << losses << " datagrams " << sent);
+  BOOST_TEST(losses >= 200U);
+  // Three times by its origin to its agents, and by each agent to the other agents and to the
+  // instance of its failure domain that is none.
+  BOOST_TEST(sent <= losses * 3 * (2 + kAgents * kAgents));
+  std::this_thread::sleep_for(kObserved);
+  BOOST_TEST(crashNotesSent(deployment, kInstances) == sent);
+}
