GONE: crash notes reach every instance in three hops and never return

Cause: an agent passes on every note that is new to it to all its neighbours. A loss that is older than the 64 that are kept changed what was known for a moment, so each of its copies was new again, and agents passed it to each other without end, as fast as the queue of 512 notes allows. Change: what comes from an agent goes to the instances of the failure domain only; a loss that is not kept changes nothing.

--- a/include/mustardplank/agent/crash_exchange.hpp
+++ b/include/mustardplank/agent/crash_exchange.hpp
@@ -25,8 +25,10 @@
 decodeCrashNotes(const std::string& aBytes, Findings& aFindings);
 
 /// Sends crash notes to the neighbours of this instance: its agents, and if it is an agent the
-/// other agents and the instances of its failure domain. Agents pass on what is new to them. Does
-/// no I/O; times are of the boot clock.
+/// other agents and the instances of its failure domain. Agents pass on what is new to them; what
+/// comes from an agent goes to the instances of the failure domain only. So a note reaches all
+/// instances in three hops and never returns, also when it was forgotten meanwhile. Does no I/O;
+/// times are of the boot clock.
 ///
 /// Load pattern: a prompt part crashes a server or more each second, at requests to any instance.
 /// The store takes seconds to carry a report to all instances; datagrams between agents take some
@@ -43,9 +45,17 @@
   /// Notes in one datagram, so that it stays below the size that networks carry whole.
   static constexpr std::size_t kMaxNoteBytes = 1100;
 
-  void send(dispatch::CrashNote aNote, TimePoint aNow);
-  /// Datagrams that are to be sent now to the addresses, "ip:port".
-  std::vector<Datagram> takeDue(const std::vector<std::string>& aNeighbours, TimePoint aNow);
+  /// Who gets a note.
+  enum class Audience
+  {
+    Neighbours,
+    /// The neighbours that are no agents.
+    Members,
+  };
+
+  void send(dispatch::CrashNote aNote, Audience aAudience, TimePoint aNow);
+  /// Datagrams that are to be sent now.
+  std::vector<Datagram> takeDue(const Neighbours& aNeighbours, TimePoint aNow);
   /// When takeDue() has something next.
   std::optional<TimePoint> nextAt() const;
 
@@ -53,10 +63,14 @@
   struct Pending
   {
     dispatch::CrashNote note;
+    Audience audience = Audience::Neighbours;
     std::size_t sent = 0;
     TimePoint due{};
   };
 
+  /// The notes that are due now for this audience, in batches for one datagram each.
+  std::vector<std::string> encodeDue(Audience aAudience, TimePoint aNow);
+
   std::vector<Pending> mPending;
 };
 
--- a/include/mustardplank/agent/datagram.hpp
+++ b/include/mustardplank/agent/datagram.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace mustardplank::agent {
 
@@ -11,4 +12,12 @@
   std::string bytes;
 };
 
+/// Addresses, "ip:port", of the instances with which an instance exchanges datagrams.
+struct Neighbours
+{
+  std::vector<std::string> agents;
+  /// The instances of the failure domain that report to this agent and are none.
+  std::vector<std::string> members;
+};
+
 }
--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -44,12 +44,14 @@
   std::vector<Datagram> takeDue(TimePoint aNow);
   /// When takeDue() has something next.
   TimePoint nextAt(TimePoint aNow) const;
-  /// Addresses, "ip:port", of the other agents of the failure domain; for an agent also those of
-  /// the other failure domains and the instances of its own.
-  std::vector<std::string> neighbours() const;
+  /// The other agents of the failure domain; for an agent also those of the other failure domains
+  /// and the instances of its own.
+  Neighbours neighbours() const;
   /// Whether the address is that of an agent, or of an instance that reports to this agent.
   bool isNeighbour(const std::string& aAddress) const;
   bool isAgent() const { return mSlot.has_value(); }
+  /// Whether the address is that of another agent.
+  bool isAgentAddress(const std::string& aAddress) const;
   /// Load of the other instances, if it is known anew since the last call.
   std::optional<dispatch::InstanceLoads> takeOthersLoads();
 
--- a/src/daemon/route_daemon_crashes.cpp
+++ b/src/daemon/route_daemon_crashes.cpp
@@ -4,6 +4,8 @@
 
 namespace mustardplank::daemon {
 
+using Audience = agent::CrashExchange::Audience;
+
 namespace {
 
 /// How often blocked parts are sent again.
@@ -24,7 +26,7 @@
 {
   const bool isNew = dispatcher.promptPartSuspects().add(aNote, clock.now(bootNow()));
   if (isNew) {
-    sendCrashNote(aNote);
+    sendCrashNote(aNote, Audience::Neighbours);
     noteBlockedParts();
   }
 }
@@ -37,7 +39,7 @@
     aRequest.digest, aRequest.server, aRequest.serverStartTimeMs, aRequest.sentAtMs, nowMs);
   const auto notes = dispatcher.promptPartSuspects().recordAnswer(aRequest, nowMs);
   for (const auto& it : notes) {
-    sendCrashNote(it);
+    sendCrashNote(it, Audience::Neighbours);
   }
   if (!notes.empty()) {
     noteBlockedParts();
@@ -55,13 +57,14 @@
   }
   auto& suspects = dispatcher.promptPartSuspects();
   const auto nowMs = clock.now(bootNow());
+  const auto audience = loads.isAgentAddress(aSender) ? Audience::Members : Audience::Neighbours;
   for (const auto& it : *notes) {
     const bool isNew = suspects.add(it, nowMs);
     if (isNew && loads.isAgent()) {
-      sendCrashNote(it);
+      sendCrashNote(it, audience);
     }
     if (const auto answered = suspects.refute(it, nowMs)) {
-      sendCrashNote(*answered);
+      sendCrashNote(*answered, Audience::Neighbours);
     }
   }
   noteBlockedParts();
@@ -75,7 +78,7 @@
     blocked.insert(it.part);
     if (!blockedParts.contains(it.part)) {
       LogEvent(LogLevel::Warning, "crash.part_blocked").field("part", hexadecimal(it.part)).write();
-      sendCrashNote(it);
+      sendCrashNote(it, Audience::Neighbours);
     }
   }
   for (const auto part : blockedParts) {
@@ -99,16 +102,16 @@
   dispatcher.crashSuspects().expire(clock.now(now));
   noteBlockedParts();
   for (const auto& it : suspects.blocked(clock.now(now))) {
-    sendCrashNote(it);
+    sendCrashNote(it, Audience::Neighbours);
   }
 }
 
 void
-RouteDaemon::Impl::sendCrashNote(dispatch::CrashNote aNote)
+RouteDaemon::Impl::sendCrashNote(dispatch::CrashNote aNote, Audience aAudience)
 {
   if (loadSocket.is_open()) {
     const auto now = bootNow();
-    crashExchange.send(std::move(aNote), now);
+    crashExchange.send(std::move(aNote), aAudience, now);
     armLoadAlarm(*crashExchange.nextAt());
   }
 }
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -179,7 +179,7 @@
   void noteBlockedParts();
   /// Tells instances that have just started, or missed it, what is blocked.
   void repeatBlockedParts();
-  void sendCrashNote(dispatch::CrashNote aNote);
+  void sendCrashNote(dispatch::CrashNote aNote, agent::CrashExchange::Audience aAudience);
   void sendDatagram(const agent::Datagram& aDatagram, metrics::ControlMessage aKind);
 
   // Board.
--- a/src/mustardplank/agent/crash_exchange.cpp
+++ b/src/mustardplank/agent/crash_exchange.cpp
@@ -127,21 +127,22 @@
 }
 
 void
-CrashExchange::send(CrashNote aNote, TimePoint aNow)
+CrashExchange::send(CrashNote aNote, Audience aAudience, TimePoint aNow)
 {
   if (mPending.size() < kMaxPending) {
     const bool isAnswer = std::holds_alternative<PartAnswered>(aNote);
-    mPending.push_back({ std::move(aNote), 0, aNow + (isAnswer ? kAnswerPause : kSendPauses[0]) });
+    mPending.push_back(
+      { std::move(aNote), aAudience, 0, aNow + (isAnswer ? kAnswerPause : kSendPauses[0]) });
   }
 }
 
-std::vector<Datagram>
-CrashExchange::takeDue(const std::vector<std::string>& aNeighbours, TimePoint aNow)
+std::vector<std::string>
+CrashExchange::encodeDue(Audience aAudience, TimePoint aNow)
 {
   std::vector<std::vector<CrashNote>> batches;
   std::size_t bytes = kMaxNoteBytes;
   for (auto& it : mPending) {
-    if (it.due > aNow) {
+    if (it.due > aNow || it.audience != aAudience) {
       continue;
     }
     const auto size = json::to_cbor(toJson(it.note)).size();
@@ -154,14 +155,30 @@
     ++it.sent;
     it.due = it.sent < std::size(kSendPauses) ? aNow + kSendPauses[it.sent] : it.due;
   }
-  std::erase_if(mPending, [](const auto& aItem) { return aItem.sent >= std::size(kSendPauses); });
+  std::vector<std::string> messages;
+  for (const auto& it : batches) {
+    messages.push_back(encodeCrashNotes(it));
+  }
+  return messages;
+}
+
+std::vector<Datagram>
+CrashExchange::takeDue(const Neighbours& aNeighbours, TimePoint aNow)
+{
   std::vector<Datagram> out;
-  for (const auto& batch : batches) {
-    const auto message = encodeCrashNotes(batch);
-    for (const auto& address : aNeighbours) {
-      out.push_back({ address, message });
+  const auto add = [&](const std::vector<std::string>& aMessages,
+                       const std::vector<std::string>& aAddresses) {
+    for (const auto& message : aMessages) {
+      for (const auto& address : aAddresses) {
+        out.push_back({ address, message });
+      }
     }
-  }
+  };
+  const auto forAll = encodeDue(Audience::Neighbours, aNow);
+  add(forAll, aNeighbours.agents);
+  add(forAll, aNeighbours.members);
+  add(encodeDue(Audience::Members, aNow), aNeighbours.members);
+  std::erase_if(mPending, [](const auto& aItem) { return aItem.sent >= std::size(kSendPauses); });
   return out;
 }
 
--- a/src/mustardplank/agent/crash_exchange_test.cpp
+++ b/src/mustardplank/agent/crash_exchange_test.cpp
@@ -62,11 +62,11 @@
 {
   CrashExchange exchange;
   BOOST_TEST(!exchange.nextAt().has_value());
-  exchange.send(notes()[0], at(0));
+  exchange.send(notes()[0], CrashExchange::Audience::Neighbours, at(0));
   int datagrams = 0;
   for (int now = 0; now < 2000; now += 5) {
     if (exchange.nextAt() && *exchange.nextAt() <= at(now)) {
-      datagrams += static_cast<int>(exchange.takeDue({ "a:1", "b:1" }, at(now)).size());
+      datagrams += static_cast<int>(exchange.takeDue({ { "a:1" }, { "b:1" } }, at(now)).size());
     }
   }
   BOOST_TEST(datagrams == 6);
@@ -78,10 +78,10 @@
 {
   CrashExchange exchange;
   for (int i = 0; i < 2000; ++i) {
-    exchange.send(notes()[0], at(0));
+    exchange.send(notes()[0], CrashExchange::Audience::Neighbours, at(0));
   }
   std::size_t sum = 0;
-  for (const auto& it : exchange.takeDue({ "a:1" }, at(10))) {
+  for (const auto& it : exchange.takeDue({ { "a:1" }, {} }, at(10))) {
     BOOST_TEST(it.bytes.size() < 1400U);
     Findings findings;
     sum += decodeCrashNotes(it.bytes, findings).value().size();
@@ -129,7 +129,7 @@
     if (now == kNoteAt) {
       auto& first = instances["3:20"];
       BOOST_TEST(first.suspects.add(note, kWallMs));
-      first.crashes.send(note, at(now));
+      first.crashes.send(note, CrashExchange::Audience::Neighbours, at(now));
     }
     std::vector<std::pair<std::string, Datagram>> sent;
     for (auto& [name, it] : instances) {
@@ -154,9 +154,12 @@
       BOOST_TEST(receiver.loads->isNeighbour(sender));
       const auto notes = decodeCrashNotes(datagram.bytes, findings);
       BOOST_TEST_REQUIRE(notes.has_value());
+      const auto audience = receiver.loads->isAgentAddress(sender)
+                              ? CrashExchange::Audience::Members
+                              : CrashExchange::Audience::Neighbours;
       for (const auto& it : *notes) {
         if (receiver.suspects.add(it, kWallMs) && receiver.loads->isAgent()) {
-          receiver.crashes.send(it, at(now));
+          receiver.crashes.send(it, audience, at(now));
         }
       }
     }
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -293,33 +293,39 @@
   return std::max(next, aNow);
 }
 
-std::vector<std::string>
+Neighbours
 LoadExchange::neighbours() const
 {
-  std::vector<std::string> addresses;
+  Neighbours neighbours;
   for (const auto& it : mOwnAgents) {
-    addresses.push_back(it.address);
+    neighbours.agents.push_back(it.address);
   }
   if (!mSlot) {
-    return addresses;
+    return neighbours;
   }
   for (const auto& it : mOtherAgents) {
-    addresses.push_back(it.address);
+    neighbours.agents.push_back(it.address);
   }
   for (const auto& [instance, member] : mMembers) {
-    if (std::find(addresses.begin(), addresses.end(), member.address) == addresses.end()) {
-      addresses.push_back(member.address);
+    if (!isAgentAddress(member.address)) {
+      neighbours.members.push_back(member.address);
     }
   }
-  return addresses;
+  return neighbours;
 }
 
 bool
-LoadExchange::isNeighbour(const std::string& aAddress) const
+LoadExchange::isAgentAddress(const std::string& aAddress) const
 {
   const auto hasAddress = [&](const Agent& aAgent) { return aAgent.address == aAddress; };
   return std::any_of(mOwnAgents.begin(), mOwnAgents.end(), hasAddress) ||
-         std::any_of(mOtherAgents.begin(), mOtherAgents.end(), hasAddress) ||
+         std::any_of(mOtherAgents.begin(), mOtherAgents.end(), hasAddress);
+}
+
+bool
+LoadExchange::isNeighbour(const std::string& aAddress) const
+{
+  return isAgentAddress(aAddress) ||
          std::any_of(mMembers.begin(), mMembers.end(), [&](const auto& aItem) {
            return aItem.second.address == aAddress;
          });
--- a/src/mustardplank/dispatch/prompt_part_suspects.cpp
+++ b/src/mustardplank/dispatch/prompt_part_suspects.cpp
@@ -41,10 +41,12 @@
     }
   }
   if (mLosses.size() > kMaxLosses) {
-    eraseLoss(
+    const auto oldest =
       std::min_element(mLosses.begin(), mLosses.end(), [](const auto& aLeft, const auto& aRight) {
         return aLeft.second.atMs < aRight.second.atMs;
-      }));
+      });
+    changed = changed && oldest != it;
+    eraseLoss(oldest);
   }
   if (changed) {
     explainLosses();
--- a/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
+++ b/src/mustardplank/dispatch/prompt_part_suspects_test.cpp
@@ -73,6 +73,19 @@
   BOOST_TEST(!isBlocked(suspects, { 1, 2, 3 }, kStart + 10000));
 }
 
+// Guards against a loss that counts as new each time it is reported, as it is older than all that
+// are kept.
+BOOST_AUTO_TEST_CASE(loss_that_is_not_kept_changes_nothing)
+{
+  PromptPartSuspects suspects;
+  const auto oldest = lossOf("oldest", kStart, { 1 });
+  BOOST_TEST(suspects.add(oldest, kStart));
+  for (std::size_t i = 0; i < PromptPartSuspects::kMaxLosses; ++i) {
+    BOOST_TEST(suspects.add(lossOf("s" + std::to_string(i), kStart + 1, { 2 + i }), kStart + 1));
+  }
+  BOOST_TEST(!suspects.add(oldest, kStart + 2));
+}
+
 // Guards against a shared part that comes later in the prompt than the one that crashes servers.
 BOOST_AUTO_TEST_CASE(answered_part_is_cleared)
 {
