--- a/include/mustardplank/agent/crash_exchange.hpp
+++ b/include/mustardplank/agent/crash_exchange.hpp
@@ -33,6 +33,10 @@
 /// Load pattern: a prompt part crashes a server or more each second, at requests to any instance.
 /// The store takes seconds to carry a report to all instances; datagrams between agents take some
 /// hundredths. As datagrams are lost, each note is sent several times.
+///
+/// Load pattern: sound servers reset hundreds of connections a second. An agent sends every note to
+/// a whole failure domain, so the bytes to each neighbour are limited: the more urgent notes go
+/// first, repetitions are left out, and a loss that has waited for too long is dropped.
 class CrashExchange
 {
 public:
@@ -40,7 +44,14 @@
   static constexpr Duration kSendPauses[] = { Millis(10), Millis(100), Millis(400) };
   /// The first pause of answers, which are less urgent and more frequent.
   static constexpr Duration kAnswerPause = Millis(60);
-  /// Further notes are dropped.
+  /// Pause between two datagrams to a neighbour, in which notes are collected.
+  static constexpr Duration kSendInterval = Millis(25);
+  /// Limit on what each neighbour is sent, and on what may be saved up of it.
+  static constexpr std::size_t kBytesPerSecond = 2048;
+  static constexpr std::size_t kBurstBytes = 4096;
+  /// A note that could not be sent within this time is dropped.
+  static constexpr Duration kMaxWait = Seconds(1);
+  /// Further notes are dropped, the least urgent ones first.
   static constexpr std::size_t kMaxPending = 512;
   /// Notes in one datagram, so that it stays below the size that networks carry whole.
   static constexpr std::size_t kMaxNoteBytes = 1100;
@@ -58,6 +69,8 @@
   std::vector<Datagram> takeDue(const Neighbours& aNeighbours, TimePoint aNow);
   /// When takeDue() has something next.
   std::optional<TimePoint> nextAt() const;
+  /// Notes that were never sent since the last call, as there were too many.
+  std::size_t takeDropped();
 
 private:
   struct Pending
@@ -66,12 +79,27 @@
     Audience audience = Audience::Neighbours;
     std::size_t sent = 0;
     TimePoint due{};
+    TimePoint addedAt{};
+    /// Encoded.
+    std::size_t bytes = 0;
   };
 
-  /// The notes that are due now for this audience, in batches for one datagram each.
-  std::vector<std::string> encodeDue(Audience aAudience, TimePoint aNow);
+  static bool isMoreUrgent(const Pending& aLeft, const Pending& aRight);
+  void refill(TimePoint aNow);
+
+  /// Marks the notes that are due and within the limit as sent, and drops those that have waited
+  /// for too long.
+  std::vector<const Pending*> selectDue(TimePoint aNow);
+  /// Messages with the selected notes for this audience, one for each datagram.
+  static std::vector<std::string> encodeSelected(const std::vector<const Pending*>& aSelected,
+                                                 Audience aAudience);
 
   std::vector<Pending> mPending;
+  TimePoint mNextSendAt{};
+  TimePoint mRefilledAt{};
+  /// Bytes that each neighbour may be sent now.
+  double mBytesLeft = kBurstBytes;
+  std::size_t mDropped = 0;
 };
 
 }
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -108,9 +108,11 @@
   StoreRestored,
   /// Changes of servers' registry entries that were applied.
   ServerChange,
+  /// Crash notes that were not sent, as there were too many.
+  CrashNoteDropped,
 };
 
-inline constexpr NameTable<Event, 20> kEventNames{ { {
+inline constexpr NameTable<Event, 21> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -131,6 +133,7 @@
   { Event::RefusedConnection, "refused_connections" },
   { Event::StoreRestored, "store_restorations" },
   { Event::ServerChange, "server_changes" },
+  { Event::CrashNoteDropped, "crash_notes_dropped" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -91,6 +91,7 @@
     for (const auto& it : crashExchange.takeDue(loads.neighbours(), now)) {
       sendDatagram(it, metrics::ControlMessage::CrashNotes);
     }
+    metrics.count(metrics::Event::CrashNoteDropped, crashExchange.takeDropped());
   }
   if (const auto others = loads.takeOthersLoads()) {
     dispatcher.setOthersLoads(*others, now);
--- a/src/mustardplank/agent/crash_exchange.cpp
+++ b/src/mustardplank/agent/crash_exchange.cpp
@@ -9,6 +9,8 @@
 #include <exception>
 #include <iterator>
 #include <stdexcept>
+#include <tuple>
+#include <utility>
 
 namespace mustardplank::agent {
 
@@ -25,6 +27,9 @@
 /// How a message begins: a CBOR array of two elements, the first of which is kMessageKind.
 constexpr const char* kMessageStart = "\x82\x10";
 
+/// Bytes of a datagram besides its notes: headers of IP and UDP, and of the message.
+constexpr std::size_t kDatagramBytes = 40;
+
 /// First element of an encoded note.
 enum class Kind
 {
@@ -126,34 +131,87 @@
   }
 }
 
+bool
+CrashExchange::isMoreUrgent(const Pending& aLeft, const Pending& aRight)
+{
+  const auto rank = [](const Pending& aItem) {
+    return std::tuple(!std::holds_alternative<PartBlocked>(aItem.note),
+                      !std::holds_alternative<PartAnswered>(aItem.note),
+                      aItem.sent);
+  };
+  return rank(aLeft) < rank(aRight);
+}
+
 void
 CrashExchange::send(CrashNote aNote, Audience aAudience, TimePoint aNow)
 {
-  if (mPending.size() < kMaxPending) {
-    const bool isAnswer = std::holds_alternative<PartAnswered>(aNote);
-    mPending.push_back(
-      { std::move(aNote), aAudience, 0, aNow + (isAnswer ? kAnswerPause : kSendPauses[0]) });
+  const bool isAnswer = std::holds_alternative<PartAnswered>(aNote);
+  const auto bytes = json::to_cbor(toJson(aNote)).size();
+  mPending.push_back({ std::move(aNote),
+                       aAudience,
+                       0,
+                       aNow + (isAnswer ? kAnswerPause : kSendPauses[0]),
+                       aNow,
+                       bytes });
+  if (mPending.size() > kMaxPending) {
+    const auto least = std::max_element(mPending.begin(), mPending.end(), isMoreUrgent);
+    mDropped += least->sent == 0 ? 1 : 0;
+    mPending.erase(least);
   }
 }
 
+void
+CrashExchange::refill(TimePoint aNow)
+{
+  const double added = kBytesPerSecond * toMillis(aNow - mRefilledAt) / 1000.0;
+  mBytesLeft = std::min<double>(kBurstBytes, mBytesLeft + added);
+  mRefilledAt = aNow;
+}
+
+std::vector<const CrashExchange::Pending*>
+CrashExchange::selectDue(TimePoint aNow)
+{
+  refill(aNow);
+  std::erase_if(mPending, [&](const auto& aItem) {
+    const bool isLate = aItem.sent == 0 && aNow - aItem.addedAt > kMaxWait;
+    mDropped += isLate ? 1 : 0;
+    return isLate;
+  });
+  std::stable_sort(mPending.begin(), mPending.end(), isMoreUrgent);
+  std::vector<const Pending*> selected;
+  for (auto& it : mPending) {
+    if (it.due > aNow) {
+      continue;
+    }
+    const auto bytes = static_cast<double>(it.bytes);
+    if (bytes <= mBytesLeft) {
+      mBytesLeft -= bytes;
+      selected.push_back(&it);
+      ++it.sent;
+      it.due = it.sent < std::size(kSendPauses) ? aNow + kSendPauses[it.sent] : it.due;
+    } else {
+      // A repetition for which there is no room is left out.
+      it.sent = it.sent > 0 ? std::size(kSendPauses) : 0;
+    }
+  }
+  return selected;
+}
+
 std::vector<std::string>
-CrashExchange::encodeDue(Audience aAudience, TimePoint aNow)
+CrashExchange::encodeSelected(const std::vector<const Pending*>& aSelected, Audience aAudience)
 {
   std::vector<std::vector<CrashNote>> batches;
   std::size_t bytes = kMaxNoteBytes;
-  for (auto& it : mPending) {
-    if (it.due > aNow || it.audience != aAudience) {
+  for (const auto* it : aSelected) {
+    if (it->audience != aAudience) {
       continue;
     }
-    const auto size = json::to_cbor(toJson(it.note)).size();
-    if (bytes + size > kMaxNoteBytes) {
+    if (bytes + it->bytes > kMaxNoteBytes) {
       batches.emplace_back();
       bytes = 0;
     }
-    bytes += size;
-    batches.back().push_back(it.note);
-    ++it.sent;
-    it.due = it.sent < std::size(kSendPauses) ? aNow + kSendPauses[it.sent] : it.due;
+    bytes += it->bytes;
+    batches.back().push_back(it->note);
   }
   std::vector<std::string> messages;
   for (const auto& it : batches) {
@@ -166,6 +224,9 @@
 CrashExchange::takeDue(const Neighbours& aNeighbours, TimePoint aNow)
 {
   std::vector<Datagram> out;
+  if (aNow < mNextSendAt) {
+    return out;
+  }
   const auto add = [&](const std::vector<std::string>& aMessages,
                        const std::vector<std::string>& aAddresses) {
     for (const auto& message : aMessages) {
@@ -174,11 +235,15 @@
       }
     }
   };
-  const auto forAll = encodeDue(Audience::Neighbours, aNow);
+  const auto selected = selectDue(aNow);
+  const auto forAll = encodeSelected(selected, Audience::Neighbours);
+  const auto forMembers = encodeSelected(selected, Audience::Members);
+  mBytesLeft -= static_cast<double>(kDatagramBytes * (forAll.size() + forMembers.size()));
   add(forAll, aNeighbours.agents);
   add(forAll, aNeighbours.members);
-  add(encodeDue(Audience::Members, aNow), aNeighbours.members);
+  add(forMembers, aNeighbours.members);
   std::erase_if(mPending, [](const auto& aItem) { return aItem.sent >= std::size(kSendPauses); });
+  mNextSendAt = aNow + kSendInterval;
   return out;
 }
 
@@ -189,7 +254,13 @@
   for (const auto& it : mPending) {
     next = std::min(next.value_or(it.due), it.due);
   }
-  return next;
+  return next ? std::optional(std::max(*next, mNextSendAt)) : next;
+}
+
+std::size_t
+CrashExchange::takeDropped()
+{
+  return std::exchange(mDropped, 0);
 }
 
 }
