GONE: an agent states the loads of servers within a quarter of its link

Change: setting link_mbps, filled in by the platform; an agent states loads less often, at least every 300 ms, so that they take no more than a quarter of its link. Without the setting, and on links of 25 Mbit/s and more at the sizes that we know, nothing changes.

--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -24,8 +24,10 @@
 /// while others are idle. Instances report their load to the agents of their failure domain, agents
 /// exchange the sums of their domains and return the total: messages grow with the number of
 /// instances and of servers, not with their product. The first agent sends; the second one does
-/// while it hears nothing from the first. Without agents there is no table, and placement goes by
-/// what the instance sees itself.
+/// while it hears nothing from the first. The instances of a failure domain times the servers may
+/// be more than the link of a small agent takes, where requests would wait behind them: it states
+/// loads less often then. Without agents there is no table, and placement goes by what the instance
+/// sees itself.
 class LoadExchange
 {
 public:
@@ -34,6 +36,9 @@
                std::string aAddress,
                std::uint64_t aIncarnation);
 
+  /// Limit on what this instance sends as an agent, in bytes a second; nothing: none. Loads are
+  /// stated less often then, at most kRepeatInterval apart.
+  void setByteRate(std::optional<double> aBytesPerSecond) { mByteRate = aBytesPerSecond; }
   void setDirectory(const Directory& aDirectory);
   /// The load that this instance places on servers has changed.
   void setOwnLoads(dispatch::InstanceLoads aLoads);
@@ -85,6 +90,12 @@
   void addReports(std::vector<Datagram>& aOut, TimePoint aNow);
   void addDomainLoads(std::vector<Datagram>& aOut, TimePoint aNow);
   void addTables(std::vector<Datagram>& aOut, TimePoint aNow);
+  /// aInterval, or longer if the datagrams from aOut[aFirst] on would take more than aShare of the
+  /// limit when sent so often.
+  Duration pacedInterval(Duration aInterval,
+                         const std::vector<Datagram>& aOut,
+                         std::size_t aFirst,
+                         double aShare) const;
 
   InstanceId mInstance;
   FailureDomainId mDomain;
@@ -105,10 +116,13 @@
 
   std::map<InstanceId, Member> mMembers;
   std::map<FailureDomainId, RemoteDomain> mRemoteDomains;
+  std::optional<double> mByteRate;
   bool mDomainChanged = false;
   TimePoint mDomainSentAt{};
+  Duration mDomainInterval{};
   bool mTotalChanged = false;
   TimePoint mTableSentAt{};
+  Duration mTableInterval{};
 
   /// The latest table, as received.
   dispatch::InstanceLoads mTable;
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -82,6 +82,9 @@
   std::uint32_t domainAgents = 2;
   /// Share of a processor core that the process may use; instances with more become agents first.
   double processorShare = 0.25;
+  /// What the instance's network link takes, in Mbit/s; 0 if not stated. A share of it limits what
+  /// an agent sends to other instances.
+  double linkMbps = 0.0;
   /// Memory that the process may use, in MB (1,000,000 bytes).
   std::uint32_t memoryMb = 100;
   /// One in so many routine requests is logged.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -30,6 +30,10 @@
 /// output that callers have not taken.
 constexpr double kResponseMemoryShare = 0.25;
 constexpr double kBytesPerMb = 1e6;
+constexpr double kBytesPerMbit = 125'000.0;
+/// Share of the link that an agent uses to state the loads of servers to other instances; the rest
+/// is for requests and their answers.
+constexpr double kLoadsLinkShare = 0.25;
 /// How long handing over counts may take. The first time it begins so long before the last
 /// requests are ended; the second time the end of the process may come earlier.
 constexpr Duration kHandOverTime = Millis(600);
@@ -135,6 +139,9 @@
             metrics,
             makeOutputs())
 {
+  if (settings.linkMbps > 0) {
+    loads.setByteRate(kLoadsLinkShare * kBytesPerMbit * settings.linkMbps);
+  }
   dispatcher.setInstanceCount(kAssumedInstances);
   dispatcher.setServerListRefreshAge(planner.maxAge());
 }
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/agent/load_exchange.hpp"
 
+#include "mustardplank/base/duration_from.hpp"
+
 #include <algorithm>
 
 namespace mustardplank::agent {
@@ -23,6 +25,11 @@
 constexpr std::size_t kMaxMembers = 1024;
 /// Reports that are kept to subtract them from tables.
 constexpr std::size_t kMaxReported = 64;
+/// Shares of the limit on bytes.
+constexpr double kDomainShare = 0.25;
+constexpr double kTableShare = 0.75;
+/// Headers of IP and UDP.
+constexpr std::size_t kHeaderBytes = 28;
 /// Servers in one datagram, at about 11 bytes each.
 constexpr std::size_t kMaxServersPerDatagram = 100;
 
@@ -226,31 +233,51 @@
 void
 LoadExchange::addDomainLoads(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  const bool due = mDomainChanged ? aNow - mDomainSentAt >= kDomainInterval
+  const bool due = mDomainChanged ? aNow - mDomainSentAt >= mDomainInterval
                                   : aNow - mDomainSentAt >= kRepeatInterval;
   if (!due) {
     return;
   }
   mDomainChanged = false;
   mDomainSentAt = aNow;
+  const auto first = aOut.size();
   for (const auto& part : splitLoads(domainLoads(), kMaxServersPerDatagram)) {
     const auto bytes = encodeLoadMessage(DomainLoads{ mDomain, part });
     for (const auto& it : mOtherAgents) {
       aOut.push_back({ it.address, bytes });
     }
   }
+  mDomainInterval = pacedInterval(kDomainInterval, aOut, first, kDomainShare);
+}
+
+Duration
+LoadExchange::pacedInterval(Duration aInterval,
+                            const std::vector<Datagram>& aOut,
+                            std::size_t aFirst,
+                            double aShare) const
+{
+  if (!mByteRate) {
+    return aInterval;
+  }
+  std::size_t bytes = 0;
+  for (std::size_t i = aFirst; i < aOut.size(); ++i) {
+    bytes += kHeaderBytes + aOut[i].bytes.size();
+  }
+  const double seconds = static_cast<double>(bytes) / (aShare * *mByteRate);
+  return std::clamp(durationFromMicros(1e6 * seconds), aInterval, Duration(kRepeatInterval));
 }
 
 void
 LoadExchange::addTables(std::vector<Datagram>& aOut, TimePoint aNow)
 {
   const bool due =
-    mTotalChanged ? aNow - mTableSentAt >= kTableInterval : aNow - mTableSentAt >= kRepeatInterval;
+    mTotalChanged ? aNow - mTableSentAt >= mTableInterval : aNow - mTableSentAt >= kRepeatInterval;
   if (!due) {
     return;
   }
   mTotalChanged = false;
   mTableSentAt = aNow;
+  const auto first = aOut.size();
   auto total = domainLoads();
   for (const auto& [domain, remote] : mRemoteDomains) {
     add(total, remote.loads);
@@ -262,6 +289,7 @@
         { member.address, encodeLoadMessage(LoadTable{ mInstance, member.sequence, part }) });
     }
   }
+  mTableInterval = pacedInterval(kTableInterval, aOut, first, kTableShare);
 }
 
 std::vector<Datagram>
@@ -287,8 +315,8 @@
   };
   auto next = due(mOwnChanged, mReportedAt, kReportInterval);
   if (sendsTables(aNow)) {
-    next = std::min(next, due(mDomainChanged, mDomainSentAt, kDomainInterval));
-    next = std::min(next, due(mTotalChanged, mTableSentAt, kTableInterval));
+    next = std::min(next, due(mDomainChanged, mDomainSentAt, mDomainInterval));
+    next = std::min(next, due(mTotalChanged, mTableSentAt, mTableInterval));
   }
   return std::max(next, aNow);
 }
--- a/src/mustardplank/agent/load_exchange_test.cpp
+++ b/src/mustardplank/agent/load_exchange_test.cpp
@@ -1,5 +1,6 @@
 #include "mustardplank/agent/crash_exchange.hpp"
 #include "mustardplank/agent/load_exchange.hpp"
+#include "mustardplank/base/hash.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -204,6 +205,41 @@
   BOOST_TEST(perInstanceAndSecond < 100.0);
 }
 
+// Load pattern: the agent of 20 instances with a link of 10 Mbit/s before 140 servers whose loads
+// change all the time. Guards against requests that wait in its link behind tables of loads.
+BOOST_AUTO_TEST_CASE(agent_with_a_small_link_states_loads_less_often)
+{
+  constexpr double kBytesPerSecond = 312'500.0;
+  constexpr int kMembers = 20;
+  constexpr int kServers = 140;
+  constexpr int kSeconds = 3;
+  Directory directory;
+  directory.domains[FailureDomainId("0")] = { { InstanceId("agent"), "agent" } };
+  directory.domains[FailureDomainId("1")] = { { InstanceId("other"), "other" } };
+  LoadExchange agent(InstanceId("agent"), FailureDomainId("0"), "agent", 1);
+  agent.setByteRate(kBytesPerSecond);
+  agent.setDirectory(directory);
+  std::size_t bytes = 0;
+  int tables = 0;
+  for (int now = 0; now < kSeconds * 1000; now += 5) {
+    const auto member = std::to_string(now / 5 % kMembers);
+    LoadReport report{ InstanceId(member), 1, std::uint64_t(now), member, { 0, 1, {} } };
+    for (int i = 0; i < kServers; ++i) {
+      report.load.loads[static_cast<dispatch::ServerKey>(stableHash(std::to_string(i)))] = {
+        static_cast<double>(1 + now % 7), static_cast<double>(9000 + now)
+      };
+    }
+    agent.receive(report, member, at(now));
+    for (const auto& it : agent.takeDue(at(now))) {
+      bytes += it.bytes.size();
+      tables += it.address == "0" ? 1 : 0;
+    }
+  }
+  BOOST_TEST(static_cast<double>(bytes) <= kBytesPerSecond * kSeconds);
+  // Two datagrams a table; one every 300 ms at least.
+  BOOST_TEST(tables >= 2 * kSeconds * 3);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected_with_a_finding)
 {
   const LoadReport report{ InstanceId("a"), 1, 2, "10.0.0.1:7200", { 0, 1, { { 7, { 2, 30 } } } } };
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -16,6 +16,7 @@
 constexpr Millis kMinChangeBound = Millis(500);
 constexpr std::uint32_t kMaxDomainAgents = 8;
 constexpr double kMaxProcessorShare = 1024.0;
+constexpr double kMaxLinkMbps = 1'000'000.0;
 constexpr std::uint32_t kMinMemoryMb = 1;
 constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
 
@@ -89,6 +90,7 @@
   reader.enumeration("log_level", settings.logLevel, kLogLevelNames);
   reader.integer("domain_agents", settings.domainAgents, 0, kMaxDomainAgents);
   reader.real("processor_share", settings.processorShare, 0.001, kMaxProcessorShare);
+  reader.real("link_mbps", settings.linkMbps, 0.0, kMaxLinkMbps);
   reader.integer("memory_mb", settings.memoryMb, kMinMemoryMb, kMaxMemoryMb);
   reader.integer("log_sampling", settings.logSampling, 1, 1'000'000);
   if (const auto* node = reader.object("bounds", Presence::Optional)) {
--- a/src/mustardplank/settings/route_settings_test.cpp
+++ b/src/mustardplank/settings/route_settings_test.cpp
@@ -91,6 +91,15 @@
   BOOST_TEST(findings.text().find("memory_mb") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(link_is_a_setting)
+{
+  Findings findings;
+  BOOST_TEST(parse(kLeast, findings).linkMbps == 0.0);
+  BOOST_TEST(parse(kLeast + R"(, "link_mbps": 12.5 })", findings).linkMbps == 12.5);
+  parse(kLeast + R"(, "link_mbps": -1 })", findings);
+  BOOST_TEST(findings.text().find("link_mbps") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(agents_out_of_range_are_reported)
 {
   Findings findings;
