--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -52,6 +52,8 @@
   std::string address;
   /// Start time of the chosen server, which identifies its incarnation, in Unix milliseconds.
   std::int64_t serverStartTimeMs = 0;
+  /// route::BackendServer::softwareVersion.
+  std::string softwareVersion;
   /// Predicted time to the first event.
   Duration estimate{};
   /// Prompt tokens that the server has to prefill.
--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -35,6 +35,9 @@
   std::optional<std::uint32_t> estimatedOutputTokens;
   /// Id of the last event that the caller has received; empty when it has received none.
   std::string lastEventId;
+  /// The caller's attempt that brought the first event of the stream that it takes up; empty if it
+  /// named none.
+  std::string resumedAttemptId;
 };
 
 /// Attributes that the gateway adds to a request forwarded to a backend server.
--- a/include/mustardplank/route/model.hpp
+++ b/include/mustardplank/route/model.hpp
@@ -143,6 +143,9 @@
   std::uint32_t slots = 1;
   bool draining = false;
   bool preemptible = false;
+  /// Version of the server's software; empty if the entry states none. What servers of two versions
+  /// write in one stream does not fit together.
+  std::string softwareVersion;
   /// Start time in Unix milliseconds; distinguishes incarnations with the same id.
   std::int64_t startTimeMs = 0;
   /// Remaining time, counted from the report, for which the server is cold.
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -141,7 +141,7 @@
 {
   const auto& server = aEvent.server;
   const auto text = server.service.str() + server.address + (server.draining ? " draining" : "") +
-                    std::to_string(server.startTimeMs);
+                    std::to_string(server.startTimeMs) + " " + server.softwareVersion;
   auto& known = serverTexts[server.id];
   if (known != text) {
     known = text;
@@ -149,6 +149,7 @@
       .field("server", server.id.str())
       .field("service", server.service.str())
       .field("domain", server.domain.str())
+      .field("version", server.softwareVersion)
       .field("draining", static_cast<int>(server.draining))
       .field("preemptible", static_cast<int>(server.preemptible))
       .field("cold_ms", toMillis(server.coldRemaining))
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -322,6 +322,7 @@
   effect.server = server.server.id;
   effect.address = server.server.address;
   effect.serverStartTimeMs = server.server.startTimeMs;
+  effect.softwareVersion = server.server.softwareVersion;
   effect.estimate = aChoice.estimate;
   effect.prefillTokens = aChoice.prefillTokens;
   if (aJob.streaming && isLongPrompt(aJob)) {
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -94,6 +94,20 @@
   mMoreFields = std::move(aFields);
 }
 
+void
+ServerStandin::setVersion(std::string aVersion)
+{
+  const std::lock_guard lock(mMutex);
+  mVersion = std::move(aVersion);
+}
+
+std::string
+ServerStandin::version() const
+{
+  const std::lock_guard lock(mMutex);
+  return mVersion;
+}
+
 std::string
 ServerStandin::moreFields() const
 {
@@ -441,6 +455,9 @@
     }
     std::string text = "id: " + std::to_string(i);
     text += "\ndata: t" + std::to_string(i);
+    if (const auto own = version(); !own.empty()) {
+      text += " of " + own;
+    }
     text += "\n\n";
     open = co_await writeText(aSocket, framed(text));
     const bool fallsSilent = i == aPlan.silentAfter && last.empty();
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -85,6 +85,8 @@
   void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
   /// Header lines, each with CRLF, that are added to all answers from now on but those with 421.
   void setMoreFields(std::string aFields);
+  /// Events name the version of the software from now on.
+  void setVersion(std::string aVersion);
   /// From now on refuses all requests as not run.
   void setFull(bool aFull) { mFull = aFull; }
   /// From now on closes the connection of every request instead of answering.
@@ -125,6 +127,7 @@
   };
 
   std::string moreFields() const;
+  std::string version() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
@@ -148,6 +151,7 @@
   mutable std::mutex mMutex;
   std::vector<Arrival> mArrivals;
   std::string mMoreFields;
+  std::string mVersion;
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
