ORDER: a response that has begun goes on at the version of the software that began it

What callers saw: a stream that broke off or stalled went on at another server in the same response; with two versions in service the text was joined of both, answered 200 and looked whole. Cause: no decision knew the version of a server's software. Change: the first events that are passed on fix the version; further attempts, also a second one beside a silent first, go to servers of that version only, and a grant ends when its server's entry names another one. Where none is left the response ends visibly. An entry without a version matches none where others state theirs.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -139,9 +139,9 @@
 
   /// Grants, queues or refuses a job.
   void submit(Job aJob, TimePoint aNow, Effects& aEffects);
-  /// Whether a granted job may still be sent: its server is the same incarnation and neither
-  /// draining nor leaving nor in an evacuated failure domain. Counts it against the rate limit of a
-  /// cold server, and is false above that limit.
+  /// Whether a granted job may still be sent: its server is the same incarnation, with the same
+  /// software, and neither draining nor leaving nor in an evacuated failure domain. Counts it
+  /// against the rate limit of a cold server, and is false above that limit.
   bool confirmSend(JobId aJob, TimePoint aNow);
   /// Records that the first event, or the response, has arrived.
   void recordFirstEvent(JobId aJob, TimePoint aNow);
@@ -190,6 +190,8 @@
     RetryBudget retryBudget;
     std::vector<ServerState*> servers;
     bool hasServerInOwnDomain = false;
+    /// Whether one of them states the version of its software.
+    bool versionsAreStated = false;
     std::map<FailureDomainId, DomainHealth> domains{};
     /// Smoothed time from grant to end of finished requests.
     double meanSlotOccupancyMs = 0.0;
@@ -203,6 +205,7 @@
     Job job;
     BackendServerId server;
     std::int64_t serverStartTimeMs = 0;
+    std::string softwareVersion;
     /// No other prompt of this instance was waiting for prefill on the server when it was granted.
     bool queueWasEmpty = false;
   };
--- a/include/mustardplank/dispatch/job.hpp
+++ b/include/mustardplank/dispatch/job.hpp
@@ -6,6 +6,7 @@
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,9 @@
   bool callerRetry = false;
   /// The caller has received a part of the response, which a refusal would break off.
   bool begun = false;
+  /// Only servers whose software has this version get the job, as the caller has events that such a
+  /// server wrote; nothing: any.
+  std::optional<std::string> softwareVersion;
   /// Servers that have failed this request and are not tried again.
   std::vector<BackendServerId> excludedServers;
 };
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -105,6 +105,8 @@
   std::size_t coldRateLimit = 1;
   /// Instances that share the limits that servers state.
   std::size_t instances = 1;
+  /// Whether a server of the service states the version of its software.
+  bool versionsAreStated = false;
   /// ServerState::others holds the load of the other instances.
   bool knowsOthersLoads = false;
 };
@@ -113,6 +115,11 @@
 bool
 isLongPrompt(const Job& aJob);
 
+/// Whether the server's software has the version that the job needs. An entry without a version
+/// says nothing where others state theirs: its server may have any.
+bool
+hasVersionFor(const Job& aJob, const ServerState& aServer, bool aVersionsAreStated);
+
 /// Prompt tokens that the server would have to prefill.
 std::uint32_t
 countUncachedTokens(const Job& aJob, const ServerState& aServer);
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -52,7 +52,8 @@
     return it->second;
   }
   return mServices
-    .emplace(aId, ServiceState{ {}, RetryBudget(mOptions.retryBudget), {}, false, {}, 0.0, 0, 0.0 })
+    .emplace(
+      aId, ServiceState{ {}, RetryBudget(mOptions.retryBudget), {}, false, false, {}, 0.0, 0, 0.0 })
     .first->second;
 }
 
@@ -75,9 +76,10 @@
 {
   auto* known = findServer(aServer.id);
   const bool wasKnown = known != nullptr;
-  const bool replaced =
-    known && (known->server.startTimeMs != aServer.startTimeMs ||
-              known->server.address != aServer.address || known->server.service != aServer.service);
+  const bool replaced = known && (known->server.startTimeMs != aServer.startTimeMs ||
+                                  known->server.address != aServer.address ||
+                                  known->server.service != aServer.service ||
+                                  known->server.softwareVersion != aServer.softwareVersion);
   if (!known || replaced) {
     auto state = std::make_unique<ServerState>(aServer);
     state->admission = mAdmissionMemory.take({ aServer.id, aServer.startTimeMs });
@@ -184,6 +186,10 @@
     std::any_of(aService.servers.begin(), aService.servers.end(), [&](const auto* aServer) {
       return aServer->server.domain == mOptions.domain;
     });
+  aService.versionsAreStated =
+    std::any_of(aService.servers.begin(), aService.servers.end(), [](const auto* aServer) {
+      return !aServer->server.softwareVersion.empty();
+    });
 }
 
 void
@@ -220,6 +226,7 @@
   input.servers = &aService.servers;
   input.ownDomain = mOptions.domain;
   input.hasServerInOwnDomain = aService.hasServerInOwnDomain;
+  input.versionsAreStated = aService.versionsAreStated;
   for (const auto& [domain, health] : aService.domains) {
     if (health.isSuspect(aNow)) {
       input.suspectDomains.push_back(domain);
@@ -334,6 +341,7 @@
   GrantedJob granted;
   granted.server = server.server.id;
   granted.serverStartTimeMs = server.server.startTimeMs;
+  granted.softwareVersion = server.server.softwareVersion;
   granted.queueWasEmpty = server.pendingPrefillTokens == 0;
 
   RunningJob run;
@@ -371,7 +379,8 @@
     return false;
   }
   auto* server = findServer(it->second.server);
-  if (!server || server->server.startTimeMs != it->second.serverStartTimeMs || !isUsable(*server) ||
+  if (!server || server->server.startTimeMs != it->second.serverStartTimeMs ||
+      server->server.softwareVersion != it->second.softwareVersion || !isUsable(*server) ||
       awaitsServerList(aNow)) {
     return false;
   }
--- a/src/mustardplank/dispatch/dispatcher_queue.cpp
+++ b/src/mustardplank/dispatch/dispatcher_queue.cpp
@@ -69,11 +69,12 @@
 RefusalReason
 Dispatcher::refusalReason(const Job& aJob, TimePoint aNow)
 {
-  const auto& servers = refreshAndGetState(aJob.service).servers;
+  const auto& service = refreshAndGetState(aJob.service);
   bool anyAvailable = false;
   bool anyCold = false;
-  for (const auto* it : servers) {
-    if (it->availableAt() > aNow + kMinWaitLimit) {
+  for (const auto* it : service.servers) {
+    if (it->availableAt() > aNow + kMinWaitLimit ||
+        !hasVersionFor(aJob, *it, service.versionsAreStated)) {
       continue;
     }
     if (std::find(aJob.excludedServers.begin(), aJob.excludedServers.end(), it->server.id) !=
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -512,4 +512,58 @@
   }
 }
 
+// Guards against streams that are joined of two versions of the software.
+BOOST_AUTO_TEST_CASE(job_of_a_version_goes_to_servers_of_that_version_only)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  const auto now = atMillis(0);
+  auto add = [&](const char* aId, const char* aVersion) {
+    auto server = makeServer(aId, "a");
+    server.softwareVersion = aVersion;
+    dispatcher.updateServer(server, now);
+  };
+  add("s1", "v1");
+  add("s2", "v2");
+  for (JobId id = 1; id <= 20; ++id) {
+    auto job = makeEngineJob(id, 600, id, now);
+    job.softwareVersion = id % 2 == 0 ? "v1" : "v2";
+    Effects effects;
+    dispatcher.submit(job, now, effects);
+    const auto* grant = findGrant(effects, id);
+    BOOST_TEST_REQUIRE(grant != nullptr);
+    BOOST_TEST(grant->softwareVersion == *job.softwareVersion);
+    BOOST_TEST(dispatcher.confirmSend(id, now));
+    dispatcher.endJob(id, JobOutcome::Finished, now, effects);
+  }
+  for (const auto* version : { "v3", "" }) {
+    auto job = makeEngineJob(30, 600, 1, now);
+    job.softwareVersion = version;
+    job.begun = true;
+    Effects effects;
+    dispatcher.submit(job, now, effects);
+    const auto* refusal = findRefusal(effects, 30);
+    BOOST_TEST_REQUIRE(refusal != nullptr);
+    BOOST_TEST((refusal->reason == RefusalReason::NoServer));
+  }
+}
+
+// Guards against a stream that goes on at a server which has started again with other software,
+// after it was chosen.
+BOOST_AUTO_TEST_CASE(grant_ends_with_a_change_of_the_software)
+{
+  auto dispatcher = makeDispatcher(makeConfig());
+  const auto now = atMillis(0);
+  auto server = makeServer("s1", "a");
+  server.softwareVersion = "v1";
+  dispatcher.updateServer(server, now);
+  auto job = makeEngineJob(1, 600, 1, now);
+  job.softwareVersion = "v1";
+  Effects effects;
+  dispatcher.submit(job, now, effects);
+  BOOST_TEST_REQUIRE(findGrant(effects, 1) != nullptr);
+  server.softwareVersion = "v2";
+  dispatcher.updateServer(server, now);
+  BOOST_TEST(!dispatcher.confirmSend(1, now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -43,11 +43,14 @@
   return own + std::max(0.0, others) * weight;
 }
 
+/// Whether the job may not be sent to the server, whatever its load.
 bool
-isExcluded(const Job& aJob, const ServerState& aServer)
+isExcluded(const PlacementInput& aInput, const ServerState& aServer)
 {
-  return std::find(aJob.excludedServers.begin(), aJob.excludedServers.end(), aServer.server.id) !=
-         aJob.excludedServers.end();
+  const auto& job = *aInput.job;
+  return !hasVersionFor(job, aServer, aInput.versionsAreStated) ||
+         std::find(job.excludedServers.begin(), job.excludedServers.end(), aServer.server.id) !=
+           job.excludedServers.end();
 }
 
 /// aQueues: the server may get requests beyond its slots, as many as it has slots.
@@ -125,7 +128,8 @@
   std::vector<const ServerState*> group;
   group.reserve(aInput.servers->size());
   for (const auto* it : *aInput.servers) {
-    if (isInGroup(aInput, *it, aLong)) {
+    if (isInGroup(aInput, *it, aLong) &&
+        hasVersionFor(*aInput.job, *it, aInput.versionsAreStated)) {
       group.push_back(it);
     }
   }
@@ -182,6 +186,16 @@
   return aJob.promptTokens > kChunkTokens;
 }
 
+bool
+hasVersionFor(const Job& aJob, const ServerState& aServer, bool aVersionsAreStated)
+{
+  if (!aJob.softwareVersion) {
+    return true;
+  }
+  return *aJob.softwareVersion == aServer.server.softwareVersion &&
+         (!aJob.softwareVersion->empty() || !aVersionsAreStated);
+}
+
 std::uint32_t
 countUncachedTokens(const Job& aJob, const ServerState& aServer)
 {
@@ -225,7 +239,7 @@
   Duration bestCost{};
   for (auto* it : *aInput.servers) {
     const bool preferred = preferredServers.primary == it || preferredServers.secondary == it;
-    if (isExcluded(job, *it) ||
+    if (isExcluded(aInput, *it) ||
         !canAcceptRequest(aInput, *it, preferred && aInput.knowsOthersLoads)) {
       continue;
     }
@@ -292,7 +306,7 @@
 {
   std::vector<ServerState*> servers;
   for (auto* it : *aInput.servers) {
-    if (!isExcluded(*aInput.job, *it) && canAcceptRequest(aInput, *it, false)) {
+    if (!isExcluded(aInput, *it) && canAcceptRequest(aInput, *it, false)) {
       servers.push_back(it);
     }
   }
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -276,6 +276,7 @@
   mResponse.eventCount += mEventSplitter.eventCount() - eventsBefore;
   dropStalledAttempt(dispatch::JobOutcome::Stalled);
   const auto now = bootNow();
+  mJob.softwareVersion = mGrant->softwareVersion;
   mContext.dispatcher.recordFirstEvent(mJob.id, now);
   if (mResponseHeadSent) {
     mRecorder->tokenGap(now - mLastProgressAt);
