ORDER: a stream that is taken up goes on at the version of the software that began it

What callers saw: a stream taken up with Last-Event-Id and Resumes, at any instance, got its rest from any server; with two versions in service, or once the servers of the older one had left, also after a kill of all instances, the text was joined of both, answered 200, with nothing to show it. Cause: no instance knew which version had begun a stream, and Resumes was not read. Change: the instance that passes on the first event remembers the version (30 s, 16,384 streams), and tells the agents of its failure domain while a service has had more than one version in the last 30 s. An instance that does not know asks all agents for 100 ms at the most. If nobody knows, the version is certain only if one alone has served in the last 30 s; these are kept in keyed.state, so that it can be told after a kill of all instances. Else 503, not run, with Retry-After. An entry without a version keeps that of an earlier entry of the same incarnation. Tried and dropped: writing by the holder of the duties alone (the versions were not in the store 2.4 s after the start); trust in first_start.

--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -5,6 +5,7 @@
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/dispatch/crash_suspects.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
+#include "mustardplank/dispatch/version_history.hpp"
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
@@ -87,6 +88,12 @@
 std::optional<Baseline>
 decodeBaseline(const std::string& aBytes, Findings& aFindings);
 
+std::string
+encodePastVersions(const dispatch::PastVersions& aPast);
+
+std::optional<dispatch::PastVersions>
+decodePastVersions(const std::string& aBytes, Findings& aFindings);
+
 std::string
 encodeIntent(const ReportIntent& aIntent);
 
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -3,6 +3,7 @@
 #include "mustardplank/base/alarm_queue.hpp"
 #include "mustardplank/base/log_event.hpp"
 #include "mustardplank/dispatch/dispatcher.hpp"
+#include "mustardplank/dispatch/stream_origins.hpp"
 #include "mustardplank/gateway/header_dialect.hpp"
 #include "mustardplank/metrics/metrics.hpp"
 #include "mustardplank/route/table.hpp"
@@ -63,6 +64,15 @@
   std::function<void(const dispatch::ServerLoss&)> onServerLost;
   /// A request was answered completely and with success.
   std::function<void(const dispatch::AnsweredRequest&)> onAnswered;
+  /// The first event of a stream that callers may take up was passed on.
+  std::function<void(dispatch::StreamKey, const dispatch::StreamOrigin&)> onStreamBegun;
+  /// Finds what began the stream of the service that a caller takes up; aStream is nothing if the
+  /// caller did not name it. aDone must be called once, during the call or later, with nothing if
+  /// that is not known.
+  std::function<void(std::optional<dispatch::StreamKey> aStream,
+                     const route::ServiceId& aService,
+                     std::function<void(std::optional<dispatch::StreamOrigin>)> aDone)>
+    findStreamOrigin;
   /// Text of the /status page.
   std::function<std::string()> makeStatusPage;
   /// Time of day on which the instances agree, in Unix milliseconds.
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -144,13 +144,16 @@
   SyncReply,
   Loads,
   CrashNotes,
+  /// Which software began a stream.
+  Streams,
 };
 
-inline constexpr NameTable<ControlMessage, 4> kControlMessageNames{ { {
+inline constexpr NameTable<ControlMessage, 5> kControlMessageNames{ { {
   { ControlMessage::Sync, "sync" },
   { ControlMessage::SyncReply, "sync_reply" },
   { ControlMessage::Loads, "loads" },
   { ControlMessage::CrashNotes, "crash_notes" },
+  { ControlMessage::Streams, "streams" },
 } } };
 
 struct Limits
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -161,6 +161,16 @@
   callbacks.onAnswered = [this](const dispatch::AnsweredRequest& aRequest) {
     recordAnswer(aRequest);
   };
+  callbacks.onStreamBegun = [this](dispatch::StreamKey aStream,
+                                   const dispatch::StreamOrigin& aOrigin) {
+    noteStream(aStream, aOrigin);
+  };
+  callbacks.findStreamOrigin =
+    [this](std::optional<dispatch::StreamKey> aStream,
+           const route::ServiceId& aService,
+           const std::function<void(std::optional<dispatch::StreamOrigin>)>& aDone) {
+      findStreamOrigin(aStream, aService, aDone);
+    };
   callbacks.writeBoardEntry = [this](std::string aEntry, std::function<void(bool)> aDone) {
     asio::co_spawn(io, writeFor(std::move(aEntry), std::move(aDone)), asio::detached);
   };
@@ -205,6 +215,7 @@
       dispatcher.setEvacuatedDomains(evacuatedDomains.domains());
     }
     repeatBlockedParts();
+    syncVersions();
     noteRole();
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
     metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waitingCount()));
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -9,6 +9,7 @@
 #include "mustardplank/agent/crash_exchange.hpp"
 #include "mustardplank/agent/load_exchange.hpp"
 #include "mustardplank/agent/source_planner.hpp"
+#include "mustardplank/agent/stream_exchange.hpp"
 #include "mustardplank/agent/sync_server.hpp"
 #include "mustardplank/agent/update_relay.hpp"
 #include "mustardplank/base/alarm_queue.hpp"
@@ -25,6 +26,7 @@
 #include "mustardplank/control/update_outbox.hpp"
 #include "mustardplank/control/usage_windows.hpp"
 #include "mustardplank/dispatch/dispatcher.hpp"
+#include "mustardplank/dispatch/version_history.hpp"
 #include "mustardplank/gateway/gateway.hpp"
 #include "mustardplank/metrics/metrics.hpp"
 #include "platform/store.hpp"
@@ -182,6 +184,29 @@
   void sendCrashNote(dispatch::CrashNote aNote, agent::CrashExchange::Audience aAudience);
   void sendDatagram(const agent::Datagram& aDatagram, metrics::ControlMessage aKind);
 
+  // Streams and the versions of servers' software.
+  void noteVersion(const route::BackendServer& aServer);
+  /// The first event of a stream was passed on.
+  void noteStream(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
+  void sendStreamNote(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
+  /// What this instance knows of the stream, and of the versions that may have begun it.
+  dispatch::OriginReply ownOriginReply(std::optional<dispatch::StreamKey> aStream,
+                                       const route::ServiceId& aService) const;
+  /// Asks all agents unless this instance knows the stream. Calls aDone once, now or later.
+  void findStreamOrigin(std::optional<dispatch::StreamKey> aStream,
+                        const route::ServiceId& aService,
+                        const std::function<void(std::optional<dispatch::StreamOrigin>)>& aDone);
+  void receiveStreamMessage(const std::string& aBytes, const std::string& aSender);
+  void applyStreamMessage(const agent::StreamNotes& aNotes, const std::string& aSender);
+  void applyStreamMessage(const agent::StreamQuery& aQuery, const std::string& aSender);
+  void applyStreamMessage(const agent::StreamReply& aReply, const std::string& aSender);
+  /// Agents read the versions that were in service before their start; the first agent and the
+  /// holder of the duties write them.
+  void syncVersions();
+  bool writesVersions() const;
+  awaitable<void> readPastVersions();
+  awaitable<void> writePastVersions();
+
   // Board.
   control::InstanceUpdate makeUpdate();
   void applyUpdate(const control::Record& aRecord);
@@ -323,6 +348,16 @@
   control::Offset loadDirectoryEnd = 0;
   std::optional<AlarmQueue::Id> loadAlarm;
 
+  dispatch::VersionHistory versions{ startedAt };
+  /// VersionHistory::changeCount() of what is in the store.
+  std::uint64_t writtenVersions = 0;
+  /// The versions before the start were read, or there are none in the store.
+  bool pastVersionsRead = false;
+  bool versionsCallOpen = false;
+  TimePoint nextVersionsCallAt{};
+  dispatch::StreamOrigins streamOrigins;
+  agent::StreamExchange streamExchange;
+
   control::ServerRegistry registry;
   control::DutyLease lease;
   control::UsageWindows usage;
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -65,6 +65,10 @@
       receiveCrashNotes(bytes, address);
       continue;
     }
+    if (agent::isStreamMessage(bytes)) {
+      receiveStreamMessage(bytes, address);
+      continue;
+    }
     const auto message = agent::decodeLoadMessage(bytes, findings);
     if (!message || !loads.receive(*message, address, bootNow())) {
       metrics.count(metrics::Event::LoadMessageIgnored);
@@ -93,10 +97,18 @@
     }
     metrics.count(metrics::Event::CrashNoteDropped, crashExchange.takeDropped());
   }
+  const auto streamsAt = streamExchange.nextAt();
+  if (streamsAt && *streamsAt <= now) {
+    for (const auto& it : streamExchange.takeDue(loads.ownAgents(), now)) {
+      sendDatagram(it, metrics::ControlMessage::Streams);
+    }
+  }
   if (const auto others = loads.takeOthersLoads()) {
     dispatcher.setOthersLoads(*others, now);
   }
-  armLoadAlarm(std::min(loads.nextAt(now), crashExchange.nextAt().value_or(TimePoint::max())));
+  armLoadAlarm(std::min({ loads.nextAt(now),
+                          crashExchange.nextAt().value_or(TimePoint::max()),
+                          streamExchange.nextAt().value_or(TimePoint::max()) }));
 }
 
 void
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -36,6 +36,7 @@
   }
   intentsRead = false;
   baselineStored = false;
+  writtenVersions = 0;
   usage.republish();
   relay.forgetWritten();
   boardDue = true;
@@ -139,7 +140,8 @@
 void
 RouteDaemon::Impl::applyServer(const control::ServerUpdated& aEvent)
 {
-  const auto& server = aEvent.server;
+  auto server = aEvent.server;
+  server.softwareVersion = versions.versionOf(server);
   const auto text = server.service.str() + server.address + (server.draining ? " draining" : "") +
                     std::to_string(server.startTimeMs) + " " + server.softwareVersion;
   auto& known = serverTexts[server.id];
@@ -155,6 +157,7 @@
       .field("cold_ms", toMillis(server.coldRemaining))
       .write();
   }
+  noteVersion(server);
   dispatcher.updateServer(server, bootNow());
 }
 
@@ -162,6 +165,7 @@
 RouteDaemon::Impl::applyServer(const control::ServerRemoved& aEvent)
 {
   serverTexts.erase(aEvent.id);
+  versions.removeServer(aEvent.id, bootNow());
   LogEvent(LogLevel::Info, "server.gone").field("server", aEvent.id.str()).write();
   dispatcher.removeServer(aEvent.id);
   gateway.closeIdleConnections(aEvent.address);
--- /dev/null
+++ b/src/daemon/route_daemon_streams.cpp
@@ -0,0 +1,232 @@
+#include "route_daemon_impl.hpp"
+
+#include "mustardplank/control/records.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace mustardplank::daemon {
+
+namespace {
+
+/// Between two calls to the store about the versions in service.
+constexpr Duration kVersionsInterval = Millis(250);
+/// Key of control::encodePastVersions() in Topic::State.
+constexpr const char* kPastVersionsKey = "versions";
+
+}
+
+void
+RouteDaemon::Impl::noteVersion(const route::BackendServer& aServer)
+{
+  const auto now = bootNow();
+  const auto before = versions.versions(aServer.service, now).size();
+  versions.setServer(aServer, now);
+  if (before > 1 || versions.versions(aServer.service, now).size() <= 1) {
+    return;
+  }
+  // While there was one version only, no agent had to know the streams.
+  for (const auto& [stream, origin] : streamOrigins.list(now)) {
+    if (origin.service == aServer.service) {
+      sendStreamNote(stream, origin);
+    }
+  }
+}
+
+void
+RouteDaemon::Impl::noteStream(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin)
+{
+  const auto now = bootNow();
+  if (streamOrigins.record(aStream, aOrigin, now) &&
+      versions.versions(aOrigin.service, now).size() > 1) {
+    sendStreamNote(aStream, aOrigin);
+  }
+}
+
+void
+RouteDaemon::Impl::sendStreamNote(dispatch::StreamKey aStream,
+                                  const dispatch::StreamOrigin& aOrigin)
+{
+  if (loadSocket.is_open()) {
+    streamExchange.addNote(aStream, aOrigin, bootNow());
+    armLoadAlarm(*streamExchange.nextAt());
+  }
+}
+
+dispatch::OriginReply
+RouteDaemon::Impl::ownOriginReply(std::optional<dispatch::StreamKey> aStream,
+                                  const route::ServiceId& aService) const
+{
+  const auto now = bootNow();
+  const auto age = serversView.age(now);
+  dispatch::OriginReply reply;
+  if (aStream) {
+    reply.origin = streamOrigins.find(*aStream, now);
+  }
+  // A version that this instance has not heard of may have begun the stream at another one.
+  reply.isComplete = versions.isComplete(now) && age && *age <= planner.maxAge();
+  reply.versions = versions.versions(aService, now);
+  return reply;
+}
+
+void
+RouteDaemon::Impl::findStreamOrigin(
+  std::optional<dispatch::StreamKey> aStream,
+  const route::ServiceId& aService,
+  const std::function<void(std::optional<dispatch::StreamOrigin>)>& aDone)
+{
+  auto own = ownOriginReply(aStream, aService);
+  if (own.origin) {
+    aDone(own.origin);
+    return;
+  }
+  std::vector<std::string> agents;
+  for (const auto& [domain, list] : planner.directory().domains) {
+    for (const auto& it : list) {
+      if (it.instance != settings.instance && loadSocket.is_open()) {
+        agents.push_back(it.address);
+      }
+    }
+  }
+  const auto sentAt = bootNow();
+  streamExchange.ask(aStream,
+                     aService,
+                     agents,
+                     sentAt,
+                     [own = std::move(own), aService, aDone, sentAt, asked = agents.size()](
+                       std::vector<dispatch::OriginReply> aReplies) {
+                       const auto replies = aReplies.size();
+                       aReplies.push_back(own);
+                       const auto origin = dispatch::decideOrigin(aService, aReplies);
+                       LogEvent(LogLevel::Info, "stream.taken_up")
+                         .field("service", aService.str())
+                         .field("version", origin ? origin->version : std::string("unknown"))
+                         .field("agents", asked)
+                         .field("replies", replies)
+                         .field("versions", own.versions.size())
+                         .field("complete", static_cast<int>(own.isComplete))
+                         .field("waited_ms", toMillis(bootNow() - sentAt))
+                         .write();
+                       aDone(origin);
+                     });
+  if (const auto next = streamExchange.nextAt()) {
+    armLoadAlarm(*next);
+  }
+}
+
+void
+RouteDaemon::Impl::receiveStreamMessage(const std::string& aBytes, const std::string& aSender)
+{
+  Findings findings;
+  const auto message = agent::decodeStreamMessage(aBytes, findings);
+  if (!message) {
+    metrics.count(metrics::Event::LoadMessageIgnored);
+    return;
+  }
+  std::visit([&](const auto& aInner) { applyStreamMessage(aInner, aSender); }, *message);
+}
+
+void
+RouteDaemon::Impl::applyStreamMessage(const agent::StreamNotes& aNotes, const std::string& aSender)
+{
+  if (!loads.isNeighbour(aSender)) {
+    metrics.count(metrics::Event::LoadMessageIgnored);
+    return;
+  }
+  for (const auto& [stream, origin] : aNotes.streams) {
+    streamOrigins.record(stream, origin, bootNow());
+  }
+}
+
+void
+RouteDaemon::Impl::applyStreamMessage(const agent::StreamQuery& aQuery, const std::string& aSender)
+{
+  const agent::StreamReply reply{ aQuery.number, ownOriginReply(aQuery.stream, aQuery.service) };
+  sendDatagram({ aSender, agent::encodeStreamMessage(reply) }, metrics::ControlMessage::Streams);
+}
+
+void
+RouteDaemon::Impl::applyStreamMessage(const agent::StreamReply& aReply, const std::string& aSender)
+{
+  streamExchange.receive(aReply, aSender);
+}
+
+bool
+RouteDaemon::Impl::writesVersions() const
+{
+  const auto& domains = planner.directory().domains;
+  const bool isFirstAgent = planner.slot() == std::size_t(0) && !domains.empty() &&
+                            domains.begin()->first == settings.failureDomain;
+  return isFirstAgent || holder();
+}
+
+void
+RouteDaemon::Impl::syncVersions()
+{
+  const auto now = bootNow();
+  if (versionsCallOpen || draining || now < nextVersionsCallAt) {
+    return;
+  }
+  const bool isComplete = versions.isComplete(now);
+  const bool reads =
+    !isComplete && !pastVersionsRead && (loads.isAgent() || settings.domainAgents == 0);
+  const bool writes = isComplete && versions.changeCount() != writtenVersions && writesVersions();
+  if (!reads && !writes) {
+    return;
+  }
+  versionsCallOpen = true;
+  nextVersionsCallAt = now + kVersionsInterval;
+  asio::co_spawn(io,
+                 reads ? readPastVersions() : writePastVersions(),
+                 [this](const std::exception_ptr&) { versionsCallOpen = false; });
+}
+
+awaitable<void>
+RouteDaemon::Impl::readPastVersions()
+{
+  auto store = client();
+  auto page = co_await store.newest(Topic::State);
+  const auto* newest = std::get_if<control::NewestPage>(&page);
+  if (!newest) {
+    co_return;
+  }
+  pastVersionsRead = true;
+  const auto now = bootNow();
+  if (control::offsetOf(newest->logEnd) == 0) {
+    versions.setNoPast();
+    co_return;
+  }
+  for (const auto& it : newest->records) {
+    if (it.key != kPastVersionsKey) {
+      continue;
+    }
+    Findings findings;
+    if (const auto past = control::decodePastVersions(it.value.value_or(std::string()), findings)) {
+      versions.setPast(*past, now, clock.now(now));
+      LogEvent(LogLevel::Info, "versions.read").field("services", past->size()).write();
+    } else {
+      LogEvent(LogLevel::Warning, "versions.ignored").field("detail", findings.text()).write();
+    }
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::writePastVersions()
+{
+  auto store = client();
+  const auto now = bootNow();
+  const auto changes = versions.changeCount();
+  std::vector<control::Record> record{
+    { 0, kPastVersionsKey, control::encodePastVersions(versions.past(now, clock.now(now))) }
+  };
+  const auto result = co_await store.append(Topic::State, record, std::nullopt);
+  if (const auto* appended = std::get_if<control::AppendResult>(&result)) {
+    notePosition(appended->logEnd);
+    writtenVersions = changes;
+    LogEvent(LogLevel::Info, "versions.written").field("changes", changes).write();
+  }
+}
+
+}
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -321,13 +321,21 @@
   return std::max(next, aNow);
 }
 
+std::vector<std::string>
+LoadExchange::ownAgents() const
+{
+  std::vector<std::string> addresses;
+  for (const auto& it : mOwnAgents) {
+    addresses.push_back(it.address);
+  }
+  return addresses;
+}
+
 Neighbours
 LoadExchange::neighbours() const
 {
   Neighbours neighbours;
-  for (const auto& it : mOwnAgents) {
-    neighbours.agents.push_back(it.address);
-  }
+  neighbours.agents = ownAgents();
   if (!mSlot) {
     return neighbours;
   }
--- /dev/null
+++ b/src/mustardplank/agent/stream_exchange_test.cpp
@@ -0,0 +1,156 @@
+#include "mustardplank/agent/crash_exchange.hpp"
+#include "mustardplank/agent/load_messages.hpp"
+#include "mustardplank/agent/stream_exchange.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace mustardplank;
+using namespace mustardplank::agent;
+using dispatch::OriginReply;
+using dispatch::StreamOrigin;
+
+namespace {
+
+const route::ServiceId kService("llm");
+
+TimePoint
+at(int aMillis)
+{
+  return TimePoint(Seconds(100)) + Millis(aMillis);
+}
+
+std::vector<StreamMessage>
+messages()
+{
+  return { StreamNotes{ { { 1, { kService, "v1" } }, { ~0ULL, { kService, "v1" } } } },
+           StreamQuery{ 7, 9, kService },
+           StreamQuery{ 8, std::nullopt, kService },
+           StreamReply{ 7, { StreamOrigin{ kService, "v2" }, true, { "v1", "v2" } } },
+           StreamReply{ 8, { std::nullopt, false, {} } } };
+}
+
+struct Result
+{
+  int calls = 0;
+  std::vector<OriginReply> replies;
+};
+
+StreamExchange::Done
+into(Result& aResult)
+{
+  return [&aResult](std::vector<OriginReply> aReplies) {
+    ++aResult.calls;
+    aResult.replies = std::move(aReplies);
+  };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(stream_exchange)
+
+BOOST_AUTO_TEST_CASE(messages_are_decoded_as_encoded)
+{
+  for (const auto& it : messages()) {
+    Findings findings;
+    const auto bytes = encodeStreamMessage(it);
+    BOOST_TEST(isStreamMessage(bytes));
+    BOOST_TEST(!isCrashNotes(bytes));
+    const auto decoded = decodeStreamMessage(bytes, findings);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == it));
+  }
+}
+
+// Guards against a process that ends at bytes of an unknown sender.
+BOOST_AUTO_TEST_CASE(malformed_messages_are_refused)
+{
+  std::mt19937 random(1);
+  for (const auto& it : messages()) {
+    const auto bytes = encodeStreamMessage(it);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      Findings findings;
+      BOOST_TEST(!decodeStreamMessage(bytes.substr(0, n), findings).has_value());
+      BOOST_TEST(!findings.empty());
+    }
+    for (int i = 0; i < 5000; ++i) {
+      auto changed = bytes;
+      changed[random() % changed.size()] = static_cast<char>(random());
+      Findings findings;
+      decodeStreamMessage(changed, findings);
+    }
+  }
+}
+
+// Guards against datagrams that networks do not carry whole.
+BOOST_AUTO_TEST_CASE(notes_go_together_to_the_own_agents)
+{
+  constexpr int kNotes = 250;
+  StreamExchange exchange;
+  for (int i = 0; i < kNotes; ++i) {
+    exchange.addNote(~std::uint64_t(i), { kService, "v1" }, at(0));
+  }
+  BOOST_TEST(exchange.takeDue({ "a:1", "b:1" }, at(1)).empty());
+  BOOST_TEST_REQUIRE(exchange.nextAt().has_value());
+  const auto sent = exchange.takeDue({ "a:1", "b:1" }, *exchange.nextAt());
+  BOOST_TEST(sent.size() == 6U);
+  std::size_t notes = 0;
+  for (const auto& it : sent) {
+    BOOST_TEST(it.bytes.size() < 1400U);
+    Findings findings;
+    const auto message = decodeStreamMessage(it.bytes, findings).value();
+    notes += std::get<StreamNotes>(message).streams.size();
+  }
+  BOOST_TEST(notes == 2U * kNotes);
+  BOOST_TEST(!exchange.nextAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(query_ends_with_the_first_origin_or_the_last_reply)
+{
+  StreamExchange exchange;
+  Result first;
+  Result second;
+  exchange.ask(7, kService, { "a:1", "b:1" }, at(0), into(first));
+  exchange.ask(8, kService, { "a:1", "b:1" }, at(0), into(second));
+  BOOST_TEST(exchange.takeDue({}, at(0)).size() == 4U);
+  exchange.receive({ 1, { StreamOrigin{ kService, "v1" }, false, {} } }, "b:1");
+  BOOST_TEST(first.calls == 1);
+  exchange.receive({ 2, { std::nullopt, true, { "v1" } } }, "a:1");
+  // Not asked, and not again.
+  exchange.receive({ 2, { std::nullopt, true, { "v9" } } }, "c:1");
+  exchange.receive({ 2, { std::nullopt, true, { "v9" } } }, "a:1");
+  BOOST_TEST(second.calls == 0);
+  exchange.receive({ 2, { std::nullopt, true, { "v1" } } }, "b:1");
+  BOOST_TEST(second.calls == 1);
+  BOOST_TEST(second.replies.size() == 2U);
+  BOOST_TEST(!exchange.nextAt().has_value());
+}
+
+// Guards against a caller that waits for an agent that is gone.
+BOOST_AUTO_TEST_CASE(query_ends_in_time)
+{
+  StreamExchange exchange;
+  Result result;
+  exchange.ask(7, kService, { "a:1", "b:1" }, at(0), into(result));
+  exchange.takeDue({}, at(0));
+  exchange.receive({ 1, { std::nullopt, true, { "v1" } } }, "a:1");
+  BOOST_TEST_REQUIRE(exchange.nextAt().has_value());
+  BOOST_TEST((*exchange.nextAt() <= at(100)));
+  exchange.takeDue({}, *exchange.nextAt());
+  BOOST_TEST(result.calls == 1);
+  BOOST_TEST(result.replies.size() == 1U);
+  exchange.receive({ 1, { std::nullopt, true, { "v1" } } }, "b:1");
+  BOOST_TEST(result.calls == 1);
+}
+
+BOOST_AUTO_TEST_CASE(query_without_agents_ends_at_once)
+{
+  StreamExchange exchange;
+  Result result;
+  exchange.ask(7, kService, {}, at(0), into(result));
+  BOOST_TEST(result.calls == 1);
+  BOOST_TEST(!exchange.nextAt().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -142,6 +142,41 @@
   return encodeCbor(object);
 }
 
+std::string
+encodePastVersions(const dispatch::PastVersions& aPast)
+{
+  auto object = json::object();
+  for (const auto& [service, versions] : aPast) {
+    auto& rows = object[service.str()] = json::object();
+    for (const auto& [version, leftAtMs] : versions) {
+      rows[version] = leftAtMs ? json(*leftAtMs) : json();
+    }
+  }
+  return encodeCbor(object);
+}
+
+std::optional<dispatch::PastVersions>
+decodePastVersions(const std::string& aBytes, Findings& aFindings)
+{
+  try {
+    const auto object = decodeCbor(aBytes);
+    if (!object.is_object()) {
+      throw std::invalid_argument("a record that is no CBOR map");
+    }
+    dispatch::PastVersions past;
+    for (const auto& [service, versions] : object.items()) {
+      for (const auto& [version, leftAtMs] : versions.items()) {
+        past[route::ServiceId(service)][version] =
+          leftAtMs.is_null() ? std::nullopt : std::optional(unixMillisOf(leftAtMs));
+      }
+    }
+    return past;
+  } catch (const std::exception& aError) {
+    aFindings.add("versions", aError.what());
+    return std::nullopt;
+  }
+}
+
 std::optional<Baseline>
 decodeBaseline(const std::string& aBytes, Findings& aFindings)
 {
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -62,6 +62,7 @@
     BOOST_TEST(!decodeUpdate(it, findings).has_value());
     BOOST_TEST(!decodeReportRecord(it, findings).has_value());
     BOOST_TEST(!decodeBaseline(it, findings).has_value());
+    BOOST_TEST(!decodePastVersions(it, findings).has_value());
   }
 }
 
@@ -74,7 +75,8 @@
     BOOST_TEST(!decodeUpdate(bytes, findings).has_value());
     BOOST_TEST(!decodeReportRecord(bytes, findings).has_value());
     BOOST_TEST(!decodeBaseline(bytes, findings).has_value());
-    BOOST_TEST(findings.size() == 3U);
+    BOOST_TEST(!decodePastVersions(bytes, findings).has_value());
+    BOOST_TEST(findings.size() == 4U);
   }
 }
 
@@ -141,6 +143,9 @@
   Baseline baseline;
   baseline[route::ServiceId("s")][FailureDomainId("fd")] = 6;
   BOOST_TEST((decodeBaseline(encodeBaseline(baseline), findings) == baseline));
+  dispatch::PastVersions past;
+  past[route::ServiceId("s")] = { { "v1", 1'790'000'000'000 }, { "v2", std::nullopt } };
+  BOOST_TEST((decodePastVersions(encodePastVersions(past), findings) == past));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "mustardplank/base/clock.hpp"
 #include "mustardplank/base/hash.hpp"
+#include "mustardplank/dispatch/stream_origins.hpp"
 
 #include <boost/beast/http/field.hpp>
 
@@ -31,6 +32,8 @@
 constexpr std::uint32_t kDefaultOutputTokens = 200;
 /// Retry-After of requests that are suspected of crashing servers.
 constexpr Duration kCrashSuspectRetryDelay = Seconds(2);
+/// Bytes of a caller's text in a log line.
+constexpr std::size_t kMaxLoggedId = 64;
 /// Model engines accept priorities from 0 to 9.
 constexpr std::uint32_t kLowestPriority = 9;
 
@@ -108,11 +111,73 @@
 void
 Exchange::start()
 {
-  if (admit()) {
+  if (!admit()) {
+    return;
+  }
+  if (takesUpStream()) {
+    findOrigin();
+  } else {
     submit();
   }
 }
 
+bool
+Exchange::takesUpStream() const
+{
+  return isStreamingRoute() && mRoute->resumable && !mRequestHead.lastEventId.empty();
+}
+
+std::optional<dispatch::StreamKey>
+Exchange::streamOfCaller() const
+{
+  const auto& attempt = takesUpStream() ? mRequestHead.resumedAttemptId : mRequestHead.attemptId;
+  return attempt.empty() ? std::nullopt
+                         : std::optional(dispatch::streamKey(mJob.organisation, attempt));
+}
+
+void
+Exchange::findOrigin()
+{
+  mContext.callbacks.findStreamOrigin(
+    streamOfCaller(),
+    mJob.service,
+    [&context = mContext, id = mJob.id](const std::optional<dispatch::StreamOrigin>& aOrigin) {
+      const auto it = context.exchanges.find(id);
+      if (it != context.exchanges.end() && !it->second->isDone()) {
+        it->second->onOrigin(aOrigin);
+      }
+    });
+}
+
+void
+Exchange::onOrigin(const std::optional<dispatch::StreamOrigin>& aOrigin)
+{
+  const bool isRouted =
+    aOrigin &&
+    std::any_of(mRoute->services.begin(), mRoute->services.end(), [&](const auto& aService) {
+      return aService.service == aOrigin->service;
+    });
+  if (!isRouted) {
+    sendLocalResponse(503, "origin_unknown", kShortRetryDelay);
+    return;
+  }
+  mJob.service = aOrigin->service;
+  mJob.softwareVersion = aOrigin->version;
+  submit();
+}
+
+void
+Exchange::noteOrigin()
+{
+  if (mOriginNoted || !mRoute->resumable) {
+    return;
+  }
+  mOriginNoted = true;
+  if (const auto stream = streamOfCaller()) {
+    mContext.callbacks.onStreamBegun(*stream, { mJob.service, mGrant->softwareVersion });
+  }
+}
+
 bool
 Exchange::admit()
 {
@@ -214,7 +279,7 @@
   log(makeLogEvent(LogLevel::Info, "request.granted")
         .field("server", std::string_view(aGrant.server.str()))
         .field("version", aGrant.softwareVersion)
-        .field("takes_up", mRequestHead.resumedAttemptId)
+        .field("takes_up", mRequestHead.resumedAttemptId.substr(0, kMaxLoggedId))
         .field("last_event", mRequestHead.lastEventId)
         .field("estimate_ms", toMillis(aGrant.estimate))
         .field("unread_tokens", aGrant.prefillTokens)
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -80,6 +80,15 @@
   /// Whether this request, or requests with a part of its prompt, crashed servers.
   bool isCrashSuspect() const;
   void fillJob(const RequestHead& aHead, const route::Organisation* aOrganisation);
+  /// Whether the caller goes on with a stream that another attempt of it has begun.
+  bool takesUpStream() const;
+  /// The stream, by the attempt that brought its first event; nothing if that is not named.
+  std::optional<dispatch::StreamKey> streamOfCaller() const;
+  /// Finds the software that began the stream, and submits the request for that.
+  void findOrigin();
+  void onOrigin(const std::optional<dispatch::StreamOrigin>& aOrigin);
+  /// Remembers the software that began the stream, the first time.
+  void noteOrigin();
   void submit();
   void onConnected(std::uint32_t aGrantNumber,
                    const BackendConnectionPool::ConnectionPtr& aConnection);
@@ -277,6 +286,8 @@
   std::optional<AlarmQueue::Id> mStallTimer;
   /// Runs only while mStalled is set.
   std::optional<AlarmQueue::Id> mSharedRunTimer;
+  /// Whether the software that began the stream was stated.
+  bool mOriginNoted = false;
   /// When the request was sent or stream data last arrived.
   TimePoint mLastProgressAt{};
 
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -28,7 +28,7 @@
     { "no_server", Code::NoBackendServer },   { "not_connected", Code::NoBackendServer },
     { "overloaded", Code::Overloaded },       { "cold", Code::Overloaded },
     { "rejected", Code::Overloaded },         { "crash_suspect", Code::CrashSuspect },
-    { "time_up", Code::DeadlineUnreachable },
+    { "time_up", Code::DeadlineUnreachable }, { "origin_unknown", Code::NoBackendServer },
   };
   for (const auto& [reason, code] : kCodes) {
     if (reason == aReason) {
@@ -277,6 +277,7 @@
   dropStalledAttempt(dispatch::JobOutcome::Stalled);
   const auto now = bootNow();
   mJob.softwareVersion = mGrant->softwareVersion;
+  noteOrigin();
   mContext.dispatcher.recordFirstEvent(mJob.id, now);
   if (mResponseHeadSent) {
     mRecorder->tokenGap(now - mLastProgressAt);
