ORDER: the versions kept in the store need no time of day

Found on reading the change: the record of the versions in service held the Unix time at which the last server of a version left. A clock that is set while all instances are gone, on the ones that start first, would make a version of a moment ago look older than 30 s, and its streams could be joined again. Change: the record holds the versions of the last 30 s and is written again when one is forgotten; after a start they count as having left just then. One more write for each release.

--- a/src/daemon/route_daemon_streams.cpp
+++ b/src/daemon/route_daemon_streams.cpp
@@ -65,7 +65,7 @@
   if (aStream) {
     reply.origin = streamOrigins.find(*aStream, now);
   }
-  // A version that this instance has not heard of may have begun the stream at another one.
+  // A version that this instance does not know yet may have begun the stream at another one.
   reply.isComplete = versions.isComplete(now) && age && *age <= planner.maxAge();
   reply.versions = versions.versions(aService, now);
   return reply;
@@ -166,6 +166,7 @@
 RouteDaemon::Impl::syncVersions()
 {
   const auto now = bootNow();
+  versions.expire(now);
   if (versionsCallOpen || draining || now < nextVersionsCallAt) {
     return;
   }
@@ -204,7 +205,7 @@
     }
     Findings findings;
     if (const auto past = control::decodePastVersions(it.value.value_or(std::string()), findings)) {
-      versions.setPast(*past, now, clock.now(now));
+      versions.setPast(*past, now);
       LogEvent(LogLevel::Info, "versions.read").field("services", past->size()).write();
     } else {
       LogEvent(LogLevel::Warning, "versions.ignored").field("detail", findings.text()).write();
@@ -219,7 +220,7 @@
   const auto now = bootNow();
   const auto changes = versions.changeCount();
   std::vector<control::Record> record{
-    { 0, kPastVersionsKey, control::encodePastVersions(versions.past(now, clock.now(now))) }
+    { 0, kPastVersionsKey, control::encodePastVersions(versions.past(now)) }
   };
   const auto result = co_await store.append(Topic::State, record, std::nullopt);
   if (const auto* appended = std::get_if<control::AppendResult>(&result)) {
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -147,10 +147,7 @@
 {
   auto object = json::object();
   for (const auto& [service, versions] : aPast) {
-    auto& rows = object[service.str()] = json::object();
-    for (const auto& [version, leftAtMs] : versions) {
-      rows[version] = leftAtMs ? json(*leftAtMs) : json();
-    }
+    object[service.str()] = versions;
   }
   return encodeCbor(object);
 }
@@ -165,10 +162,7 @@
     }
     dispatch::PastVersions past;
     for (const auto& [service, versions] : object.items()) {
-      for (const auto& [version, leftAtMs] : versions.items()) {
-        past[route::ServiceId(service)][version] =
-          leftAtMs.is_null() ? std::nullopt : std::optional(unixMillisOf(leftAtMs));
-      }
+      past[route::ServiceId(service)] = versions.get<std::set<std::string>>();
     }
     return past;
   } catch (const std::exception& aError) {
--- a/test/routes/software_versions_test.cpp
+++ b/test/routes/software_versions_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <memory>
 #include <set>
 #include <string>
@@ -227,6 +228,33 @@
   checkNoneJoined(outcomes, 2);
 }
 
+// Guards against events of a server that was silent before its first event and goes on beside the
+// other one that was asked, of another version.
+BOOST_AUTO_TEST_CASE(routes_second_attempt_before_the_first_event_is_not_joined)
+{
+  for (const auto* path : { "/resume/head2200+stream6", "/resume/after2000_stream6+stream6" }) {
+    const auto outcomes = brokenOff(2, path, 2);
+    checkNoneJoined(outcomes, 2);
+    BOOST_TEST(outcomes.wentOn == 2);
+  }
+}
+
+// Guards against a stream that a planned stop cuts, and which is taken up at another version.
+BOOST_AUTO_TEST_CASE(routes_stream_cut_by_a_planned_stop_goes_on_at_its_version)
+{
+  constexpr int kStreams = 6;
+  RouteDeployment deployment(4, 3, Clocks::OfTheMachine, 1, Millis(1000));
+  for (std::size_t i = 0; i < 4; ++i) {
+    setVersion(deployment, i, i % 2 == 0 ? "v1" : "v2");
+  }
+  std::this_thread::sleep_for(kChangeTime);
+  auto streams = begin(deployment.callers(0), kStreams);
+  deployment.instance(0).signal(SIGTERM);
+  const auto outcomes = takeUpAll(streams, deployment.callers(1));
+  checkNoneJoined(outcomes, kStreams);
+  BOOST_TEST(outcomes.wentOn >= kStreams / 2);
+}
+
 // Guards against a stream whose instance is killed, and which is taken up at another version.
 BOOST_AUTO_TEST_CASE(routes_stream_taken_up_elsewhere_goes_on_at_its_version)
 {
