Dispatch: servers state how long work takes on their machine

Placement needs the speed of each server where servers are uneven or share their machines. X-Instance-Load has it as a fourth figure on such deployments, which was dropped. Interfaces for the exchange of the reports between instances; placement does not use them yet. The engine model of the bench learns speeds, neighbours' load, attention cost and long-tailed prompts.

--- a/bench/model/engine_model.cpp
+++ b/bench/model/engine_model.cpp
@@ -17,16 +17,32 @@
 Engine::Engine(EngineParameters aParameters)
   : mParameters(aParameters)
   , mPrefixes(aParameters.memoryTokens)
+  , mRandom(static_cast<std::minstd_rand::result_type>(aParameters.noiseSeed))
 {
 }
 
+double
+Engine::noiseAt(TimePoint aNow)
+{
+  if (mParameters.noiseShare <= 0.0) {
+    return 1.0;
+  }
+  while (mNoiseChangesAt <= aNow) {
+    mNoisy = !mNoisy;
+    const double share = mNoisy ? mParameters.noiseShare : 1.0 - mParameters.noiseShare;
+    std::exponential_distribution<double> span(1.0 / (share * toMillis(mParameters.noiseInterval)));
+    mNoiseChangesAt = std::max(mNoiseChangesAt, aNow - Seconds(5)) + millis(span(mRandom));
+  }
+  return mNoisy ? mParameters.noiseFactor : 1.0;
+}
+
 void
 Engine::submit(const dispatch::Job& aJob, std::uint32_t aOutputTokens, TimePoint aNow)
 {
   if (mRunning.empty() && mWaiting.empty()) {
-    mNow = std::max(mNow, aNow + millis(mParameters.firstMs));
+    mNow = std::max(mNow, aNow + millis(mParameters.firstMs / mParameters.speed));
   }
-  mWaiting.push_back({ aJob, 0, std::max(1U, aOutputTokens), 0 });
+  mWaiting.push_back({ aJob, 0, 0, std::max(1U, aOutputTokens), 0 });
 }
 
 void
@@ -39,6 +55,7 @@
     auto run = std::move(mWaiting.front());
     mWaiting.pop_front();
     const auto kept = std::min(mPrefixes.cachedTokens(run.job.prompt), run.job.promptTokens);
+    run.position = kept;
     run.unread = run.job.promptTokens - kept;
     mKeptTokens += kept;
     mReadTokens += run.unread;
@@ -68,15 +85,19 @@
     admit();
     std::uint32_t chunk = mParameters.chunkTokens;
     std::uint32_t read = 0;
+    double pairs = 0.0;
     for (auto& it : mRunning) {
       const auto n = std::min(chunk, it.unread);
       it.unread -= n;
       chunk -= n;
       read += n;
+      pairs += static_cast<double>(n) * (it.position + n / 2.0);
+      it.position += n;
     }
-    mNow +=
-      millis(mParameters.stepMs + mParameters.stepMsPerSlot * static_cast<double>(mRunning.size()) +
-             read / mParameters.promptTokensPerMs);
+    const double stepMs =
+      mParameters.stepMs + mParameters.stepMsPerSlot * static_cast<double>(mRunning.size()) +
+      read / mParameters.promptTokensPerMs + mParameters.pairsMsPerMillion * pairs / 1e6;
+    mNow += millis(stepMs * noiseAt(mNow) / mParameters.speed);
     for (auto& it : mRunning) {
       if (it.unread > 0) {
         continue;
--- a/bench/model/engine_model.hpp
+++ b/bench/model/engine_model.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <random>
 #include <vector>
 
 namespace mustardplank::model {
@@ -25,6 +26,16 @@
   /// Tokens of one event.
   std::uint32_t eventTokens = 7;
   double firstMs = 13.0;
+  /// Time that attention adds for each million pairs of a token and an earlier token of its prompt.
+  double pairsMsPerMillion = 0.0;
+  /// Work done in a given time, relative to an average engine.
+  double speed = 1.0;
+  /// Share of the time in which other tenants of the machine slow the engine down, by which factor,
+  /// and the mean time from one such span to the next.
+  double noiseShare = 0.0;
+  double noiseFactor = 1.0;
+  Duration noiseInterval = Millis(600);
+  std::uint64_t noiseSeed = 1;
 };
 
 struct EngineEvent
@@ -53,11 +64,15 @@
   std::uint64_t readSharedTokens() const { return mReadSharedTokens; }
   /// The engine and all that it keeps is gone.
   void lose();
+  /// How long work takes at the moment, relative to the same engine undisturbed.
+  double noiseAt(TimePoint aNow);
 
 private:
   struct Run
   {
     dispatch::Job job;
+    /// Prompt tokens that are in memory.
+    std::uint32_t position = 0;
     std::uint32_t unread = 0;
     std::uint32_t output = 0;
     std::uint32_t made = 0;
@@ -70,6 +85,9 @@
   std::vector<Run> mRunning;
   std::deque<Run> mWaiting;
   TimePoint mNow{};
+  std::minstd_rand mRandom;
+  TimePoint mNoiseChangesAt{};
+  bool mNoisy = false;
   std::uint64_t mReadTokens = 0;
   std::uint64_t mKeptTokens = 0;
   std::uint64_t mReadSharedTokens = 0;
--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -48,7 +48,12 @@
       mResult.kinds.push_back(std::move(result));
     }
     for (std::size_t i = 0; i < aLoad.domains * aLoad.enginesPerDomain; ++i) {
-      mEngines.emplace_back(aLoad.engine);
+      auto parameters = aLoad.engine;
+      if (!aLoad.speeds.empty()) {
+        parameters.speed = aLoad.speeds[i % aLoad.speeds.size()];
+      }
+      parameters.noiseSeed = 97 * aLoad.seed + i;
+      mEngines.emplace_back(parameters);
     }
     for (std::size_t i = 0; i < aLoad.domains * aLoad.instancesPerDomain; ++i) {
       addInstance(i, aPolicy);
@@ -188,9 +193,10 @@
   void submit(std::size_t aKind, TimePoint aNow)
   {
     const auto& kind = mLoad.kinds[aKind];
-    std::lognormal_distribution<double> spread(-0.32, 0.8);
+    std::lognormal_distribution<double> spread(-kind.ownSpread * kind.ownSpread / 2.0,
+                                               kind.ownSpread);
     const auto own =
-      static_cast<std::uint32_t>(kind.ownTokens * std::min(spread(mRandom), 6.0)) + 1;
+      static_cast<std::uint32_t>(kind.ownTokens * std::min(spread(mRandom), kind.ownLimit)) + 1;
     const auto session = mRandom() % kind.sessions;
     Playing playing;
     playing.kind = aKind;
@@ -411,6 +417,38 @@
   return load;
 }
 
+Load
+unevenLoad()
+{
+  Load load;
+  Kind review{
+    "review", 258, 1, 2520, 3780, 2890, 1615, 52, Millis(500), Millis(250), Millis(4000), 1.0, 13.7
+  };
+  Kind chat{
+    "chat", 149, 0, 119, 79, 628, 1209, 294, Millis(600), Millis(150), Millis(12000), 1.0, 5.3
+  };
+  load.kinds = { review, chat };
+  load.engine.slots = 12;
+  load.engine.memoryTokens = 298429;
+  load.engine.stepMs = 4.39;
+  load.engine.stepMsPerSlot = 0.0;
+  load.engine.promptTokensPerMs = 69.8;
+  load.engine.chunkTokens = 1024;
+  load.engine.pairsMsPerMillion = 0.589;
+  load.engine.firstMs = 110.0;
+  load.engine.noiseShare = 0.15;
+  load.engine.noiseFactor = 2.5;
+  load.speeds = { 0.55, 1.2, 1.2, 1.2 };
+  load.statesNoise = true;
+  load.domains = 3;
+  load.enginesPerDomain = 37;
+  load.instancesPerDomain = 24;
+  load.tableInterval = Millis(40);
+  load.tableAge = Millis(60);
+  load.seconds = 20;
+  return load;
+}
+
 Load
 grownLoad()
 {
--- a/bench/model/replay.hpp
+++ b/bench/model/replay.hpp
@@ -26,6 +26,9 @@
   Duration target = Millis(600);
   Duration pauseTarget = Millis(500);
   Duration deadline = Millis(4000);
+  /// Of the logarithm of the own part's tokens, and the largest multiple of their mean.
+  double ownSpread = 0.8;
+  double ownLimit = 6.0;
 };
 
 /// The engines of one failure domain that are lost at one moment.
@@ -56,6 +59,10 @@
   std::size_t enginesPerDomain = 3;
   std::size_t instancesPerDomain = 2;
   EngineParameters engine;
+  /// Relative speeds of the engines, repeated in this order; empty: all are alike.
+  std::vector<double> speeds;
+  /// Engines state how long work takes at the moment.
+  bool statesNoise = false;
   std::uint64_t seed = 1;
   /// How often each instance learns the load of the others, and how old that is; 0: never.
   Duration tableInterval{};
@@ -119,6 +126,11 @@
 Load
 largeLoad();
 
+/// Long reviews of very uneven length and short chats before 112 engines with 12 slots, of which a
+/// quarter have less than half of the others' speed, and 71 instances.
+Load
+unevenLoad();
+
 /// The same kinds of request before 141 small engines and 60 instances.
 Load
 grownLoad();
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
+#include "mustardplank/dispatch/work_factor.hpp"
 #include "mustardplank/route/table.hpp"
 
 #include <cstdint>
@@ -150,6 +151,12 @@
                           std::uint32_t aRunning,
                           std::uint32_t aWaiting,
                           TimePoint aNow);
+  /// Records how long work takes on a server, as it states with a response to this instance.
+  void recordWorkFactor(const BackendServerId& aServer, double aFactor, TimePoint aNow);
+  /// Returns and removes the reports that recordWorkFactor() got since the last call.
+  WorkFactorReports takeWorkFactors();
+  /// Records what servers have stated to other instances.
+  void setOthersWorkFactors(const WorkFactorReports& aReports);
   /// Records the limit on requests per second from all instances that a server states with its
   /// response to a request sent at aSentAt, or that it states none. A response to a request that
   /// was sent before the last statement lifts no limit. Returns whether the limit has changed.
@@ -291,6 +298,8 @@
   std::uint64_t mLoadVersion = 0;
   std::function<void()> mLoadListener;
   std::optional<TimePoint> mOthersLoadsAt;
+  /// Reports for takeWorkFactors().
+  WorkFactorReports mNewWorkFactors;
   CrashSuspects mCrashSuspects;
   PromptPartSuspects mPromptPartSuspects;
   std::minstd_rand mRandom;
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -7,6 +7,7 @@
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/prefix_cache_model.hpp"
 #include "mustardplank/dispatch/server_admission.hpp"
+#include "mustardplank/dispatch/work_factor.hpp"
 #include "mustardplank/route/model.hpp"
 
 #include <algorithm>
@@ -69,6 +70,9 @@
   /// Load of the other instances on the server, as stated by them.
   InstanceLoad others{};
 
+  /// How long work takes on the server, as it states itself.
+  WorkFactor workFactor;
+
   /// Smoothed ratio of observed to predicted time to the first event; above 1 is slow.
   double slowness = 1.0;
   /// Smoothed share of recent requests that failed, from 0 to 1. Decays over time, and is raised to
--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -55,11 +55,15 @@
   std::string lastEventId;
 };
 
-/// Numbers of requests that a backend server reports as running and as waiting.
+/// What a backend server reports about its load.
 struct ReportedLoad
 {
+  /// Numbers of requests.
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// How long work takes there at the moment, relative to an average undisturbed server; not set if
+  /// the server does not state it.
+  std::optional<double> workFactor;
 };
 
 /// Response attributes parsed from a backend server's header fields.
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -3,6 +3,7 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardplank::dispatch {
 
@@ -218,6 +219,35 @@
   }
 }
 
+void
+Dispatcher::recordWorkFactor(const BackendServerId& aServer, double aFactor, TimePoint aNow)
+{
+  auto* server = findServer(aServer);
+  if (server && server->workFactor.record({ aFactor, aNow })) {
+    mNewWorkFactors[static_cast<ServerKey>(server->idHash)] = server->workFactor.latest();
+  }
+}
+
+WorkFactorReports
+Dispatcher::takeWorkFactors()
+{
+  return std::exchange(mNewWorkFactors, {});
+}
+
+void
+Dispatcher::setOthersWorkFactors(const WorkFactorReports& aReports)
+{
+  if (aReports.empty()) {
+    return;
+  }
+  for (auto& [id, server] : mServers) {
+    const auto it = aReports.find(static_cast<ServerKey>(server->idHash));
+    if (it != aReports.end()) {
+      server->workFactor.record(it->second);
+    }
+  }
+}
+
 std::map<route::ServiceId, ServiceDemand>
 Dispatcher::takeDemands(TimePoint aNow)
 {
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -158,6 +158,9 @@
   if (aHead.load) {
     mContext.dispatcher.recordReportedLoad(
       aGrant.server, aHead.load->running, aHead.load->waiting, bootNow());
+    if (aHead.load->workFactor) {
+      mContext.dispatcher.recordWorkFactor(aGrant.server, *aHead.load->workFactor, bootNow());
+    }
   }
   if (aHead.misdirected) {
     return;
