Agents: instances share what servers state about their work factor

Each instance sees a response of each server about once in 20 s, too seldom to know how long work takes there at the moment. Reports now travel with LoadReport, DomainLoads and LoadTable as one more field at the end: server key, factor in hundredths, age in ms. The newest report of a server wins, each kind of recipient is told it once, and what is older than a second goes no further. New reports alone make a datagram due at the existing intervals.

--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -3,10 +3,12 @@
 #include "mustardplank/agent/datagram.hpp"
 #include "mustardplank/agent/directory.hpp"
 #include "mustardplank/agent/load_messages.hpp"
+#include "mustardplank/agent/work_factor_relay.hpp"
 #include "mustardplank/base/time.hpp"
 
 #include <cstdint>
 #include <deque>
+#include <initializer_list>
 #include <map>
 #include <optional>
 #include <string>
@@ -28,6 +30,10 @@
 /// be more than the link of a small agent takes, where requests would wait behind them: it states
 /// loads less often then. Without agents there is no table, and placement goes by what the instance
 /// sees itself.
+///
+/// What servers state about their work factor travels with the loads: only what is new, with its
+/// age, which grows by the time that it waits on the way. The time of a datagram on the network and
+/// in the socket does not count.
 class LoadExchange
 {
 public:
@@ -42,6 +48,8 @@
   void setDirectory(const Directory& aDirectory);
   /// The load that this instance places on servers has changed.
   void setOwnLoads(dispatch::InstanceLoads aLoads);
+  /// Adds what servers have stated to this instance.
+  void addOwnWorkFactors(const dispatch::WorkFactorReports& aReports, TimePoint aNow);
   /// Returns false for a message that aSender, an "ip:port", may not send: tables and loads of
   /// failure domains come from agents in the directory, a report from the address it names.
   bool receive(const LoadMessage& aMessage, const std::string& aSender, TimePoint aNow);
@@ -61,6 +69,8 @@
   bool isAgentAddress(const std::string& aAddress) const;
   /// Load of the other instances, if it is known anew since the last call.
   std::optional<dispatch::InstanceLoads> takeOthersLoads();
+  /// What servers have stated to other instances, as far as it came since the last call.
+  dispatch::WorkFactorReports takeOthersWorkFactors();
 
 private:
   struct Member
@@ -83,6 +93,12 @@
   void apply(const LoadReport& aReport, TimePoint aNow);
   void apply(const DomainLoads& aLoads, TimePoint aNow);
   void apply(const LoadTable& aTable, TimePoint aNow);
+  void addWorkFactors(const std::vector<AgedWorkFactor>& aReports,
+                      std::initializer_list<WorkFactorRelay::Recipient> aRecipients,
+                      TimePoint aNow);
+  bool isReportChanged() const;
+  bool isDomainChanged() const;
+  bool isTotalChanged() const;
   /// This instance is to send tables: it is the first agent, or has received no table from those
   /// before it.
   bool sendsTables(TimePoint aNow) const;
@@ -126,6 +142,8 @@
   TimePoint mTableSentAt{};
   Duration mTableInterval{};
 
+  WorkFactorRelay mWorkFactors;
+
   /// The latest table, as received.
   dispatch::InstanceLoads mTable;
   std::optional<TimePoint> mTableReceivedAt;
--- a/include/mustardplank/agent/load_messages.hpp
+++ b/include/mustardplank/agent/load_messages.hpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/base/findings.hpp"
 #include "mustardplank/base/ids.hpp"
+#include "mustardplank/base/time.hpp"
 #include "mustardplank/dispatch/instance_load.hpp"
 
 #include <cstdint>
@@ -12,6 +13,19 @@
 
 namespace mustardplank::agent {
 
+/// What a server has stated about its work factor. The boot clocks of instances differ, so that a
+/// message has the age of a report instead of its time.
+struct AgedWorkFactor
+{
+  dispatch::ServerKey server = 0;
+  /// Encoded in hundredths.
+  double factor = 1.0;
+  /// Encoded in milliseconds, rounded up.
+  Duration age{};
+
+  bool operator==(const AgedWorkFactor&) const = default;
+};
+
 /// Loads of a part of all servers, so that each datagram stays below the size that networks carry
 /// whole: those whose key leaves the remainder `part` when divided by `parts`. Servers of that part
 /// that are not named have no load.
@@ -20,6 +34,8 @@
   std::uint32_t part = 0;
   std::uint32_t parts = 1;
   dispatch::InstanceLoads loads;
+  /// Reports that the receiver has not been told, of any servers: they share the datagram only.
+  std::vector<AgedWorkFactor> workFactors{};
 };
 
 /// An instance tells the agents of its failure domain the load that it places on servers.
@@ -52,15 +68,18 @@
 
 using LoadMessage = std::variant<LoadReport, DomainLoads, LoadTable>;
 
-/// Splits loads into parts of at most aMaxServers servers on average.
+/// Splits loads and reports into parts of at most aMaxItems of them on average.
 std::vector<LoadPart>
-splitLoads(const dispatch::InstanceLoads& aLoads, std::size_t aMaxServers);
+splitLoads(const dispatch::InstanceLoads& aLoads,
+           const std::vector<AgedWorkFactor>& aWorkFactors,
+           std::size_t aMaxItems);
 
 /// Replaces the servers of the part in aLoads.
 void
 mergePart(dispatch::InstanceLoads& aLoads, const LoadPart& aPart);
 
-/// Encodes as CBOR.
+/// Encodes as CBOR. Work factors are an additional last field, which messages without them do not
+/// have and earlier builds ignore.
 std::string
 encodeLoadMessage(const LoadMessage& aMessage);
 
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -117,7 +117,7 @@
 
   /// Load that this instance places on the servers.
   InstanceLoads ownLoads() const;
-  /// Called whenever ownLoads() may have changed.
+  /// Called whenever ownLoads() may have changed or takeWorkFactors() has something new.
   void setLoadListener(std::function<void()> aListener) { mLoadListener = std::move(aListener); }
   /// Changes whenever ownLoads() may have changed.
   std::uint64_t loadVersion() const { return mLoadVersion; }
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::size_t kMaxDatagramBytes = 64 * 1024;
-/// Changes of the own load are collected for this long.
+/// Changes of the own load and new work factors are collected for this long.
 constexpr Duration kCollectTime = Millis(10);
 
 }
@@ -86,6 +86,7 @@
     sentLoadVersion = dispatcher.loadVersion();
     loads.setOwnLoads(dispatcher.ownLoads());
   }
+  loads.addOwnWorkFactors(dispatcher.takeWorkFactors(), now);
   for (const auto& it : loads.takeDue(now)) {
     sendDatagram(it, metrics::ControlMessage::Loads);
     metrics.count(metrics::Event::LoadMessage);
@@ -106,6 +107,7 @@
   if (const auto others = loads.takeOthersLoads()) {
     dispatcher.setOthersLoads(*others, now);
   }
+  dispatcher.setOthersWorkFactors(loads.takeOthersWorkFactors());
   armLoadAlarm(std::min({ loads.nextAt(now),
                           crashExchange.nextAt().value_or(TimePoint::max()),
                           streamExchange.nextAt().value_or(TimePoint::max()) }));
--- a/src/mustardplank/agent/load_exchange.cpp
+++ b/src/mustardplank/agent/load_exchange.cpp
@@ -7,6 +7,7 @@
 namespace mustardplank::agent {
 
 using dispatch::InstanceLoads;
+using Recipient = WorkFactorRelay::Recipient;
 
 namespace {
 
@@ -30,8 +31,8 @@
 constexpr double kTableShare = 0.75;
 /// Headers of IP and UDP.
 constexpr std::size_t kHeaderBytes = 28;
-/// Servers in one datagram, at about 11 bytes each.
-constexpr std::size_t kMaxServersPerDatagram = 100;
+/// Loads of servers and work factors in one datagram, at about 11 bytes each.
+constexpr std::size_t kMaxItemsPerDatagram = 100;
 
 void
 add(InstanceLoads& aSum, const InstanceLoads& aLoads)
@@ -101,6 +102,29 @@
   mTotalChanged = true;
 }
 
+void
+LoadExchange::addOwnWorkFactors(const dispatch::WorkFactorReports& aReports, TimePoint aNow)
+{
+  for (const auto& [server, report] : aReports) {
+    if (mSlot) {
+      mWorkFactors.add(
+        server, report, { Recipient::OwnAgents, Recipient::OtherAgents, Recipient::Members }, aNow);
+    } else {
+      mWorkFactors.add(server, report, { Recipient::OwnAgents }, aNow);
+    }
+  }
+}
+
+void
+LoadExchange::addWorkFactors(const std::vector<AgedWorkFactor>& aReports,
+                             std::initializer_list<Recipient> aRecipients,
+                             TimePoint aNow)
+{
+  for (const auto& it : aReports) {
+    mWorkFactors.add(it.server, { it.factor, aNow - it.age }, aRecipients, aNow);
+  }
+}
+
 bool
 LoadExchange::receive(const LoadMessage& aMessage, const std::string& aSender, TimePoint aNow)
 {
@@ -140,6 +164,9 @@
   if (!mSlot) {
     return;
   }
+  addWorkFactors(aReport.load.workFactors,
+                 { Recipient::OtherAgents, Recipient::Members, Recipient::Dispatcher },
+                 aNow);
   auto& member = mMembers[aReport.instance];
   if (member.incarnation == aReport.incarnation && aReport.sequence < member.sequence) {
     return;
@@ -161,6 +188,7 @@
   if (!mSlot || aLoads.domain == mDomain) {
     return;
   }
+  addWorkFactors(aLoads.load.workFactors, { Recipient::Members, Recipient::Dispatcher }, aNow);
   auto& remote = mRemoteDomains[aLoads.domain];
   auto loads = remote.loads;
   mergePart(loads, aLoads.load);
@@ -171,6 +199,7 @@
 void
 LoadExchange::apply(const LoadTable& aTable, TimePoint aNow)
 {
+  addWorkFactors(aTable.load.workFactors, { Recipient::Dispatcher }, aNow);
   mergePart(mTable, aTable.load);
   mTableReceivedAt = aNow;
   const auto own = std::find_if(mReported.begin(), mReported.end(), [&](const auto& aReported) {
@@ -197,6 +226,24 @@
   mTotalChanged = mTotalChanged || members > 0 || domains > 0;
 }
 
+bool
+LoadExchange::isReportChanged() const
+{
+  return mOwnChanged || mWorkFactors.hasNew(Recipient::OwnAgents);
+}
+
+bool
+LoadExchange::isDomainChanged() const
+{
+  return mDomainChanged || mWorkFactors.hasNew(Recipient::OtherAgents);
+}
+
+bool
+LoadExchange::isTotalChanged() const
+{
+  return mTotalChanged || mWorkFactors.hasNew(Recipient::Members);
+}
+
 InstanceLoads
 LoadExchange::domainLoads() const
 {
@@ -210,8 +257,7 @@
 void
 LoadExchange::addReports(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  const bool due =
-    mOwnChanged ? aNow - mReportedAt >= kReportInterval : aNow - mReportedAt >= kRepeatInterval;
+  const bool due = aNow - mReportedAt >= (isReportChanged() ? kReportInterval : kRepeatInterval);
   if (!due) {
     return;
   }
@@ -221,7 +267,8 @@
   if (mReported.size() > kMaxReported) {
     mReported.pop_front();
   }
-  for (const auto& part : splitLoads(mOwnLoads, kMaxServersPerDatagram)) {
+  for (const auto& part : splitLoads(
+         mOwnLoads, mWorkFactors.takeAged(Recipient::OwnAgents, aNow), kMaxItemsPerDatagram)) {
     const auto bytes =
       encodeLoadMessage(LoadReport{ mInstance, mIncarnation, mSequence, mAddress, part });
     for (const auto& it : mOwnAgents) {
@@ -233,15 +280,16 @@
 void
 LoadExchange::addDomainLoads(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  const bool due = mDomainChanged ? aNow - mDomainSentAt >= mDomainInterval
-                                  : aNow - mDomainSentAt >= kRepeatInterval;
+  const bool due = aNow - mDomainSentAt >= (isDomainChanged() ? mDomainInterval : kRepeatInterval);
   if (!due) {
     return;
   }
   mDomainChanged = false;
   mDomainSentAt = aNow;
   const auto first = aOut.size();
-  for (const auto& part : splitLoads(domainLoads(), kMaxServersPerDatagram)) {
+  for (const auto& part : splitLoads(domainLoads(),
+                                     mWorkFactors.takeAged(Recipient::OtherAgents, aNow),
+                                     kMaxItemsPerDatagram)) {
     const auto bytes = encodeLoadMessage(DomainLoads{ mDomain, part });
     for (const auto& it : mOtherAgents) {
       aOut.push_back({ it.address, bytes });
@@ -270,8 +318,7 @@
 void
 LoadExchange::addTables(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  const bool due =
-    mTotalChanged ? aNow - mTableSentAt >= mTableInterval : aNow - mTableSentAt >= kRepeatInterval;
+  const bool due = aNow - mTableSentAt >= (isTotalChanged() ? mTableInterval : kRepeatInterval);
   if (!due) {
     return;
   }
@@ -283,7 +330,8 @@
     add(total, remote.loads);
   }
   mOthersLoads = difference(total, mOwnLoads);
-  for (const auto& part : splitLoads(total, kMaxServersPerDatagram)) {
+  for (const auto& part :
+       splitLoads(total, mWorkFactors.takeAged(Recipient::Members, aNow), kMaxItemsPerDatagram)) {
     for (const auto& [instance, member] : mMembers) {
       aOut.push_back(
         { member.address, encodeLoadMessage(LoadTable{ mInstance, member.sequence, part }) });
@@ -296,6 +344,7 @@
 LoadExchange::takeDue(TimePoint aNow)
 {
   std::vector<Datagram> out;
+  mWorkFactors.expire(aNow);
   addReports(out, aNow);
   if (mSlot) {
     expire(aNow);
@@ -313,10 +362,10 @@
   const auto due = [](bool aChanged, TimePoint aLast, Duration aInterval) {
     return aLast + (aChanged ? aInterval : kRepeatInterval);
   };
-  auto next = due(mOwnChanged, mReportedAt, kReportInterval);
+  auto next = due(isReportChanged(), mReportedAt, kReportInterval);
   if (sendsTables(aNow)) {
-    next = std::min(next, due(mDomainChanged, mDomainSentAt, mDomainInterval));
-    next = std::min(next, due(mTotalChanged, mTableSentAt, mTableInterval));
+    next = std::min(next, due(isDomainChanged(), mDomainSentAt, mDomainInterval));
+    next = std::min(next, due(isTotalChanged(), mTableSentAt, mTableInterval));
   }
   return std::max(next, aNow);
 }
@@ -373,4 +422,10 @@
   return std::exchange(mOthersLoads, std::nullopt);
 }
 
+dispatch::WorkFactorReports
+LoadExchange::takeOthersWorkFactors()
+{
+  return mWorkFactors.take(Recipient::Dispatcher);
+}
+
 }
--- a/src/mustardplank/agent/load_exchange_test.cpp
+++ b/src/mustardplank/agent/load_exchange_test.cpp
@@ -2,6 +2,8 @@
 #include "mustardplank/agent/load_exchange.hpp"
 #include "mustardplank/base/hash.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <memory>
@@ -54,6 +56,10 @@
     mLoads.erase(aName);
     mKnown.erase(aName);
   }
+  void addWorkFactor(const std::string& aName, dispatch::ServerKey aServer, double aFactor, int aMs)
+  {
+    instance(aName).addOwnWorkFactors({ { aServer, { aFactor, at(aMs) } } }, at(aMs));
+  }
   /// Part of the datagrams that are lost, in percent.
   void setLoss(unsigned aPercent) { mLoss = aPercent; }
 
@@ -84,6 +90,9 @@
         if (auto others = instance->takeOthersLoads()) {
           mKnown[name] = std::move(*others);
         }
+        for (const auto& [server, report] : instance->takeOthersWorkFactors()) {
+          mKnownFactors[name][server] = report;
+        }
       }
     }
   }
@@ -103,6 +112,24 @@
     return sum;
   }
   const InstanceLoads& known(const std::string& aName) { return mKnown[aName]; }
+  /// Whether all but one instance know the factor, and its time to within rounded ages.
+  void checkWorkFactor(const std::string& aButName,
+                       dispatch::ServerKey aServer,
+                       double aFactor,
+                       int aMs)
+  {
+    for (const auto& [name, instance] : mInstances) {
+      if (name != aButName) {
+        const auto report = mKnownFactors[name][aServer];
+        BOOST_TEST(report.factor == aFactor, name << " knows another factor");
+        BOOST_TEST((report.at <= at(aMs) && report.at >= at(aMs - 3)), name << ": wrong age");
+      }
+    }
+  }
+  const dispatch::WorkFactorReports& knownFactors(const std::string& aName)
+  {
+    return mKnownFactors[aName];
+  }
   void checkAll()
   {
     for (const auto& [name, instance] : mInstances) {
@@ -117,6 +144,7 @@
   std::map<std::string, std::unique_ptr<LoadExchange>> mInstances;
   std::map<std::string, InstanceLoads> mLoads;
   std::map<std::string, InstanceLoads> mKnown;
+  std::map<std::string, dispatch::WorkFactorReports> mKnownFactors;
   std::mt19937 mRandom{ 1 };
   unsigned mLoss = 0;
   std::size_t mDatagrams = 0;
@@ -207,7 +235,9 @@
 
 // Load pattern: the agent of 20 instances with a link of 10 Mbit/s before 140 servers whose loads
 // change all the time. Guards against requests that wait in its link behind tables of loads.
-BOOST_AUTO_TEST_CASE(agent_with_a_small_link_states_loads_less_often)
+BOOST_DATA_TEST_CASE(agent_with_a_small_link_states_loads_less_often,
+                     boost::unit_test::data::make({ false, true }),
+                     statesWorkFactors)
 {
   constexpr double kBytesPerSecond = 312'500.0;
   constexpr int kMembers = 20;
@@ -228,6 +258,10 @@
       report.load.loads[static_cast<dispatch::ServerKey>(stableHash(std::to_string(i)))] = {
         static_cast<double>(1 + now % 7), static_cast<double>(9000 + now)
       };
+      if (statesWorkFactors) {
+        report.load.workFactors.push_back(
+          { static_cast<dispatch::ServerKey>(stableHash(std::to_string(i))), 2.5, Millis(300) });
+      }
     }
     agent.receive(report, member, at(now));
     for (const auto& it : agent.takeDue(at(now))) {
@@ -240,9 +274,134 @@
   BOOST_TEST(tables >= 2 * kSeconds * 3);
 }
 
+// Guards against speeds that each instance has to learn alone. No load changes: reports alone make
+// datagrams due, within the intervals of the three hops.
+BOOST_AUTO_TEST_CASE(work_factors_reach_all_instances_of_all_failure_domains)
+{
+  Network network(3, 4);
+  network.play(0, 500);
+  network.addWorkFactor("0-3", 7, 2.5, 500);
+  network.addWorkFactor("2-0", 8, 0.55, 500);
+  network.play(500, 600);
+  network.checkWorkFactor("0-3", 7, 2.5, 500);
+  network.checkWorkFactor("2-0", 8, 0.55, 500);
+}
+
+// Guards against an older report that replaces a newer one, whichever arrives first.
+BOOST_AUTO_TEST_CASE(newest_work_factor_of_a_server_wins)
+{
+  Network network(3, 4);
+  network.play(0, 500);
+  network.addWorkFactor("1-2", 7, 3.0, 505);
+  network.addWorkFactor("0-3", 7, 2.0, 500);
+  network.addWorkFactor("2-3", 7, 1.0, 502);
+  network.play(505, 650);
+  network.checkWorkFactor("1-2", 7, 3.0, 505);
+  BOOST_TEST(!network.knownFactors("1-2").contains(7));
+}
+
+// Guards against datagrams that networks drop: 140 loads and as many reports at once.
+BOOST_AUTO_TEST_CASE(work_factors_of_many_servers_are_split)
+{
+  constexpr dispatch::ServerKey kServers = 140;
+  constexpr dispatch::ServerKey kKeys = 20'000'000;
+  Network network(3, 2);
+  InstanceLoads loads;
+  for (dispatch::ServerKey i = 0; i < kServers; ++i) {
+    loads[i * kKeys] = { 300.0, 70000.0 };
+    network.addWorkFactor("0-1", i * kKeys, 2.0 + i, 0);
+  }
+  network.setLoads("0-1", loads);
+  network.play(0, 100);
+  network.checkAll();
+  for (dispatch::ServerKey i = 0; i < kServers; ++i) {
+    network.checkWorkFactor("0-1", i * kKeys, 2.0 + i, 0);
+  }
+}
+
+// Guards against knowledge that stays old when datagrams are lost: later reports make up for it.
+BOOST_AUTO_TEST_CASE(lost_work_factors_are_made_up_for_by_later_ones)
+{
+  Network network(3, 4);
+  network.setLoss(30);
+  for (int now = 0; now < 3000; now += 50) {
+    network.addWorkFactor("1-3", 7, 1.0 + now, now);
+    network.play(now, now + 50);
+  }
+  for (const char* name : { "0-0", "0-3", "1-2", "2-1", "2-3" }) {
+    BOOST_TEST((network.knownFactors(name).at(7).at > at(2000)), name);
+  }
+}
+
+// Guards against old reports that look new after some hops: the time at the agent is added, and
+// what is older than a second goes no further.
+BOOST_AUTO_TEST_CASE(ages_of_work_factors_grow_on_the_way)
+{
+  Directory directory;
+  directory.domains[FailureDomainId("0")] = { { InstanceId("agent"), "agent" } };
+  LoadExchange agent(InstanceId("agent"), FailureDomainId("0"), "agent", 1);
+  agent.setDirectory(directory);
+  const auto tablesAt = [&](int aMs) {
+    std::vector<LoadTable> tables;
+    for (const auto& it : agent.takeDue(at(aMs))) {
+      Findings findings;
+      tables.push_back(std::get<LoadTable>(decodeLoadMessage(it.bytes, findings).value()));
+    }
+    return tables;
+  };
+  LoadReport report{ InstanceId("a"), 1, 1, "a", {} };
+  agent.receive(report, "a", at(0));
+  BOOST_TEST(tablesAt(0).size() == 1U);
+  report.load.workFactors = { { 7, 2.5, Millis(200) }, { 8, 2.5, Millis(990) } };
+  agent.receive(report, "a", at(1));
+  BOOST_TEST(tablesAt(39).empty());
+  const auto tables = tablesAt(40);
+  BOOST_TEST_REQUIRE(tables.size() == 1U);
+  BOOST_TEST(
+    (tables[0].load.workFactors == std::vector<AgedWorkFactor>{ { 7, 2.5, Millis(239) } }));
+}
+
+// Guards against messages that earlier builds cannot decode: they read fields by position and
+// ignore a further one.
+BOOST_AUTO_TEST_CASE(work_factors_are_one_more_field_at_the_end)
+{
+  LoadTable table{ InstanceId("a"), 2, { 0, 1, { { 7, { 2, 30 } } } } };
+  const auto without = encodeLoadMessage(table);
+  table.load.workFactors = { { 9, 0.55, Duration(1) } };
+  const auto with = encodeLoadMessage(table);
+  BOOST_TEST(with.substr(1, without.size() - 1) == without.substr(1));
+  Findings findings;
+  const auto decoded = std::get<LoadTable>(decodeLoadMessage(with, findings).value());
+  BOOST_TEST((decoded.load.loads == table.load.loads));
+  BOOST_TEST((decoded.load.workFactors == std::vector<AgedWorkFactor>{ { 9, 0.55, Millis(1) } }));
+}
+
+// Guards against a change of the datagrams of deployments whose servers state no work factor, and
+// against messages of earlier builds that do not decode: the bytes are those of such a build.
+BOOST_AUTO_TEST_CASE(messages_without_work_factors_are_as_in_earlier_builds)
+{
+  using namespace std::string_literals;
+  const InstanceLoads loads{ { 7, { 2, 30 } } };
+  const std::string part = "\x85\x00\x01\x07\x02\x18\x1e"s;
+  const std::vector<std::pair<LoadMessage, std::string>> messages{
+    { LoadReport{ InstanceId("a"), 1, 2, "10.0.0.1:7200", { 0, 1, loads } },
+      "\x86\x01\x61\x61\x01\x02\x6d\x31\x30.0.0.1:7200"s + part },
+    { DomainLoads{ FailureDomainId("d"), { 0, 1, loads } }, "\x83\x02\x61\x64"s + part },
+    { LoadTable{ InstanceId("a"), 2, { 0, 1, loads } }, "\x84\x03\x61\x61\x02"s + part },
+  };
+  for (const auto& [message, bytes] : messages) {
+    BOOST_TEST((encodeLoadMessage(message) == bytes));
+    Findings findings;
+    const auto decoded = decodeLoadMessage(bytes, findings);
+    BOOST_TEST_REQUIRE(decoded.has_value());
+    BOOST_TEST((encodeLoadMessage(*decoded) == bytes));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_messages_are_rejected_with_a_finding)
 {
-  const LoadReport report{ InstanceId("a"), 1, 2, "10.0.0.1:7200", { 0, 1, { { 7, { 2, 30 } } } } };
+  const LoadPart part{ 0, 1, { { 7, { 2, 30 } } }, { { 7, 2.5, Millis(40) } } };
+  const LoadReport report{ InstanceId("a"), 1, 2, "10.0.0.1:7200", part };
   const auto bytes = encodeLoadMessage(report);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     Findings findings;
--- a/src/mustardplank/agent/load_messages.cpp
+++ b/src/mustardplank/agent/load_messages.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <exception>
 #include <limits>
@@ -30,6 +31,9 @@
 /// Requests or tokens, of one instance or a sum, which is stated as this if it is larger.
 constexpr std::uint64_t kMaxLoad = std::uint64_t(1) << 48;
 
+/// Larger factors are stated as this.
+constexpr std::uint64_t kMaxFactorHundredths = 65'535;
+
 constexpr auto kMaxKind = static_cast<std::uint64_t>(Kind::Table);
 
 std::uint64_t
@@ -72,6 +76,52 @@
   return part;
 }
 
+/// Key, factor in hundredths and age in milliseconds of each report.
+json
+workFactorsToJson(const std::vector<AgedWorkFactor>& aReports)
+{
+  auto row = json::array();
+  for (const auto& it : aReports) {
+    const double hundredths = std::clamp<double>(100.0 * it.factor, 1.0, kMaxFactorHundredths);
+    row.push_back(it.server);
+    row.push_back(static_cast<std::uint64_t>(std::llround(hundredths)));
+    row.push_back(
+      static_cast<std::uint32_t>(std::chrono::ceil<Millis>(std::max(it.age, Duration{})).count()));
+  }
+  return row;
+}
+
+std::vector<AgedWorkFactor>
+workFactorsFromJson(const json& aRow)
+{
+  constexpr std::size_t kReportFields = 3;
+  if (!aRow.is_array() || aRow.size() % kReportFields != 0) {
+    throw std::invalid_argument("a malformed list of work factors");
+  }
+  std::vector<AgedWorkFactor> reports;
+  for (std::size_t i = 0; i < aRow.size(); i += kReportFields) {
+    const auto hundredths = unsignedOf(aRow[i + 1], kMaxFactorHundredths);
+    if (hundredths == 0) {
+      throw std::invalid_argument("a work factor of 0");
+    }
+    reports.push_back({ unsigned32Of(aRow[i]),
+                        static_cast<double>(hundredths) / 100.0,
+                        Millis(unsigned32Of(aRow[i + 2])) });
+  }
+  return reports;
+}
+
+/// The part at the index, and the work factors behind it if there are any.
+LoadPart
+partFromMessage(const json& aRow, std::size_t aIndex)
+{
+  auto part = partFromJson(aRow.at(aIndex));
+  if (aRow.size() > aIndex + 1) {
+    part.workFactors = workFactorsFromJson(aRow[aIndex + 1]);
+  }
+  return part;
+}
+
 json
 toJson(const LoadReport& aReport)
 {
@@ -105,17 +155,17 @@
       report.incarnation = unsignedOf(aRow.at(2));
       report.sequence = unsignedOf(aRow.at(3));
       report.address = aRow.at(4).get<std::string>();
-      report.load = partFromJson(aRow.at(5));
+      report.load = partFromMessage(aRow, 5);
       return report;
     }
     case Kind::Domain:
       return DomainLoads{ FailureDomainId(aRow.at(1).get<std::string>()),
-                          partFromJson(aRow.at(2)) };
+                          partFromMessage(aRow, 2) };
     case Kind::Table: {
       LoadTable table;
       table.agent = InstanceId(aRow.at(1).get<std::string>());
       table.sequence = unsignedOf(aRow.at(2));
-      table.load = partFromJson(aRow.at(3));
+      table.load = partFromMessage(aRow, 3);
       return table;
     }
   }
@@ -125,9 +175,12 @@
 }
 
 std::vector<LoadPart>
-splitLoads(const InstanceLoads& aLoads, std::size_t aMaxServers)
+splitLoads(const InstanceLoads& aLoads,
+           const std::vector<AgedWorkFactor>& aWorkFactors,
+           std::size_t aMaxItems)
 {
-  const auto count = std::max<std::size_t>(1, (aLoads.size() + aMaxServers - 1) / aMaxServers);
+  const auto items = aLoads.size() + aWorkFactors.size();
+  const auto count = std::max<std::size_t>(1, (items + aMaxItems - 1) / aMaxItems);
   std::vector<LoadPart> parts(count);
   for (std::size_t i = 0; i < count; ++i) {
     parts[i].part = static_cast<std::uint32_t>(i);
@@ -136,6 +189,14 @@
   for (const auto& [server, load] : aLoads) {
     parts[server % count].loads[server] = load;
   }
+  const auto size = [](const LoadPart& aPart) {
+    return aPart.loads.size() + aPart.workFactors.size();
+  };
+  for (const auto& it : aWorkFactors) {
+    std::min_element(parts.begin(), parts.end(), [&](const auto& aLeft, const auto& aRight) {
+      return size(aLeft) < size(aRight);
+    })->workFactors.push_back(it);
+  }
   return parts;
 }
 
@@ -153,8 +214,17 @@
 std::string
 encodeLoadMessage(const LoadMessage& aMessage)
 {
+  const auto row = std::visit(
+    [](const auto& aInner) {
+      auto fields = toJson(aInner);
+      if (!aInner.load.workFactors.empty()) {
+        fields.push_back(workFactorsToJson(aInner.load.workFactors));
+      }
+      return fields;
+    },
+    aMessage);
   std::string bytes;
-  json::to_cbor(std::visit([](const auto& aInner) { return toJson(aInner); }, aMessage), bytes);
+  json::to_cbor(row, bytes);
   return bytes;
 }
 
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -225,6 +225,9 @@
   auto* server = findServer(aServer);
   if (server && server->workFactor.record({ aFactor, aNow })) {
     mNewWorkFactors[static_cast<ServerKey>(server->idHash)] = server->workFactor.latest();
+    if (mLoadListener) {
+      mLoadListener();
+    }
   }
 }
 
