--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -296,6 +296,9 @@
   if (server && server->workFactor.record({ aFactor, aNow })) {
     refreshAndGetState(server->server.service).workFactorStatedAt = aNow;
     mNewWorkFactors[static_cast<ServerKey>(server->idHash)] = server->workFactor.latest();
+    if (mLoadListener) {
+      mLoadListener();
+    }
   }
 }
 
