Dispatch: gaps of streams are weighed by their distribution

Change: histogram of gaps, converted between servers; the probability that a stream of the usual length exceeds its target.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -223,6 +223,8 @@
     bool queueWasEmpty = false;
     /// No prompt of the other instances was known to wait for prefill there either.
     bool othersQueueWasEmpty = false;
+    /// Gaps between events of its stream so far.
+    std::uint32_t eventGaps = 0;
   };
 
   /// Rebuilds stale server lists, then returns the service's state.
--- a/include/mustardplank/dispatch/event_intervals.hpp
+++ b/include/mustardplank/dispatch/event_intervals.hpp
@@ -1,33 +1,38 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 
 namespace mustardplank::dispatch {
 
-/// Learns how far apart the events of a service's streams are on an average undisturbed server, and
-/// how far while the server prefills prompts of other requests between its steps.
+/// Learns the distribution of the time between two events of a service's streams, converted to an
+/// average undisturbed server.
 ///
 /// Load pattern: long prompts beside streams with a tight limit on gaps, on servers of unequal
-/// speed. A slow server exceeds the limit during each prefill, a fast one never does.
+/// speed. An engine makes the tokens of its streams between the prefill chunks of other prompts: on
+/// a slow server a gap exceeds the limit during a prefill, on a fast one hardly ever.
 class EventIntervals
 {
 public:
   /// aIntervalMs: between two events of a stream; aWorkFactor: of its server at that time.
   void record(double aIntervalMs, double aWorkFactor);
   /// Whether enough intervals were seen.
-  bool isKnown() const { return mCount >= kMinCount; }
+  bool isKnown() const { return mTotal >= kMinTotal; }
+  /// Share of the intervals that take longer than aLimitMs on a server with this work factor.
+  double shareAbove(double aLimitMs, double aWorkFactor) const;
   /// Typical interval, in ms at a work factor of 1.
-  double plainMs() const { return mPlainMs; }
-  /// Interval while the server prefills all the time, in ms at a work factor of 1: exceeded by one
-  /// interval in 50.
-  double prefillMs() const { return mPrefillMs; }
+  double medianMs() const;
 
 private:
-  static constexpr std::uint32_t kMinCount = 20;
+  static constexpr std::size_t kBins = 64;
+  static constexpr double kMinTotal = 20.0;
 
-  std::uint32_t mCount = 0;
-  double mPlainMs = 0.0;
-  double mPrefillMs = 0.0;
+  static std::size_t binOf(double aMillis);
+
+  /// Weights of intervals by the logarithm of their length.
+  std::array<double, kBins> mBins{};
+  double mTotal = 0.0;
 };
 
 }
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -88,6 +88,9 @@
   double shortStreamShare = 0.0;
   /// Of all streams.
   EventIntervals intervals;
+  /// Mean gaps between events of finished streams with short and with long prompts.
+  double gapsPerShortStream = 0.0;
+  double gapsPerLongStream = 0.0;
   /// Smallest target for the gaps between events of streams with short prompts; zero if none is
   /// known.
   Duration shortEventGapTarget{};
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -445,6 +445,7 @@
   if (!server) {
     return;
   }
+  ++it->second.eventGaps;
   auto& service = refreshAndGetState(server->server.service);
   if (isUneven(service, aNow)) {
     service.model.intervals.record(toMillis(aInterval), server->workFactor.expected(aNow));
@@ -489,6 +490,11 @@
         auto& state = refreshAndGetState(server->server.service);
         smooth(state.meanSlotOccupancyMs, toMillis(aNow - run->second.sent), kModelSmoothingWeight);
         state.model.meanSlotOccupancyMs = state.meanSlotOccupancyMs;
+        if (it->second.eventGaps > 0) {
+          auto& gaps = isLongPrompt(it->second.job) ? state.model.gapsPerLongStream
+                                                    : state.model.gapsPerShortStream;
+          smooth(gaps, it->second.eventGaps, gaps == 0.0 ? 1.0 : kModelSmoothingWeight);
+        }
       }
       server->running.erase(run);
       noteLoadChange();
--- a/src/mustardplank/dispatch/uneven_placement.cpp
+++ b/src/mustardplank/dispatch/uneven_placement.cpp
@@ -7,6 +7,7 @@
 #include "scale_duration.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardplank::dispatch {
 
@@ -19,13 +20,13 @@
 /// sure to meet it below kSafeShare of that time.
 constexpr double kSafeShare = 0.7;
 constexpr double kSureMissShare = 1.3;
-/// A stream is sure to keep its target for gaps if the longest interval is below this share of it,
-/// and sure to miss it above kSureGapMissShare.
-constexpr double kSafeGapShare = 0.9;
-constexpr double kSureGapMissShare = 1.5;
-/// Tokens that an engine prefills while a stream waits for one event, at least: a shorter prompt
-/// stretches a gap by less than the longest interval.
-constexpr double kStretchTokens = 4096.0;
+/// A gap is sure to keep its target below this share of it, and sure to exceed it above
+/// kSureGapMissShare: neighbours on the machine may stretch it further.
+constexpr double kSafeGapShare = 0.7;
+constexpr double kSureGapMissShare = 1.1;
+/// Tokens that an engine prefills at most while a stream waits for one event: a few steps with a
+/// chunk each.
+constexpr double kMaxTokensPerGap = 7168.0;
 /// Costs that differ by less than this are equal.
 constexpr Duration kSpread = Millis(15);
 
@@ -44,17 +45,19 @@
          std::max(1.0, aServer.slowness / kUnexplainedSlowness);
 }
 
-/// Risk, from 0 to 1, that gaps of a stream with this target exceed it while the server prefills.
+/// Probability that a gap of the stream exceeds its target on the server.
 double
-eventGapRisk(const PlacementInput& aInput, const ServerState& aServer, Duration aTarget)
+eventGapRisk(const PlacementInput& aInput, const ServerState& aServer)
 {
-  const auto& intervals = aInput.model->intervals;
-  if (aTarget <= Duration{} || !intervals.isKnown()) {
+  const auto& model = *aInput.model;
+  const auto& job = *aInput.job;
+  if (!job.streaming || job.eventGapTarget <= Duration{} || !model.intervals.isKnown()) {
     return 0.0;
   }
-  const double longestMs = intervals.prefillMs() * aServer.workFactor.usual(aInput.now);
-  const double targetMs = toMillis(aTarget);
-  return ramp(longestMs, kSafeGapShare * targetMs, kSureGapMissShare * targetMs);
+  const double share =
+    model.intervals.shareAbove(toMillis(job.eventGapTarget), aServer.workFactor.usual(aInput.now));
+  const double gaps = isLongPrompt(job) ? model.gapsPerLongStream : model.gapsPerShortStream;
+  return 1.0 - std::pow(1.0 - share, gaps);
 }
 
 /// Streams with short prompts that run on the server, of all instances.
@@ -64,20 +67,27 @@
   return aServer.shortStreams + aServer.others.running * aInput.model->shortStreamShare;
 }
 
-/// Cost of the gaps that the prefill of aTokens adds to the streams that run on the server.
 Duration
-harmToStreams(const PlacementInput& aInput, const ServerState& aServer, std::uint32_t aTokens)
+prefillTime(const PlacementInput& aInput, double aTokens)
 {
-  const double risk = eventGapRisk(aInput, aServer, aInput.model->shortEventGapTarget);
-  const double stretch = std::min(1.0, aTokens / kStretchTokens);
-  return scaleDuration(aInput.costs->missedEventGap,
-                       risk * stretch * countShortStreams(aInput, aServer));
+  return durationFromMicros(1000.0 * aTokens / aInput.model->prefillTokensPerMs);
 }
 
+/// Cost of the gaps that the prefill of aTokens adds to the streams that run on the server.
 Duration
-prefillTime(const PlacementInput& aInput, double aTokens)
+harmToStreams(const PlacementInput& aInput, const ServerState& aServer, std::uint32_t aTokens)
 {
-  return durationFromMicros(1000.0 * aTokens / aInput.model->prefillTokensPerMs);
+  const auto& model = *aInput.model;
+  if (model.shortEventGapTarget <= Duration{} || !model.intervals.isKnown()) {
+    return {};
+  }
+  const double targetMs = toMillis(model.shortEventGapTarget);
+  const double prefillMs =
+    toMillis(prefillTime(aInput, std::min<double>(aTokens, kMaxTokensPerGap)));
+  const double gapMs =
+    (model.intervals.medianMs() + prefillMs) * aServer.workFactor.expected(aInput.now);
+  const double risk = ramp(gapMs, kSafeGapShare * targetMs, kSureGapMissShare * targetMs);
+  return scaleDuration(aInput.costs->missedEventGap, risk * countShortStreams(aInput, aServer));
 }
 
 /// Spreads equal costs, differently for each decision.
@@ -135,10 +145,7 @@
     cost += scaleDuration(
       aInput.costs->missedTarget,
       ramp(toMillis(choice.estimate), kSafeShare * timeLeft, kSureMissShare * timeLeft));
-    if (job.streaming) {
-      cost +=
-        scaleDuration(aInput.costs->missedEventGap, eventGapRisk(aInput, *it, job.eventGapTarget));
-    }
+    cost += scaleDuration(aInput.costs->missedEventGap, eventGapRisk(aInput, *it));
     cost += harmToStreams(aInput, *it, choice.prefillTokens);
     if (isLong) {
       const double duplicate = std::max(0.0, static_cast<double>(choice.prefillTokens) - ownTokens);
