Dispatch: the fastest servers of a failure domain take the short streams

Cause: with costs alone long prompts filled the fast servers and chats were late. Change: groups by speed.

--- a/bench/model/replay.cpp
+++ b/bench/model/replay.cpp
@@ -462,6 +462,7 @@
   load.engine.deliveryMs = 110.0;
   load.engine.noiseShare = 0.15;
   load.engine.noiseFactor = 2.5;
+  load.engine.noiseInterval = Millis(2000);
   load.speeds = { 0.55, 1.2, 1.2, 1.2 };
   load.statesNoise = true;
   load.domains = 3;
--- a/include/mustardplank/dispatch/server_groups.hpp
+++ b/include/mustardplank/dispatch/server_groups.hpp
@@ -15,6 +15,15 @@
 void
 assignServerGroups(const std::vector<ServerState*>& aServers, double aShortServerShare);
 
+/// The same, but the servers with the smallest usual work factors serve short prompts.
+///
+/// Load pattern: servers of unequal speed. Prefill stretches the gaps of streams in proportion to
+/// the work factor, and the fastest servers need the fewest of their number for the streams.
+void
+assignServerGroupsBySpeed(const std::vector<ServerState*>& aServers,
+                          double aShortServerShare,
+                          TimePoint aNow);
+
 /// The two servers that preferably run requests with a shared prompt part, so that they have it in
 /// their prefix caches. Requests go to the primary one, and to the
 /// secondary one when the prefill queue of the primary is too long.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -183,7 +183,12 @@
 void
 Dispatcher::updateServerGroups(ServiceState& aService)
 {
-  assignServerGroups(aService.servers, aService.model.shortServerShare);
+  if (aService.workFactorStatedAt) {
+    assignServerGroupsBySpeed(
+      aService.servers, aService.model.shortServerShare, *aService.workFactorStatedAt);
+  } else {
+    assignServerGroups(aService.servers, aService.model.shortServerShare);
+  }
   aService.hasServerInOwnDomain =
     std::any_of(aService.servers.begin(), aService.servers.end(), [&](const auto* aServer) {
       return aServer->server.domain == mOptions.domain;
@@ -448,7 +453,7 @@
   ++it->second.eventGaps;
   auto& service = refreshAndGetState(server->server.service);
   if (isUneven(service, aNow)) {
-    service.model.intervals.record(toMillis(aInterval), server->workFactor.expected(aNow));
+    service.model.intervals.record(toMillis(aInterval), server->workFactor.usual(aNow));
   }
 }
 
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -89,10 +89,12 @@
     // share and the servers reserved for them; long prompts get the rest.
     const double reservedShare =
       kShortServerHeadroom * shortServersNeeded / static_cast<double>(state.servers.size());
+    // On servers of unequal speed the streams get the fastest ones and need no more than these.
+    const double proportionalShare =
+      state.workFactorStatedAt ? 0.0
+                               : shortServersNeeded / (shortServersNeeded + longServersNeeded);
     const double share = std::clamp(
-      std::max(shortServersNeeded / (shortServersNeeded + longServersNeeded), reservedShare),
-      kMinShortServerShare,
-      kMaxShortServerShare);
+      std::max(proportionalShare, reservedShare), kMinShortServerShare, kMaxShortServerShare);
     smooth(model.shortServerShare, share, kDemandWeight);
     updateServerGroups(state);
   }
--- a/src/mustardplank/dispatch/server_groups.cpp
+++ b/src/mustardplank/dispatch/server_groups.cpp
@@ -7,18 +7,19 @@
 
 namespace mustardplank::dispatch {
 
+namespace {
+
+/// aBefore: order of servers; the first ones serve short prompts.
+template<typename Before>
 void
-assignServerGroups(const std::vector<ServerState*>& aServers, double aShortServerShare)
+assignGroups(const std::vector<ServerState*>& aServers, double aShortServerShare, Before aBefore)
 {
   std::map<FailureDomainId, std::vector<ServerState*>> domains;
   for (auto* it : aServers) {
     domains[it->server.domain].push_back(it);
   }
   for (auto& [domain, servers] : domains) {
-    std::sort(
-      servers.begin(), servers.end(), [](const ServerState* aLeft, const ServerState* aRight) {
-        return aLeft->server.id < aRight->server.id;
-      });
+    std::sort(servers.begin(), servers.end(), aBefore);
     const auto n = static_cast<double>(servers.size());
     const auto shortCount =
       servers.size() < 2
@@ -31,6 +32,30 @@
   }
 }
 
+}
+
+void
+assignServerGroups(const std::vector<ServerState*>& aServers, double aShortServerShare)
+{
+  assignGroups(
+    aServers, aShortServerShare, [](const ServerState* aLeft, const ServerState* aRight) {
+      return aLeft->server.id < aRight->server.id;
+    });
+}
+
+void
+assignServerGroupsBySpeed(const std::vector<ServerState*>& aServers,
+                          double aShortServerShare,
+                          TimePoint aNow)
+{
+  assignGroups(
+    aServers, aShortServerShare, [aNow](const ServerState* aLeft, const ServerState* aRight) {
+      const double left = aLeft->workFactor.usual(aNow);
+      const double right = aRight->workFactor.usual(aNow);
+      return left != right ? left < right : aLeft->server.id < aRight->server.id;
+    });
+}
+
 PreferredServers
 pickPreferredServers(const std::vector<const ServerState*>& aGroup, std::uint64_t aKey)
 {
--- a/src/mustardplank/dispatch/uneven_placement.cpp
+++ b/src/mustardplank/dispatch/uneven_placement.cpp
@@ -27,6 +27,8 @@
 /// Tokens that an engine prefills at most while a stream waits for one event: a few steps with a
 /// chunk each.
 constexpr double kMaxTokensPerGap = 7168.0;
+/// Streams that are assumed on a server for short prompts, at least.
+constexpr double kMinStreams = 2.0;
 /// Costs that differ by less than this are equal.
 constexpr Duration kSpread = Millis(15);
 
@@ -110,7 +112,7 @@
   if (isLong) {
     group.reserve(aInput.servers->size());
     for (const auto* it : *aInput.servers) {
-      if (hasVersionFor(job, *it, aInput.versionsAreStated)) {
+      if (it->servesLong && hasVersionFor(job, *it, aInput.versionsAreStated)) {
         group.push_back({ it, 1.0 / it->workFactor.usual(aInput.now) });
       }
     }
@@ -146,7 +148,14 @@
       aInput.costs->missedTarget,
       ramp(toMillis(choice.estimate), kSafeShare * timeLeft, kSureMissShare * timeLeft));
     cost += scaleDuration(aInput.costs->missedEventGap, eventGapRisk(aInput, *it));
-    cost += harmToStreams(aInput, *it, choice.prefillTokens);
+    if (!isLong && !it->servesShort) {
+      cost += aInput.costs->shortOnLongServer;
+    } else if (isLong && !it->servesLong) {
+      cost += scaleDuration(aInput.costs->longOnShortServerPerStream,
+                            std::max(kMinStreams, countShortStreams(aInput, *it)));
+    } else if (isLong) {
+      cost += harmToStreams(aInput, *it, choice.prefillTokens);
+    }
     if (isLong) {
       const double duplicate = std::max(0.0, static_cast<double>(choice.prefillTokens) - ownTokens);
       cost += scaleDuration(aInput.costs->duplicatePrefillPer1000Tokens, duplicate / 1000.0);
