--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -1,5 +1,7 @@
 #include "server_standin.hpp"
 
+#include "false_answers.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -42,15 +44,24 @@
          "\r\n\r\n" + aBody;
 }
 
-/// The mode that a path names for this arrival of the attempt.
+bool
+isStreamPath(const std::string& aPath)
+{
+  return aPath.starts_with("/events/") || aPath.starts_with("/resume/");
+}
+
+/// The mode that a path names for this arrival of the attempt, which counts as one if aCounts.
 std::string
-modeOf(const std::string& aPath, const std::string& aAttempt)
+modeOf(const std::string& aPath, const std::string& aAttempt, bool aCounts = true)
 {
   static std::mutex mutex;
   static std::map<std::string, std::size_t> arrivals;
   std::string modes = aPath.substr(aPath.rfind('/') + 1);
   const std::lock_guard lock(mutex);
-  for (std::size_t i = arrivals[aAttempt]++; i > 0 && modes.find('+') != std::string::npos; --i) {
+  auto& arrived = arrivals[aAttempt];
+  const auto before = arrived;
+  arrived += aCounts ? 1 : 0;
+  for (std::size_t i = before; i > 0 && modes.find('+') != std::string::npos; --i) {
     modes.erase(0, modes.find('+') + 1);
   }
   return modes.substr(0, modes.find('+'));
@@ -75,9 +86,17 @@
 ServerStandin::ServerStandin(asio::io_context& aIo, std::string aId)
   : mId(std::move(aId))
 {
-  mAddress = standins::serveHttp(aIo, "127.0.0.1:0", [this](SocketPtr aSocket, Request& aRequest) {
-    return handle(std::move(aSocket), aRequest);
-  });
+  mAddress = standins::serveHttp(
+    aIo,
+    "127.0.0.1:0",
+    [this](SocketPtr aSocket, Request& aRequest) { return handle(std::move(aSocket), aRequest); },
+    [this](SocketPtr aSocket, const Request& aHead) {
+      return handleHead(std::move(aSocket), aHead);
+    },
+    [this] {
+      const std::lock_guard lock(mMutex);
+      return mGreeting;
+    });
 }
 
 std::vector<ServerStandin::Arrival>
@@ -94,6 +113,13 @@
   mMoreFields = std::move(aFields);
 }
 
+void
+ServerStandin::setGreeting(std::string aGreeting)
+{
+  const std::lock_guard lock(mMutex);
+  mGreeting = std::move(aGreeting);
+}
+
 void
 ServerStandin::setVersion(std::string aVersion)
 {
@@ -123,6 +149,37 @@
   ++mCancelled;
 }
 
+bool
+ServerStandin::followsMode() const
+{
+  return mFailing && !mReplaced && !mFull && !mBreakingOff;
+}
+
+Awaitable<bool>
+ServerStandin::handleHead(SocketPtr aSocket, const Request& aHead)
+{
+  const std::string path(aHead.target());
+  if (path.find("false_") == std::string::npos || !followsMode()) {
+    co_return true;
+  }
+  Arrival arrival;
+  arrival.attempt = std::string(aHead["X-Attempt-Id"]);
+  arrival.path = path;
+  arrival.at = std::chrono::steady_clock::now();
+  arrival.whole = false;
+  const auto* answer = falseAnswerOf(modeOf(path, arrival.attempt, false));
+  if (!answer || answer->at != FalseAnswer::At::RequestHead) {
+    co_return true;
+  }
+  const auto attempt = arrival.attempt;
+  if (answer->end != FalseAnswer::End::ReadOn) {
+    modeOf(path, attempt);
+    const std::lock_guard lock(mMutex);
+    mArrivals.push_back(std::move(arrival));
+  }
+  co_return co_await writeFalseAnswer(aSocket, *answer, attempt, isStreamPath(path));
+}
+
 Awaitable<bool>
 ServerStandin::handle(SocketPtr aSocket, Request& aRequest)
 {
@@ -144,6 +201,13 @@
     const std::lock_guard lock(mMutex);
     mArrivals.push_back(arrival);
   }
+  if (const auto* answer = followsMode() ? falseAnswerOf(mode) : nullptr) {
+    if (answer->at == FalseAnswer::At::RequestHead) {
+      // Answered before the body was read.
+      co_return true;
+    }
+    co_return co_await writeFalseAnswer(aSocket, *answer, attempt, isStreamPath(arrival.path));
+  }
   if (mode.starts_with("after")) {
     co_await standins::sleepMillis(numberIn(mode, 5));
     mode.erase(0, mode.find('_') + 1);
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -54,6 +54,7 @@
 ///              another request), chunk, trailer, event, body, chunked_body, failure_body (status
 ///              500), length (of 90 GB), length_event (the same, a stream) or failure_length (the
 ///              same, status 500)
+///     false_NAME  an answer of false_answers.hpp
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
 ///     mode.
 class ServerStandin
@@ -71,6 +72,8 @@
     std::string body;
     std::map<std::string, std::string> headers;
     std::chrono::steady_clock::time_point at;
+    /// Whether the server read the whole request.
+    bool whole = true;
   };
   std::vector<Arrival> arrivals() const;
   /// Requests whose connection the system closed before they had ended.
@@ -85,6 +88,8 @@
   void setReplaced(bool aReplaced) { mReplaced = aReplaced; }
   /// Header lines, each with CRLF, that are added to all answers from now on but those with 421.
   void setMoreFields(std::string aFields);
+  /// Writes this on each connection that is accepted from now on.
+  void setGreeting(std::string aGreeting);
   /// Events name the version of the software from now on.
   void setVersion(std::string aVersion);
   /// From now on refuses all requests as not run.
@@ -130,6 +135,10 @@
   std::string version() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
+  /// Whether the request is answered as its mode says.
+  bool followsMode() const;
+  /// Answers that come before the body of the request is read.
+  standins::Awaitable<bool> handleHead(standins::SocketPtr aSocket, const standins::Request& aHead);
   standins::Awaitable<bool> handle(standins::SocketPtr aSocket, standins::Request& aRequest);
   standins::Awaitable<void> writeInParts(standins::SocketPtr aSocket,
                                          std::string aText,
@@ -152,6 +161,7 @@
   std::vector<Arrival> mArrivals;
   std::string mMoreFields;
   std::string mVersion;
+  std::string mGreeting;
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -1,6 +1,7 @@
 #include "soak.hpp"
 
 #include "routes/deployment.hpp"
+#include "routes/false_answers.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -34,6 +35,9 @@
   /// 0 when the connection ended without a whole answer.
   unsigned status = 0;
   std::string body;
+  /// Set if the server was to answer as false_answers.hpp has it.
+  const routes::RequestForm* form = nullptr;
+  const routes::FalseAnswer* answer = nullptr;
 };
 
 /// Time in which an instance was killed or paused.
@@ -68,6 +72,13 @@
 /// Longest time for which a server states something on the requests that it takes, in milliseconds.
 constexpr int kMaxStatementMs = 3000;
 constexpr int kMaxThinkingMs = 5;
+/// One request in so many is answered as false_answers.hpp has it, and one in so many of these may
+/// have a large body.
+constexpr int kFalseAnswerInterval = 4;
+constexpr int kLargeBodyInterval = 20;
+constexpr std::size_t kMaxBodyBytes = 8UL * 1024 * 1024;
+/// Time limit of a request with a false answer.
+constexpr int kFalseAnswerDeadlineMs = 2000;
 /// A request that was under way so long after an outage of its instance may suffer from it.
 constexpr Millis kOutageSlack{ 1000 };
 constexpr std::size_t kShownOutputBytes = 2000;
@@ -83,6 +94,8 @@
     , mDeployment(aOptions.servers, aOptions.instances)
     , mInstanceMutexes(aOptions.instances)
   {
+    mDeployment.setMaxBodyBytes(kMaxBodyBytes);
+    mDeployment.configure();
   }
 
   Violations run()
@@ -135,6 +148,21 @@
     return aPath.find("/silent") != std::string::npos;
   }
 
+  /// A request that a server answers as false_answers.hpp has it.
+  static void chooseFalseAnswer(Random& aRandom, Seen& aSeen)
+  {
+    const auto& forms = routes::requestForms();
+    const auto& answers = routes::falseAnswers();
+    const bool mayBeLarge = pick(aRandom, kLargeBodyInterval) == 0;
+    do {
+      aSeen.form = &forms[aRandom() % forms.size()];
+    } while (aSeen.form->isLarge() && !mayBeLarge);
+    do {
+      aSeen.answer = &answers[aRandom() % answers.size()];
+    } while (aSeen.answer->group == "late");
+    aSeen.path = routes::pathOf(*aSeen.form, *aSeen.answer);
+  }
+
   void note(const std::string& aText)
   {
     const std::lock_guard lock(mMutex);
@@ -163,7 +191,11 @@
     while (!mStop) {
       Seen seen;
       seen.attempt = routes::newAttempt();
-      seen.path = kPaths[random() % std::size(kPaths)];
+      if (pick(random, kFalseAnswerInterval) == 0) {
+        chooseFalseAnswer(random, seen);
+      } else {
+        seen.path = kPaths[random() % std::size(kPaths)];
+      }
       seen.sent = Clock::now();
       try {
         if (!connection) {
@@ -177,6 +209,11 @@
         if (isSilent(seen.path)) {
           request.deadlineMs = kSilentDeadlineMs;
         }
+        if (seen.form) {
+          request.method = seen.form->method;
+          request.body = seen.form->body(seen.attempt);
+          request.deadlineMs = kFalseAnswerDeadlineMs;
+        }
         connection->send(request);
         const auto answer = connection->read();
         seen.status = answer.result_int();
@@ -427,6 +464,12 @@
   {
     std::map<std::string, int> arrivals;
     std::map<std::string, bool> ran;
+    std::map<std::string, const routes::RequestForm*> forms;
+    for (const auto& it : mSeen) {
+      if (it.form) {
+        forms[it.attempt] = it.form;
+      }
+    }
     for (std::size_t i = 0; i < mOptions.servers; ++i) {
       for (const auto& it : mDeployment.server(i).arrivals()) {
         ++arrivals[it.attempt];
@@ -434,7 +477,10 @@
         if (it.headers.contains("Authorization")) {
           mViolations.push_back("a server saw the key of " + it.attempt);
         }
-        if (it.body != "body" && it.body != "body of " + it.attempt) {
+        const auto form = forms.find(it.attempt);
+        const auto body =
+          form == forms.end() ? "body of " + it.attempt : form->second->body(it.attempt);
+        if (it.whole && it.body != "body" && it.body != body) {
           mViolations.push_back("the body of " + it.attempt + " was changed");
         }
       }
@@ -467,6 +513,14 @@
     if (aSeen.status != 200) {
       return;
     }
+    if (aSeen.answer) {
+      const routes::Outcome outcome{ aSeen.status, aSeen.body };
+      const auto misfit = misfitOf(*aSeen.form, *aSeen.answer, aSeen.attempt, outcome);
+      if (!misfit.empty()) {
+        mViolations.push_back(what + " got a false answer: " + misfit);
+      }
+      return;
+    }
     const bool stream = aSeen.path.starts_with("/events/") || aSeen.path.starts_with("/resume/");
     std::string expected = "answer to " + aSeen.attempt;
     if (stream) {
--- a/test/standins/common/http_server.cpp
+++ b/test/standins/common/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -30,13 +31,20 @@
 constexpr std::size_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 Awaitable<void>
-session(SocketPtr aSocket, Handler aHandler)
+session(SocketPtr aSocket, Handler aHandler, HeadHandler aOnHead, Greeting aGreeting)
 {
   boost::beast::flat_buffer buf;
   try {
+    if (const auto text = aGreeting ? aGreeting() : std::string(); !text.empty()) {
+      co_await asio::async_write(*aSocket, asio::buffer(text), asio::use_awaitable);
+    }
     for (bool open = true; open;) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(kMaxBodyBytes);
+      co_await http::async_read_header(*aSocket, buf, parser, asio::use_awaitable);
+      if (aOnHead && !co_await aOnHead(aSocket, parser.get())) {
+        break;
+      }
       co_await http::async_read(*aSocket, buf, parser, asio::use_awaitable);
       Request request = parser.release();
       open = co_await aHandler(aSocket, request) && request.keep_alive();
@@ -50,7 +58,7 @@
 }
 
 Awaitable<void>
-acceptLoop(Tcp::acceptor aAcceptor, Handler aHandler)
+acceptLoop(Tcp::acceptor aAcceptor, Handler aHandler, HeadHandler aOnHead, Greeting aGreeting)
 {
   const auto executor = co_await asio::this_coro::executor;
   for (;;) {
@@ -62,7 +70,8 @@
     }
     socket.set_option(Tcp::no_delay(true));
     auto shared = std::make_shared<Tcp::socket>(std::move(socket));
-    asio::co_spawn(executor, session(std::move(shared), aHandler), asio::detached);
+    asio::co_spawn(
+      executor, session(std::move(shared), aHandler, aOnHead, aGreeting), asio::detached);
   }
 }
 
@@ -86,12 +95,21 @@
 }
 
 std::string
-serveHttp(asio::io_context& aIo, const std::string& aListen, Handler aHandler)
+serveHttp(asio::io_context& aIo,
+          const std::string& aListen,
+          Handler aHandler,
+          HeadHandler aOnHead,
+          Greeting aGreeting)
 {
   Tcp::acceptor acceptor(aIo, parseEndpoint(aListen));
   acceptor.listen(asio::socket_base::max_listen_connections);
   const std::string address = endpointText(acceptor.local_endpoint());
-  asio::co_spawn(aIo, acceptLoop(std::move(acceptor), std::move(aHandler)), asio::detached);
+  asio::co_spawn(aIo,
+                 acceptLoop(std::move(acceptor),
+                            std::move(aHandler),
+                            std::move(aOnHead),
+                            std::move(aGreeting)),
+                 asio::detached);
   return address;
 }
 
--- a/test/standins/common/http_server.hpp
+++ b/test/standins/common/http_server.hpp
@@ -23,6 +23,12 @@
 /// Answers one request on aSocket. Returns whether the connection stays open.
 using Handler = std::function<Awaitable<bool>(SocketPtr aSocket, Request& aRequest)>;
 
+/// Called with the head of a request, before its body is read. Returns false to end the connection.
+using HeadHandler = std::function<Awaitable<bool>(SocketPtr aSocket, const Request& aHead)>;
+
+/// Bytes that are written as soon as a connection is accepted.
+using Greeting = std::function<std::string()>;
+
 /// Splits "ip:port".
 Tcp::endpoint
 parseEndpoint(const std::string& aText);
@@ -31,7 +37,11 @@
 
 /// Binds and accepts HTTP/1.1 connections until the io_context stops. Returns the bound "ip:port".
 std::string
-serveHttp(boost::asio::io_context& aIo, const std::string& aListen, Handler aHandler);
+serveHttp(boost::asio::io_context& aIo,
+          const std::string& aListen,
+          Handler aHandler,
+          HeadHandler aOnHead = nullptr,
+          Greeting aGreeting = nullptr);
 
 /// Writes a JSON answer; the result is for the handler to return.
 Awaitable<bool>
