Gateway: a response without a length needs a clean end; invalid heads fail the attempt

Cause: when the write took the error of a reset, the read got an end of file, which completed a response without a length; nothing checked that the request had been received. The parser takes any three digits for a status, drops transfer codings other than chunked, and puts trailers among the fields of a head that it reads with them. A response during the upload closed the connection and cut the request off.

Change: an end of file completes a response without a length only if the request has been written, the peer's kernel has confirmed all of it and no error is pending. Statuses outside 100 to 599, 101, codings other than chunked, 1xx and 204 with a body and two attempt ids are malformed. After an early response the connection stays open until the request is written, for 30 s at most, and is not reused.

--- a/include/mustardplank/gateway/header_dialect.hpp
+++ b/include/mustardplank/gateway/header_dialect.hpp
@@ -67,6 +67,8 @@
 {
   /// Echo of the request's attempt id; empty when there is none.
   std::string attemptId;
+  /// The response names different attempts, so that it is not known to which of them it belongs.
+  bool namesSeveralAttempts = false;
   /// The response carries a signature, by which the server states that it produced it.
   bool isSigned = false;
   /// The server did not execute the request.
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -2,12 +2,15 @@
 
 #include "mustardplank/base/clock.hpp"
 #include "socket_options.hpp"
+#include "socket_state.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
+#include <iterator>
 
 namespace mustardplank::gateway {
 
@@ -31,6 +34,14 @@
 constexpr Duration kIdleExpiryMargin = Millis(700);
 /// For servers that announce no timeout.
 constexpr Duration kDefaultIdleTimeout = Seconds(4);
+/// A server that responds before it has read the request may read on until then. As long as the
+/// longest time limit of a request whose caller states none.
+constexpr Duration kMaxUploadAfterResponse = Seconds(30);
+
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kNoContent = 204;
 
 }
 
@@ -40,6 +51,7 @@
   : mSocket(aIo.get_executor())
   , mAddress(std::move(aAddress))
   , mOnRelease(std::move(aOnRelease))
+  , mUploadTimer(aIo)
 {
 }
 
@@ -49,6 +61,10 @@
   mSocket.async_connect(
     aEndpoint,
     [self = shared_from_this(), aCallback = std::move(aCallback)](BoostErrorCode aError) {
+      if (!aError && !self->isQuiet()) {
+        // Bytes before the request are no response to it.
+        aError = asio::error::connection_aborted;
+      }
       if (!aError) {
         setServerConnectionOptions(self->mSocket);
         self->read();
@@ -65,6 +81,8 @@
   mListener = &aListener;
   mRequestActive = true;
   mWriting = true;
+  mWriteFailed = false;
+  mRespondedEarly = false;
   mSkippedBytes = 0;
   mReportedUnparsedBytes = 0;
   resetParser();
@@ -72,9 +90,13 @@
                     asio::buffer(mRequest),
                     [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
                       self->mWriting = false;
+                      self->mWriteFailed = static_cast<bool>(aError);
                       self->mRequest.clear();
                       self->mRequest.shrink_to_fit();
-                      if (aError && self->mRequestActive) {
+                      if (!self->mRequestActive) {
+                        // The response was complete before.
+                        self->closeAndRelease();
+                      } else if (aError) {
                         // The server may have responded before it closed; the read delivers that or
                         // the failure.
                         self->read();
@@ -87,7 +109,8 @@
 BackendConnection::resetParser()
 {
   mParser.emplace();
-  mParser->eager(true);
+  // Trailers would be taken for fields of the head if they were parsed with it.
+  mParser->eager(false);
   mParser->header_limit(kMaxHeaderBytes);
   mParser->body_limit(boost::none);
   mParser->skip(mIsHeadRequest);
@@ -125,6 +148,7 @@
   }
   mClosed = true;
   mRequestActive = false;
+  mUploadTimer.cancel();
   BoostErrorCode ec;
   mSocket.close(ec);
   mOnRelease(shared_from_this(), false);
@@ -179,7 +203,8 @@
     read();
     return;
   }
-  if (aError == asio::error::eof && mParser && mHeadDelivered && !mSkippingResponse) {
+  if (aError == asio::error::eof && mParser && mHeadDelivered && !mSkippingResponse &&
+      hasEndedCleanly()) {
     BoostErrorCode ec;
     mParser->put_eof(ec);
     if (!ec && mParser->is_done()) {
@@ -233,11 +258,20 @@
   }
   auto& message = mParser->get();
   if (!mHeadDelivered) {
+    if (!isHeadValid()) {
+      failResponse(ResponseFailure::Malformed);
+      return;
+    }
     if (message.result_int() / 100 == 1) {
       resetParser();
       return;
     }
     mHeadDelivered = true;
+    mParser->eager(true);
+    if (mWriting || unacknowledgedBytes(mSocket) > 0) {
+      mRespondedEarly = true;
+      setPatientServerOptions(mSocket);
+    }
     updateIdleExpiry();
     if (mListener && !mListener->onResponseHead(message.result_int(), message.base(), framing())) {
       mSkippingResponse = true;
@@ -264,6 +298,42 @@
   }
 }
 
+bool
+BackendConnection::isHeadValid() const
+{
+  const auto& message = mParser->get();
+  const auto status = message.result_int();
+  // The gateway removes the field Upgrade, so that nobody has asked for another protocol.
+  if (status < kMinStatus || status > kMaxStatus || status == kSwitchingProtocols) {
+    return false;
+  }
+  // Any other transfer coding would be removed from the head and left in the body.
+  const auto [begin, end] = message.equal_range(http::field::transfer_encoding);
+  const bool isCoded = begin != end;
+  if (isCoded &&
+      (std::next(begin) != end || !boost::beast::iequals(begin->value(), "chunked") ||
+       message.version() < 11)) {
+    return false;
+  }
+  const bool hasNoContent = status / 100 == 1 || status == kNoContent;
+  return !hasNoContent || (!isCoded && mParser->content_length().value_or(0) == 0);
+}
+
+bool
+BackendConnection::hasEndedCleanly()
+{
+  // The kernel reports an end of file after a reset if the write took its error, and for a server
+  // that closed the connection before it received the rest of the request.
+  return !mWriting && !mWriteFailed && !takeSocketError(mSocket) &&
+         unacknowledgedBytes(mSocket) == 0;
+}
+
+bool
+BackendConnection::isQuiet()
+{
+  return !hasUnreadBytesOrEnd(mSocket);
+}
+
 void
 BackendConnection::updateIdleExpiry()
 {
@@ -300,8 +370,12 @@
   mRequestActive = false;
   mPaused = false;
   auto* listener = std::exchange(mListener, nullptr);
-  const bool reusable = mParser->keep_alive() && !mWriting && mBuffer.size() == 0;
-  if (reusable) {
+  // After an early response the next request would wait until the server has read this one.
+  const bool reusable =
+    mParser->keep_alive() && !mRespondedEarly && !mWriteFailed && mBuffer.size() == 0;
+  if (mWriting) {
+    finishRequest();
+  } else if (reusable) {
     mOnRelease(self, true);
     read();
   } else {
@@ -312,6 +386,17 @@
   }
 }
 
+void
+BackendConnection::finishRequest()
+{
+  mUploadTimer.expires_after(kMaxUploadAfterResponse);
+  mUploadTimer.async_wait([weak = weak_from_this()](BoostErrorCode aError) {
+    if (const auto self = weak.lock(); self && !aError) {
+      self->closeAndRelease();
+    }
+  });
+}
+
 void
 BackendConnection::failResponse(ResponseFailure aFailure)
 {
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -7,6 +7,7 @@
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/gateway/types.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <functional>
@@ -87,6 +88,9 @@
   const std::string& address() const { return mAddress; }
   /// When the idle connection may no longer be reused: shortly before the server closes it.
   TimePoint reusableUntil() const { return mReusableUntil; }
+  /// Whether the server has neither ended the idle connection nor sent bytes that nobody has asked
+  /// for.
+  bool isQuiet();
   /// Whether an earlier request on this connection was answered.
   bool isReused() const { return mResponseCount > 0; }
   /// Whether all bytes of the request have been written.
@@ -101,7 +105,13 @@
   void parse();
   void deliverParsed();
   void reportUnparsedBytes();
+  /// Whether the head is valid beyond what the parser checks.
+  bool isHeadValid() const;
+  /// Whether an end of file, as it was read, ends a response that has no length.
+  bool hasEndedCleanly();
   void completeResponse();
+  /// Keeps the connection open until the server has read the request.
+  void finishRequest();
   void failResponse(ResponseFailure aFailure);
   void closeAndRelease();
   void resetParser();
@@ -119,6 +129,9 @@
   std::string mRequest;
   bool mIsHeadRequest = false;
   bool mWriting = false;
+  bool mWriteFailed = false;
+  /// The server responded before it had received the whole request.
+  bool mRespondedEarly = false;
   bool mReading = false;
   bool mPaused = false;
   bool mRequestActive = false;
@@ -131,6 +144,7 @@
   /// Last value given to ResponseListener::onUnparsedBytes().
   std::size_t mReportedUnparsedBytes = 0;
   TimePoint mReusableUntil = TimePoint::max();
+  boost::asio::steady_timer mUploadTimer;
 };
 
 }
--- a/src/mustardplank/gateway/backend_connection_pool.cpp
+++ b/src/mustardplank/gateway/backend_connection_pool.cpp
@@ -20,22 +20,28 @@
 BackendConnectionPool::ConnectionPtr
 BackendConnectionPool::takeIdle(const std::string& aAddress)
 {
-  const auto it = mIdleConnections.find(aAddress);
-  if (it == mIdleConnections.end()) {
-    return nullptr;
-  }
-  auto connection = std::move(it->second.back());
-  it->second.pop_back();
-  if (it->second.empty()) {
-    mIdleConnections.erase(it);
-  }
-  if (connection->reusableUntil() > bootNow()) {
-    return connection;
+  for (;;) {
+    const auto it = mIdleConnections.find(aAddress);
+    if (it == mIdleConnections.end()) {
+      return nullptr;
+    }
+    auto connection = std::move(it->second.back());
+    it->second.pop_back();
+    if (it->second.empty()) {
+      mIdleConnections.erase(it);
+    }
+    if (connection->reusableUntil() <= bootNow()) {
+      // The remaining ones have been idle for longer and are closed too.
+      connection->close();
+      closeIdle(aAddress);
+      return nullptr;
+    }
+    // Bytes that wait to be read would be taken for the response to the next request.
+    if (connection->isQuiet()) {
+      return connection;
+    }
+    connection->close();
   }
-  // The remaining ones have been idle for longer and are closed too.
-  connection->close();
-  closeIdle(aAddress);
-  return nullptr;
 }
 
 BackendConnectionPool::ConnectionPtr
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -79,6 +79,10 @@
   mResponse.framing = aStart.framing;
   mResponse.eventCount = 0;
   mResponse.startedAt = aStart.at;
+  if (aHead.namesSeveralAttempts) {
+    onResponseFailure(ResponseFailure::Malformed);
+    return;
+  }
   recordAdmission(aHead, *mGrant, mSentAt);
   if (aHead.misdirected || aHead.notExecuted) {
     const auto outcome =
@@ -143,6 +147,10 @@
 bool
 Exchange::isResponseToThis(const ResponseHead& aHead, const BackendConnection& aConnection) const
 {
+  if (aHead.namesSeveralAttempts) {
+    // The attempt fails.
+    return true;
+  }
   if (aHead.attemptId.empty()) {
     // On a kept connection it may be an earlier response that the server repeats.
     return mRequestHead.attemptId.empty() || !aConnection.isReused();
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -206,6 +206,10 @@
   if (!mExchange.isResponseToThis(head, *stalled.connection)) {
     return false;
   }
+  if (head.namesSeveralAttempts) {
+    mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
+    return true;
+  }
   mExchange.recordAdmission(head, stalled.grant, stalled.sentAt);
   if (head.misdirected || head.notExecuted) {
     mExchange.dropStalledAttempt(head.misdirected ? dispatch::JobOutcome::Misdirected
--- a/src/mustardplank/gateway/socket_options.cpp
+++ b/src/mustardplank/gateway/socket_options.cpp
@@ -16,6 +16,8 @@
 /// Callers may read nothing for a while.
 constexpr int kServerUserTimeoutMs = 3000;
 constexpr int kCallerUserTimeoutMs = 15000;
+/// The responding server is alive; the time limit of the request ends the wait before.
+constexpr int kPatientServerUserTimeoutMs = 30000;
 
 void
 setOption(Socket& aSocket, int aLevel, int aName, int aValue)
@@ -42,6 +44,12 @@
   setOptions(aSocket, kServerUserTimeoutMs);
 }
 
+void
+setPatientServerOptions(Socket& aSocket)
+{
+  setOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kPatientServerUserTimeoutMs);
+}
+
 void
 setCallerConnectionOptions(Socket& aSocket)
 {
--- a/src/mustardplank/gateway/socket_options.hpp
+++ b/src/mustardplank/gateway/socket_options.hpp
@@ -9,6 +9,10 @@
 /// nothing. Failures are ignored: the connection works without these options.
 void
 setServerConnectionOptions(Socket& aSocket);
+/// For a server that has begun to respond before it has read the request: it may take no data for
+/// longer than other servers.
+void
+setPatientServerOptions(Socket& aSocket);
 void
 setCallerConnectionOptions(Socket& aSocket);
 
