--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -135,10 +135,12 @@
                                  std::size_t aInstances,
                                  Clocks aClocks,
                                  std::size_t aDomains,
-                                 Millis aStopGrace)
+                                 Millis aStopGrace,
+                                 MachineLimits aMachine)
   : mClocks(aClocks)
   , mDomains(aDomains)
   , mStopGrace(aStopGrace)
+  , mMachine(aMachine)
   , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
@@ -211,6 +213,7 @@
                        { "store", store },
                        { "orders", mStore->address() },
                        { "log_sampling", 1 },
+                       { "memory_mb", mMachine.memoryMb },
                        { "bounds",
                          { { "usage_window_s", 2.0 },
                            { "usage_late_s", 8.0 },
@@ -225,11 +228,15 @@
       std::string(BUILD_DIR) + "/test/support/libmustardplank_clock_shim.so";
     environment["MUSTARDPLANK_TEST_CLOCK"] = clockFile(aIndex);
   }
+  std::string program = std::string(BUILD_DIR) + "/src/daemon/mustardplankd";
+  std::vector<std::string> arguments{ "--settings", settingsFile(aIndex) };
+  if (mMachine.descriptors > 0) {
+    const auto limit = "ulimit -n " + std::to_string(mMachine.descriptors);
+    arguments.insert(arguments.begin(), { "-c", limit + R"( && exec "$0" "$@")", program });
+    program = "/bin/sh";
+  }
   mInstances.at(aIndex) = std::make_unique<support::ChildProcess>(
-    std::string(BUILD_DIR) + "/src/daemon/mustardplankd",
-    std::vector<std::string>{ "--settings", settingsFile(aIndex) },
-    mFolder + "/instance" + std::to_string(aIndex),
-    environment);
+    program, arguments, mFolder + "/instance" + std::to_string(aIndex), environment);
 }
 
 void
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -69,6 +69,14 @@
   Adjustable,
 };
 
+/// The machine of each instance.
+struct MachineLimits
+{
+  std::uint32_t memoryMb = 100;
+  /// Open descriptors of the process; 0: as those of the test.
+  std::size_t descriptors = 0;
+};
+
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
@@ -83,7 +91,8 @@
                   std::size_t aInstances,
                   Clocks aClocks = Clocks::OfTheMachine,
                   std::size_t aDomains = 1,
-                  Millis aStopGrace = kStopGrace);
+                  Millis aStopGrace = kStopGrace,
+                  MachineLimits aMachine = {});
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -131,6 +140,7 @@
   Clocks mClocks;
   std::size_t mDomains;
   Millis mStopGrace;
+  MachineLimits mMachine;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
