--- a/include/mustardplank/base/hash.hpp
+++ b/include/mustardplank/base/hash.hpp
@@ -23,6 +23,19 @@
 std::uint64_t
 stableHash(std::string_view aText);
 
+/// stableHash() of a text that comes in parts.
+class StableHasher
+{
+public:
+  void add(std::string_view aText);
+  std::uint64_t value() const;
+
+private:
+  static constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
+
+  std::uint64_t mHash = kOffsetBasis;
+};
+
 /// aBytes bytes from the operating system's random source, in lower-case hexadecimal.
 std::string
 randomHex(std::size_t aBytes);
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -39,9 +39,13 @@
   std::uint32_t maxCallerConnections = 3000;
   /// Unsent bytes for one caller above which reading from its backend server is paused.
   std::size_t maxBufferedBytes = 256 * 1024;
-  /// Limit on the bytes that are held at the same time of all responses that servers send, and
-  /// again of those that callers have not taken yet.
+  /// Limit on the bytes that are held at the same time of all responses that servers send.
   std::size_t maxResponseBytes = 25'000'000;
+  /// The same of everything that callers make the process hold: connections, requests until their
+  /// end, and output that callers have not taken.
+  std::size_t maxCallerBytes = 33'000'000;
+  /// Slower callers are rejected while this memory is scarce.
+  std::uint64_t minCallerBytesPerSecond = 8'000;
   /// The routine log events of one in this many requests are written. An event that is not routine
   /// is always written, together with the earlier and later events of its request.
   std::uint32_t logSamplingInterval = 16;
@@ -129,6 +133,8 @@
   std::size_t activeRequestCount() const;
   /// Open caller connections.
   std::size_t connectionCount() const;
+  /// What callers make the process hold.
+  std::size_t callerBytes() const;
   /// Closes the listening socket for callers. Connections and the readiness and admin servers stay
   /// open.
   void closeListener();
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -37,9 +37,11 @@
   ServersAgeSeconds,
   /// How late the event loop handled a timer, the latest within a second.
   EventLoopLagSeconds,
+  /// What callers make the process hold.
+  CallerMemoryBytes,
 };
 
-inline constexpr NameTable<Gauge, 16> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 17> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -56,6 +58,7 @@
   { Gauge::OperatorsAgeSeconds, "configuration_age_seconds" },
   { Gauge::ServersAgeSeconds, "servers_age_seconds" },
   { Gauge::EventLoopLagSeconds, "event_loop_lag_seconds" },
+  { Gauge::CallerMemoryBytes, "caller_memory_bytes" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -221,6 +224,10 @@
   /// A request that had arrived whole got no complete answer. Series
   /// "mustardplank_unanswered_requests_total{reason}"; aReason is never a caller's text.
   void countUnanswered(std::string_view aReason);
+  /// A request was rejected, or a caller's connection closed, before the request had arrived whole
+  /// or a server could run it. Series "mustardplank_rejected_callers_total{reason}"; aReason is
+  /// never a caller's text.
+  void countRejectedCaller(std::string_view aReason);
 
   /// Everything in the Prometheus text format.
   std::string scrape() const;
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -87,6 +87,9 @@
   double linkMbps = 0.0;
   /// Memory that the process may use, in MB (1,000,000 bytes).
   std::uint32_t memoryMb = 100;
+  /// Callers that send a body more slowly, in bytes per second, are rejected while the memory for
+  /// callers is scarce. 0: none is.
+  std::uint32_t callerMinBytesPerS = 8'000;
   /// One in so many routine requests is logged.
   std::uint32_t logSampling = 16;
 };
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -1,3 +1,4 @@
+#include "process_limits.hpp"
 #include "route_daemon_impl.hpp"
 
 #include "mustardplank/base/hash.hpp"
@@ -26,9 +27,11 @@
 /// Part of the time for which a leaving server still serves; requests wait for a newer list when
 /// that of the servers is older.
 constexpr double kMaxServerListPart = 0.9;
-/// Share of the process's memory that responses of servers may take, and the same once more for
-/// output that callers have not taken.
+/// Share of the process's memory that responses of servers may take.
 constexpr double kResponseMemoryShare = 0.25;
+/// The same of everything that callers make it hold. The rest is for the process itself and for
+/// what the allocator does not give back.
+constexpr double kCallerMemoryShare = 0.33;
 constexpr double kBytesPerMb = 1e6;
 constexpr double kBytesPerMbit = 125'000.0;
 /// Share of the link that an agent uses to state the loads of servers to other instances; the rest
@@ -65,6 +68,11 @@
   options.logSamplingInterval = aSettings.logSampling;
   options.maxResponseBytes =
     static_cast<std::size_t>(kResponseMemoryShare * kBytesPerMb * aSettings.memoryMb);
+  options.maxCallerBytes =
+    static_cast<std::size_t>(kCallerMemoryShare * kBytesPerMb * aSettings.memoryMb);
+  options.minCallerBytesPerSecond = aSettings.callerMinBytesPerS;
+  options.maxCallerConnections =
+    callerConnectionLimit(raiseDescriptorLimit(), options.maxCallerConnections);
   return options;
 }
 
@@ -220,6 +228,7 @@
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
     metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waitingCount()));
     metrics.set(metrics::Gauge::CallerConnections, static_cast<double>(gateway.connectionCount()));
+    metrics.set(metrics::Gauge::CallerMemoryBytes, static_cast<double>(gateway.callerBytes()));
     metrics.set(metrics::Gauge::LogReachable, storeConfig.isLost() ? 0 : 1);
   }
 }
@@ -365,6 +374,7 @@
 void
 RouteDaemon::Impl::run()
 {
+  returnFreedMemory();
   gateway.start();
   alarms.onEarlier([this] { armAlarms(); });
   awaitSignals();
--- a/src/mustardplank/base/hash.cpp
+++ b/src/mustardplank/base/hash.cpp
@@ -63,12 +63,24 @@
 std::uint64_t
 stableHash(std::string_view aText)
 {
-  constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
+  StableHasher hasher;
+  hasher.add(aText);
+  return hasher.value();
+}
+
+void
+StableHasher::add(std::string_view aText)
+{
   constexpr std::uint64_t kPrime = 1099511628211ULL;
-  std::uint64_t hash = kOffsetBasis;
   for (const unsigned char c : aText) {
-    hash = (hash ^ c) * kPrime;
+    mHash = (mHash ^ c) * kPrime;
   }
+}
+
+std::uint64_t
+StableHasher::value() const
+{
+  auto hash = mHash;
   // FNV-1a alone mixes the last bytes weakly; names that differ only at the end would hash close
   // together.
   hash ^= hash >> 33;
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
+#include <vector>
 
 namespace mustardplank::gateway {
 
@@ -58,9 +59,17 @@
 }
 
 void
-BackendConnection::send(std::string aRequest, bool aIsHeadRequest, ResponseListener& aListener)
+BackendConnection::send(std::string aHeader,
+                        std::shared_ptr<const BodyBuffer> aBody,
+                        bool aIsHeadRequest,
+                        ResponseListener& aListener)
 {
-  mRequest = std::move(aRequest);
+  mRequestHeader = std::move(aHeader);
+  mRequestBody = std::move(aBody);
+  std::vector<asio::const_buffer> buffers{ asio::buffer(mRequestHeader) };
+  for (const auto& it : mRequestBody->blocks()) {
+    buffers.push_back(asio::buffer(it));
+  }
   mIsHeadRequest = aIsHeadRequest;
   mListener = &aListener;
   mRequestActive = true;
@@ -68,18 +77,18 @@
   mSkippedBytes = 0;
   mReportedUnparsedBytes = 0;
   resetParser();
-  asio::async_write(mSocket,
-                    asio::buffer(mRequest),
-                    [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
-                      self->mWriting = false;
-                      self->mRequest.clear();
-                      self->mRequest.shrink_to_fit();
-                      if (aError && self->mRequestActive) {
-                        // The server may have responded before it closed; the read delivers that or
-                        // the failure.
-                        self->read();
-                      }
-                    });
+  asio::async_write(
+    mSocket, buffers, [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
+      self->mWriting = false;
+      self->mRequestHeader.clear();
+      self->mRequestHeader.shrink_to_fit();
+      self->mRequestBody.reset();
+      if (aError && self->mRequestActive) {
+        // The server may have responded before it closed; the read delivers that or
+        // the failure.
+        self->read();
+      }
+    });
   read();
 }
 
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -5,6 +5,7 @@
 #include "mustardplank/base/name_table.hpp"
 #include "mustardplank/base/sink_body.hpp"
 #include "mustardplank/base/time.hpp"
+#include "mustardplank/gateway/body_buffer.hpp"
 #include "mustardplank/gateway/types.hpp"
 
 #include <boost/beast/http/parser.hpp>
@@ -66,9 +67,12 @@
   BackendConnection(boost::asio::io_context& aIo, std::string aAddress, ReleaseCallback aOnRelease);
 
   void connect(const Tcp::endpoint& aEndpoint, ConnectCallback aCallback);
-  /// Sends one serialized request. aIsHeadRequest is true for the method HEAD, whose responses have
-  /// no body.
-  void send(std::string aRequest, bool aIsHeadRequest, ResponseListener& aListener);
+  /// Sends one request: its serialized header section and its body, which is not copied.
+  /// aIsHeadRequest is true for the method HEAD, whose responses have no body.
+  void send(std::string aHeader,
+            std::shared_ptr<const BodyBuffer> aBody,
+            bool aIsHeadRequest,
+            ResponseListener& aListener);
   /// The rest of the response goes to aListener, if there is one in progress.
   void setListener(ResponseListener& aListener)
   {
@@ -116,7 +120,9 @@
   /// Parsed and not delivered yet.
   std::string mBodyBytes;
   ResponseListener* mListener = nullptr;
-  std::string mRequest;
+  std::string mRequestHeader;
+  /// Until it is written.
+  std::shared_ptr<const BodyBuffer> mRequestBody;
   bool mIsHeadRequest = false;
   bool mWriting = false;
   bool mReading = false;
--- a/src/mustardplank/gateway/body_buffer.cpp
+++ b/src/mustardplank/gateway/body_buffer.cpp
@@ -1,6 +1,6 @@
 #include "mustardplank/gateway/body_buffer.hpp"
 
-#include <algorithm>
+#include <numeric>
 
 namespace mustardplank::gateway {
 
@@ -29,6 +29,15 @@
   }
 }
 
+std::size_t
+BodyBuffer::capacity() const
+{
+  return std::accumulate(
+    mBlocks.begin(), mBlocks.end(), std::size_t{ 0 }, [](std::size_t aSum, const auto& aBlock) {
+      return aSum + aBlock.capacity();
+    });
+}
+
 void
 BodyBuffer::clear()
 {
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -6,6 +6,7 @@
 #include "mustardplank/base/clock.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/field.hpp>
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <utility>
 
 namespace mustardplank::gateway {
 
@@ -22,12 +24,18 @@
 
 namespace {
 
-/// Unparsed bytes of pipelined requests at which reading from the caller is paused.
-constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
-/// With less output the connection is not accounted for.
-constexpr std::size_t kMinAccountedBytes = 16UL * 1024;
+/// Unparsed bytes of pipelined requests at which reading from the caller is paused, and the same
+/// while memory for callers is scarce.
+constexpr std::size_t kMaxPipelinedBytes = 64UL * 1024;
+constexpr std::size_t kMaxPipelinedBytesWhenScarce = 4UL * 1024;
+/// Less output is not counted as a response that the caller does not take.
+constexpr std::size_t kMinUnreadBytes = 16UL * 1024;
+/// What a connection holds besides what is counted: the parser and the operations on its socket.
+constexpr std::size_t kConnectionOverhead = 2UL * 1024;
 /// A larger output buffer is freed once it is written.
-constexpr std::size_t kMaxKeptCapacity = 64UL * 1024;
+constexpr std::size_t kMaxKeptCapacity = 8UL * 1024;
+/// Retry-After of requests that are rejected before they are whole.
+constexpr Duration kRetryDelay = Seconds(1);
 /// How long a connection is kept in a planned stop for a request after a response that did not
 /// announce its end.
 constexpr Duration kNextRequestTime = Millis(500);
@@ -38,37 +46,51 @@
 constexpr Duration kLingerAfterRequest = Millis(100);
 
 bool
-isTransferEncodingSupported(const http::request<http::string_body>& aRequest)
+isTransferEncodingSupported(const Fields& aFields)
 {
-  const auto value = aRequest[http::field::transfer_encoding];
+  const auto value = aFields[http::field::transfer_encoding];
   return value.empty() || boost::beast::iequals(value, "chunked");
 }
 
 }
 
+std::string
+addressOf(const Socket& aSocket)
+{
+  BoostErrorCode ec;
+  const auto peer = aSocket.remote_endpoint(ec);
+  return ec ? std::string() : peer.address().to_string();
+}
+
 CallerConnection::CallerConnection(std::shared_ptr<GatewayContext> aContext, Socket aSocket)
   : mSharedContext(std::move(aContext))
   , mContext(*mSharedContext)
   , mSocket(std::move(aSocket))
-  , mOutputId(++mContext.lastOutputId)
+  , mReader(limits())
+  , mId(++mContext.lastConnectionId)
 {
   ++mContext.connectionCount;
-  mContext.callerConnections.insert(this);
+  mContext.callerConnections.emplace(mId, this);
+  mContext.callerMemory.add(mId, addressOf(mSocket), bootNow());
 }
 
 CallerConnection::~CallerConnection()
 {
-  --mContext.connectionCount;
-  mContext.callerConnections.erase(this);
-  mContext.callerOutput.remove(mOutputId);
+  if (!mClosed) {
+    --mContext.connectionCount;
+  }
+  mContext.callerConnections.erase(mId);
+  mContext.callerMemory.remove(mId);
 }
 
 void
 CallerConnection::start()
 {
   setCallerConnectionOptions(mSocket);
-  resetParser();
+  BoostErrorCode ec;
+  mSocket.non_blocking(true, ec);
   armReceiveTimer();
+  account();
   read();
 }
 
@@ -76,8 +98,7 @@
 CallerConnection::closeIfIdle()
 {
   BoostErrorCode ec;
-  const bool requestArrives =
-    mParser->got_some() || mBuffer.size() > 0 || mSocket.available(ec) > 0;
+  const bool requestArrives = mReader.hasStarted() || hasNextRequest() || mSocket.available(ec) > 0;
   if (!mExchange && !mWriting && mPendingOutput.empty() && !requestArrives) {
     close(ConnectionEnd::Draining);
   }
@@ -86,7 +107,7 @@
 bool
 CallerConnection::isBusy() const
 {
-  const bool requestArrives = !mCloseAfterWrite && (mParser->got_some() || mBuffer.size() > 0);
+  const bool requestArrives = !mCloseAfterWrite && (mReader.hasStarted() || hasNextRequest());
   const bool mayGetRequest = !mCloseAfterWrite && bootNow() < mExpectsRequestUntil;
   return !mClosed &&
          (mExchange || mWriting || !mPendingOutput.empty() || requestArrives || mayGetRequest);
@@ -98,21 +119,23 @@
   if (mClosed || mExchange || mCloseAfterWrite) {
     return;
   }
-  if (mParser->got_some()) {
+  if (mReader.hasStarted()) {
     reject(503, "draining");
   } else {
     closeIfIdle();
   }
 }
 
+route::CallerLimits
+CallerConnection::limits() const
+{
+  return mContext.table ? mContext.table->config().limits : route::CallerLimits{};
+}
+
 void
-CallerConnection::resetParser()
+CallerConnection::resetReader()
 {
-  mParser.emplace();
-  mParser->eager(true);
-  mParserLimits = mContext.table ? mContext.table->config().limits : route::CallerLimits{};
-  mParser->header_limit(mParserLimits.headerBytes);
-  mParser->body_limit(mParserLimits.bodyBytes);
+  mReader.reset(limits());
   mContinueSent = false;
 }
 
@@ -129,20 +152,15 @@
 Duration
 CallerConnection::receiveTimeout() const
 {
-  const auto limits = mContext.table ? mContext.table->config().limits : route::CallerLimits{};
-  const bool requestStarted = mParser && (mParser->got_some() || mBuffer.size() > 0);
-  return requestStarted && !mParser->is_header_done() ? limits.headerTimeout : limits.idleTimeout;
+  const bool requestStarted = mReader.hasStarted() || hasNextRequest();
+  return requestStarted && !mReader.isHeaderDone() ? limits().headerTimeout : limits().idleTimeout;
 }
 
 void
 CallerConnection::extendLimits()
 {
-  if (mContext.table && !mParser->got_some()) {
-    const auto& limits = mContext.table->config().limits;
-    mParserLimits.headerBytes = std::max(mParserLimits.headerBytes, limits.headerBytes);
-    mParserLimits.bodyBytes = std::max(mParserLimits.bodyBytes, limits.bodyBytes);
-    mParser->header_limit(mParserLimits.headerBytes);
-    mParser->body_limit(mParserLimits.bodyBytes);
+  if (mContext.table) {
+    mReader.extendLimits(mContext.table->config().limits);
   }
   const auto at = mReceivingSince + receiveTimeout();
   if (!mLingering && mReceiveTimer && mReceiveTimer->first < at) {
@@ -160,8 +178,8 @@
       return;
     }
     self->mReceiveTimer.reset();
-    if (self->mParser->got_some()) {
-      self->reject(408, "timeout");
+    if (self->mReader.hasStarted()) {
+      self->reject(408, self->mReader.isHeaderDone() ? "body_timeout" : "header_timeout");
     } else if (self->pendingBytes() > 0) {
       // Not idle: the caller still reads. The kernel ends the connection if it stops.
       self->armReceiveTimer();
@@ -176,7 +194,7 @@
 CallerConnection::closeAtIdleLimit()
 {
   BoostErrorCode ec;
-  if (mExchange || mReceiveTimer || mParser->got_some()) {
+  if (mExchange || mReceiveTimer || mReader.hasStarted()) {
     return;
   }
   if (mSocket.available(ec) > 0) {
@@ -186,88 +204,132 @@
   close(ConnectionEnd::Idle);
 }
 
+std::size_t
+CallerConnection::maxUnparsedBytes() const
+{
+  if (!mExchange) {
+    return mReader.maxUnparsedBytes();
+  }
+  return mContext.callerMemory.isScarce() ? kMaxPipelinedBytesWhenScarce : kMaxPipelinedBytes;
+}
+
 void
 CallerConnection::read()
 {
-  if (mReading || mClosed || mBuffer.size() >= kMaxPipelinedBytes) {
+  if (mReading || mClosed || mReader.unparsedBytes() >= maxUnparsedBytes()) {
     return;
   }
   mReading = true;
-  mSocket.async_read_some(asio::buffer(mReadBytes),
-                          [self = shared_from_this()](BoostErrorCode aError, std::size_t aBytes) {
-                            self->mReading = false;
-                            self->onRead(aError, aBytes);
-                          });
+  // Waits without a buffer: many connections may never send a byte.
+  mSocket.async_wait(Socket::wait_read, [self = shared_from_this()](BoostErrorCode aError) {
+    self->mReading = false;
+    self->onReadable(aError);
+  });
 }
 
 void
-CallerConnection::onRead(BoostErrorCode aError, std::size_t aBytes)
+CallerConnection::onReadable(BoostErrorCode aError)
 {
   if (mClosed) {
     return;
   }
-  if (aError) {
+  auto& bytes = mContext.readBytes;
+  const auto n = aError ? 0 : mSocket.read_some(asio::buffer(bytes), aError);
+  if (aError && aError != asio::error::would_block) {
     close(mLingering ? ConnectionEnd::Announced : ConnectionEnd::CallerClosed);
     return;
   }
-  if (mLingering) {
-    mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
-    findRequestAfterEnd();
-    read();
+  if (n > 0) {
+    receive({ bytes.data(), n });
+  }
+  read();
+}
+
+void
+CallerConnection::receive(std::string_view aBytes)
+{
+  if (mRejected) {
     return;
   }
-  mBuffer.commit(asio::buffer_copy(mBuffer.prepare(aBytes), asio::buffer(mReadBytes, aBytes)));
-  if (!mExchange) {
-    const bool wasIdle = !mParser->got_some();
+  mReader.append(aBytes);
+  if (mLingering) {
+    findRequestAfterEnd();
+  } else if (!mExchange) {
+    const bool wasIdle = !mReader.hasStarted();
+    const bool wasInHeader = !mReader.isHeaderDone();
+    const auto bodyBefore = mReader.bodyBytes();
     parse();
-    if (wasIdle && !mExchange && !mClosed) {
+    const bool isHeaderComplete = wasInHeader && mReader.isHeaderDone();
+    if ((wasIdle || isHeaderComplete) && !mExchange && !mClosed && !mCloseAfterWrite) {
       armReceiveTimer();
     }
+    if (mReader.bodyBytes() > bodyBefore) {
+      mContext.callerMemory.noteProgress(mId, mReader.bodyBytes() - bodyBefore, bootNow());
+    }
+    if (isHeaderComplete && !mExchange) {
+      identifyOrganisation();
+    }
   }
-  read();
+  account();
+}
+
+void
+CallerConnection::identifyOrganisation()
+{
+  const auto key = mContext.dialect.parseRequestHead(mReader.fields()).callerKey;
+  const auto* organisation =
+    mContext.table && !key.empty() ? mContext.table->findOrganisation(key) : nullptr;
+  setOrganisation(organisation ? organisation->id.str() : std::string());
+}
+
+void
+CallerConnection::setOrganisation(const std::string& aOrganisation)
+{
+  mContext.callerMemory.setOrganisation(mId, aOrganisation);
 }
 
 void
 CallerConnection::parse()
 {
-  while (!mExchange && !mClosed && !mCloseAfterWrite && mBuffer.size() > 0) {
-    BoostErrorCode ec;
-    const auto n = mParser->put(mBuffer.data(), ec);
-    mBuffer.consume(n);
-    if (ec == http::error::need_more) {
-      const bool awaitsContinue =
-        mParser->is_header_done() && !mContinueSent &&
-        boost::beast::iequals(mParser->get()[http::field::expect], "100-continue");
-      if (mContext.endingRequests || (awaitsContinue && !mContext.acceptingRequests)) {
-        reject(503, "draining");
-      } else if (awaitsContinue) {
-        mContinueSent = true;
-        write("HTTP/1.1 100 Continue\r\n\r\n");
-      }
-      return;
-    }
-    if (ec == http::error::header_limit) {
-      reject(431, "header_too_large");
-      return;
-    }
-    if (ec == http::error::body_limit) {
-      reject(413, "body_too_large");
-      return;
-    }
-    if (ec) {
-      reject(400, "malformed");
-      return;
-    }
-    if (mParser->is_done()) {
-      startExchange();
+  while (!mExchange && !mClosed && !mCloseAfterWrite && hasNextRequest()) {
+    switch (mReader.read()) {
+      case RequestReader::Result::NeedMore:
+        onRequestUnfinished();
+        return;
+      case RequestReader::Result::HeaderTooLarge:
+        reject(431, "header_too_large");
+        return;
+      case RequestReader::Result::BodyTooLarge:
+        reject(413, "body_too_large");
+        return;
+      case RequestReader::Result::Malformed:
+        reject(400, "malformed");
+        return;
+      case RequestReader::Result::Complete:
+        startExchange();
+        break;
     }
   }
 }
 
+void
+CallerConnection::onRequestUnfinished()
+{
+  const bool awaitsContinue =
+    mReader.isHeaderDone() && !mContinueSent &&
+    boost::beast::iequals(mReader.fields()[http::field::expect], "100-continue");
+  if (mContext.endingRequests || (awaitsContinue && !mContext.acceptingRequests)) {
+    reject(503, "draining");
+  } else if (awaitsContinue) {
+    mContinueSent = true;
+    write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
 void
 CallerConnection::startExchange()
 {
-  if (!isTransferEncodingSupported(mParser->get())) {
+  if (!isTransferEncodingSupported(mReader.fields())) {
     reject(400, "transfer_encoding");
     return;
   }
@@ -275,13 +337,14 @@
     mContext.timers.cancel(*mReceiveTimer);
     mReceiveTimer.reset();
   }
-  mRequestKeepAlive = mParser->get().keep_alive();
+  mRequestKeepAlive = mReader.keepAlive();
   if (!mContext.acceptingRequests) {
     refuseWhileDraining();
     return;
   }
-  auto request = mParser->release();
-  resetParser();
+  auto request = mReader.take(limits());
+  mContinueSent = false;
+  mRequestBytes = request.heldBytes;
   mExchange = std::make_unique<Exchange>(mContext, *this, std::move(request));
   mExchangeOwner = shared_from_this();
   mExchange->start();
@@ -293,22 +356,41 @@
   return !mRequestKeepAlive || (mContext.draining && !hasNextRequest());
 }
 
+std::string
+CallerConnection::refusalText(unsigned aStatus, std::string_view aFields) const
+{
+  Fields fields;
+  if (aStatus == 503) {
+    mContext.dialect.setRetryAfter(fields, kRetryDelay);
+  }
+  std::string text;
+  appendStatusLine(text, aStatus);
+  appendFields(text, fields);
+  text += aFields;
+  text += "Content-Length: 0\r\n\r\n";
+  return text;
+}
+
 void
 CallerConnection::reject(unsigned aStatus, const char* aReason)
 {
   LogEvent(LogLevel::Info, aStatus == 503 ? "request.refused" : "request.malformed")
     .field("status", aStatus)
     .field("reason", aReason)
+    .field("body_bytes", mReader.bodyBytes())
     .write();
+  mContext.metrics.countRejectedCaller(aReason);
   if (mReceiveTimer) {
     mContext.timers.cancel(*mReceiveTimer);
     mReceiveTimer.reset();
   }
-  std::string text;
-  appendStatusLine(text, aStatus);
-  text += "Connection: close\r\nContent-Length: 0\r\n\r\n";
+  if (!mReader.isDone()) {
+    mRejected = true;
+    mReader.discardBody();
+    mReader.discardUnparsed();
+  }
   mCloseAfterWrite = true;
-  write(text);
+  write(refusalText(aStatus, "Connection: close\r\n"));
 }
 
 void
@@ -322,12 +404,9 @@
     .field("status", 503)
     .field("reason", "draining")
     .write();
-  resetParser();
+  resetReader();
   armReceiveTimer();
-  std::string text;
-  appendStatusLine(text, 503);
-  text += "Content-Length: 0\r\n\r\n";
-  write(text);
+  write(refusalText(503, ""));
 }
 
 void
@@ -345,10 +424,11 @@
   mLingering = true;
   armLingerTimer(kLingerTime);
   // The rest of a request that was rejected is expected, and no further request.
-  mFindsRequestAfterEnd = !mParser->got_some() || mParser->is_done();
+  mFindsRequestAfterEnd = !mReader.hasStarted() || mReader.isDone();
   if (mFindsRequestAfterEnd) {
-    resetParser();
+    resetReader();
   }
+  mReader.discardBody();
   findRequestAfterEnd();
   read();
 }
@@ -370,19 +450,18 @@
 void
 CallerConnection::findRequestAfterEnd()
 {
-  while (mFindsRequestAfterEnd && mBuffer.size() > 0) {
-    BoostErrorCode ec;
-    mBuffer.consume(mParser->put(mBuffer.data(), ec));
-    if (ec == http::error::need_more) {
+  if (mFindsRequestAfterEnd && hasNextRequest()) {
+    const auto result = mReader.read();
+    if (result == RequestReader::Result::NeedMore) {
       return;
     }
-    mFindsRequestAfterEnd = !ec && !mParser->is_done();
-    if (mParser->is_done()) {
+    mFindsRequestAfterEnd = false;
+    if (result == RequestReader::Result::Complete) {
       noteUnanswered("after_last_response");
       armLingerTimer(kLingerAfterRequest);
     }
   }
-  mBuffer.clear();
+  mReader.discardUnparsed();
 }
 
 bool
@@ -401,7 +480,7 @@
   }
   mPendingOutput.append(aBytes);
   flush();
-  accountOutput();
+  account();
 }
 
 void
@@ -410,31 +489,85 @@
   mPendingOutput.reserve(mPendingOutput.size() + aBytes);
 }
 
+CallerStage
+CallerConnection::stage() const
+{
+  if (pendingBytes() >= kMinUnreadBytes) {
+    return CallerStage::Delivering;
+  }
+  if (mExchange) {
+    return mExchange->mayHaveExecuted() ? CallerStage::Executing : CallerStage::Waiting;
+  }
+  const bool isReceiving = !mRejected && (mReader.hasStarted() || hasNextRequest());
+  return isReceiving ? CallerStage::Receiving : CallerStage::Idle;
+}
+
 void
-CallerConnection::accountOutput()
+CallerConnection::account()
 {
-  const auto n = pendingBytes();
-  if (n < kMinAccountedBytes && mAccountedBytes == 0) {
+  if (mClosed) {
     return;
   }
-  mAccountedBytes = n < kMinAccountedBytes ? 0 : n;
-  auto& memory = mContext.callerOutput;
-  memory.set(mOutputId, std::to_string(mOutputId), mAccountedBytes);
-  if (memory.totalBytes() > memory.limitBytes()) {
-    // The exchange that writes goes on with its response first.
-    asio::post(mContext.io, [context = mSharedContext] { context->freeCallerOutput(); });
-  }
+  auto& memory = mContext.callerMemory;
+  memory.setBytes(mId,
+                  sizeof(*this) + kConnectionOverhead + mReader.heldBytes() + mRequestBytes +
+                    mPendingOutput.capacity() + mOutputInFlight.capacity());
+  memory.setStage(mId, stage(), bootNow());
+  mContext.limitCallerMemory();
 }
 
 void
 CallerConnection::onMemoryExceeded()
 {
-  LogEvent(LogLevel::Warning, "caller.output_dropped")
-    .field("bytes", mAccountedBytes)
-    .field("all_bytes", mContext.callerOutput.totalBytes())
-    .field("limit_bytes", mContext.callerOutput.limitBytes())
+  const auto holds = stage();
+  const auto& memory = mContext.callerMemory;
+  LogEvent(LogLevel::Warning,
+           holds == CallerStage::Delivering ? "caller.output_dropped" : "caller.overload")
+    .field("bytes", memory.bytesOf(mId))
+    .field("all_bytes", memory.totalBytes())
+    .field("limit_bytes", memory.limitBytes())
+    .field("stage", kCallerStageNames.name(holds))
     .write();
-  close(ConnectionEnd::OutputDropped);
+  if (holds == CallerStage::Receiving && !mCloseAfterWrite) {
+    reject(503, "overload");
+    return;
+  }
+  mContext.metrics.countRejectedCaller(holds == CallerStage::Delivering ? "unread_output"
+                                                                        : "overload");
+  if (holds == CallerStage::Waiting && !mCloseAfterWrite) {
+    mExchange->end("overload");
+    if (!mExchange) {
+      account();
+      return;
+    }
+  }
+  close(holds == CallerStage::Delivering ? ConnectionEnd::OutputDropped : ConnectionEnd::Overload);
+}
+
+void
+CallerConnection::rejectStalled()
+{
+  if (mCloseAfterWrite) {
+    close(ConnectionEnd::Overload);
+    return;
+  }
+  reject(408, "too_slow");
+}
+
+bool
+CallerConnection::closeForAnother()
+{
+  BoostErrorCode ec;
+  if (stage() == CallerStage::Idle && !mCloseAfterWrite && mSocket.available(ec) > 0) {
+    return false;
+  }
+  mContext.metrics.countRejectedCaller("replaced");
+  LogEvent(LogLevel::Info, "caller.connection_replaced")
+    .field("connections", mContext.connectionCount)
+    .field("stage", kCallerStageNames.name(stage()))
+    .write();
+  close(ConnectionEnd::Replaced);
+  return true;
 }
 
 void
@@ -451,8 +584,14 @@
   }
   mOutputInFlight.swap(mPendingOutput);
   mWriting = true;
+  const auto noteProgress = [this, last = std::size_t{ 0 }](const BoostErrorCode& aError,
+                                                            std::size_t aWritten) mutable {
+    mContext.callerMemory.noteProgress(mId, aWritten - std::exchange(last, aWritten), bootNow());
+    return asio::transfer_all()(aError, aWritten);
+  };
   asio::async_write(mSocket,
                     asio::buffer(mOutputInFlight),
+                    noteProgress,
                     [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
                       self->mWriting = false;
                       if (aError) {
@@ -476,14 +615,14 @@
   if (mOutputInFlight.capacity() > kMaxKeptCapacity) {
     mOutputInFlight.shrink_to_fit();
   }
-  accountOutput();
+  account();
 }
 
 void
 CallerConnection::onOutputWritten()
 {
   // The connection is idle from now on.
-  if (mReceiveTimer && !mCloseAfterWrite && !mParser->got_some() && pendingBytes() == 0) {
+  if (mReceiveTimer && !mCloseAfterWrite && !mReader.hasStarted() && pendingBytes() == 0) {
     armReceiveTimer();
   }
 }
@@ -494,6 +633,7 @@
   asio::post(mContext.io,
              [owner = std::move(mExchangeOwner),
               ended = std::shared_ptr<Exchange>(std::move(mExchange))] {});
+  mRequestBytes = 0;
 }
 
 void
@@ -512,10 +652,16 @@
     mExpectsRequestUntil = bootNow() + kNextRequestTime;
   }
   armReceiveTimer();
-  if (mBuffer.size() > 0) {
+  account();
+  if (hasNextRequest()) {
     asio::post(mContext.io, [self = shared_from_this()] {
       if (!self->mExchange) {
         self->parse();
+        if (self->mReceiveTimer) {
+          // A body whose header section had been sent ahead has the time of a body.
+          self->armReceiveTimer();
+        }
+        self->account();
         self->read();
       }
     });
@@ -537,6 +683,8 @@
     return;
   }
   mClosed = true;
+  --mContext.connectionCount;
+  mContext.callerMemory.remove(mId);
   if (mReceiveTimer) {
     mContext.timers.cancel(*mReceiveTimer);
     mReceiveTimer.reset();
@@ -559,7 +707,7 @@
   mContext.metrics.countUnanswered(aReason);
   LogEvent(LogLevel::Info, "caller.unanswered")
     .field("reason", aReason)
-    .field("read_ahead_bytes", mBuffer.size())
+    .field("read_ahead_bytes", mReader.unparsedBytes())
     .field("unwritten_bytes", pendingBytes())
     .field("config", mContext.table ? mContext.table->version() : 0)
     .field("draining", static_cast<int>(mContext.draining))
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -4,16 +4,18 @@
 #include "exchange.hpp"
 #include "gateway_context.hpp"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include "request_reader.hpp"
 
-#include <array>
 #include <memory>
 #include <optional>
 #include <string>
 
 namespace mustardplank::gateway {
 
+/// The peer's address, without its port.
+std::string
+addressOf(const Socket& aSocket);
+
 /// A caller's connection. Processes its requests one at a time, and keeps reading while a request
 /// is in progress, to detect that the caller has closed the connection.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
@@ -36,12 +38,18 @@
   /// Applies the limits of a new configuration to the next request and the time for which it is
   /// awaited. A lower limit holds from the next wait on: the caller may not know it yet.
   void extendLimits();
-  /// Identifies the connection's output in GatewayContext::callerOutput.
-  ResponseMemory::HolderId outputId() const { return mOutputId; }
-  /// Closes the connection, as the caller leaves too much of its output unread.
+  /// Gives up what the caller makes the process hold: rejects a request that no server may have run
+  /// with 503, or closes the connection.
   void onMemoryExceeded();
+  /// Rejects a request that arrives too slowly for the memory that it holds.
+  void rejectStalled();
+  /// Closes the connection for one of another caller; false if a request has arrived.
+  bool closeForAnother();
 
   // For Exchange.
+  void setOrganisation(const std::string& aOrganisation);
+  /// A server may run the request from now on.
+  void onRequestSent() { account(); }
   void write(std::string_view aBytes);
   /// Announces further output of this size, so that it is not copied as it grows.
   void reserveOutput(std::size_t aBytes);
@@ -60,18 +68,24 @@
   /// The caller was found to have left.
   void closeAfterCaller() { close(ConnectionEnd::CallerClosed); }
   /// Whether bytes of a further request have been read.
-  bool hasNextRequest() const { return mBuffer.size() > 0; }
+  bool hasNextRequest() const { return mReader.unparsedBytes() > 0; }
 
 private:
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
+  route::CallerLimits limits() const;
+  /// Most unparsed bytes before reading pauses.
+  std::size_t maxUnparsedBytes() const;
   void read();
-  void onRead(BoostErrorCode aError, std::size_t aBytes);
+  void onReadable(BoostErrorCode aError);
+  void receive(std::string_view aBytes);
   void parse();
+  /// The request in progress has not arrived whole yet.
+  void onRequestUnfinished();
   void startExchange();
   /// Destroys the exchange after its own calls have returned.
   void releaseExchange();
   void reject(unsigned aStatus, const char* aReason);
+  /// A response without a body on the gateway's own behalf.
+  std::string refusalText(unsigned aStatus, std::string_view aFields) const;
   /// Refuses the request that has just arrived; the connection closes with the last one that was
   /// sent ahead.
   void refuseWhileDraining();
@@ -85,11 +99,15 @@
   /// Closes the connection unless bytes have arrived.
   void closeAtIdleLimit();
   void flush();
-  void accountOutput();
+  CallerStage stage() const;
+  /// States what the caller makes the process hold.
+  void account();
+  /// States the organisation of a request whose body is still arriving.
+  void identifyOrganisation();
   void releaseWrittenOutput();
   /// Restarts the idle time once a response has been written.
   void onOutputWritten();
-  void resetParser();
+  void resetReader();
   /// Starts the timer that closes an idle connection or rejects a request that does not arrive in
   /// time.
   void armReceiveTimer();
@@ -104,22 +122,17 @@
   std::shared_ptr<GatewayContext> mSharedContext;
   GatewayContext& mContext;
   Socket mSocket;
-  /// Bytes that are not parsed yet.
-  boost::beast::flat_buffer mBuffer;
-  /// Target of the read in progress; apart from mBuffer, which is consumed meanwhile.
-  std::array<char, 16 * 1024> mReadBytes{};
-  std::optional<Parser> mParser;
-  /// Of mParser, in bytes.
-  route::CallerLimits mParserLimits;
+  RequestReader mReader;
   std::unique_ptr<Exchange> mExchange;
   /// Keeps the connection while mExchange is in progress: with reading paused and nothing to write,
   /// no operation on the socket does.
   std::shared_ptr<CallerConnection> mExchangeOwner;
-  const ResponseMemory::HolderId mOutputId;
+  /// Of the request in mExchange.
+  std::size_t mRequestBytes = 0;
+  /// In GatewayContext::callerMemory.
+  const CallerMemory::HolderId mId;
   std::string mPendingOutput;
   std::string mOutputInFlight;
-  /// Of the output, in GatewayContext::callerOutput.
-  std::size_t mAccountedBytes = 0;
   std::optional<AlarmQueue::Id> mReceiveTimer;
   /// In a planned stop, for a request after a response that did not announce the end.
   TimePoint mExpectsRequestUntil{};
@@ -130,6 +143,8 @@
   bool mClosed = false;
   bool mCloseAfterWrite = false;
   bool mLingering = false;
+  /// The rest of the request in progress is discarded.
+  bool mRejected = false;
   bool mRequestKeepAlive = true;
   bool mContinueSent = false;
   /// While lingering: what arrives may be a request, which gets no answer.
--- a/src/mustardplank/gateway/connection_end.hpp
+++ b/src/mustardplank/gateway/connection_end.hpp
@@ -19,17 +19,23 @@
   BrokenOff,
   /// The caller left too much of its output unread.
   OutputDropped,
+  /// Callers held too much memory together.
+  Overload,
+  /// There were too many connections, and another address had fewer.
+  Replaced,
   /// No request was in progress at a planned stop.
   Draining,
 };
 
-inline constexpr NameTable<ConnectionEnd, 7> kConnectionEndNames{ { {
+inline constexpr NameTable<ConnectionEnd, 9> kConnectionEndNames{ { {
   { ConnectionEnd::CallerClosed, "caller_closed" },
   { ConnectionEnd::WriteFailed, "write_failed" },
   { ConnectionEnd::Announced, "announced" },
   { ConnectionEnd::Idle, "idle" },
   { ConnectionEnd::BrokenOff, "broken_off" },
   { ConnectionEnd::OutputDropped, "output_dropped" },
+  { ConnectionEnd::Overload, "overload" },
+  { ConnectionEnd::Replaced, "replaced" },
   { ConnectionEnd::Draining, "draining" },
 } } };
 
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -45,11 +45,12 @@
 
 }
 
-Exchange::Exchange(GatewayContext& aContext, CallerConnection& aCaller, Request aRequest)
+Exchange::Exchange(GatewayContext& aContext, CallerConnection& aCaller, CallerRequest aRequest)
   : mContext(aContext)
   , mCaller(aCaller)
-  , mRequest(std::move(aRequest))
-  , mRequestHead(aContext.dialect.parseRequestHead(mRequest.base()))
+  , mRequest(std::move(aRequest.header))
+  , mRequestBody(std::move(aRequest.body))
+  , mRequestHead(aContext.dialect.parseRequestHead(mRequest))
   , mTable(aContext.table)
 {
   mJob.id = ++mContext.lastJobId;
@@ -214,15 +215,18 @@
 std::uint64_t
 Exchange::makeDigest() const
 {
-  std::string text = mJob.organisation.str();
-  for (const auto part : { mRequest.method_string(),
-                           mRequest[http::field::host],
-                           mRequest.target(),
-                           boost::beast::string_view(mRequest.body()) }) {
-    text += '\n';
-    text.append(part.data(), part.size());
+  StableHasher hasher;
+  hasher.add(mJob.organisation.str());
+  for (const auto part :
+       { mRequest.method_string(), mRequest[http::field::host], mRequest.target() }) {
+    hasher.add("\n");
+    hasher.add(part);
   }
-  return stableHash(text);
+  hasher.add("\n");
+  for (const auto& it : mRequestBody->blocks()) {
+    hasher.add(it);
+  }
+  return hasher.value();
 }
 
 bool
@@ -244,6 +248,7 @@
     mJob.organisation = aOrganisation->id;
     tier = aOrganisation->tier.value_or(tier);
   }
+  mCaller.setOrganisation(mJob.organisation.str());
   mJob.tier = route::urgencyRank(tier, *mRoute);
   mJob.prompt = aHead.promptParts;
   mJob.promptTokens = aHead.promptTokens;
@@ -401,16 +406,18 @@
         .field("reused", static_cast<int>(aConnection->isReused()))
         .field("time_left_ms", toMillis(deadline() - now)),
       true);
-  aConnection->send(serializeRequest(), mRequest.method() == http::verb::head, *this);
+  aConnection->send(
+    serializeRequestHeader(), mRequestBody, mRequest.method() == http::verb::head, *this);
+  mCaller.onRequestSent();
   mLastProgressAt = now;
   armStallTimer();
   limitSharedRun();
 }
 
 std::string
-Exchange::serializeRequest() const
+Exchange::serializeRequestHeader() const
 {
-  Fields fields = mRequest.base();
+  Fields fields = mRequest;
   removeHopByHopFields(fields);
   ForwardingMetadata metadata;
   metadata.organisation = mJob.organisation.str();
@@ -422,7 +429,7 @@
   mContext.dialect.rewriteForBackend(fields, metadata);
 
   std::string text;
-  text.reserve(1024 + mRequest.body().size());
+  text.reserve(1024);
   text.append(mRequest.method_string().data(), mRequest.method_string().size());
   text += ' ';
   text.append(mRequest.target().data(), mRequest.target().size());
@@ -431,10 +438,9 @@
   const bool hasBody = mRequest.find(http::field::content_length) != mRequest.end() ||
                        mRequest.find(http::field::transfer_encoding) != mRequest.end();
   if (hasBody) {
-    text += "Content-Length: " + std::to_string(mRequest.body().size()) + "\r\n";
+    text += "Content-Length: " + std::to_string(mRequestBody->size()) + "\r\n";
   }
   text += "\r\n";
-  text += mRequest.body();
   return text;
 }
 
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -3,13 +3,13 @@
 #include "backend_connection.hpp"
 #include "connection_end.hpp"
 #include "gateway_context.hpp"
+#include "request_reader.hpp"
 
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/gateway/body_buffer.hpp"
 #include "mustardplank/gateway/event_splitter.hpp"
 
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -36,9 +36,7 @@
 class Exchange : public ResponseListener
 {
 public:
-  using Request = boost::beast::http::request<boost::beast::http::string_body>;
-
-  Exchange(GatewayContext& aContext, CallerConnection& aCaller, Request aRequest);
+  Exchange(GatewayContext& aContext, CallerConnection& aCaller, CallerRequest aRequest);
   ~Exchange() override;
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -93,7 +91,7 @@
   void onConnected(std::uint32_t aGrantNumber,
                    const BackendConnectionPool::ConnectionPtr& aConnection);
   void send(const BackendConnectionPool::ConnectionPtr& aConnection);
-  std::string serializeRequest() const;
+  std::string serializeRequestHeader() const;
   /// Gives up the grant, cancels a request in progress and reports aOutcome to the dispatcher.
   void releaseServer(dispatch::JobOutcome aOutcome);
   void cancelConnection();
@@ -251,7 +249,8 @@
 
   GatewayContext& mContext;
   CallerConnection& mCaller;
-  Request mRequest;
+  boost::beast::http::request_header<> mRequest;
+  std::shared_ptr<const BodyBuffer> mRequestBody;
   RequestHead mRequestHead;
   route::RouteTablePtr mTable;
   const route::Route* mRoute = nullptr;
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -402,7 +402,7 @@
     return;
   }
   const auto nowMs = mContext.callbacks.sharedTimeMs();
-  const bool hasBody = mJob.streaming || !mRequest.body().empty();
+  const bool hasBody = mJob.streaming || mRequestBody->size() > 0;
   mContext.callbacks.onConnectionLost(
     { mRequestDigest,
       aGrant.server,
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -21,8 +21,12 @@
 
 namespace {
 
-/// Unread bytes of one caller above which its server is paused, once the output of all callers is
-/// above half of its limit.
+/// While callers' memory is scarce, those below the least rate are looked for this often.
+constexpr Duration kStalledCheckPeriod = Millis(100);
+/// After a connection could not be accepted, such as for want of descriptors.
+constexpr Duration kAcceptRetryDelay = Millis(50);
+/// Unread bytes of one caller above which its server is paused, once what callers hold is above
+/// half of its limit.
 constexpr std::size_t kScarceOutputBytes = 16UL * 1024;
 
 Tcp::endpoint
@@ -71,23 +75,43 @@
 }
 
 void
-GatewayContext::freeCallerOutput()
+GatewayContext::limitCallerMemory()
 {
-  while (const auto id = callerOutput.findExcess()) {
-    const auto it = std::find_if(callerConnections.begin(),
-                                 callerConnections.end(),
-                                 [&](const auto* aItem) { return aItem->outputId() == *id; });
-    if (it != callerConnections.end()) {
-      (*it)->onMemoryExceeded();
-    }
-    callerOutput.remove(*id);
+  const bool due =
+    callerMemory.isExceeded() ||
+    (callerMemory.isScarce() && bootNow() - callerMemoryCheckedAt >= kStalledCheckPeriod);
+  if (due && !freeingCallerMemory) {
+    freeingCallerMemory = true;
+    // The exchange or connection that holds more now goes on first.
+    asio::post(io, [self = shared_from_this()] { self->freeCallerMemory(); });
+  }
+}
+
+void
+GatewayContext::freeCallerMemory()
+{
+  const auto now = bootNow();
+  callerMemoryCheckedAt = now;
+  while (const auto id = callerMemory.findStalled(now)) {
+    callerConnections.at(*id)->rejectStalled();
   }
+  while (const auto id = callerMemory.findExcess(now)) {
+    callerConnections.at(*id)->onMemoryExceeded();
+  }
+  freeingCallerMemory = false;
+}
+
+bool
+GatewayContext::replaceConnection(const std::string& aAddress)
+{
+  const auto id = callerMemory.findReplaceable(aAddress, bootNow());
+  return id && callerConnections.at(*id)->closeForAnother();
 }
 
 std::size_t
 GatewayContext::outputPauseBytes() const
 {
-  const bool scarce = callerOutput.totalBytes() > callerOutput.limitBytes() / 2;
+  const bool scarce = callerMemory.totalBytes() > callerMemory.limitBytes() / 2;
   return scarce ? std::min(kScarceOutputBytes, options.maxBufferedBytes) : options.maxBufferedBytes;
 }
 
@@ -115,20 +139,38 @@
   {
     acceptor->async_accept([this](BoostErrorCode aError, Socket aSocket) {
       // A connection may have been accepted just before the listener closed.
-      if (!aError && context.connectionCount < context.options.maxCallerConnections) {
-        std::make_shared<CallerConnection>(sharedContext, std::move(aSocket))->start();
-      } else if (!aError) {
-        context.metrics.count(metrics::Event::RefusedConnection);
-        LogEvent(LogLevel::Warning, "caller.connection_refused")
-          .field("connections", context.connectionCount)
-          .write();
+      if (!aError) {
+        admit(std::move(aSocket));
       }
-      if (acceptor->is_open()) {
-        accept();
+      if (!acceptor->is_open()) {
+        return;
       }
+      if (aError) {
+        context.timers.set(bootNow() + kAcceptRetryDelay, [this] {
+          if (acceptor->is_open()) {
+            accept();
+          }
+        });
+        return;
+      }
+      accept();
     });
   }
 
+  void admit(Socket aSocket)
+  {
+    const auto limit = context.options.maxCallerConnections;
+    if (context.connectionCount < limit || context.replaceConnection(addressOf(aSocket))) {
+      std::make_shared<CallerConnection>(sharedContext, std::move(aSocket))->start();
+      return;
+    }
+    context.metrics.count(metrics::Event::RefusedConnection);
+    context.metrics.countRejectedCaller("connections");
+    LogEvent(LogLevel::Warning, "caller.connection_refused")
+      .field("connections", context.connectionCount)
+      .write();
+  }
+
   /// Takes the connections that the kernel has completed, which would be reset with the listener.
   void acceptWaiting()
   {
@@ -138,7 +180,7 @@
       Socket socket(context.io.get_executor());
       acceptor->accept(socket, ec);
       if (!ec) {
-        std::make_shared<CallerConnection>(sharedContext, std::move(socket))->start();
+        admit(std::move(socket));
       }
     }
   }
@@ -163,7 +205,7 @@
   std::vector<std::shared_ptr<CallerConnection>> openConnections() const
   {
     std::vector<std::shared_ptr<CallerConnection>> connections;
-    for (auto* it : context.callerConnections) {
+    for (const auto& [id, it] : context.callerConnections) {
       if (auto connection = it->weak_from_this().lock()) {
         connections.push_back(std::move(connection));
       }
@@ -272,7 +314,7 @@
 Gateway::setTable(route::RouteTablePtr aTable)
 {
   mImpl->context.table = std::move(aTable);
-  for (auto* it : mImpl->context.callerConnections) {
+  for (const auto& [id, it] : mImpl->context.callerConnections) {
     it->extendLimits();
   }
 }
@@ -304,7 +346,7 @@
   mImpl->acceptWaiting();
   BoostErrorCode ec;
   mImpl->acceptor->close(ec);
-  for (auto* it : connections) {
+  for (const auto& [id, it] : connections) {
     // Reads that have completed are handled first.
     asio::post(context.io, [weak = it->weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -347,8 +389,9 @@
 Gateway::isBusy() const
 {
   const auto& connections = mImpl->context.callerConnections;
-  return std::any_of(
-    connections.begin(), connections.end(), [](const auto* aItem) { return aItem->isBusy(); });
+  return std::any_of(connections.begin(), connections.end(), [](const auto& aItem) {
+    return aItem.second->isBusy();
+  });
 }
 
 std::size_t
@@ -363,6 +406,12 @@
   return mImpl->context.connectionCount;
 }
 
+std::size_t
+Gateway::callerBytes() const
+{
+  return mImpl->context.callerMemory.totalBytes();
+}
+
 void
 Gateway::closeListener()
 {
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -3,12 +3,14 @@
 #include "backend_connection_pool.hpp"
 
 #include "mustardplank/dispatch/caller_retry_detector.hpp"
+#include "mustardplank/gateway/caller_memory.hpp"
 #include "mustardplank/gateway/gateway.hpp"
 #include "mustardplank/gateway/response_memory.hpp"
 #include "mustardplank/gateway/types.hpp"
 
+#include <array>
+#include <map>
 #include <random>
-#include <set>
 #include <unordered_map>
 
 namespace mustardplank::gateway {
@@ -17,8 +19,11 @@
 class Exchange;
 
 /// State shared by the connections and exchanges of one gateway.
-struct GatewayContext
+struct GatewayContext : std::enable_shared_from_this<GatewayContext>
 {
+  /// Part of the callers' memory that is guaranteed to each address and organisation.
+  static constexpr std::size_t kGuaranteedPart = 8;
+
   GatewayContext(boost::asio::io_context& aIo,
                  GatewayOptions aOptions,
                  const HeaderDialect& aDialect,
@@ -35,7 +40,9 @@
     , callbacks(std::move(aCallbacks))
     , connectionPool(aIo)
     , serverResponses(options.maxResponseBytes)
-    , callerOutput(options.maxResponseBytes)
+    , callerMemory({ options.maxCallerBytes,
+                     options.maxCallerBytes / kGuaranteedPart,
+                     options.minCallerBytesPerSecond })
   {
   }
 
@@ -45,8 +52,12 @@
   /// Ends responses until those that are held keep the limit. Exchanges may start and end
   /// meanwhile.
   void freeServerResponses();
-  /// Closes callers' connections until the output that they have not taken keeps the limit.
-  void freeCallerOutput();
+  /// Calls freeCallerMemory() soon if callers hold too much.
+  void limitCallerMemory();
+  /// Rejects callers until what they hold keeps the limit. Exchanges may start and end meanwhile.
+  void freeCallerMemory();
+  /// Closes a connection for a new one from aAddress. False if there is none to close.
+  bool replaceConnection(const std::string& aAddress);
   /// Bytes that a caller may leave unread before reading from its server is paused.
   std::size_t outputPauseBytes() const;
 
@@ -66,13 +77,18 @@
   bool endingRequests = false;
   /// Open caller connections.
   std::size_t connectionCount = 0;
-  std::set<CallerConnection*> callerConnections;
+  std::map<CallerMemory::HolderId, CallerConnection*> callerConnections;
   dispatch::JobId lastJobId = 0;
   /// Bytes of responses that servers have not completed, by job.
   ResponseMemory serverResponses;
-  /// Bytes that callers have not taken, by CallerConnection::outputId().
-  ResponseMemory callerOutput;
-  ResponseMemory::HolderId lastOutputId = 0;
+  /// What callers hold, by connection.
+  CallerMemory callerMemory;
+  CallerMemory::HolderId lastConnectionId = 0;
+  /// Whether a call of freeCallerMemory() is due.
+  bool freeingCallerMemory = false;
+  TimePoint callerMemoryCheckedAt{};
+  /// Target of reads from callers. One for all, as connections without a byte must not hold memory.
+  std::array<char, 16UL * 1024> readBytes{};
   /// Detects callers that retry after a refusal: they have less time left than usual on the route.
   dispatch::CallerRetryDetector callerRetries;
   std::unordered_map<dispatch::JobId, Exchange*> exchanges;
--- a/src/mustardplank/metrics/metrics.cpp
+++ b/src/mustardplank/metrics/metrics.cpp
@@ -119,15 +119,12 @@
   std::map<PoolId, Gauges> mPools;
 };
 
-/// The series of requests without an answer, by reason.
-class UnansweredCounters
+/// One counter for each reason.
+class ReasonCounters
 {
 public:
-  explicit UnansweredCounters(prometheus::Registry& aRegistry)
-    : mFamily(prometheus::BuildCounter()
-                .Name("mustardplank_unanswered_requests_total")
-                .Help("Requests that arrived whole and got no complete answer.")
-                .Register(aRegistry))
+  ReasonCounters(prometheus::Registry& aRegistry, const char* aName, const char* aHelp)
+    : mFamily(prometheus::BuildCounter().Name(aName).Help(aHelp).Register(aRegistry))
   {
   }
 
@@ -183,7 +180,12 @@
     , organisations(registry, "organisation", aLimits.organisations)
     , all(makeRefusalsByCode(registry))
     , pools(registry, aLimits.pools)
-    , unanswered(registry)
+    , unanswered(registry,
+                 "mustardplank_unanswered_requests_total",
+                 "Requests that arrived whole and got no complete answer.")
+    , rejectedCallers(registry,
+                      "mustardplank_rejected_callers_total",
+                      "Requests and connections of callers that were rejected.")
     , control(registry)
   {
     for (const auto& [gauge, name] : kGaugeNames.entries) {
@@ -207,7 +209,8 @@
   SeriesTable organisations;
   Series all;
   PoolGauges pools;
-  UnansweredCounters unanswered;
+  ReasonCounters unanswered;
+  ReasonCounters rejectedCallers;
   ControlCounters control;
   std::array<PrometheusGauge*, kGaugeNames.entries.size()> gauges{};
   std::array<prometheus::Counter*, kEventNames.entries.size()> events{};
@@ -252,6 +255,12 @@
   mImpl->unanswered.count(aReason);
 }
 
+void
+Metrics::countRejectedCaller(std::string_view aReason)
+{
+  mImpl->rejectedCallers.count(aReason);
+}
+
 void
 Metrics::countControl(ControlMessage aKind, std::size_t aBytes)
 {
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -19,6 +19,7 @@
 constexpr double kMaxLinkMbps = 1'000'000.0;
 constexpr std::uint32_t kMinMemoryMb = 1;
 constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
+constexpr std::uint32_t kMaxCallerRate = 1'000'000'000;
 
 void
 readBounds(const JsonNode& aNode,
@@ -92,6 +93,7 @@
   reader.real("processor_share", settings.processorShare, 0.001, kMaxProcessorShare);
   reader.real("link_mbps", settings.linkMbps, 0.0, kMaxLinkMbps);
   reader.integer("memory_mb", settings.memoryMb, kMinMemoryMb, kMaxMemoryMb);
+  reader.integer("caller_min_bytes_per_s", settings.callerMinBytesPerS, 0, kMaxCallerRate);
   reader.integer("log_sampling", settings.logSampling, 1, 1'000'000);
   if (const auto* node = reader.object("bounds", Presence::Optional)) {
     readBounds(*node, aFileName, aFindings, settings.bounds);
--- a/src/mustardplank/settings/route_settings_test.cpp
+++ b/src/mustardplank/settings/route_settings_test.cpp
@@ -87,6 +87,8 @@
   Findings findings;
   BOOST_TEST(parse(kLeast + R"(, "memory_mb": 260 })", findings).memoryMb == 260U);
   BOOST_TEST(findings.text() == "");
+  BOOST_TEST(parse(kLeast + R"(, "caller_min_bytes_per_s": 0 })", findings).callerMinBytesPerS ==
+             0U);
   parse(kLeast + R"(, "memory_mb": 0 })", findings);
   BOOST_TEST(findings.text().find("memory_mb") != std::string::npos);
 }
