An empty chunked body whose end arrives in pieces no longer ends the process

Cause, found by request_fuzz: after "0\r\n" alone Beast 1.81 asserts that the next bytes are at least 5 (basic_parser.ipp, parse_chunk_header); builds have assertions, so that one caller ends an instance.

--- a/src/mustardplank/gateway/request_reader.cpp
+++ b/src/mustardplank/gateway/request_reader.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 /// A larger buffer is freed once it is empty.
 constexpr std::size_t kMaxKeptCapacity = 4UL * 1024;
+/// The shortest end of a chunked body, "0\r\n\r\n". With fewer bytes Beast 1.81 ends the process by
+/// an assertion, if it has seen the first line of that end before.
+constexpr std::size_t kMinChunkedBytes = 5;
 /// The fields of the parser, their parsed form and those sent to a server.
 constexpr std::size_t kHeaderCopies = 3;
 /// Of each field in Beast's container, besides its text.
@@ -80,6 +83,9 @@
 RequestReader::read()
 {
   while (mBuffer.size() > 0 && !mParser->is_done()) {
+    if (mParser->is_header_done() && mParser->chunked() && mBuffer.size() < kMinChunkedBytes) {
+      return Result::NeedMore;
+    }
     BoostErrorCode ec;
     const bool inHeader = !mParser->is_header_done();
     mBuffer.consume(mParser->put(mBuffer.data(), ec));
--- a/src/mustardplank/gateway/request_reader_test.cpp
+++ b/src/mustardplank/gateway/request_reader_test.cpp
@@ -64,6 +64,20 @@
   BOOST_TEST((result == Result::Malformed));
 }
 
+// Guards against an empty chunked body that ends the process when its end arrives byte by byte.
+BOOST_AUTO_TEST_CASE(request_reader_reads_a_chunked_body_byte_by_byte)
+{
+  for (const std::string body : { "0\r\n\r\n", "1\r\nx\r\n0\r\n\r\n" }) {
+    RequestReader reader(limits());
+    const auto text = kHead + "Transfer-Encoding: chunked\r\n\r\n" + body;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+      reader.append(text.substr(i, 1));
+      BOOST_TEST((reader.read() == Result::Complete) == (i + 1 == text.size()));
+    }
+    BOOST_TEST(reader.take(limits()).body->size() == (body.size() > 5 ? 1U : 0U));
+  }
+}
+
 // Guards against a rejected body that is held until its connection ends.
 BOOST_AUTO_TEST_CASE(request_reader_frees_a_body_that_is_discarded)
 {
--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -109,6 +109,26 @@
   }
 }
 
+// Guards against an empty chunked body whose end arrives in pieces and ends the process.
+BOOST_AUTO_TEST_CASE(routes_empty_chunked_body_in_pieces_is_answered)
+{
+  RouteDeployment deployment(1, 1);
+  CallerConnection connection(deployment.callers());
+  const auto attempt = newAttempt();
+  for (const std::string piece :
+       { "POST /plain/ok HTTP/1.1\r\nHost: test.example\r\nAuthorization: Bearer key-one\r\n"
+         "X-Attempt-Id: " +
+           attempt + "\r\nX-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n",
+         std::string("0\r\n"),
+         std::string("\r"),
+         std::string("\n") }) {
+    connection.sendText(piece);
+    std::this_thread::sleep_for(Millis(50));
+  }
+  BOOST_TEST(nextBody(connection) == "answer to " + attempt);
+  BOOST_TEST(deployment.instance(0).running());
+}
+
 // Guards against connections that are closed at an idle limit that is no longer in force.
 BOOST_AUTO_TEST_CASE(routes_longer_idle_limit_holds_for_open_connections)
 {
