--- a/test/routes/caller_connections_test.cpp
+++ b/test/routes/caller_connections_test.cpp
@@ -115,15 +115,13 @@
   RouteDeployment deployment(1, 1);
   CallerConnection connection(deployment.callers());
   const auto attempt = newAttempt();
-  for (const std::string piece :
-       { "POST /plain/ok HTTP/1.1\r\nHost: test.example\r\nAuthorization: Bearer key-one\r\n"
-         "X-Attempt-Id: " +
-           attempt + "\r\nX-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n",
-         std::string("0\r\n"),
-         std::string("\r"),
-         std::string("\n") }) {
-    connection.sendText(piece);
+  connection.sendText(
+    "POST /plain/ok HTTP/1.1\r\nHost: test.example\r\nAuthorization: Bearer key-one\r\n"
+    "X-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: " +
+    attempt + "\r\n\r\n");
+  for (const auto* piece : { "0\r\n", "\r", "\n" }) {
     std::this_thread::sleep_for(Millis(50));
+    connection.sendText(piece);
   }
   BOOST_TEST(nextBody(connection) == "answer to " + attempt);
   BOOST_TEST(deployment.instance(0).running());
