--- a/include/mustardplank/base/hash.hpp
+++ b/include/mustardplank/base/hash.hpp
@@ -35,6 +35,19 @@
   return aValue ^ (aValue >> 33);
 }
 
+/// stableHash() of a text that comes in parts.
+class StableHasher
+{
+public:
+  void add(std::string_view aText);
+  std::uint64_t value() const;
+
+private:
+  static constexpr std::uint64_t kOffsetBasis = 14695981039346656037ULL;
+
+  std::uint64_t mHash = kOffsetBasis;
+};
+
 /// aBytes bytes from the operating system's random source, in lower-case hexadecimal.
 std::string
 randomHex(std::size_t aBytes);
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -11,6 +11,7 @@
 
 #include <charconv>
 #include <iterator>
+#include <vector>
 
 namespace mustardplank::gateway {
 
@@ -74,9 +75,17 @@
 }
 
 void
-BackendConnection::send(std::string aRequest, bool aIsHeadRequest, ResponseListener& aListener)
+BackendConnection::send(std::string aHeader,
+                        std::shared_ptr<const BodyBuffer> aBody,
+                        bool aIsHeadRequest,
+                        ResponseListener& aListener)
 {
-  mRequest = std::move(aRequest);
+  mRequestHeader = std::move(aHeader);
+  mRequestBody = std::move(aBody);
+  std::vector<asio::const_buffer> buffers{ asio::buffer(mRequestHeader) };
+  for (const auto& it : mRequestBody->blocks()) {
+    buffers.push_back(asio::buffer(it));
+  }
   mIsHeadRequest = aIsHeadRequest;
   mListener = &aListener;
   mRequestActive = true;
@@ -86,22 +95,21 @@
   mSkippedBytes = 0;
   mReportedUnparsedBytes = 0;
   resetParser();
-  asio::async_write(mSocket,
-                    asio::buffer(mRequest),
-                    [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
-                      self->mWriting = false;
-                      self->mWriteFailed = static_cast<bool>(aError);
-                      self->mRequest.clear();
-                      self->mRequest.shrink_to_fit();
-                      if (!self->mRequestActive) {
-                        // The response was complete before.
-                        self->closeAndRelease();
-                      } else if (aError) {
-                        // The server may have responded before it closed; the read delivers that or
-                        // the failure.
-                        self->read();
-                      }
-                    });
+  asio::async_write(
+    mSocket, buffers, [self = shared_from_this()](BoostErrorCode aError, std::size_t) {
+      self->mWriting = false;
+      self->mWriteFailed = static_cast<bool>(aError);
+      self->mRequestHeader.clear();
+      self->mRequestHeader.shrink_to_fit();
+      self->mRequestBody.reset();
+      if (!self->mRequestActive) {
+        // The response was complete before.
+        self->closeAndRelease();
+      } else if (aError) {
+        // The server may have responded before it closed; the read delivers that or the failure.
+        self->read();
+      }
+    });
   read();
 }
 
