Dispatch: rules for the versions of a service on trial

VersionGate decides which versions a job may go to while an order has not ended, and with which probability; Job::softwareVersion takes precedence. Without a rule a placement checks one pointer.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -10,6 +10,8 @@
 #include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
+#include "mustardplank/dispatch/version_evidence.hpp"
+#include "mustardplank/dispatch/version_gate.hpp"
 #include "mustardplank/route/table.hpp"
 
 #include <cstdint>
@@ -128,6 +130,15 @@
   /// that all divide the servers alike.
   void setDemand(const route::ServiceId& aService, const ServiceDemand& aDemand);
 
+  /// Sets the rule for the versions of a service's software, or removes it. Evidence is counted
+  /// anew from the first rule of an order on.
+  void setVersionRule(const route::ServiceId& aService, std::optional<VersionRule> aRule);
+  /// What was counted for the services with a rule.
+  std::map<route::ServiceId, VersionEvidence> versionEvidence() const;
+  /// The server's response is a failure, whatever becomes of the request, or the request ran out of
+  /// time on the server. Only counted while the service has a rule.
+  void recordBadResponse(JobId aJob);
+
   /// Counts a caller's request to the service in the retry budget.
   void countRequest(const route::ServiceId& aService, TimePoint aNow);
   /// Whether tryTakeRetry() would succeed.
@@ -199,6 +210,17 @@
     std::uint64_t longPromptTokens = 0;
     /// Smoothed prefill tokens of a long prompt.
     double meanLongPrefillTokens = 0.0;
+    struct Rollout
+    {
+      VersionRule rule;
+      VersionEvidence evidence;
+      bool hasOthers = false;
+      bool hasTarget = false;
+      /// VersionEvidence::showsFault().
+      bool isStopped = false;
+    };
+    /// Not set without a rule.
+    std::unique_ptr<Rollout> rollout{};
   };
   struct GrantedJob
   {
@@ -208,12 +230,29 @@
     std::string softwareVersion;
     /// No other prompt of this instance was waiting for prefill on the server when it was granted.
     bool queueWasEmpty = false;
+    /// What follows is set only while the service has a VersionRule.
+    std::uint64_t rolloutOrder = 0;
+    /// Predicted time to the first event of a server of usual speed; nothing if the time says
+    /// nothing about the version.
+    std::optional<Duration> usualTime{};
+    bool hasBegun = false;
+    bool isBad = false;
   };
 
   /// Rebuilds stale server lists, then returns the service's state.
   ServiceState& refreshAndGetState(const route::ServiceId& aId);
   ServiceState& findOrCreateState(const route::ServiceId& aId);
   void updateServerGroups(ServiceState& aService);
+  /// Notes which versions have servers, and which servers take samples.
+  static void updateVersions(ServiceState& aService);
+  static VersionGate gateOf(const ServiceState& aService, TimePoint aNow);
+  /// Whether the rule for the versions still lets the granted job go to its server.
+  bool isVersionAdmitted(const GrantedJob& aGranted, TimePoint aNow);
+  void beginEvidence(GrantedJob& aGranted, const Choice& aChoice, TimePoint aNow);
+  void recordEvidenceOfStart(GrantedJob& aGranted, const ServerState& aServer, Duration aElapsed);
+  void recordEvidenceOfEnd(const GrantedJob& aGranted,
+                           const ServerState& aServer,
+                           JobOutcome aOutcome);
   /// Rebuilds the services' server lists if a server was added, removed or changed.
   void refreshServerLists();
   /// Whether requests wait for a newer server list.
--- a/include/mustardplank/dispatch/job.hpp
+++ b/include/mustardplank/dispatch/job.hpp
@@ -54,6 +54,9 @@
   /// Only servers whose software has this version get the job, as the caller has events that such a
   /// server wrote; nothing: any.
   std::optional<std::string> softwareVersion;
+  /// Drawn from [0, 1) when the job was submitted while its service had a VersionRule: the job
+  /// prefers the version on trial if it is below VersionGate::targetShare().
+  std::optional<double> versionDraw;
   /// Servers that have failed this request and are not tried again.
   std::vector<BackendServerId> excludedServers;
 };
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -3,6 +3,7 @@
 #include "mustardplank/base/ids.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
+#include "mustardplank/dispatch/version_gate.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -107,6 +108,9 @@
   std::size_t instances = 1;
   /// Whether a server of the service states the version of its software.
   bool versionsAreStated = false;
+  VersionGate gate{};
+  /// The job goes to the version on trial; see VersionGate.
+  bool prefersTarget = false;
   /// ServerState::others holds the load of the other instances.
   bool knowsOthersLoads = false;
 };
@@ -120,6 +124,11 @@
 bool
 hasVersionFor(const Job& aJob, const ServerState& aServer, bool aVersionsAreStated);
 
+/// Whether the server's software has a version that the job may go to, also while a version is on
+/// trial.
+bool
+admitsVersion(const PlacementInput& aInput, const ServerState& aServer);
+
 /// Prompt tokens that the server would have to prefill.
 std::uint32_t
 countUncachedTokens(const Job& aJob, const ServerState& aServer);
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -82,6 +82,11 @@
   bool servesShort = true;
   bool servesLong = true;
 
+  /// Gets the requests that are sampled for the version on trial; set while there is one.
+  bool takesSamples = false;
+  /// When this instance first saw the server.
+  TimePoint knownSince{};
+
   ServerAdmission admission;
 
   /// The server gets no request before this time, by this instance's own decision.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mustardplank::dispatch {
 
@@ -82,6 +83,7 @@
                                   known->server.softwareVersion != aServer.softwareVersion);
   if (!known || replaced) {
     auto state = std::make_unique<ServerState>(aServer);
+    state->knownSince = aNow;
     state->admission = mAdmissionMemory.take({ aServer.id, aServer.startTimeMs });
     if (const auto* service = mTable ? mTable->findService(aServer.service) : nullptr;
         service && service->engine) {
@@ -190,6 +192,7 @@
     std::any_of(aService.servers.begin(), aService.servers.end(), [](const auto* aServer) {
       return !aServer->server.softwareVersion.empty();
     });
+  updateVersions(aService);
 }
 
 void
@@ -227,6 +230,8 @@
   input.ownDomain = mOptions.domain;
   input.hasServerInOwnDomain = aService.hasServerInOwnDomain;
   input.versionsAreStated = aService.versionsAreStated;
+  input.gate = gateOf(aService, aNow);
+  input.prefersTarget = aJob.versionDraw && *aJob.versionDraw < input.gate.targetShare();
   for (const auto& [domain, health] : aService.domains) {
     if (health.isSuspect(aNow)) {
       input.suspectDomains.push_back(domain);
@@ -246,22 +251,37 @@
 std::optional<Choice>
 Dispatcher::chooseServer(const Job& aJob, TimePoint aNow)
 {
-  const auto input = makePlacementInput(aJob, refreshAndGetState(aJob.service), aNow);
-  switch (mOptions.policy) {
-    case Policy::TwoChoices:
-      return chooseLessLoadedOfTwo(input, mRandom);
-    case Policy::LeastLoad:
-      return chooseLeastLoad(input);
-    case Policy::Predicted:
-      break;
+  auto input = makePlacementInput(aJob, refreshAndGetState(aJob.service), aNow);
+  const auto choose = [&]() -> std::optional<Choice> {
+    switch (mOptions.policy) {
+      case Policy::TwoChoices:
+        return chooseLessLoadedOfTwo(input, mRandom);
+      case Policy::LeastLoad:
+        return chooseLeastLoad(input);
+      case Policy::Predicted:
+        break;
+    }
+    return choosePredicted(input);
+  };
+  auto choice = choose();
+  if (!choice && input.prefersTarget && input.gate.use() == VersionUse::Sampled) {
+    // The few servers that take samples are busy; the caller does not wait for them.
+    input.prefersTarget = false;
+    choice = choose();
   }
-  return choosePredicted(input);
+  return choice;
 }
 
 void
 Dispatcher::submit(Job aJob, TimePoint aNow, Effects& aEffects)
 {
   const bool waits = awaitsServerList(aNow);
+  if (refreshAndGetState(aJob.service).rollout) {
+    // A request that has failed once is not sampled: it gets a proven version.
+    aJob.versionDraw = aJob.excludedServers.empty() && !aJob.begun
+                         ? std::uniform_real_distribution<double>(0.0, 1.0)(mRandom)
+                         : std::nextafter(1.0, 0.0);
+  }
   if (!waits && tryPlace(aJob, aNow, aEffects)) {
     return;
   }
@@ -343,6 +363,8 @@
   granted.serverStartTimeMs = server.server.startTimeMs;
   granted.softwareVersion = server.server.softwareVersion;
   granted.queueWasEmpty = server.pendingPrefillTokens == 0;
+  granted.job.service = aJob.service;
+  beginEvidence(granted, aChoice, aNow);
 
   RunningJob run;
   run.prefillTokens = aChoice.prefillTokens;
@@ -381,7 +403,7 @@
   auto* server = findServer(it->second.server);
   if (!server || server->server.startTimeMs != it->second.serverStartTimeMs ||
       server->server.softwareVersion != it->second.softwareVersion || !isUsable(*server) ||
-      awaitsServerList(aNow)) {
+      awaitsServerList(aNow) || !isVersionAdmitted(it->second, aNow)) {
     return false;
   }
   if (server->coldUntil > aNow) {
@@ -411,6 +433,7 @@
   noteLoadChange();
   server->pendingPrefillTokens -= run->second.prefillTokens;
   refreshAndGetState(server->server.service).domains[server->server.domain].recordSuccess();
+  recordEvidenceOfStart(it->second, *server, aNow - run->second.sent);
   learnFromFirstEvent(*server, run->second, aNow, it->second.queueWasEmpty);
 }
 
@@ -439,6 +462,7 @@
     return;
   }
   if (auto* server = findServer(it->second.server)) {
+    recordEvidenceOfEnd(it->second, *server, aOutcome);
     const auto run = server->running.find(aJob);
     if (run != server->running.end()) {
       if (!run->second.started) {
--- a/src/mustardplank/dispatch/dispatcher_queue.cpp
+++ b/src/mustardplank/dispatch/dispatcher_queue.cpp
@@ -70,11 +70,14 @@
 Dispatcher::refusalReason(const Job& aJob, TimePoint aNow)
 {
   const auto& service = refreshAndGetState(aJob.service);
+  const auto gate = gateOf(service, aNow);
+  const bool prefersTarget = gate.use() == VersionUse::TargetOnly;
   bool anyAvailable = false;
   bool anyCold = false;
   for (const auto* it : service.servers) {
     if (it->availableAt() > aNow + kMinWaitLimit ||
-        !hasVersionFor(aJob, *it, service.versionsAreStated)) {
+        !hasVersionFor(aJob, *it, service.versionsAreStated) ||
+        !gate.admits(aJob, it->server.softwareVersion, prefersTarget)) {
       continue;
     }
     if (std::find(aJob.excludedServers.begin(), aJob.excludedServers.end(), it->server.id) !=
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -48,7 +48,7 @@
 isExcluded(const PlacementInput& aInput, const ServerState& aServer)
 {
   const auto& job = *aInput.job;
-  return !hasVersionFor(job, aServer, aInput.versionsAreStated) ||
+  return !admitsVersion(aInput, aServer) ||
          std::find(job.excludedServers.begin(), job.excludedServers.end(), aServer.server.id) !=
            job.excludedServers.end();
 }
@@ -128,8 +128,7 @@
   std::vector<const ServerState*> group;
   group.reserve(aInput.servers->size());
   for (const auto* it : *aInput.servers) {
-    if (isInGroup(aInput, *it, aLong) &&
-        hasVersionFor(*aInput.job, *it, aInput.versionsAreStated)) {
+    if (isInGroup(aInput, *it, aLong) && admitsVersion(aInput, *it)) {
       group.push_back(it);
     }
   }
@@ -196,6 +195,20 @@
          (!aJob.softwareVersion->empty() || !aVersionsAreStated);
 }
 
+bool
+admitsVersion(const PlacementInput& aInput, const ServerState& aServer)
+{
+  if (!hasVersionFor(*aInput.job, aServer, aInput.versionsAreStated)) {
+    return false;
+  }
+  if (!aInput.gate.hasRule()) {
+    return true;
+  }
+  const bool isSample = aInput.prefersTarget && aInput.gate.use() == VersionUse::Sampled;
+  return (!isSample || aServer.takesSamples || aInput.job->softwareVersion) &&
+         aInput.gate.admits(*aInput.job, aServer.server.softwareVersion, aInput.prefersTarget);
+}
+
 std::uint32_t
 countUncachedTokens(const Job& aJob, const ServerState& aServer)
 {
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -528,6 +528,9 @@
 Exchange::onDeadline()
 {
   if (!mDone && !extendDeadline()) {
+    if (mPhase == Phase::AwaitingResponse) {
+      mContext.dispatcher.recordBadResponse(mJob.id);
+    }
     end("time_up");
   }
 }
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -101,6 +101,9 @@
     onResponseFailure(ResponseFailure::Malformed);
     return;
   }
+  if (aStart.status >= 500) {
+    mContext.dispatcher.recordBadResponse(mJob.id);
+  }
   if (aStart.status >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
     return;
   }
