--- a/include/mustardplank/agent/sync_messages.hpp
+++ b/include/mustardplank/agent/sync_messages.hpp
@@ -32,6 +32,8 @@
     Duration age{};
   };
   std::optional<Holder> holder;
+  /// What the holder of the duties stated last.
+  rollout::Allowances allowances;
 };
 
 /// Asks an agent for everything that has changed since the sender's state, and hands it the
--- a/include/mustardplank/control/records.hpp
+++ b/include/mustardplank/control/records.hpp
@@ -6,6 +6,7 @@
 #include "mustardplank/dispatch/crash_suspects.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
 #include "mustardplank/dispatch/version_history.hpp"
+#include "mustardplank/rollout/progress.hpp"
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
@@ -52,6 +53,10 @@
   std::map<std::uint64_t, UsageCounts> windows;
   std::vector<dispatch::CrashReport> crashes;
   std::map<route::ServiceId, ServiceDemand> needs;
+  /// Responses by version, of services with an order that has not ended.
+  rollout::Evidence evidence;
+  /// What instances may send to versions on trial; set only while the sender holds the duties.
+  rollout::Allowances allowances;
 };
 
 /// Encodes as CBOR, as the other encoders here do.
--- a/include/mustardplank/control/store.hpp
+++ b/include/mustardplank/control/store.hpp
@@ -6,6 +6,8 @@
 #include "mustardplank/control/log_position.hpp"
 #include "mustardplank/platform/http_client.hpp"
 #include "mustardplank/platform/platform.hpp"
+#include "mustardplank/rollout/order.hpp"
+#include "mustardplank/rollout/progress.hpp"
 #include "mustardplank/route/model.hpp"
 
 #include <cstdint>
@@ -44,9 +46,12 @@
   Claims,
   /// Agents of each failure domain (agent::Directory); keyed, the newest record of each key counts.
   Agents,
+  /// What the system states about operators' orders (rollout::Progress, in the platform's words);
+  /// keyed, the newest record of each key counts.
+  Status,
 };
 
-inline constexpr NameTable<Topic, 7> kTopicNames{ { {
+inline constexpr NameTable<Topic, 8> kTopicNames{ { {
   { Topic::Operators, "operators" },
   { Topic::Servers, "servers" },
   { Topic::InstanceUpdates, "board" },
@@ -54,6 +59,7 @@
   { Topic::State, "state" },
   { Topic::Claims, "claims" },
   { Topic::Agents, "agents" },
+  { Topic::Status, "status" },
 } } };
 
 /// One record of a log.
@@ -116,11 +122,18 @@
   FailureDomainId domain;
   bool takenOut = false;
 };
+/// The operator's order for a service; nothing if it was removed. An invalid order is one with a
+/// fault.
+struct RolloutOrder
+{
+  route::ServiceId service;
+  std::optional<rollout::Order> order;
+};
 /// A record of a kind that this version does not know.
 struct UnknownRecord
 {};
 /// The content of a record of Topic::Operators.
-using OperatorRecord = std::variant<NewConfig, DomainStatus, UnknownRecord>;
+using OperatorRecord = std::variant<NewConfig, DomainStatus, RolloutOrder, UnknownRecord>;
 
 /// The instance that makes a call under the duty lease, and its fencing token.
 struct DutyHolder
@@ -183,6 +196,8 @@
   HttpRequest (*makeReportCall)(const UsageReport& aReport, const DutyHolder& aHolder);
   HttpRequest (*makeOrderCall)(const ServerOrder& aOrder, const DutyHolder& aHolder);
   DutyResult (*decodeDutyResult)(const HttpResponse& aAnswer);
+  /// The record of Topic::Status that states the progress of a service's order.
+  Record (*makeStatusRecord)(const route::ServiceId& aService, const rollout::Progress& aProgress);
 };
 
 }
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -37,9 +37,12 @@
   ServersAgeSeconds,
   /// How late the event loop handled a timer, the latest within a second.
   EventLoopLagSeconds,
+  /// Services with a version on trial or moving, and the largest share of requests that it gets.
+  ActiveRollouts,
+  RolloutShare,
 };
 
-inline constexpr NameTable<Gauge, 16> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 18> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -56,6 +59,8 @@
   { Gauge::OperatorsAgeSeconds, "configuration_age_seconds" },
   { Gauge::ServersAgeSeconds, "servers_age_seconds" },
   { Gauge::EventLoopLagSeconds, "event_loop_lag_seconds" },
+  { Gauge::ActiveRollouts, "active_rollouts" },
+  { Gauge::RolloutShare, "rollout_share" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -110,9 +115,12 @@
   ServerChange,
   /// Crash notes that were not sent, as there were too many.
   CrashNoteDropped,
+  /// Steps of rollouts that this instance decided, and rollbacks among them.
+  RolloutStep,
+  RolloutRollback,
 };
 
-inline constexpr NameTable<Event, 21> kEventNames{ { {
+inline constexpr NameTable<Event, 23> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -134,6 +142,8 @@
   { Event::StoreRestored, "store_restorations" },
   { Event::ServerChange, "server_changes" },
   { Event::CrashNoteDropped, "crash_notes_dropped" },
+  { Event::RolloutStep, "rollout_steps" },
+  { Event::RolloutRollback, "rollout_rollbacks" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -24,6 +24,16 @@
   { Mode::Routes, "routes" },
 } } };
 
+/// Bounds on a bad version of a service's software.
+struct RolloutBounds
+{
+  /// Share of the service's requests that it may get, and requests besides.
+  double canaryShare = 0.1;
+  double canaryTolerance = 50.0;
+  /// It gets no request sent so long after its 50th bad response.
+  Duration rollback = Seconds(5);
+};
+
 /// Bounds that the deployment promises or demands.
 struct RouteBounds
 {
@@ -49,6 +59,9 @@
   Duration keyRevocation = Seconds(5);
   /// A failure domain that was taken out gets no requests after this time.
   Duration evacuation = Seconds(5);
+  /// Set if the deployment states one of them. Servers with a version that is new to their service
+  /// then wait until it is known whether there is an order for it.
+  std::optional<RolloutBounds> rollouts;
 
   /// The shortest time within which a change in the store has to be known to every instance.
   Duration shortest() const
--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -121,6 +121,9 @@
   if (const auto& holder = aDigest.holder) {
     object["h"] = json::array({ holder->claimsLogEnd, holder->leaving, microsOf(holder->age) });
   }
+  if (!aDigest.allowances.empty()) {
+    object["v"] = rollout::toJson(aDigest.allowances);
+  }
   return object;
 }
 
@@ -138,6 +141,9 @@
     digest.holder =
       BoardDigest::Holder{ unsignedOf(it->at(0)), it->at(1).get<bool>(), microsFrom(it->at(2)) };
   }
+  if (const auto it = aObject.find("v"); it != aObject.end()) {
+    digest.allowances = rollout::allowancesFromJson(*it);
+  }
   return digest;
 }
 
--- a/src/mustardplank/agent/sync_messages_test.cpp
+++ b/src/mustardplank/agent/sync_messages_test.cpp
@@ -31,6 +31,7 @@
   digest.instances = 195;
   digest.needs[route::ServiceId("svc")] = { 1.5, 2.5 };
   digest.holder = BoardDigest::Holder{ 8, true, Millis(900) };
+  digest.allowances[route::ServiceId("svc")].issuedAtMs = 6;
   reply.digest = digest;
   reply.reached.emplace_back("b");
   reply.agents = AgentList{ { InstanceId("a"), "10.0.0.1:7200" } };
@@ -100,6 +101,7 @@
   BOOST_TEST(decoded->digest->needs.at(route::ServiceId("svc")).longTokensPerMs == 2.5);
   BOOST_TEST(decoded->digest->holder->claimsLogEnd == 8U);
   BOOST_TEST(decoded->digest->holder->leaving);
+  BOOST_TEST(decoded->digest->allowances.at(route::ServiceId("svc")).issuedAtMs == 6);
   BOOST_TEST(decoded->reached.at(0).str() == "b");
   BOOST_TEST(decoded->agents->at(0).address == "10.0.0.1:7200");
   BOOST_TEST(decoded->directoryEnd == 31U);
--- a/src/mustardplank/agent/update_relay.cpp
+++ b/src/mustardplank/agent/update_relay.cpp
@@ -26,7 +26,8 @@
   }
   state.sequence = aUpdate.sequence;
   state.bytes = std::move(aBytes);
-  state.hasChanges = !aUpdate.windows.empty() || !aUpdate.crashes.empty() || aUpdate.leaving;
+  state.hasChanges = !aUpdate.windows.empty() || !aUpdate.crashes.empty() || aUpdate.leaving ||
+                     !aUpdate.evidence.empty() || !aUpdate.allowances.empty();
 }
 
 std::vector<UpdateRelay::Item>
--- a/src/mustardplank/control/records.cpp
+++ b/src/mustardplank/control/records.cpp
@@ -78,6 +78,12 @@
     update.needs[route::ServiceId(it.at(0).get<std::string>())] = { amountOf(it.at(1), kMaxNeed),
                                                                     amountOf(it.at(2), kMaxNeed) };
   }
+  if (const auto it = aObject.find("e"); it != aObject.end()) {
+    update.evidence = rollout::evidenceFromJson(*it);
+  }
+  if (const auto it = aObject.find("v"); it != aObject.end()) {
+    update.allowances = rollout::allowancesFromJson(*it);
+  }
   return update;
 }
 
@@ -110,6 +116,12 @@
   for (const auto& [service, need] : aUpdate.needs) {
     object["s"].push_back(json::array({ service.str(), need.shortStreams, need.longTokensPerMs }));
   }
+  if (!aUpdate.evidence.empty()) {
+    object["e"] = rollout::toJson(aUpdate.evidence);
+  }
+  if (!aUpdate.allowances.empty()) {
+    object["v"] = rollout::toJson(aUpdate.allowances);
+  }
   return encodeCbor(object);
 }
 
--- a/src/mustardplank/control/records_test.cpp
+++ b/src/mustardplank/control/records_test.cpp
@@ -28,8 +28,17 @@
   update.crashes.push_back(crash);
   update.needs[route::ServiceId("svc")] = { 1.5, 2.5 };
   Findings findings;
+  // An update of an instance that knows no rollouts.
+  const auto earlier = decodeUpdate(encodeUpdate(update), findings);
+  BOOST_TEST_REQUIRE(earlier.has_value());
+  BOOST_TEST(earlier->evidence.empty());
+  BOOST_TEST(earlier->allowances.empty());
+  update.evidence[route::ServiceId("svc")].runningElsewhere = 4;
+  update.allowances[route::ServiceId("svc")].issuedAtMs = 5;
   const auto decoded = decodeUpdate(encodeUpdate(update), findings);
   BOOST_TEST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->evidence.at(route::ServiceId("svc")).runningElsewhere == 4U);
+  BOOST_TEST(decoded->allowances.at(route::ServiceId("svc")).issuedAtMs == 5);
   BOOST_TEST(decoded->instance.str() == "a");
   BOOST_TEST(decoded->incarnation == 77U);
   BOOST_TEST(decoded->sequence == 12U);
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -20,6 +20,26 @@
 constexpr std::uint32_t kMinMemoryMb = 1;
 constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
 
+void
+readRolloutBounds(const JsonNode& aNode,
+                  ObjectReader& aReader,
+                  std::optional<RolloutBounds>& aBounds)
+{
+  constexpr std::string_view kKeys[] = { "canary_share", "canary_tolerance", "rollback_ms" };
+  const bool isStated =
+    std::any_of(aNode.members.begin(), aNode.members.end(), [&](const auto& aMember) {
+      return aMember.value.type != JsonNode::Type::Null &&
+             std::find(std::begin(kKeys), std::end(kKeys), aMember.key) != std::end(kKeys);
+    });
+  RolloutBounds bounds;
+  aReader.real("canary_share", bounds.canaryShare, 0.0, 1.0);
+  aReader.real("canary_tolerance", bounds.canaryTolerance, 0.0, 1e6);
+  aReader.millis("rollback_ms", bounds.rollback, kMinChangeBound, kMaxTimeout);
+  if (isStated) {
+    aBounds = bounds;
+  }
+}
+
 void
 readBounds(const JsonNode& aNode,
            std::string_view aFileName,
@@ -40,6 +60,7 @@
   reader.millis("config_apply_ms", aBounds.configApply, kMinChangeBound, kMaxTimeout);
   reader.millis("key_revocation_ms", aBounds.keyRevocation, kMinChangeBound, kMaxTimeout);
   reader.millis("evacuation_ms", aBounds.evacuation, kMinChangeBound, kMaxTimeout);
+  readRolloutBounds(aNode, reader, aBounds.rollouts);
   reader.finish();
 }
 
--- a/src/mustardplank/settings/route_settings_test.cpp
+++ b/src/mustardplank/settings/route_settings_test.cpp
@@ -32,6 +32,7 @@
   const auto settings = parse(text.str(), findings);
   BOOST_TEST(findings.text() == "");
   BOOST_TEST(settings.orders->text() == "127.0.0.1:8743");
+  BOOST_TEST(settings.bounds.rollouts.value().canaryShare == 0.1);
   BOOST_TEST((readMode(text.str()) == Mode::Routes));
 }
 
@@ -52,6 +53,7 @@
   BOOST_TEST(settings.bounds.retryRatio == 0.2);
   BOOST_TEST(settings.bounds.retrySlack == 52.0);
   BOOST_TEST(toMillis(settings.bounds.lease) == 2500.0);
+  BOOST_TEST(!settings.bounds.rollouts.has_value());
   BOOST_TEST(!settings.orders.has_value());
 }
 
