--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -216,6 +216,7 @@
     }
     repeatBlockedParts();
     syncVersions();
+    tickRollouts();
     noteRole();
     metrics.set(metrics::Gauge::RunningRequests, static_cast<double>(dispatcher.grantedCount()));
     metrics.set(metrics::Gauge::WaitingRequests, static_cast<double>(dispatcher.waitingCount()));
@@ -359,6 +360,7 @@
     out << "server " << it.id.str() << " service " << it.service.str() << " domain "
         << it.domain.str() << " state " << it.state << " running " << it.running << "\n";
   }
+  out << rolloutStatus();
   return out.str();
 }
 
@@ -382,6 +384,7 @@
   spawn(leaseLoop());
   spawn(usageLoop());
   spawn(orderLoop());
+  spawn(rolloutLoop());
   spawn(tickLoop());
   LogEvent(LogLevel::Info, "daemon.started")
     .field("failure_domain", settings.failureDomain.str())
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -19,6 +19,8 @@
 constexpr Duration kSyncTimeout = Millis(400);
 /// How often an update without changes is handed to an agent.
 constexpr Duration kUpdateInterval = Millis(1000);
+/// The same while a version is on trial, as updates carry the evidence.
+constexpr Duration kRolloutUpdateInterval = Millis(400);
 /// Updates of other instances that are handed on in one request.
 constexpr std::size_t kMaxHandedOn = 256;
 /// Instances that are stated to one that asks for some.
@@ -159,7 +161,8 @@
   request.directoryEnd = planner.directory().logEnd;
   request.maxHold = aTarget.hold;
   request.wantsPeers = std::exchange(wantsPeers, false);
-  if (outbox.hasUnpublished(usage) || draining || now - lastUpdateSentAt >= kUpdateInterval) {
+  const auto updateInterval = isRollingOut() ? kRolloutUpdateInterval : kUpdateInterval;
+  if (outbox.hasUnpublished(usage) || draining || now - lastUpdateSentAt >= updateInterval) {
     request.updates.push_back(control::encodeUpdate(makeUpdate()));
     lastUpdateSentAt = now;
   }
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kHolderReadInterval = Millis(1000);
 constexpr Duration kBoardReadInterval = Millis(2000);
 constexpr Duration kBoardStep = Millis(250);
+/// How often updates are published and read while a version is on trial: evidence against a bad one
+/// and the rollback have to get around within the bound on rollbacks (5 s).
+constexpr Duration kRolloutInterval = Millis(500);
 /// Longest pause after an update that could not be written.
 constexpr Duration kMaxPublishRetryPause = Seconds(2);
 /// An instance that no agent has answered for this long publishes its updates itself.
@@ -43,6 +46,8 @@
     update.renewalAge = bootNow() - lease.renewedAt();
   }
   update.needs = dispatcher.takeDemands(bootNow());
+  update.evidence = makeEvidence();
+  update.allowances = makeAllowances();
   return update;
 }
 
@@ -72,6 +77,8 @@
   for (const auto& it : update->crashes) {
     noteCrash(it);
   }
+  rollouts.board.add(update->instance, update->incarnation, update->evidence, now);
+  hearAllowances(update->allowances);
 }
 
 void
@@ -135,6 +142,7 @@
                                              holderNote->leaving,
                                              now - holderNote->renewedAt };
   }
+  sum.allowances = rollouts.heard;
   return sum;
 }
 
@@ -150,6 +158,7 @@
     mostInstancesAt = aNow;
   }
   dispatcher.setInstanceCount(mostInstances);
+  hearAllowances(digest->allowances);
   lease.setRank(std::min(dutyRank(), kMaxDutyRank));
   if (const auto& holder = digest->holder; holder && !lease.holdsDuties()) {
     noteHolder(holder->claimsLogEnd, holder->leaving, aNow - holder->age);
@@ -205,9 +214,11 @@
     const bool alone = now - std::max(lastSyncAt, startedAt) >= kPublishAlone;
     const bool publishes = planner.followsStore(now) || alone;
     const bool unpublished = outbox.hasUnpublished(usage) || !relay.unwritten().empty();
-    const auto interval = settings.domainAgents == 0 ? publishInterval() : kMinPublishInterval;
+    const bool rolling = isRollingOut();
+    const auto usual = settings.domainAgents == 0 ? publishInterval() : kMinPublishInterval;
+    const auto interval = rolling ? std::min<Duration>(usual, kRolloutInterval) : usual;
     const bool due = (unpublished && now - lastPublished >= interval) ||
-                     now - lastPublished >= kIdlePublishInterval;
+                     now - lastPublished >= (rolling ? interval : kIdlePublishInterval);
     if (publishes && (boardDue || due)) {
       boardDue = false;
       const bool published = co_await publish(store);
@@ -218,7 +229,8 @@
       retryPause.reset();
       lastPublished = now;
     }
-    const auto readInterval = lease.holdsDuties() ? kHolderReadInterval : kBoardReadInterval;
+    const auto usualRead = lease.holdsDuties() ? kHolderReadInterval : kBoardReadInterval;
+    const auto readInterval = rolling ? kRolloutInterval : usualRead;
     if (readsBoard(now) && now - lastRead >= readInterval) {
       co_await readBoard(store, next);
       lastRead = now;
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -2,6 +2,7 @@
 
 #include "control_traffic.hpp"
 #include "notifier.hpp"
+#include "rollout_state.hpp"
 #include "route_daemon.hpp"
 #include "stop_schedule.hpp"
 #include "store_client.hpp"
@@ -29,6 +30,7 @@
 #include "mustardplank/dispatch/version_history.hpp"
 #include "mustardplank/gateway/gateway.hpp"
 #include "mustardplank/metrics/metrics.hpp"
+#include "mustardplank/rollout/judge.hpp"
 #include "platform/store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -269,6 +271,36 @@
   awaitable<void> orderLoop();
   awaitable<void> orderServers(platform::HttpClient& aExchange);
 
+  // Rollouts.
+  /// An order is known that has not ended, as far as this instance knows.
+  bool isRollingOut() const;
+  void applyRolloutOrder(const control::RolloutOrder& aRecord, control::RecordSource aSource);
+  /// Takes what the holder of the duties has stated.
+  void hearAllowances(const rollout::Allowances& aAllowances);
+  std::optional<dispatch::VersionRule> ruleFromAllowance(
+    const rollout::Allowance& aAllowance) const;
+  std::optional<dispatch::VersionRule> findVersionRule(const route::ServiceId& aService) const;
+  void updateVersionRule(const route::ServiceId& aService);
+  /// A version that comes beside others gets nothing until it is known whether there is an order
+  /// for it. To be called before the version is noted.
+  void holdNewVersion(const route::BackendServer& aServer);
+  void tickRollouts();
+  rollout::Evidence makeEvidence() const;
+  /// What this instance states as the holder of the duties; empty at any other one.
+  rollout::Allowances makeAllowances() const;
+  awaitable<void> rolloutLoop();
+  awaitable<bool> readRollouts(StoreClient& aStore);
+  rollout::JudgeInput makeJudgeInput(const route::ServiceId& aService) const;
+  /// Decides about one service and writes what follows; false: the store has to be read again.
+  awaitable<bool> stepRollout(StoreClient& aStore, route::ServiceId aService);
+  awaitable<bool> writeProgress(StoreClient& aStore,
+                                route::ServiceId aService,
+                                rollout::Progress aProgress);
+  awaitable<void> writeRolloutStatus(StoreClient& aStore,
+                                     route::ServiceId aService,
+                                     rollout::Progress aProgress);
+  std::string rolloutStatus() const;
+
   // Start and stop.
   void terminate();
   awaitable<void> drainLoop(StopSchedule aSchedule);
@@ -399,6 +431,9 @@
   Dependency agentContact{ "agents" };
   Dependency platformCalls{ "platform_calls" };
   bool draining = false;
+  RolloutState rollouts;
+  /// Services with a VersionRule.
+  std::set<route::ServiceId> ruledServices;
 
   std::minstd_rand random{ std::random_device{}() };
   asio::io_context io{ 1 };
@@ -409,6 +444,8 @@
   Notifier serversDue{ io };
   Notifier refreshDue{ io };
   Notifier syncDue{ io };
+  /// The first rollout order has come.
+  Notifier rolloutDue{ io };
   /// The store answers again: updates of an outage are published at once, as usage windows wait for
   /// them.
   Notifier storeRegained{ io };
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -35,6 +35,7 @@
     usage.skipWindowsBefore(clock.now(now));
   }
   intentsRead = false;
+  rollouts.isRead = false;
   baselineStored = false;
   writtenVersions = 0;
   usage.republish();
@@ -92,6 +93,8 @@
       .field("domain", out->domain.str())
       .field("offset", aRecord.offset)
       .write();
+  } else if (const auto* rollout = std::get_if<control::RolloutOrder>(&*record)) {
+    applyRolloutOrder(*rollout, aSource);
   }
 }
 
@@ -157,6 +160,7 @@
       .field("cold_ms", toMillis(server.coldRemaining))
       .write();
   }
+  holdNewVersion(server);
   noteVersion(server);
   dispatcher.updateServer(server, bootNow());
 }
