--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -135,10 +135,12 @@
                                  std::size_t aInstances,
                                  Clocks aClocks,
                                  std::size_t aDomains,
-                                 Millis aStopGrace)
+                                 Millis aStopGrace,
+                                 Rollouts aRollouts)
   : mClocks(aClocks)
   , mDomains(aDomains)
   , mStopGrace(aStopGrace)
+  , mRollouts(aRollouts)
   , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
@@ -202,20 +204,24 @@
 RouteDeployment::startInstance(std::size_t aIndex)
 {
   const auto& store = mOnOtherAddress.contains(aIndex) ? mStore->otherAddress() : mStore->address();
-  const json settings{ { "mode", "routes" },
-                       { "instance", "instance" + std::to_string(aIndex) },
-                       { "failure_domain", domainOf(aIndex) },
-                       { "callers", mCallers.at(aIndex) },
-                       { "readiness", mReadiness.at(aIndex) },
-                       { "admin", mAdmin.at(aIndex) },
-                       { "store", store },
-                       { "orders", mStore->address() },
-                       { "log_sampling", 1 },
-                       { "bounds",
-                         { { "usage_window_s", 2.0 },
-                           { "usage_late_s", 8.0 },
-                           { "stop_grace_s", static_cast<double>(mStopGrace.count()) / 1000.0 },
-                           { "lease_ms", 3000 } } } };
+  json settings{ { "mode", "routes" },
+                 { "instance", "instance" + std::to_string(aIndex) },
+                 { "failure_domain", domainOf(aIndex) },
+                 { "callers", mCallers.at(aIndex) },
+                 { "readiness", mReadiness.at(aIndex) },
+                 { "admin", mAdmin.at(aIndex) },
+                 { "store", store },
+                 { "orders", mStore->address() },
+                 { "log_sampling", 1 },
+                 { "bounds",
+                   { { "usage_window_s", 2.0 },
+                     { "usage_late_s", 8.0 },
+                     { "stop_grace_s", static_cast<double>(mStopGrace.count()) / 1000.0 },
+                     { "lease_ms", 3000 } } } };
+  if (mRollouts == Rollouts::Stated) {
+    settings["bounds"].update(
+      { { "canary_share", 0.1 }, { "canary_tolerance", 50 }, { "rollback_ms", 5000 } });
+  }
   std::ofstream(settingsFile(aIndex)) << settings.dump();
   std::map<std::string, std::string> environment;
   if (mClocks == Clocks::Adjustable) {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -69,6 +69,13 @@
   Adjustable,
 };
 
+/// Whether the instances' settings state bounds on rollouts.
+enum class Rollouts
+{
+  NotStated,
+  Stated,
+};
+
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
@@ -83,7 +90,8 @@
                   std::size_t aInstances,
                   Clocks aClocks = Clocks::OfTheMachine,
                   std::size_t aDomains = 1,
-                  Millis aStopGrace = kStopGrace);
+                  Millis aStopGrace = kStopGrace,
+                  Rollouts aRollouts = Rollouts::NotStated);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -131,6 +139,7 @@
   Clocks mClocks;
   std::size_t mDomains;
   Millis mStopGrace;
+  Rollouts mRollouts;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -108,6 +108,32 @@
   return mVersion;
 }
 
+void
+ServerStandin::setFault(const std::string& aPathPrefix, unsigned aOneIn)
+{
+  const std::lock_guard lock(mMutex);
+  mFaultPrefix = aPathPrefix;
+  mFaultOneIn = aOneIn;
+}
+
+std::vector<std::chrono::steady_clock::time_point>
+ServerStandin::faults() const
+{
+  const std::lock_guard lock(mMutex);
+  return mFaults;
+}
+
+bool
+ServerStandin::takeFault(const std::string& aPath)
+{
+  const std::lock_guard lock(mMutex);
+  if (mFaultOneIn == 0 || !aPath.starts_with(mFaultPrefix) || ++mFaultTurn % mFaultOneIn != 0) {
+    return false;
+  }
+  mFaults.push_back(std::chrono::steady_clock::now());
+  return true;
+}
+
 std::string
 ServerStandin::moreFields() const
 {
@@ -157,6 +183,9 @@
   if (mBreakingOff) {
     co_return false;
   }
+  if (takeFault(arrival.path)) {
+    co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
+  }
   if (std::string(aRequest["X-Prefix-Hash"]).find("dead:") != std::string::npos) {
     co_await stream(aSocket, aRequest, { 0, StreamEnd::ConnectionClosed });
     ++mCrashes;
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -91,6 +91,10 @@
   void setFull(bool aFull) { mFull = aFull; }
   /// From now on closes the connection of every request instead of answering.
   void setBreakingOff(bool aBreakingOff) { mBreakingOff = aBreakingOff; }
+  /// From now on answers one in so many requests whose path begins so with 500; 0: none.
+  void setFault(const std::string& aPathPrefix, unsigned aOneIn);
+  /// Requests that were answered so.
+  std::vector<std::chrono::steady_clock::time_point> faults() const;
   /// Fails every request of a path with the mode named in the path; false: answers all.
   void setFailing(bool aFailing) { mFailing = aFailing; }
 
@@ -126,6 +130,8 @@
     int silenceMs = 1500;
   };
 
+  /// Whether this request is one that setFault() fails.
+  bool takeFault(const std::string& aPath);
   std::string moreFields() const;
   std::string version() const;
   /// Nothing if the mode is no stream.
@@ -152,6 +158,10 @@
   std::vector<Arrival> mArrivals;
   std::string mMoreFields;
   std::string mVersion;
+  std::string mFaultPrefix;
+  unsigned mFaultOneIn = 0;
+  unsigned mFaultTurn = 0;
+  std::vector<std::chrono::steady_clock::time_point> mFaults;
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
--- a/test/routes/store_logs.cpp
+++ b/test/routes/store_logs.cpp
@@ -105,6 +105,18 @@
   return out;
 }
 
+std::vector<std::pair<std::string, std::string>>
+StoreLogs::records(const std::string& aTopic) const
+{
+  std::vector<std::pair<std::string, std::string>> records;
+  if (const auto it = mLogs.find(aTopic); it != mLogs.end()) {
+    for (const auto& record : it->second.records) {
+      records.emplace_back(record.key, record.value.value_or(std::string()));
+    }
+  }
+  return records;
+}
+
 json
 StoreLogs::newestPage(const std::string& aTopic,
                       const std::string& aAfter,
--- a/test/routes/store_logs.hpp
+++ b/test/routes/store_logs.hpp
@@ -29,6 +29,8 @@
   bool holds(const std::string& aTopic, std::uint64_t aFrom) const;
   /// Records from aFrom on, as a read returns them; holds() must be true.
   std::string chunk(const std::string& aTopic, std::uint64_t aFrom) const;
+  /// All records of a topic, as key and value.
+  std::vector<std::pair<std::string, std::string>> records(const std::string& aTopic) const;
   /// The newest record of each key after aAfter, up to so many.
   nlohmann::json newestPage(const std::string& aTopic,
                             const std::string& aAfter,
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -274,6 +274,13 @@
   mLoseAnswers = aCount;
 }
 
+std::vector<std::pair<std::string, std::string>>
+StoreStandin::records(const std::string& aTopic) const
+{
+  const std::lock_guard lock(mMutex);
+  return mLogs.records(aTopic);
+}
+
 std::vector<StoreStandin::DutyCall>
 StoreStandin::dutyCalls() const
 {
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -67,6 +67,8 @@
     nlohmann::json body;
   };
   std::vector<DutyCall> dutyCalls() const;
+  /// All records of a topic that were not compacted away, as key and value.
+  std::vector<std::pair<std::string, std::string>> records(const std::string& aTopic) const;
   /// Number of records that have been appended to a topic.
   std::uint64_t logEnd(const std::string& aTopic) const;
 
