--- a/src/daemon/route_daemon_rollouts.cpp
+++ b/src/daemon/route_daemon_rollouts.cpp
@@ -319,8 +319,10 @@
       services.insert(service);
     }
     for (const auto& it : services) {
-      const bool isDone = rollouts.isRead && holder() && co_await stepRollout(store, it);
-      rollouts.isRead = rollouts.isRead && isDone;
+      if (!rollouts.isRead || !holder()) {
+        break;
+      }
+      rollouts.isRead = co_await stepRollout(store, it);
     }
     hearAllowances(makeAllowances());
   }
