Rollout: predictions below 20 ms count as 20 ms; status names the strongest evidence

routes_good_version_is_completed was rolled back with 0 failures of 13 responses (load 24): times of a few milliseconds included new connections, which the version on trial needs more often. It passes with the change.

--- a/src/mustardplank/dispatch/dispatcher_versions.cpp
+++ b/src/mustardplank/dispatch/dispatcher_versions.cpp
@@ -8,6 +8,10 @@
 
 /// A server that has just started is slow for some seconds, whatever its version.
 constexpr Duration kSlowStart = Seconds(3);
+/// A shorter prediction counts as this long. A version on trial gets few requests, so that more of
+/// them wait for a new connection, which made a good one look several times slower where responses
+/// take a few milliseconds.
+constexpr Duration kMinUsualTime = Millis(20);
 /// An older load report says nothing about the load of this moment.
 constexpr Duration kReportMemory = Millis(1000);
 /// Part of the servers of the version on trial that take the samples, and the least number: faults
@@ -147,7 +151,8 @@
                             server.availableAt() <= aNow && !isLoaded(server, aNow);
   if (isComparable) {
     const double usual = static_cast<double>(aChoice.estimate.count()) / server.slowness;
-    aGranted.usualTime = std::max(Duration(static_cast<std::int64_t>(usual)), Duration(Millis(1)));
+    aGranted.usualTime =
+      std::max<Duration>(Duration(static_cast<std::int64_t>(usual)), kMinUsualTime);
   }
 }
 
--- a/src/mustardplank/rollout/verdict.cpp
+++ b/src/mustardplank/rollout/verdict.cpp
@@ -272,10 +272,14 @@
     }
   }
   std::array<TestResult, kTests.size()> all;
+  std::string suspected;
   for (const auto& [route, strata] : routes) {
     for (std::size_t i = 0; i < kTests.size(); ++i) {
       const auto result = runTest(kTests[i], strata);
-      verdict.suspicion = std::max(verdict.suspicion, result.logRatio);
+      if (result.logRatio > verdict.suspicion) {
+        verdict.suspicion = result.logRatio;
+        suspected = "; most against it: " + describe("on route " + route.str(), kTests[i], result);
+      }
       all[i] += result;
       if (isBad(result, aOptions, kTests[i] == Test::Failures)) {
         verdict.conclusion = Conclusion::Bad;
@@ -295,7 +299,7 @@
   }
   verdict.conclusion = isGood(all.front(), aOptions) ? Conclusion::Good : Conclusion::Undecided;
   verdict.reason = std::to_string(verdict.bad) + " failures of " +
-                   std::to_string(verdict.responses) + " responses";
+                   std::to_string(verdict.responses) + " responses" + suspected;
   return verdict;
 }
 
