Rollouts: status names held versions; side-by-side test sends concurrent requests

One request at a time went to the old servers alone, as their measured speed was better than that assumed for new ones; 40 at a time reach all servers.

--- a/src/daemon/route_daemon_rollouts.cpp
+++ b/src/daemon/route_daemon_rollouts.cpp
@@ -514,6 +514,12 @@
         << " duration_ms " << duration_cast<Millis>(known.order.duration).count()
         << (known.order.fault.empty() ? "" : " fault " + known.order.fault) << "\n";
   }
+  for (const auto& [service, held] : rollouts.holds) {
+    for (const auto& [version, since] : held) {
+      out << "rollout_hold service " << service.str() << " version " << version << " since_ms "
+          << duration_cast<Millis>(bootNow() - since).count() << "\n";
+    }
+  }
   const auto evidence = rollouts.heard.empty() ? rollout::Evidence{} : dispatcher.versionEvidence();
   for (const auto& [service, allowance] : rollouts.heard) {
     const auto& progress = allowance.progress;
--- a/test/routes/rollouts_test.cpp
+++ b/test/routes/rollouts_test.cpp
@@ -400,9 +400,15 @@
   rollout.startNew();
   rollout.orderedAt = std::chrono::steady_clock::now();
   std::this_thread::sleep_for(Millis(2500));
-  for (int i = 0; i < 60; ++i) {
-    CallerConnection connection(rollout.deployment.callers(static_cast<std::size_t>(i % 2)));
-    BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  BOOST_TEST(rollout.deployment.adminPage(0, "/status").find("rollout_hold") == std::string::npos);
+  // So many at a time that all servers get some.
+  std::vector<std::unique_ptr<CallerConnection>> callers;
+  for (std::size_t i = 0; i < 40; ++i) {
+    callers.push_back(std::make_unique<CallerConnection>(rollout.deployment.callers(i % 2)));
+    callers.back()->send(callOf("/plain/delayed500"));
+  }
+  for (auto& it : callers) {
+    BOOST_TEST(it->read().result_int() == 200U);
   }
   BOOST_TEST(!rollout.arrivalsAt(kServers).empty());
   BOOST_TEST(rollout.deployment.store().records("keyed.status").empty());
