--- a/src/mustardplank/dispatch/uneven_placement.cpp
+++ b/src/mustardplank/dispatch/uneven_placement.cpp
@@ -112,7 +112,7 @@
   if (isLong) {
     group.reserve(aInput.servers->size());
     for (const auto* it : *aInput.servers) {
-      if (it->servesLong && hasVersionFor(job, *it, aInput.versionsAreStated)) {
+      if (it->servesLong && admitsVersion(aInput, *it)) {
         group.push_back({ it, 1.0 / it->workFactor.usual(aInput.now) });
       }
     }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -535,6 +535,9 @@
 Exchange::onDeadline()
 {
   if (!mDone && !extendDeadline()) {
+    if (mPhase == Phase::AwaitingResponse) {
+      mContext.dispatcher.recordBadResponse(mJob.id);
+    }
     end("time_up");
   }
 }
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -77,6 +77,13 @@
   std::size_t descriptors = 0;
 };
 
+/// Whether the instances' settings state bounds on rollouts.
+enum class Rollouts
+{
+  NotStated,
+  Stated,
+};
+
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
@@ -92,7 +99,8 @@
                   Clocks aClocks = Clocks::OfTheMachine,
                   std::size_t aDomains = 1,
                   Millis aStopGrace = kStopGrace,
-                  MachineLimits aMachine = {});
+                  MachineLimits aMachine = {},
+                  Rollouts aRollouts = Rollouts::NotStated);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -141,6 +149,7 @@
   std::size_t mDomains;
   Millis mStopGrace;
   MachineLimits mMachine;
+  Rollouts mRollouts;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
