--- a/bench/model/replay_test.cpp
+++ b/bench/model/replay_test.cpp
@@ -155,4 +155,20 @@
   BOOST_TEST(known.kinds[1].onTimePart() > 0.9);
 }
 
+// Load pattern: bursts of long prompts of very uneven length beside chats, on servers of which a
+// quarter have twice the speed of the others. Guards against servers that are loaded alike whatever
+// their speed: without their statements more of both kinds are late.
+BOOST_AUTO_TEST_CASE(stated_work_factors_bring_more_requests_in_time)
+{
+  auto load = unevenLoad();
+  load.seconds = 6;
+  const auto stated = mean(load, Policy::Predicted);
+  load.statesNoise = false;
+  const auto unstated = mean(load, Policy::Predicted);
+  BOOST_TEST_MESSAGE("uneven: review " << stated.review << " / " << unstated.review << ", chat "
+                                       << stated.summary << " / " << unstated.summary);
+  BOOST_TEST(stated.review > unstated.review);
+  BOOST_TEST(stated.summary > unstated.summary);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
