--- a/src/mustardplank/dispatch/dispatcher_versions.cpp
+++ b/src/mustardplank/dispatch/dispatcher_versions.cpp
@@ -120,11 +120,11 @@
       continue;
     }
     auto& evidence = all[id] = service.rollout->evidence;
-    evidence.runningElsewhere = static_cast<std::uint64_t>(
-      std::count_if(mGranted.begin(), mGranted.end(), [&, &name = id](const auto& aItem) {
-        return aItem.second.job.service == name &&
-               aItem.second.softwareVersion != service.rollout->rule.target;
-      }));
+    for (const auto& [job, granted] : mGranted) {
+      const bool isElsewhere =
+        granted.job.service == id && granted.softwareVersion != service.rollout->rule.target;
+      evidence.runningElsewhere += isElsewhere ? 1 : 0;
+    }
   }
   return all;
 }
