--- a/src/mustardplank/dispatch/dispatcher_versions.cpp
+++ b/src/mustardplank/dispatch/dispatcher_versions.cpp
@@ -150,7 +150,10 @@
   const bool isComparable = server.coldUntil <= aNow && aNow - server.knownSince >= kSlowStart &&
                             server.availableAt() <= aNow && !isLoaded(server, aNow);
   if (isComparable) {
-    const double usual = static_cast<double>(aChoice.estimate.count()) / server.slowness;
+    // Where servers state their work factors, the estimate contains no measured slowness.
+    const bool measured = !isUneven(findOrCreateState(aGranted.job.service), aNow);
+    const double usual =
+      static_cast<double>(aChoice.estimate.count()) / (measured ? server.slowness : 1.0);
     aGranted.usualTime =
       std::max<Duration>(Duration(static_cast<std::int64_t>(usual)), kMinUsualTime);
   }
