Gateway: a server can no longer end the process with an empty chunked body in pieces

Cause: after "0\r\n" alone Beast 1.81 asserts that the next bytes of the body's end are at least 5; found by the fuzzer of the request parser, the response parser goes through the same code. Change: fewer bytes that may be such an end stay in the buffer. Test with processes: routes_empty_chunked_answer_in_pieces_does_not_end_the_process; not run on the code before.

--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -39,6 +39,10 @@
 /// longest time limit of a request whose caller states none.
 constexpr Duration kMaxUploadAfterResponse = Seconds(30);
 
+/// The shortest end of a chunked body, "0\r\n\r\n". With fewer bytes of it Beast 1.81 ends the
+/// process by an assertion, if it has seen the first line of that end before.
+constexpr std::size_t kMinChunkedEndBytes = 5;
+
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -227,7 +231,7 @@
 BackendConnection::parse()
 {
   auto self = shared_from_this();
-  while (mRequestActive && mBuffer.size() > 0) {
+  while (mRequestActive && mBuffer.size() > 0 && !mayBePartOfChunkedEnd()) {
     BoostErrorCode ec;
     const auto n = mParser->put(mBuffer.data(), ec);
     mBuffer.consume(n);
@@ -248,6 +252,16 @@
   reportUnparsedBytes();
 }
 
+bool
+BackendConnection::mayBePartOfChunkedEnd() const
+{
+  if (!mParser->is_header_done() || !mParser->chunked() || mBuffer.size() >= kMinChunkedEndBytes) {
+    return false;
+  }
+  const auto* first = static_cast<const char*>(mBuffer.data().data());
+  return *first == '0' || *first == '\r' || *first == '\n';
+}
+
 void
 BackendConnection::reportUnparsedBytes()
 {
--- a/test/routes/false_answers.cpp
+++ b/test/routes/false_answers.cpp
@@ -259,6 +259,19 @@
   }
 }
 
+/// The end of an empty chunked body arrives in two pieces.
+FalseAnswer
+emptyBodyInPieces()
+{
+  FalseAnswer answer;
+  answer.group = "pieces";
+  answer.name = "empty_chunked_end_in_pieces";
+  answer.framing = Framing::Chunked;
+  answer.framedBody = "0\r\n";
+  answer.surplus = "\r\n";
+  return answer;
+}
+
 void
 addIdentities(std::vector<FalseAnswer>& aAnswers)
 {
@@ -400,6 +413,7 @@
     addInterimResponses(answers);
     addFramingFields(answers);
     addIdentities(answers);
+    answers.push_back(emptyBodyInPieces());
     return answers;
   }();
   return kAnswers;
--- a/test/routes/false_answers_test.cpp
+++ b/test/routes/false_answers_test.cpp
@@ -227,6 +227,18 @@
   checkAnswers("identity", all);
 }
 
+// Guards against a server that ends the process: Beast 1.81 fails an assertion when the end of an
+// empty chunked body arrives in pieces.
+BOOST_AUTO_TEST_CASE(routes_empty_chunked_answer_in_pieces_does_not_end_the_process)
+{
+  FaultyDeployment deployment;
+  CallerConnection connection(deployment.callers());
+  const auto response = connection.call(callOf("/plain/false_empty_chunked_end_in_pieces"));
+  BOOST_TEST(response.result_int() == 200U);
+  BOOST_TEST(response.body().empty());
+  BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+}
+
 // Guards against a response to another request that a server writes before it has got one.
 BOOST_AUTO_TEST_CASE(routes_answer_before_its_request_is_no_answer)
 {
