Dispatch: placement uses what servers report of their prefix caches

HeldParts keeps what a server has reported, with the age of that knowledge; countUncachedTokens() uses it while it is fresh, together with the parts that this instance has sent within the last second, and the guess otherwise. After lost reports the larger of both counts. Nothing sets the knowledge yet, so that placement is as before.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -157,6 +157,11 @@
   WorkFactorReports takeWorkFactors();
   /// Records what servers have stated to other instances.
   void setOthersWorkFactors(const WorkFactorReports& aReports);
+  /// Sets what servers have reported to hold; nothing is known of those that are not named.
+  void setHeldParts(HeldPartsTable aTable);
+  /// Servers of this failure domain whose reports of held parts can be followed: their service
+  /// offers the reports, and one of its servers has stated its work factor.
+  std::vector<route::BackendServer> heldPartsReporters() const;
   /// Records the limit on requests per second from all instances that a server states with its
   /// response to a request sent at aSentAt, or that it states none. A response to a request that
   /// was sent before the last statement lifts no limit. Returns whether the limit has changed.
@@ -298,6 +303,7 @@
   std::uint64_t mLoadVersion = 0;
   std::function<void()> mLoadListener;
   std::optional<TimePoint> mOthersLoadsAt;
+  HeldPartsTable mHeldParts;
   /// Reports for takeWorkFactors().
   WorkFactorReports mNewWorkFactors;
   CrashSuspects mCrashSuspects;
--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -120,9 +120,10 @@
 bool
 hasVersionFor(const Job& aJob, const ServerState& aServer, bool aVersionsAreStated);
 
-/// Prompt tokens that the server would have to prefill.
+/// Prompt tokens that the server would have to prefill: by what it has reported to hold if that is
+/// known at aNow, else by what was sent to it.
 std::uint32_t
-countUncachedTokens(const Job& aJob, const ServerState& aServer);
+countUncachedTokens(const Job& aJob, const ServerState& aServer, TimePoint aNow);
 
 /// Predicted time to the first event when the server has to prefill aPrefillTokens.
 /// aIncludesOtherInstances: adds the long prompts of other instances that may wait on the server,
--- a/include/mustardplank/dispatch/server_state.hpp
+++ b/include/mustardplank/dispatch/server_state.hpp
@@ -3,6 +3,7 @@
 #include "mustardplank/base/hash.hpp"
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/dispatch/cold_rate_limiter.hpp"
+#include "mustardplank/dispatch/held_parts.hpp"
 #include "mustardplank/dispatch/instance_load.hpp"
 #include "mustardplank/dispatch/job.hpp"
 #include "mustardplank/dispatch/prefix_cache_model.hpp"
@@ -51,6 +52,10 @@
   TimePoint coldUntil{};
   ColdRateLimiter coldLimiter;
   PrefixCacheModel prefixCache;
+  /// What the server has reported to hold; nullptr if it does not report to any instance.
+  std::shared_ptr<const HeldParts> heldParts;
+  /// Recorded while heldParts is known.
+  RecentParts recentParts;
   /// Requests of this instance on the server.
   std::map<JobId, RunningJob> running;
   /// Prompt tokens to prefill for requests of this instance that wait for their first event.
--- a/include/mustardplank/route/model.hpp
+++ b/include/mustardplank/route/model.hpp
@@ -75,6 +75,9 @@
   std::uint32_t slots = 0;
   /// Capacity of the key-value cache.
   std::uint64_t memoryTokens = 0;
+  /// Calls that may wait at one server for reports of what its prefix cache holds, from the whole
+  /// system; 0 if the servers do not report it.
+  std::uint32_t maxReportCalls = 0;
 };
 
 /// How many servers of a service may be ordered per failure domain, and their prices.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -87,6 +87,8 @@
         service && service->engine) {
       state->prefixCache.setCapacity(service->engine->memoryTokens);
     }
+    const auto held = mHeldParts.find(static_cast<ServerKey>(state->idHash));
+    state->heldParts = held == mHeldParts.end() ? nullptr : held->second;
     known = state.get();
     mServers[aServer.id] = std::move(state);
   }
@@ -363,6 +365,9 @@
   }
   server.running.emplace(aJob.id, run);
   server.prefixCache.recordPrompt(aJob.prompt);
+  if (server.heldParts) {
+    server.recentParts.record(aJob.prompt, aNow);
+  }
   const auto id = aJob.id;
   ++mGrantedByOrganisation[aJob.organisation];
   noteLoadChange();
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -228,6 +228,43 @@
   }
 }
 
+void
+Dispatcher::setHeldParts(HeldPartsTable aTable)
+{
+  mHeldParts = std::move(aTable);
+  for (auto& [id, server] : mServers) {
+    const auto it = mHeldParts.find(static_cast<ServerKey>(server->idHash));
+    server->heldParts = it == mHeldParts.end() ? nullptr : it->second;
+  }
+}
+
+std::vector<route::BackendServer>
+Dispatcher::heldPartsReporters() const
+{
+  std::set<route::ServiceId> services;
+  for (const auto& [id, server] : mServers) {
+    // Not isKnown(), which ends when the service has no requests for some seconds.
+    if (!mTable || server->workFactor.latest().at == TimePoint{}) {
+      continue;
+    }
+    const auto* service = mTable->findService(server->server.service);
+    if (service && service->engine && service->engine->maxReportCalls > 0) {
+      services.insert(service->id);
+    }
+  }
+  if (services.empty()) {
+    return {};
+  }
+  std::vector<route::BackendServer> reporters;
+  for (const auto& [id, server] : mServers) {
+    if (services.contains(server->server.service) && isUsable(*server) &&
+        server->server.domain == mOptions.domain) {
+      reporters.push_back(server->server);
+    }
+  }
+  return reporters;
+}
+
 WorkFactorReports
 Dispatcher::takeWorkFactors()
 {
--- a/src/mustardplank/dispatch/placement.cpp
+++ b/src/mustardplank/dispatch/placement.cpp
@@ -197,10 +197,16 @@
 }
 
 std::uint32_t
-countUncachedTokens(const Job& aJob, const ServerState& aServer)
+countUncachedTokens(const Job& aJob, const ServerState& aServer, TimePoint aNow)
 {
-  const auto cached = std::min(aServer.prefixCache.cachedTokens(aJob.prompt), aJob.promptTokens);
-  return aJob.promptTokens - cached;
+  const auto* held = aServer.heldParts.get();
+  const bool isKnown = held && held->isFresh(aNow);
+  const auto reported =
+    isKnown ? countHeldTokens(aJob.prompt, *held, aServer.recentParts, aNow) : 0U;
+  // After lost reports the server may hold more than it has reported.
+  const auto guessed =
+    isKnown && held->isComplete() ? 0U : aServer.prefixCache.cachedTokens(aJob.prompt);
+  return aJob.promptTokens - std::min(std::max(reported, guessed), aJob.promptTokens);
 }
 
 Duration
@@ -243,7 +249,7 @@
         !canAcceptRequest(aInput, *it, preferred && aInput.knowsOthersLoads)) {
       continue;
     }
-    Choice choice{ it, {}, countUncachedTokens(job, *it) };
+    Choice choice{ it, {}, countUncachedTokens(job, *it, aInput.now) };
     Duration cost = domainCost(aInput, *it);
     bool includesOtherInstances = false;
     if (aInput.hasEngine) {
@@ -292,7 +298,7 @@
   for (auto* it : aServers) {
     const double load = estimateActiveRequests(*it, aInput) / std::max(1U, it->server.slots);
     if (!best || load < bestLoad) {
-      const auto prefillTokens = countUncachedTokens(*aInput.job, *it);
+      const auto prefillTokens = countUncachedTokens(*aInput.job, *it, aInput.now);
       best =
         Choice{ it, predictTimeToFirstEvent(aInput, *it, prefillTokens, false), prefillTokens };
       bestLoad = load;
