Daemon: second agents learn of the agents of other failure domains

A reply of an agent states the end of the directory's log with the list of its own failure domain alone. A later read of the whole directory has the same end, so that the exchange of datagrams kept the old lists of the other domains and ignored their agents' messages. It now compares the lists.

--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -101,8 +101,10 @@
       .field("directory_end", planner.directory().logEnd)
       .write();
   }
-  if (loadDirectoryEnd != planner.directory().logEnd) {
-    loadDirectoryEnd = planner.directory().logEnd;
+  // Not by the end of its log: an agent's reply states that with the list of the own domain alone,
+  // the lists of the others are read later.
+  if (loadAgents != planner.directory().domains) {
+    loadAgents = planner.directory().domains;
     loads.setDirectory(planner.directory());
   }
   if (follows != followed) {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -344,8 +344,8 @@
   std::set<dispatch::PromptPartId> blockedParts;
   TimePoint blockedRepeatedAt{};
   std::uint64_t sentLoadVersion = 0;
-  /// Directory::logEnd of the agents that the exchange of loads knows.
-  control::Offset loadDirectoryEnd = 0;
+  /// The agents that the exchange of loads knows.
+  std::map<FailureDomainId, agent::AgentList> loadAgents;
   std::optional<AlarmQueue::Id> loadAlarm;
 
   dispatch::VersionHistory versions{ startedAt };
