Agents follow what servers report of their prefix caches

GET /kv-events of the servers of the own failure domain, by the agent that follows the store, for services that state "most" in their engine's configuration and whose servers state work factors; others get no call and no message.

--- a/include/mustardplank/agent/held_parts_exchange.hpp
+++ b/include/mustardplank/agent/held_parts_exchange.hpp
@@ -49,6 +49,10 @@
   static constexpr std::size_t kMaxEarlyMessages = 64;
   /// Pages of snapshots that wait to be sent; further requests are ignored.
   static constexpr std::size_t kMaxWaitingPages = 1024;
+  /// Pages and repeated messages that are sent at once, and the pause after them: receivers have
+  /// room for some hundred datagrams.
+  static constexpr std::size_t kMaxRepliesAtOnce = 16;
+  static constexpr Duration kReplyPause = Millis(10);
   /// A message about more failure domains, servers of one, or parts of a server is cut off there.
   static constexpr std::size_t kMaxDomains = 32;
   static constexpr std::size_t kMaxServers = 4096;
@@ -136,7 +140,7 @@
   void addChanges(std::vector<Datagram>& aOut, const Neighbours& aNeighbours, TimePoint aNow);
   void addForwarded(std::vector<Datagram>& aOut, const Neighbours& aNeighbours);
   void addRequests(std::vector<Datagram>& aOut, TimePoint aNow);
-  void addPages(std::vector<Datagram>& aOut);
+  void addReplies(std::vector<Datagram>& aOut, TimePoint aNow);
   /// Changes that fit into one datagram.
   std::vector<ServerPartsChange> takePending();
   void add(std::vector<Datagram>& aOut, Datagram aDatagram);
@@ -159,6 +163,7 @@
   std::deque<std::string> mForwarded;
   /// Pages and repeated messages.
   std::deque<Datagram> mReplies;
+  TimePoint mNextReplyAt{};
   bool mTableChanged = false;
 };
 
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -37,9 +37,13 @@
   ServersAgeSeconds,
   /// How late the event loop handled a timer, the latest within a second.
   EventLoopLagSeconds,
+  /// Servers whose reports of held prompt parts this process follows.
+  HeldPartsFollowed,
+  /// Servers of which this process knows what they hold.
+  HeldPartsKnown,
 };
 
-inline constexpr NameTable<Gauge, 16> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 18> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -56,6 +60,8 @@
   { Gauge::OperatorsAgeSeconds, "configuration_age_seconds" },
   { Gauge::ServersAgeSeconds, "servers_age_seconds" },
   { Gauge::EventLoopLagSeconds, "event_loop_lag_seconds" },
+  { Gauge::HeldPartsFollowed, "held_parts_servers_followed" },
+  { Gauge::HeldPartsKnown, "held_parts_servers_known" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -110,9 +116,15 @@
   ServerChange,
   /// Crash notes that were not sent, as there were too many.
   CrashNoteDropped,
+  /// Servers' reports of prompt parts that they hold or have evicted.
+  HeldPartsEvent,
+  /// What was known of a server's held parts was lost: it has restarted or skipped reports.
+  HeldPartsLoss,
+  /// Datagrams about held parts that were not applied.
+  HeldPartsMessageIgnored,
 };
 
-inline constexpr NameTable<Event, 21> kEventNames{ { {
+inline constexpr NameTable<Event, 24> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -134,6 +146,9 @@
   { Event::StoreRestored, "store_restorations" },
   { Event::ServerChange, "server_changes" },
   { Event::CrashNoteDropped, "crash_notes_dropped" },
+  { Event::HeldPartsEvent, "held_parts_events" },
+  { Event::HeldPartsLoss, "held_parts_losses" },
+  { Event::HeldPartsMessageIgnored, "held_parts_messages_ignored" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
@@ -146,14 +161,17 @@
   CrashNotes,
   /// Which software began a stream.
   Streams,
+  /// Prompt parts that servers hold.
+  HeldParts,
 };
 
-inline constexpr NameTable<ControlMessage, 5> kControlMessageNames{ { {
+inline constexpr NameTable<ControlMessage, 6> kControlMessageNames{ { {
   { ControlMessage::Sync, "sync" },
   { ControlMessage::SyncReply, "sync_reply" },
   { ControlMessage::Loads, "loads" },
   { ControlMessage::CrashNotes, "crash_notes" },
   { ControlMessage::Streams, "streams" },
+  { ControlMessage::HeldParts, "held_parts" },
 } } };
 
 struct Limits
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -34,6 +34,8 @@
 /// Share of the link that an agent uses to state the loads of servers to other instances; the rest
 /// is for requests and their answers.
 constexpr double kLoadsLinkShare = 0.25;
+/// The same for what servers hold in their prefix caches.
+constexpr double kHeldPartsLinkShare = 0.1;
 /// How long handing over counts may take. The first time it begins so long before the last
 /// requests are ended; the second time the end of the process may come earlier.
 constexpr Duration kHandOverTime = Millis(600);
@@ -127,6 +129,7 @@
                incarnation,
                [this](bool aWithPeers) { return makeSyncState(aWithPeers); })
   , loads(settings.instance, settings.failureDomain, settings.admin.text(), incarnation)
+  , heldParts(settings.failureDomain, incarnation)
   , registry(outageThreshold(settings))
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
@@ -141,6 +144,7 @@
 {
   if (settings.linkMbps > 0) {
     loads.setByteRate(kLoadsLinkShare * kBytesPerMbit * settings.linkMbps);
+    heldParts.setByteRate(kHeldPartsLinkShare * kBytesPerMbit * settings.linkMbps);
   }
   dispatcher.setInstanceCount(kAssumedInstances);
   dispatcher.setServerListRefreshAge(planner.maxAge());
@@ -334,7 +338,9 @@
       << (planner.followsStore(now) ? "yes" : "no") << " requests held " << syncServer.heldCount()
       << "\n"
       << "age_ms configuration " << age(operatorsView) << " servers " << age(serversView)
-      << " limit " << duration_cast<Millis>(planner.maxAge()).count() << "\n";
+      << " limit " << duration_cast<Millis>(planner.maxAge()).count() << "\n"
+      << "held parts servers followed " << heldPartsFollowers.size() << " known "
+      << heldParts.countKnown(now) << " parts " << heldParts.countParts(now) << "\n";
   return out.str();
 }
 
@@ -382,6 +388,7 @@
   spawn(leaseLoop());
   spawn(usageLoop());
   spawn(orderLoop());
+  spawn(heldPartsLoop());
   spawn(tickLoop());
   LogEvent(LogLevel::Info, "daemon.started")
     .field("failure_domain", settings.failureDomain.str())
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -7,6 +7,7 @@
 #include "store_client.hpp"
 
 #include "mustardplank/agent/crash_exchange.hpp"
+#include "mustardplank/agent/held_parts_exchange.hpp"
 #include "mustardplank/agent/load_exchange.hpp"
 #include "mustardplank/agent/source_planner.hpp"
 #include "mustardplank/agent/stream_exchange.hpp"
@@ -18,6 +19,7 @@
 #include "mustardplank/base/retry_pause.hpp"
 #include "mustardplank/control/duty_lease.hpp"
 #include "mustardplank/control/evacuated_domains.hpp"
+#include "mustardplank/control/held_parts_reader.hpp"
 #include "mustardplank/control/intent_log.hpp"
 #include "mustardplank/control/records.hpp"
 #include "mustardplank/control/server_order_planner.hpp"
@@ -184,6 +186,21 @@
   void sendCrashNote(dispatch::CrashNote aNote, agent::CrashExchange::Audience aAudience);
   void sendDatagram(const agent::Datagram& aDatagram, metrics::ControlMessage aKind);
 
+  // Prompt parts that servers hold.
+  struct HeldPartsFollower;
+  awaitable<void> heldPartsLoop();
+  /// Follows the servers that it is this instance's turn to follow, and no others.
+  void updateHeldPartsFollowers();
+  awaitable<void> followHeldParts(std::shared_ptr<HeldPartsFollower> aFollower);
+  /// One call. Returns the pause before the next one.
+  awaitable<Duration> readHeldParts(HeldPartsFollower& aFollower);
+  void applyHeldParts(HeldPartsFollower& aFollower, const control::HeldPartsReport& aReport);
+  /// Nothing is known of the server any more until it answers again.
+  void dropHeldParts(HeldPartsFollower& aFollower, const std::string& aReason);
+  void receiveHeldParts(const std::string& aBytes, const std::string& aSender);
+  /// Sends what is due, and tells the dispatcher of servers that have become known or unknown.
+  void exchangeHeldParts();
+
   // Streams and the versions of servers' software.
   void noteVersion(const route::BackendServer& aServer);
   /// The first event of a stream was passed on.
@@ -341,6 +358,7 @@
   bool wasAgent = false;
   agent::LoadExchange loads;
   agent::CrashExchange crashExchange;
+  agent::HeldPartsExchange heldParts;
   std::set<dispatch::PromptPartId> blockedParts;
   TimePoint blockedRepeatedAt{};
   std::uint64_t sentLoadVersion = 0;
@@ -404,6 +422,7 @@
   asio::io_context io{ 1 };
   /// By agent. Destroyed before io, to which their idle connections belong.
   std::map<InstanceId, std::unique_ptr<platform::HttpClient>> syncClients;
+  std::map<BackendServerId, std::shared_ptr<HeldPartsFollower>> heldPartsFollowers;
   /// The decision whether to follow the store, or whom to ask, may have changed.
   Notifier operatorsDue{ io };
   Notifier serversDue{ io };
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -69,6 +69,10 @@
       receiveStreamMessage(bytes, address);
       continue;
     }
+    if (agent::isHeldPartsMessage(bytes)) {
+      receiveHeldParts(bytes, address);
+      continue;
+    }
     const auto message = agent::decodeLoadMessage(bytes, findings);
     if (!message || !loads.receive(*message, address, bootNow())) {
       metrics.count(metrics::Event::LoadMessageIgnored);
@@ -103,12 +107,14 @@
       sendDatagram(it, metrics::ControlMessage::Streams);
     }
   }
+  exchangeHeldParts();
   if (const auto others = loads.takeOthersLoads()) {
     dispatcher.setOthersLoads(*others, now);
   }
   armLoadAlarm(std::min({ loads.nextAt(now),
                           crashExchange.nextAt().value_or(TimePoint::max()),
-                          streamExchange.nextAt().value_or(TimePoint::max()) }));
+                          streamExchange.nextAt().value_or(TimePoint::max()),
+                          heldParts.nextAt(now).value_or(TimePoint::max()) }));
 }
 
 void
--- a/src/mustardplank/agent/held_parts_exchange.cpp
+++ b/src/mustardplank/agent/held_parts_exchange.cpp
@@ -476,11 +476,17 @@
 }
 
 void
-HeldPartsExchange::addPages(std::vector<Datagram>& aOut)
+HeldPartsExchange::addReplies(std::vector<Datagram>& aOut, TimePoint aNow)
 {
-  while (!mReplies.empty() && (!mByteRate || mBytesLeft >= 0.0)) {
+  if (aNow < mNextReplyAt) {
+    return;
+  }
+  for (std::size_t n = 0;
+       n < kMaxRepliesAtOnce && !mReplies.empty() && (!mByteRate || mBytesLeft >= 0.0);
+       ++n) {
     add(aOut, std::move(mReplies.front()));
     mReplies.pop_front();
+    mNextReplyAt = aNow + kReplyPause;
   }
 }
 
@@ -494,7 +500,7 @@
     addChanges(out, aNeighbours, aNow);
   }
   addForwarded(out, aNeighbours);
-  addPages(out);
+  addReplies(out, aNow);
   return out;
 }
 
@@ -511,9 +517,12 @@
       consider(std::max(mSentAt + kRepeatInterval, nextSendAt(aNow)));
     }
   }
-  if (!mForwarded.empty() || !mReplies.empty()) {
+  if (!mForwarded.empty()) {
     consider(nextSendAt(aNow));
   }
+  if (!mReplies.empty()) {
+    consider(std::max(mNextReplyAt, nextSendAt(aNow)));
+  }
   for (const auto& [id, domain] : mDomains) {
     if (domain.request) {
       consider(domain.request->second);
--- a/src/mustardplank/dispatch/held_parts.cpp
+++ b/src/mustardplank/dispatch/held_parts.cpp
@@ -3,7 +3,6 @@
 #include "mustardplank/base/hash.hpp"
 
 #include <algorithm>
-#include <string>
 
 namespace mustardplank::dispatch {
 
@@ -11,7 +10,12 @@
 partKeyOf(std::uint64_t aPartId)
 {
   // Callers' ids may be small numbers, which would fill only a part of the keys.
-  return static_cast<PartKey>(stableHash(std::to_string(aPartId)));
+  char bytes[sizeof aPartId];
+  for (auto& it : bytes) {
+    it = static_cast<char>(aPartId & 0xff);
+    aPartId >>= 8;
+  }
+  return static_cast<PartKey>(stableHash({ bytes, sizeof bytes }));
 }
 
 void
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -265,6 +265,11 @@
   }
   config["services"] =
     json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
+  if (mReportCalls > 0) {
+    config["services"][0]["engine"] = { { "slots", 8 },
+                                        { "kvCapacityTokens", 100000 },
+                                        { "most", mReportCalls } };
+  }
   config["limits"] = { { "maxHeaderBytes", 8192 },
                        { "maxBodyBytes", mMaxBodyBytes },
                        { "headerTimeoutMs", 1000 },
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -110,6 +110,8 @@
   void setRouteTimeout(Millis aTimeout) { mRouteTimeout = aTimeout; }
   /// The limit on bodies that configure() sets.
   void setMaxBodyBytes(std::size_t aBytes) { mMaxBodyBytes = aBytes; }
+  /// Calls of /kv-events that configure() lets wait at a server, which makes it an engine; 0: none.
+  void setReportCalls(int aCalls) { mReportCalls = aCalls; }
   void writeServer(std::size_t aIndex,
                    const std::string& aState = "ready",
                    const std::string& aMore = "");
@@ -146,6 +148,7 @@
   Millis mIdleTimeout{ 3000 };
   Millis mRouteTimeout{ 3000 };
   std::size_t mMaxBodyBytes = 100000;
+  int mReportCalls = 0;
   std::thread mThread;
 };
 
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -115,6 +118,57 @@
   return mMoreFields;
 }
 
+void
+ServerStandin::setHeld(const std::string& aPart, bool aHeld)
+{
+  const std::lock_guard lock(mMutex);
+  mHeldEvents.emplace_back(aPart, aHeld);
+}
+
+std::optional<std::string>
+ServerStandin::reportFrom(std::uint64_t aSince, bool aEvenIfEmpty) const
+{
+  const std::lock_guard lock(mMutex);
+  if (!aEvenIfEmpty && aSince >= mHeldEvents.size()) {
+    return std::nullopt;
+  }
+  auto events = nlohmann::json::array();
+  for (auto i = aSince; i < mHeldEvents.size(); ++i) {
+    const auto& [part, held] = mHeldEvents[i];
+    events.push_back(nlohmann::json::array({ i, held ? "+" : "-", "", part, held ? 100 : 0, "m" }));
+  }
+  const nlohmann::json report{
+    { "epoch", 7 }, { "next", mHeldEvents.size() }, { "lost", false }, { "events", events }
+  };
+  return report.dump();
+}
+
+Awaitable<bool>
+ServerStandin::report(SocketPtr aSocket, Request& aRequest)
+{
+  constexpr int kMaxWaitMs = 1000;
+  constexpr int kStepMs = 10;
+  ++mReportCalls;
+  if (mWaitingReportCalls > 0) {
+    ++mRefusedReportCalls;
+    co_return co_await writeText(aSocket, answerText(429, "", "", ""));
+  }
+  ++mWaitingReportCalls;
+  const auto since = standins::queryNumber(aRequest, "since", 0);
+  const int waitMs = std::min(kMaxWaitMs, std::atoi(std::string(aRequest["Wait-Ms"]).c_str()));
+  auto text = reportFrom(since, false);
+  for (int ms = 0; !text && ms < waitMs; ms += kStepMs) {
+    co_await standins::sleepMillis(kStepMs);
+    text = reportFrom(since, false);
+  }
+  --mWaitingReportCalls;
+  if (!text) {
+    text = reportFrom(since, true);
+  }
+  const auto answer = answerText(200, "", "", *text);
+  co_return co_await writeText(aSocket, answer);
+}
+
 Awaitable<void>
 ServerStandin::awaitClose(SocketPtr aSocket)
 {
@@ -126,6 +180,9 @@
 Awaitable<bool>
 ServerStandin::handle(SocketPtr aSocket, Request& aRequest)
 {
+  if (standins::pathOf(aRequest) == "/kv-events") {
+    co_return co_await report(aSocket, aRequest);
+  }
   Arrival arrival;
   arrival.attempt = std::string(aRequest["X-Attempt-Id"]);
   arrival.path = std::string(aRequest.target());
@@ -138,7 +195,8 @@
   auto mode = modeOf(arrival.path, arrival.attempt);
   const auto attempt = arrival.attempt;
   const std::string signature =
-    "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8\r\n" + moreFields();
+    "X-Response-Signature: sig-" + attempt + "\r\nX-Instance-Load: 1,0,8" +
+    (mWorkPercent > 0 ? "," + std::to_string(mWorkPercent) : "") + "\r\n" + moreFields();
   const std::string whole = answerText(200, attempt, signature, "answer to " + attempt);
   {
     const std::lock_guard lock(mMutex);
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -4,10 +4,12 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mustardplank::routes {
@@ -91,6 +93,13 @@
   void setFull(bool aFull) { mFull = aFull; }
   /// From now on closes the connection of every request instead of answering.
   void setBreakingOff(bool aBreakingOff) { mBreakingOff = aBreakingOff; }
+  /// States this percentage with its load from now on: how long work takes.
+  void setWorkPercent(int aPercent) { mWorkPercent = aPercent; }
+  /// Reports at /kv-events that it holds a prompt part from now on, or no longer.
+  void setHeld(const std::string& aPart, bool aHeld);
+  /// Calls of /kv-events, and those that were refused as another one was waiting.
+  int reportCalls() const { return mReportCalls; }
+  int refusedReportCalls() const { return mRefusedReportCalls; }
   /// Fails every request of a path with the mode named in the path; false: answers all.
   void setFailing(bool aFailing) { mFailing = aFailing; }
 
@@ -127,6 +136,9 @@
   };
 
   std::string moreFields() const;
+  /// Events from aSince on; nothing if there are none.
+  std::optional<std::string> reportFrom(std::uint64_t aSince, bool aEvenIfEmpty) const;
+  standins::Awaitable<bool> report(standins::SocketPtr aSocket, standins::Request& aRequest);
   std::string version() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
@@ -152,6 +164,12 @@
   std::vector<Arrival> mArrivals;
   std::string mMoreFields;
   std::string mVersion;
+  /// Parts that it began to hold or evicted, in order.
+  std::vector<std::pair<std::string, bool>> mHeldEvents;
+  std::atomic<int> mWorkPercent{ 0 };
+  std::atomic<int> mReportCalls{ 0 };
+  std::atomic<int> mRefusedReportCalls{ 0 };
+  std::atomic<int> mWaitingReportCalls{ 0 };
   std::atomic<int> mCancelled{ 0 };
   std::atomic<int> mCrashes{ 0 };
   std::atomic<std::size_t> mEndlessBytes{ 0 };
