--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -42,9 +42,13 @@
   /// Services with a version on trial or moving, and the largest share of requests that it gets.
   ActiveRollouts,
   RolloutShare,
+  /// Servers whose reports of held prompt parts this process follows.
+  HeldPartsFollowed,
+  /// Servers of which this process knows what they hold.
+  HeldPartsKnown,
 };
 
-inline constexpr NameTable<Gauge, 19> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 21> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -64,6 +68,8 @@
   { Gauge::CallerMemoryBytes, "caller_memory_bytes" },
   { Gauge::ActiveRollouts, "active_rollouts" },
   { Gauge::RolloutShare, "rollout_share" },
+  { Gauge::HeldPartsFollowed, "held_parts_servers_followed" },
+  { Gauge::HeldPartsKnown, "held_parts_servers_known" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -121,9 +127,15 @@
   /// Steps of rollouts that this instance decided, and rollbacks among them.
   RolloutStep,
   RolloutRollback,
+  /// Servers' reports of prompt parts that they hold or have evicted.
+  HeldPartsEvent,
+  /// What was known of a server's held parts was lost: it has restarted or skipped reports.
+  HeldPartsLoss,
+  /// Datagrams about held parts that were not applied.
+  HeldPartsMessageIgnored,
 };
 
-inline constexpr NameTable<Event, 23> kEventNames{ { {
+inline constexpr NameTable<Event, 26> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -147,6 +159,9 @@
   { Event::CrashNoteDropped, "crash_notes_dropped" },
   { Event::RolloutStep, "rollout_steps" },
   { Event::RolloutRollback, "rollout_rollbacks" },
+  { Event::HeldPartsEvent, "held_parts_events" },
+  { Event::HeldPartsLoss, "held_parts_losses" },
+  { Event::HeldPartsMessageIgnored, "held_parts_messages_ignored" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
@@ -159,14 +174,17 @@
   CrashNotes,
   /// Which software began a stream.
   Streams,
+  /// Prompt parts that servers hold.
+  HeldParts,
 };
 
-inline constexpr NameTable<ControlMessage, 5> kControlMessageNames{ { {
+inline constexpr NameTable<ControlMessage, 6> kControlMessageNames{ { {
   { ControlMessage::Sync, "sync" },
   { ControlMessage::SyncReply, "sync_reply" },
   { ControlMessage::Loads, "loads" },
   { ControlMessage::CrashNotes, "crash_notes" },
   { ControlMessage::Streams, "streams" },
+  { ControlMessage::HeldParts, "held_parts" },
 } } };
 
 struct Limits
--- a/src/mustardplank/dispatch/uneven_placement.cpp
+++ b/src/mustardplank/dispatch/uneven_placement.cpp
@@ -128,8 +128,10 @@
         !fitsMemory(aInput, *it, it->prefixCache.capacity())) {
       continue;
     }
-    Choice choice{ it, {}, countUncachedTokens(job, *it) };
-    if (preferred.primary == it) {
+    Choice choice{ it, {}, countUncachedTokens(job, *it, aInput.now) };
+    const bool isHeldKnown =
+      it->heldParts && it->heldParts->isFresh(aInput.now) && it->heldParts->isComplete();
+    if (preferred.primary == it && !isHeldKnown) {
       // Other instances send requests with the shared parts there too.
       choice.prefillTokens = std::min(choice.prefillTokens, ownTokens);
     }
--- a/src/mustardplank/settings/route_settings.cpp
+++ b/src/mustardplank/settings/route_settings.cpp
@@ -115,6 +115,7 @@
   reader.real("link_mbps", settings.linkMbps, 0.0, kMaxLinkMbps);
   reader.integer("memory_mb", settings.memoryMb, kMinMemoryMb, kMaxMemoryMb);
   reader.integer("caller_min_bytes_per_s", settings.callerMinBytesPerS, 0, kMaxCallerRate);
+  reader.boolean("follow_held_parts", settings.followsHeldParts);
   reader.integer("log_sampling", settings.logSampling, 1, 1'000'000);
   if (const auto* node = reader.object("bounds", Presence::Optional)) {
     readBounds(*node, aFileName, aFindings, settings.bounds);
