--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -5,6 +5,7 @@
 #include "smoothing.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace mustardplank::dispatch {
@@ -50,6 +51,8 @@
 constexpr double kMaxShortServerShare = 0.7;
 /// Servers reserved for short streams, as a multiple of the mean number that they need.
 constexpr double kShortServerHeadroom = 1.3;
+/// A server counts as one of the fastest up to this multiple of the smallest work factor.
+constexpr double kFastServerFactor = 1.15;
 /// A request without a first event after kStallFactor x estimate + kStallMargin counts as stalled.
 constexpr int kStallFactor = 4;
 constexpr Duration kStallMargin = Millis(400);
@@ -61,6 +64,20 @@
 /// A lower failure rate is set to zero.
 constexpr double kMinFailureRate = 0.02;
 
+/// Share of the servers that are among the fastest.
+double
+fastServerShare(const std::vector<ServerState*>& aServers, TimePoint aNow)
+{
+  double smallest = std::numeric_limits<double>::max();
+  for (const auto* it : aServers) {
+    smallest = std::min(smallest, it->workFactor.usual(aNow));
+  }
+  const auto n = std::count_if(aServers.begin(), aServers.end(), [&](const auto* aServer) {
+    return aServer->workFactor.usual(aNow) <= kFastServerFactor * smallest;
+  });
+  return static_cast<double>(n) / std::max<double>(1.0, static_cast<double>(aServers.size()));
+}
+
 }
 
 void
@@ -89,10 +106,12 @@
     // share and the servers reserved for them; long prompts get the rest.
     const double reservedShare =
       kShortServerHeadroom * shortServersNeeded / static_cast<double>(state.servers.size());
-    // On servers of unequal speed the streams get the fastest ones and need no more than these.
-    const double proportionalShare =
-      state.workFactorStatedAt ? 0.0
-                               : shortServersNeeded / (shortServersNeeded + longServersNeeded);
+    double proportionalShare = shortServersNeeded / (shortServersNeeded + longServersNeeded);
+    if (state.workFactorStatedAt) {
+      // Beyond the servers that they need, streams get the fastest ones only.
+      proportionalShare =
+        std::min(proportionalShare, fastServerShare(state.servers, *state.workFactorStatedAt));
+    }
     const double share = std::clamp(
       std::max(proportionalShare, reservedShare), kMinShortServerShare, kMaxShortServerShare);
     smooth(model.shortServerShare, share, kDemandWeight);
--- a/src/mustardplank/dispatch/uneven_placement_test.cpp
+++ b/src/mustardplank/dispatch/uneven_placement_test.cpp
@@ -98,7 +98,7 @@
   effects.clear();
   dispatcher.setOthersLoads({}, atMillis(400));
   dispatcher.submit(makeEngineJob(2, 9000, 1, atMillis(410)), atMillis(410), effects);
-  BOOST_TEST(findGrant(effects, 2)->server == first);
+  BOOST_TEST(findGrant(effects, 2)->server.str() == first.str());
   dispatcher.recordFirstEvent(2, atMillis(550));
   dispatcher.endJob(2, JobOutcome::Finished, atMillis(800), effects);
 
@@ -107,7 +107,7 @@
     { { static_cast<ServerKey>(stableHash(first.str())), { 4.0, 60000.0 } } }, atMillis(800));
   dispatcher.submit(makeEngineJob(3, 9000, 1, atMillis(810)), atMillis(810), effects);
   BOOST_REQUIRE(findGrant(effects, 3));
-  BOOST_TEST(findGrant(effects, 3)->server != first);
+  BOOST_TEST(findGrant(effects, 3)->server.str() != first.str());
 }
 
 // Guards against estimates that take the fixed delay of each first event for slowness of the server
