--- a/src/mustardplank/dispatch/uneven_placement_test.cpp
+++ b/src/mustardplank/dispatch/uneven_placement_test.cpp
@@ -31,7 +31,10 @@
     dispatcher.updateServer(makeServer(serverId(i).str(), "a", "llm", 12), atMillis(0));
     dispatcher.recordWorkFactor(serverId(i), i % 4 == 0 ? kFast : kSlow, atMillis(0));
   }
-  dispatcher.setDemand(route::ServiceId("llm"), { 10.0, 100.0 });
+  // The division of the servers follows the demand in small steps.
+  for (int i = 0; i < 60; ++i) {
+    dispatcher.setDemand(route::ServiceId("llm"), { 20.0, 100.0 });
+  }
   return dispatcher;
 }
 
