--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -10,9 +10,9 @@
 #include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
-#include "mustardplank/dispatch/work_factor.hpp"
 #include "mustardplank/dispatch/version_evidence.hpp"
 #include "mustardplank/dispatch/version_gate.hpp"
+#include "mustardplank/dispatch/work_factor.hpp"
 #include "mustardplank/route/table.hpp"
 
 #include <cstdint>
--- a/include/mustardplank/settings/route_settings.hpp
+++ b/include/mustardplank/settings/route_settings.hpp
@@ -103,8 +103,8 @@
   /// Callers that send a body more slowly, in bytes per second, are rejected while the memory for
   /// callers is scarce. 0: none is.
   std::uint32_t callerMinBytesPerS = 8'000;
-  /// Whether agents follow what engines report to keep of prompts, where the configuration says that
-  /// they report it.
+  /// Whether agents follow what engines report to keep of prompts, where the configuration says
+  /// that they report it.
   bool followsHeldParts = false;
   /// One in so many routine requests is logged.
   std::uint32_t logSampling = 16;
