--- a/bench/model/model_bench.cpp
+++ b/bench/model/model_bench.cpp
@@ -61,7 +61,7 @@
 void
 play(const std::string& aName, Load aLoad, std::uint64_t aSeeds)
 {
-  for (const auto policy : { dispatch::Policy::Predicted }) {
+  for (const auto policy : { dispatch::Policy::Predicted, dispatch::Policy::TwoChoices }) {
     std::vector<double> onTime(aLoad.kinds.size());
     std::vector<double> refused(aLoad.kinds.size());
     std::vector<double> paused(aLoad.kinds.size());
