--- a/include/mustardplank/dispatch/placement.hpp
+++ b/include/mustardplank/dispatch/placement.hpp
@@ -72,8 +72,7 @@
   /// Time to the first event for an empty prompt on an idle server.
   Duration baseTimeToFirstEvent = Millis(15);
   /// Time to the first event besides queueing and prefill, learned where servers state their work
-  /// factors. It does not depend on the work factor: engines with 55 and 120 % took 118 and 124 ms
-  /// for short prompts in a trial.
+  /// factors. It does not depend on the work factor.
   Duration firstEventDelay = Millis(15);
   /// Mean time to the response, which is the first event, for services without an engine.
   Duration meanResponseTime = Millis(15);
--- a/include/mustardplank/dispatch/work_factor.hpp
+++ b/include/mustardplank/dispatch/work_factor.hpp
@@ -34,8 +34,8 @@
 public:
   /// Time in which a change of a server's usual speed is learned.
   static constexpr Duration kMemory = Seconds(6);
-  /// Time after which a report tells nothing about the moment any more: in a trial a server that
-  /// was slowed down still was after 200 ms in half of the cases.
+  /// Time after which a report tells nothing about the moment any more: neighbours slow a server
+  /// down for some hundred milliseconds.
   static constexpr Duration kFreshness = Millis(400);
 
   /// Reports may arrive in any order; one that is not newer than the latest is ignored. Returns
