--- a/test/routes/false_answers.cpp
+++ b/test/routes/false_answers.cpp
@@ -267,6 +267,7 @@
   answer.group = "pieces";
   answer.name = "empty_chunked_end_in_pieces";
   answer.framing = Framing::Chunked;
+  answer.isEmpty = true;
   answer.framedBody = "0\r\n";
   answer.surplus = "\r\n";
   return answer;
@@ -368,6 +369,9 @@
 std::string
 FalseAnswer::sentBody(const std::string& aAttempt, bool aIsStream) const
 {
+  if (isEmpty) {
+    return {};
+  }
   if (part == Part::HalfHead || part == Part::Head) {
     return {};
   }
--- a/test/routes/false_answers.hpp
+++ b/test/routes/false_answers.hpp
@@ -88,6 +88,8 @@
   std::string identity = "X-Attempt-Id: ATTEMPT\r\nX-Response-Signature: sig\r\n";
   /// In place of the fields that frame the body.
   std::optional<std::string> framingFields{};
+  /// The body is empty.
+  bool isEmpty = false;
   /// In place of the body with its framing.
   std::optional<std::string> framedBody{};
   std::string trailer{};
