--- a/src/daemon/process_limits.cpp
+++ b/src/daemon/process_limits.cpp
@@ -10,10 +10,10 @@
 namespace {
 
 /// More are never needed: 3,000 callers and as many servers.
-constexpr std::uint64_t kMostDescriptors = 8192;
+constexpr std::uint64_t kMaxDescriptors = 8192;
 /// For the store, other instances, the admin address, listeners and logs.
 constexpr std::uint64_t kReservedDescriptors = 64;
-constexpr std::uint64_t kLeastConnections = 8;
+constexpr std::uint64_t kMinConnections = 8;
 constexpr int kMmapThresholdBytes = 128 * 1024;
 constexpr int kTrimThresholdBytes = 256 * 1024;
 
@@ -24,9 +24,9 @@
 {
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-    return kMostDescriptors;
+    return kMaxDescriptors;
   }
-  const auto wanted = std::min<rlim_t>(limit.rlim_max, kMostDescriptors);
+  const auto wanted = std::min<rlim_t>(limit.rlim_max, kMaxDescriptors);
   if (limit.rlim_cur < wanted) {
     const rlimit raised{ wanted, limit.rlim_max };
     if (::setrlimit(RLIMIT_NOFILE, &raised) == 0) {
@@ -41,7 +41,7 @@
 {
   const auto usable = aDescriptors - std::min(aDescriptors, kReservedDescriptors);
   return static_cast<std::uint32_t>(
-    std::min<std::uint64_t>(aMost, std::max(kLeastConnections, usable / 2)));
+    std::min<std::uint64_t>(aMost, std::max(kMinConnections, usable / 2)));
 }
 
 void
--- a/src/daemon/rollout_state.hpp
+++ b/src/daemon/rollout_state.hpp
@@ -25,7 +25,7 @@
   /// The newest order for each service, with or without a fault.
   std::map<route::ServiceId, KnownOrder> orders;
   /// The newest step that a holder of the duties has stated.
-  rollout::Allowances heard;
+  rollout::Allowances allowances;
   std::map<route::ServiceId, Holds> holds;
   rollout::EvidenceBoard board;
 
--- a/src/daemon/route_daemon_board.cpp
+++ b/src/daemon/route_daemon_board.cpp
@@ -142,7 +142,7 @@
                                              holderNote->leaving,
                                              now - holderNote->renewedAt };
   }
-  sum.allowances = rollouts.heard;
+  sum.allowances = rollouts.allowances;
   return sum;
 }
 
--- a/src/daemon/route_daemon_rollouts.cpp
+++ b/src/daemon/route_daemon_rollouts.cpp
@@ -66,9 +66,9 @@
 RouteDaemon::Impl::isRollingOut() const
 {
   return std::any_of(rollouts.orders.begin(), rollouts.orders.end(), [&](const auto& aItem) {
-    const auto heard = rollouts.heard.find(aItem.first);
-    return heard == rollouts.heard.end() || heard->second.progress.isActive() ||
-           !belongsTo(heard->second.progress, aItem.second.order);
+    const auto found = rollouts.allowances.find(aItem.first);
+    return found == rollouts.allowances.end() || found->second.progress.isActive() ||
+           !belongsTo(found->second.progress, aItem.second.order);
   });
 }
 
@@ -114,8 +114,8 @@
 RouteDaemon::Impl::hearAllowances(const rollout::Allowances& aAllowances)
 {
   for (const auto& [service, allowance] : aAllowances) {
-    const auto known = rollouts.heard.find(service);
-    if (known != rollouts.heard.end()) {
+    const auto known = rollouts.allowances.find(service);
+    if (known != rollouts.allowances.end()) {
       const auto& before = known->second;
       const bool isSame = before.progress.serial == allowance.progress.serial;
       if (isLater(before.progress, allowance.progress) ||
@@ -123,7 +123,7 @@
         continue;
       }
     }
-    rollouts.heard[service] = allowance;
+    rollouts.allowances[service] = allowance;
     updateVersionRule(service);
   }
 }
@@ -172,10 +172,10 @@
 RouteDaemon::Impl::findVersionRule(const route::ServiceId& aService) const
 {
   const auto order = rollouts.orders.find(aService);
-  const auto heard = rollouts.heard.find(aService);
+  const auto found = rollouts.allowances.find(aService);
   const bool hasOrder = order != rollouts.orders.end() && order->second.order.fault.empty();
-  const bool isHeard = heard != rollouts.heard.end();
-  const auto* progress = isHeard ? &heard->second.progress : nullptr;
+  const bool hasAllowance = found != rollouts.allowances.end();
+  const auto* progress = hasAllowance ? &found->second.progress : nullptr;
   if (hasOrder && (!progress || (!belongsTo(*progress, order->second.order) &&
                                  progress->order < order->second.order.position))) {
     // Nothing is known yet of what the holder of the duties has decided.
@@ -192,7 +192,7 @@
     rule.targetMayServeAlone = true;
     return rule;
   }
-  auto rule = isHeard ? ruleFromAllowance(heard->second) : std::nullopt;
+  auto rule = hasAllowance ? ruleFromAllowance(found->second) : std::nullopt;
   if (const auto holds = rollouts.holds.find(aService);
       !rule && holds != rollouts.holds.end() && !holds->second.empty()) {
     rule.emplace();
@@ -251,12 +251,12 @@
       updateVersionRule(service);
     }
   }
-  if (rollouts.heard.empty()) {
+  if (rollouts.allowances.empty()) {
     return;
   }
   double share = 0.0;
   std::size_t active = 0;
-  for (const auto& [service, allowance] : rollouts.heard) {
+  for (const auto& [service, allowance] : rollouts.allowances) {
     const auto& progress = allowance.progress;
     if (progress.phase == rollout::Phase::Completed && ruledServices.contains(service)) {
       updateVersionRule(service);
@@ -362,7 +362,7 @@
   for (const auto& [service, progress] : rollouts.stored) {
     keepLatest(service, progress);
   }
-  for (const auto& [service, allowance] : rollouts.heard) {
+  for (const auto& [service, allowance] : rollouts.allowances) {
     keepLatest(service, allowance.progress);
   }
   auto statusPage = co_await aStore.newest(Topic::Status);
@@ -520,8 +520,9 @@
           << duration_cast<Millis>(bootNow() - since).count() << "\n";
     }
   }
-  const auto evidence = rollouts.heard.empty() ? rollout::Evidence{} : dispatcher.versionEvidence();
-  for (const auto& [service, allowance] : rollouts.heard) {
+  const auto evidence =
+    rollouts.allowances.empty() ? rollout::Evidence{} : dispatcher.versionEvidence();
+  for (const auto& [service, allowance] : rollouts.allowances) {
     const auto& progress = allowance.progress;
     const auto nowMs = clock.now(bootNow());
     out << "rollout service " << service.str() << " target " << progress.target << " phase "
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -22,7 +22,7 @@
 struct GatewayContext : std::enable_shared_from_this<GatewayContext>
 {
   /// Part of the callers' memory that is guaranteed to each address and organisation.
-  static constexpr std::size_t kGuaranteedPart = 8;
+  static constexpr std::size_t kGuaranteedDivisor = 8;
 
   GatewayContext(boost::asio::io_context& aIo,
                  GatewayOptions aOptions,
@@ -41,7 +41,7 @@
     , connectionPool(aIo)
     , serverResponses(options.maxResponseBytes)
     , callerMemory({ options.maxCallerBytes,
-                     options.maxCallerBytes / kGuaranteedPart,
+                     options.maxCallerBytes / kGuaranteedDivisor,
                      options.minCallerBytesPerSecond })
   {
   }
--- a/src/mustardplank/rollout/judge.cpp
+++ b/src/mustardplank/rollout/judge.cpp
@@ -18,10 +18,10 @@
 /// Part of the order's time that is left for old servers to become empty, and its bounds. All
 /// requests go to the new version then, so that a longer part would expose more of them to a
 /// version that turns bad late.
-constexpr double kMovePart = 0.3;
+constexpr double kMoveShare = 0.3;
 constexpr Duration kMinMoveTime = Millis(2500);
 constexpr Duration kMaxMoveTime = Seconds(10);
-constexpr double kMaxMovePart = 0.5;
+constexpr double kMaxMoveShare = 0.5;
 /// Time from a decision to the status in the store, kept free before the deadline.
 constexpr std::int64_t kCompleteMarginMs = 700;
 /// Requests that instances send before they know that the traffic has moved are reported so late.
@@ -39,7 +39,7 @@
 constexpr double kMaxSuspicion = 3.0;
 /// A trial without enough responses waits for more, as those that a new holder of the duties has
 /// not heard yet, until this part of the time for moving is left.
-constexpr double kLatestMovePart = 0.7;
+constexpr double kLatestMoveShare = 0.7;
 
 Progress
 next(const Progress& aProgress, Phase aPhase, std::string aReason, std::int64_t aNowMs)
@@ -136,8 +136,8 @@
   }
   const bool hasEnough =
     aVerdict.responses >= kMinResponses || aVerdict.allResponses < kFewResponses;
-  const auto latest =
-    progress.deadlineMs - static_cast<std::int64_t>(kLatestMovePart * toMillis(moveTime(duration)));
+  const auto latest = progress.deadlineMs -
+                      static_cast<std::int64_t>(kLatestMoveShare * toMillis(moveTime(duration)));
   if (!hasEnough && now < latest) {
     return std::nullopt;
   }
@@ -173,8 +173,8 @@
   const auto part = [&](double aPart) {
     return Duration(static_cast<std::int64_t>(aPart * static_cast<double>(aOrderDuration.count())));
   };
-  return std::min(std::clamp<Duration>(part(kMovePart), kMinMoveTime, kMaxMoveTime),
-                  part(kMaxMovePart));
+  return std::min(std::clamp<Duration>(part(kMoveShare), kMinMoveTime, kMaxMoveTime),
+                  part(kMaxMoveShare));
 }
 
 std::optional<Progress>
