--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -11,7 +11,7 @@
     g++ "${flags[@]}" -I"$(dirname "$1")" -c "$1" -o "$object"
   fi
 }
-shared=(test/routes/{deployment,server_standin,false_answers,store_standin,store_logs}.cpp test/support/{child_process,free_port}.cpp test/standins/common/*.cpp)
+shared=(test/routes/{caller_crowd,deployment,server_standin,false_answers,store_standin,store_logs}.cpp test/support/{child_process,free_port}.cpp test/standins/common/*.cpp)
 cases=(review/[6-9]/*.cpp review/10/*.cpp)
 sources=()
 for source in "${shared[@]}" "${cases[@]}"; do [ -e "$source" ] && sources+=("$source"); done
