Documents of others: a limit on their values, and on what a part expands to

Cause: a parsed value takes some 50 to 100 bytes, while two or three bytes of text state one, and a compressed part of a reply could expand to 64 MB before it was read. Only depth was limited.

--- a/src/mustardplank/agent/sync_messages.cpp
+++ b/src/mustardplank/agent/sync_messages.cpp
@@ -21,7 +21,8 @@
 constexpr std::size_t kMinCompressedBytes = 4096;
 /// Of up to a million instances.
 constexpr double kMaxTotalNeed = 1e6 * control::kMaxNeed;
-constexpr std::size_t kMaxPartBytes = 64 * 1024 * 1024;
+/// Of a part when it is expanded: the entries of ten thousand servers take about half of it.
+constexpr std::size_t kMaxPartBytes = 8UL * 1024 * 1024;
 /// First byte of an encoded part.
 constexpr char kPlain = 'p';
 constexpr char kCompressed = 'c';
--- a/src/mustardplank/agent/sync_messages_test.cpp
+++ b/src/mustardplank/agent/sync_messages_test.cpp
@@ -161,4 +161,30 @@
   }
 }
 
+// Guards against a short reply that takes the memory of the process when it is expanded.
+BOOST_AUTO_TEST_CASE(reply_with_a_part_that_expands_without_end_is_rejected)
+{
+  auto reply = fullReply();
+  reply.servers->part.records = { { 5, "long", std::string(20'000'000, 'a') } };
+  const auto bytes = encoded(reply);
+  BOOST_TEST(bytes.size() < 1'000'000U);
+  Findings findings;
+  BOOST_TEST(!decodeReply(bytes, findings).has_value());
+}
+
+// Guards against limits below what a large deployment needs.
+BOOST_AUTO_TEST_CASE(reply_with_the_entries_of_ten_thousand_servers_is_read)
+{
+  auto reply = fullReply();
+  reply.servers->part.records.clear();
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    reply.servers->part.records.push_back(
+      { i, "server-" + std::to_string(i), std::string(350, 'a') });
+  }
+  Findings findings;
+  const auto read = decodeReply(encoded(reply), findings);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->servers->part.records.size() == 10'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/mustardplank/base/cbor.cpp
+++ b/src/mustardplank/base/cbor.cpp
@@ -64,16 +64,18 @@
 }
 
 /// Whether the bytes start with a complete item that decodeCbor() accepts. The library reads
-/// arrays, maps and strings of indefinite length by recursion, so that it must not see deep ones.
+/// arrays, maps and strings of indefinite length by recursion, so that it must not see deep ones,
+/// and takes memory for each item.
 bool
-startsWithShallowItem(std::string_view aBytes)
+startsWithAcceptableItem(std::string_view aBytes)
 {
+  std::size_t items = 0;
   /// Items still to come on each level.
   std::array<std::uint64_t, kMaxCborDepth> pending{};
   std::size_t depth = 0;
   for (;;) {
     const auto head = takeHead(aBytes);
-    if (!head || head->type == MajorType::Tag) {
+    if (!head || head->type == MajorType::Tag || ++items > kMaxCborItems) {
       return false;
     }
     const bool isString = head->type == MajorType::Bytes || head->type == MajorType::Text;
@@ -107,7 +109,7 @@
 {
   constexpr bool kWholeInput = true;
   constexpr bool kThrow = false;
-  if (!startsWithShallowItem(aBytes)) {
+  if (!startsWithAcceptableItem(aBytes)) {
     return json(json::value_t::discarded);
   }
   try {
--- a/src/mustardplank/base/cbor_test.cpp
+++ b/src/mustardplank/base/cbor_test.cpp
@@ -80,6 +80,21 @@
   }
 }
 
+// Guards against a short text that takes the memory of the process when it is read: an empty array
+// takes one byte of it and 50 of memory.
+BOOST_AUTO_TEST_CASE(documents_with_too_many_items_are_rejected)
+{
+  const auto arrays = [](std::size_t aCount) {
+    std::string bytes = "\x9a";
+    for (int shift = 24; shift >= 0; shift -= 8) {
+      bytes += static_cast<char>(aCount >> shift & 0xff);
+    }
+    return bytes + repeated("\x80", aCount);
+  };
+  BOOST_TEST(decodeCbor(arrays(kMaxCborItems - 1)).size() == kMaxCborItems - 1);
+  BOOST_TEST(decodeCbor(arrays(kMaxCborItems)).is_discarded());
+}
+
 // Guards against lengths that are taken for available bytes, and bytes that are left over.
 BOOST_AUTO_TEST_CASE(malformed_documents_are_rejected)
 {
--- a/src/mustardplank/platform/json_codec.cpp
+++ b/src/mustardplank/platform/json_codec.cpp
@@ -1,5 +1,7 @@
 #include "json_codec.hpp"
 
+#include "mustardplank/base/json_size.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace mustardplank::platform {
@@ -8,6 +10,9 @@
 
 namespace {
 
+/// Of a section of the log, whose records are kept as documents.
+constexpr std::size_t kMaxValues = 512UL * 1024;
+
 Failure
 failureOf(const HttpResponse& aResponse)
 {
@@ -38,6 +43,9 @@
   if (aResponse.status != 200) {
     return failureOf(aResponse);
   }
+  if (hasMoreValuesThan(aResponse.body, kMaxValues)) {
+    return Failure{ FailureKind::Unknown, "malformed answer: too many values" };
+  }
   try {
     const auto root = json::parse(aResponse.body);
     return aParse(root);
@@ -146,7 +154,8 @@
 parseLogChunk(const HttpResponse& aResponse)
 {
   if (aResponse.status == 410) {
-    const auto root = json::parse(aResponse.body, nullptr, false);
+    const bool isLong = hasMoreValuesThan(aResponse.body, kMaxJsonValues);
+    const auto root = isLong ? json() : json::parse(aResponse.body, nullptr, false);
     const Offset first = root.is_object() ? root.value("first", Offset{ 0 }) : 0;
     return Failure{ FailureKind::LogTruncated, "the log starts at a later offset", first };
   }
