--- a/include/mustardplank/gateway/response_memory.hpp
+++ b/include/mustardplank/base/response_memory.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace mustardplank::gateway {
+namespace mustardplank {
 
 /// Accounts for the bytes that the process holds of all responses together, in bytes, and names the
 /// holder that has to give up while they exceed the limit: the largest one of the source that holds
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -46,9 +46,11 @@
   HeldPartsFollowed,
   /// Servers of which this process knows what they hold.
   HeldPartsKnown,
+  /// Taken by responses that the process reads for itself.
+  ReadMemoryBytes,
 };
 
-inline constexpr NameTable<Gauge, 21> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 22> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -70,6 +72,7 @@
   { Gauge::RolloutShare, "rollout_share" },
   { Gauge::HeldPartsFollowed, "held_parts_servers_followed" },
   { Gauge::HeldPartsKnown, "held_parts_servers_known" },
+  { Gauge::ReadMemoryBytes, "read_memory_bytes" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -133,9 +136,11 @@
   HeldPartsLoss,
   /// Datagrams about held parts that were not applied.
   HeldPartsMessageIgnored,
+  /// Responses to the process's own requests that took more than they may.
+  ResponseDropped,
 };
 
-inline constexpr NameTable<Event, 26> kEventNames{ { {
+inline constexpr NameTable<Event, 27> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -162,6 +167,7 @@
   { Event::HeldPartsEvent, "held_parts_events" },
   { Event::HeldPartsLoss, "held_parts_losses" },
   { Event::HeldPartsMessageIgnored, "held_parts_messages_ignored" },
+  { Event::ResponseDropped, "read_responses_dropped" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
--- a/src/ctl/instance_status.cpp
+++ b/src/ctl/instance_status.cpp
@@ -20,6 +20,8 @@
 
 /// An instance answers within milliseconds; a frozen one does not answer at all.
 constexpr std::chrono::seconds kTimeout{ 3 };
+/// Bytes of one element of the response (head, chunk size, trailer) that wait for its end.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 }
 
@@ -37,7 +39,7 @@
   }
   asio::io_context io;
   beast::tcp_stream stream(io);
-  beast::flat_buffer buf;
+  beast::flat_buffer buf(kMaxUnparsedBytes);
   http::request<http::empty_body> request(http::verb::get, "/status", 11);
   request.set(http::field::host, aArguments[2]);
   request.keep_alive(false);
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -32,6 +32,12 @@
 /// The same of everything that callers make it hold. The rest is for the process itself and for
 /// what the allocator does not give back.
 constexpr double kCallerMemoryShare = 0.33;
+/// The same of answers that the process reads for itself: those of the platform and of other
+/// instances, and the reports of servers.
+constexpr double kControlReadShare = 0.06;
+constexpr double kReportReadShare = 0.04;
+/// Holds the longest answer on machines with little memory.
+constexpr std::size_t kMinReadMemoryBytes = 6UL * 1024 * 1024;
 constexpr double kBytesPerMb = 1e6;
 constexpr double kBytesPerMbit = 125'000.0;
 /// Share of the link that an agent uses to state the loads of servers to other instances; the rest
@@ -43,6 +49,13 @@
 /// requests are ended; the second time the end of the process may come earlier.
 constexpr Duration kHandOverTime = Millis(600);
 
+std::shared_ptr<platform::ReadMemory>
+makeReadMemory(const settings::RouteSettings& aSettings, double aShare)
+{
+  const auto bytes = static_cast<std::size_t>(aShare * kBytesPerMb * aSettings.memoryMb);
+  return std::make_shared<platform::ReadMemory>(std::max(bytes, kMinReadMemoryBytes));
+}
+
 dispatch::DispatcherOptions
 dispatcherOptions(const settings::RouteSettings& aSettings)
 {
@@ -128,6 +141,8 @@
 RouteDaemon::Impl::Impl(settings::RouteSettings aSettings)
   : settings(std::move(aSettings))
   , incarnation(randomId())
+  , controlMemory(makeReadMemory(settings, kControlReadShare))
+  , reportMemory(makeReadMemory(settings, kReportReadShare))
   , dispatcher(dispatcherOptions(settings))
   , planner(plannerOptions(settings), bootNow())
   , serversView(adapter::storeDialect().serverDigest)
@@ -235,9 +250,19 @@
     metrics.set(metrics::Gauge::CallerConnections, static_cast<double>(gateway.connectionCount()));
     metrics.set(metrics::Gauge::CallerMemoryBytes, static_cast<double>(gateway.callerBytes()));
     metrics.set(metrics::Gauge::LogReachable, storeConfig.isLost() ? 0 : 1);
+    noteReadMemory();
   }
 }
 
+void
+RouteDaemon::Impl::noteReadMemory()
+{
+  const auto bytes = controlMemory->totalBytes() + reportMemory->totalBytes();
+  metrics.set(metrics::Gauge::ReadMemoryBytes, static_cast<double>(bytes));
+  const auto dropped = controlMemory->takeDropped() + reportMemory->takeDropped();
+  metrics.count(metrics::Event::ResponseDropped, dropped);
+}
+
 void
 RouteDaemon::Impl::terminate()
 {
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kMinSyncPause = Millis(30);
 /// How long a reply may take beyond the hold.
 constexpr Duration kSyncTimeout = Millis(400);
+/// Of a reply, whose parts are compressed.
+constexpr std::size_t kMaxReplyBytes = 4UL * 1024 * 1024;
 /// How often an update without changes is handed to an agent.
 constexpr Duration kUpdateInterval = Millis(1000);
 /// The same while a version is on trial, as updates carry the evidence.
@@ -185,6 +187,7 @@
   call.body = agent::encodeRequest(makeSyncRequest(aTarget));
   call.contentType = "application/cbor";
   call.timeout = aTarget.hold + kSyncTimeout;
+  call.maxBodyBytes = kMaxReplyBytes;
   metrics.count(metrics::Event::Sync);
   controlTraffic.count(metrics::ControlMessage::Sync, call.body.size());
   return call;
@@ -200,7 +203,7 @@
   }
   auto& exchange = syncClients[aTarget.agent.instance];
   if (!exchange || exchange->endpoint() != endpointOf(*address)) {
-    exchange = std::make_unique<platform::HttpClient>(endpointOf(*address));
+    exchange = std::make_unique<platform::HttpClient>(endpointOf(*address), controlReads());
   }
   auto call = makeSyncCall(aTarget);
   const auto sentAt = bootNow();
@@ -242,7 +245,7 @@
 RouteDaemon::Impl::handOverTo(agent::Agent aPeer)
 {
   if (const auto address = settings::parseAddress(aPeer.address)) {
-    platform::HttpClient exchange(endpointOf(*address));
+    platform::HttpClient exchange(endpointOf(*address), controlReads());
     auto call = makeSyncCall({ std::move(aPeer), Duration{} });
     co_await exchange.send(std::move(call));
   }
--- a/src/daemon/route_daemon_clock.cpp
+++ b/src/daemon/route_daemon_clock.cpp
@@ -18,6 +18,8 @@
 /// An instance without contact for this long is not asked.
 constexpr Duration kContactMemory = Seconds(15);
 constexpr Duration kClockTimeout = Millis(400);
+/// The answer is a number.
+constexpr std::size_t kMaxClockBytes = 64;
 
 }
 
@@ -74,10 +76,11 @@
   if (!address) {
     co_return;
   }
-  platform::HttpClient exchange(endpointOf(*address));
+  platform::HttpClient exchange(endpointOf(*address), controlReads());
   platform::HttpRequest call;
   call.target = gateway::GatewayOptions{}.clockPath;
   call.timeout = kClockTimeout;
+  call.maxBodyBytes = kMaxClockBytes;
   const auto sentAt = bootNow();
   const auto answer = co_await exchange.send(std::move(call));
   const auto* got = std::get_if<control::HttpResponse>(&answer);
--- a/src/daemon/route_daemon_duties.cpp
+++ b/src/daemon/route_daemon_duties.cpp
@@ -231,7 +231,7 @@
     co_return;
   }
   auto store = client();
-  platform::HttpClient exchange(endpointOf(*settings.orders));
+  platform::HttpClient exchange(endpointOf(*settings.orders), controlReads());
   control::Offset next = 0;
   for (;;) {
     co_await pauseFor(kDutyInterval);
@@ -354,7 +354,7 @@
     co_return;
   }
   auto store = client();
-  platform::HttpClient exchange(endpointOf(*settings.orders));
+  platform::HttpClient exchange(endpointOf(*settings.orders), controlReads());
   for (;;) {
     co_await pauseFor(kDutyInterval);
     if (table) {
--- a/src/daemon/route_daemon_held_parts.cpp
+++ b/src/daemon/route_daemon_held_parts.cpp
@@ -24,16 +24,20 @@
 constexpr Duration kMaxReportSilence = Millis(2500);
 /// Servers that one agent follows: a connection and a coroutine each.
 constexpr std::size_t kMaxFollowed = 256;
+/// What a server may send ahead on a connection: reports are small, and there are many followers.
+constexpr int kReceiveBufferBytes = 16 * 1024;
 
 }
 
 /// Follows one server.
 struct RouteDaemon::Impl::HeldPartsFollower
 {
-  HeldPartsFollower(const route::BackendServer& aServer, const settings::Address& aAddress)
+  HeldPartsFollower(const route::BackendServer& aServer,
+                    const settings::Address& aAddress,
+                    std::shared_ptr<platform::ReadMemory> aMemory)
     : server(aServer)
     , key(static_cast<dispatch::ServerKey>(stableHash(aServer.id.str())))
-    , client(endpointOf(aAddress))
+    , client(endpointOf(aAddress), { std::move(aMemory), kReceiveBufferBytes })
   {
   }
 
@@ -91,7 +95,7 @@
     if (!address || heldPartsFollowers.contains(id)) {
       continue;
     }
-    auto follower = std::make_shared<HeldPartsFollower>(server, *address);
+    auto follower = std::make_shared<HeldPartsFollower>(server, *address, reportMemory);
     heldPartsFollowers[id] = follower;
     asio::co_spawn(io, followHeldParts(std::move(follower)), asio::detached);
   }
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -109,7 +109,14 @@
 struct RouteDaemon::Impl
 {
   explicit Impl(settings::RouteSettings aSettings);
-  StoreClient client() { return { endpointOf(settings.store), adapter::storeDialect(), metrics }; }
+  StoreClient client()
+  {
+    return { endpointOf(settings.store), adapter::storeDialect(), metrics, controlMemory };
+  }
+  /// For clients that read answers of the platform and of other instances.
+  platform::HttpClientOptions controlReads() const { return { controlMemory, {} }; }
+  /// States what reads take, and counts responses that took too much.
+  void noteReadMemory();
   gateway::GatewayCallbacks makeOutputs();
 
   // Alarms.
@@ -355,6 +362,8 @@
 
   settings::RouteSettings settings;
   std::uint64_t incarnation;
+  std::shared_ptr<platform::ReadMemory> controlMemory;
+  std::shared_ptr<platform::ReadMemory> reportMemory;
   TimePoint startedAt = bootNow();
   control::SharedClock clock{ wallMillis(), bootNow() };
   AlarmQueue alarms;
--- a/src/daemon/store_client.cpp
+++ b/src/daemon/store_client.cpp
@@ -7,6 +7,19 @@
 namespace asio = boost::asio;
 using control::Failure;
 
+namespace {
+
+/// A page has 500 records, or 1 MB of them.
+constexpr std::size_t kMaxPages = 512;
+
+std::size_t
+heldBytes(const control::Record& aRecord)
+{
+  return sizeof aRecord + aRecord.key.capacity() + (aRecord.value ? aRecord.value->capacity() : 0);
+}
+
+}
+
 asio::awaitable<control::Result<control::RecordBatch>>
 StoreClient::read(control::Topic aTopic, control::Offset aFrom, Duration aWait)
 {
@@ -26,6 +39,8 @@
   control::NewestPage all;
   std::string after;
   std::set<std::string> resumed;
+  platform::ReadMemory::Holding holding(mMemory, "newest records", {});
+  std::size_t bytes = 0;
   bool first = true;
   do {
     auto call = mDialect.makeNewestCall(aTopic, after);
@@ -53,8 +68,13 @@
     }
     after = records.resumeAfter;
     for (auto& it : records.records) {
+      bytes += heldBytes(it);
       all.records.push_back(std::move(it));
     }
+    if (!holding.set(bytes) || resumed.size() > kMaxPages) {
+      mMemory->noteDropped();
+      co_return Failure{ control::FailureKind::Unknown, "the list of newest records is too long" };
+    }
   } while (all.more);
   co_return all;
 }
--- a/src/daemon/store_client.hpp
+++ b/src/daemon/store_client.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -41,17 +42,20 @@
 public:
   StoreClient(boost::asio::ip::tcp::endpoint aEndpoint,
               const control::StoreDialect& aDialect,
-              metrics::Metrics& aMetrics)
-    : mExchange(std::move(aEndpoint))
+              metrics::Metrics& aMetrics,
+              std::shared_ptr<platform::ReadMemory> aMemory)
+    : mExchange(std::move(aEndpoint), { aMemory, {} })
     , mDialect(aDialect)
     , mMetrics(aMetrics)
+    , mMemory(std::move(aMemory))
   {
   }
 
   boost::asio::awaitable<control::Result<control::RecordBatch>> read(control::Topic aTopic,
                                                                      control::Offset aFrom,
                                                                      Duration aWait);
-  /// All newest records, and the offset from which to read on.
+  /// All newest records, and the offset from which to read on. Fails if the list takes more memory
+  /// or pages than a list may.
   boost::asio::awaitable<control::Result<control::NewestPage>> newest(control::Topic aTopic);
   boost::asio::awaitable<control::Result<control::AppendResult>> append(
     control::Topic aTopic,
@@ -63,6 +67,7 @@
   platform::HttpClient mExchange;
   const control::StoreDialect& mDialect;
   metrics::Metrics& mMetrics;
+  std::shared_ptr<platform::ReadMemory> mMemory;
 };
 
 }
--- a/src/mustardplank/gateway/response_memory.cpp
+++ b/src/mustardplank/base/response_memory.cpp
@@ -1,9 +1,9 @@
-#include "mustardplank/gateway/response_memory.hpp"
+#include "mustardplank/base/response_memory.hpp"
 
 #include <algorithm>
 #include <string_view>
 
-namespace mustardplank::gateway {
+namespace mustardplank {
 
 ResponseMemory::ResponseMemory(std::size_t aLimitBytes)
   : mLimitBytes(aLimitBytes)
--- a/src/mustardplank/gateway/response_memory_test.cpp
+++ b/src/mustardplank/base/response_memory_test.cpp
@@ -1,11 +1,11 @@
-#include "mustardplank/gateway/response_memory.hpp"
+#include "mustardplank/base/response_memory.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <map>
 #include <random>
 
-using mustardplank::gateway::ResponseMemory;
+using mustardplank::ResponseMemory;
 
 BOOST_AUTO_TEST_SUITE(response_memory)
 
--- a/src/mustardplank/gateway/admin_server.cpp
+++ b/src/mustardplank/gateway/admin_server.cpp
@@ -17,6 +17,8 @@
 /// A connection without progress in this time is closed when a new one is accepted.
 constexpr Duration kMaxSilence = Seconds(120);
 constexpr std::size_t kMaxConnections = 1024;
+/// Bytes of one element of a request (head, chunk size, trailer) that wait for its end.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 struct AdminConnection;
 
@@ -103,7 +105,7 @@
   TimePoint lastProgressAt = bootNow();
   AdminServer::GetHandler onGet;
   AdminServer::PostHandler onPost;
-  boost::beast::flat_buffer buf;
+  boost::beast::flat_buffer buf{ kMaxUnparsedBytes };
   http::request<http::string_body> request;
   http::response<http::string_body> response;
 };
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -1,5 +1,6 @@
 #include "backend_connection.hpp"
 
+#include "mustardplank/base/chunked_end.hpp"
 #include "mustardplank/base/clock.hpp"
 #include "socket_options.hpp"
 #include "socket_state.hpp"
@@ -39,10 +40,6 @@
 /// longest time limit of a request whose caller states none.
 constexpr Duration kMaxUploadAfterResponse = Seconds(30);
 
-/// The shortest end of a chunked body, "0\r\n\r\n". With fewer bytes of it Beast 1.81 ends the
-/// process by an assertion, if it has seen the first line of that end before.
-constexpr std::size_t kMinChunkedEndBytes = 5;
-
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -231,7 +228,7 @@
 BackendConnection::parse()
 {
   auto self = shared_from_this();
-  while (mRequestActive && mBuffer.size() > 0 && !mayBePartOfChunkedEnd()) {
+  while (mRequestActive && mBuffer.size() > 0 && !mayBePartOfChunkedEnd(*mParser, mBuffer)) {
     BoostErrorCode ec;
     const auto n = mParser->put(mBuffer.data(), ec);
     mBuffer.consume(n);
@@ -252,16 +249,6 @@
   reportUnparsedBytes();
 }
 
-bool
-BackendConnection::mayBePartOfChunkedEnd() const
-{
-  if (!mParser->is_header_done() || !mParser->chunked() || mBuffer.size() >= kMinChunkedEndBytes) {
-    return false;
-  }
-  const auto* first = static_cast<const char*>(mBuffer.data().data());
-  return *first == '0' || *first == '\r' || *first == '\n';
-}
-
 void
 BackendConnection::reportUnparsedBytes()
 {
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -107,8 +107,6 @@
   void read();
   void onRead(BoostErrorCode aError, std::size_t aBytes);
   void parse();
-  /// Whether the buffer holds no more than a part of the end of a chunked body.
-  bool mayBePartOfChunkedEnd() const;
   void deliverParsed();
   void reportUnparsedBytes();
   /// Whether the head is valid beyond what the parser checks.
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -2,10 +2,10 @@
 
 #include "backend_connection_pool.hpp"
 
+#include "mustardplank/base/response_memory.hpp"
 #include "mustardplank/dispatch/caller_retry_detector.hpp"
 #include "mustardplank/gateway/caller_memory.hpp"
 #include "mustardplank/gateway/gateway.hpp"
-#include "mustardplank/gateway/response_memory.hpp"
 #include "mustardplank/gateway/types.hpp"
 
 #include <array>
--- a/src/mustardplank/platform/http_client.cpp
+++ b/src/mustardplank/platform/http_client.cpp
@@ -1,14 +1,16 @@
 #include "mustardplank/platform/http_client.hpp"
 
 #include "mustardplank/base/clock.hpp"
+#include "mustardplank/base/log_event.hpp"
+#include "response_reader.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <optional>
+#include <utility>
 
 namespace mustardplank::platform {
 
@@ -20,7 +22,8 @@
 
 constexpr auto kAwaitTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdleConnections = 8;
-constexpr std::size_t kMaxResponseBytes = 64 * 1024 * 1024;
+/// For a client that shares its accounts with no other.
+constexpr std::size_t kOwnMemoryBytes = 64UL * 1024 * 1024;
 
 http::request<http::string_body>
 makeRequest(HttpRequest& aRequest, const std::string& aHost)
@@ -55,9 +58,14 @@
 
 }
 
-HttpClient::HttpClient(asio::ip::tcp::endpoint aEndpoint)
+HttpClient::HttpClient(asio::ip::tcp::endpoint aEndpoint, HttpClientOptions aOptions)
   : mEndpoint(std::move(aEndpoint))
+  , mOptions(std::move(aOptions))
+  , mSource(mEndpoint.address().to_string() + ":" + std::to_string(mEndpoint.port()))
 {
+  if (!mOptions.memory) {
+    mOptions.memory = std::make_shared<ReadMemory>(kOwnMemoryBytes);
+  }
 }
 
 HttpClient::Stream
@@ -73,21 +81,90 @@
   return nullptr;
 }
 
+asio::awaitable<Result<HttpClient::Stream>>
+HttpClient::connect(Duration aTimeout)
+{
+  auto stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
+  if (mOptions.receiveBufferBytes) {
+    // Before the connection is made, as it then limits what the peer may send ahead.
+    boost::system::error_code ignored;
+    stream->socket().open(mEndpoint.protocol(), ignored);
+    stream->socket().set_option(
+      asio::socket_base::receive_buffer_size(*mOptions.receiveBufferBytes), ignored);
+  }
+  stream->expires_after(aTimeout);
+  const auto [ec] = co_await stream->async_connect(mEndpoint, kAwaitTuple);
+  if (ec) {
+    co_return Failure{ FailureKind::NoEffect, "connect: " + ec.message() };
+  }
+  stream->socket().set_option(asio::ip::tcp::no_delay(true));
+  // A request that timed out must not reach the platform later, for example after a network
+  // partition. Closing with a reset drops unsent data.
+  stream->socket().set_option(asio::socket_base::linger(true, 0));
+  co_return stream;
+}
+
+Failure
+HttpClient::dropResponse(std::string_view aReason, std::size_t aBytes)
+{
+  mOptions.memory->noteDropped();
+  LogEvent(LogLevel::Warning, "read.response_dropped")
+    .field("peer", mSource)
+    .field("reason", aReason)
+    .field("bytes", aBytes)
+    .field("bytes_of_all", mOptions.memory->totalBytes())
+    .write();
+  return { FailureKind::Unknown, "read: " + std::string(aReason) };
+}
+
+asio::awaitable<Result<HttpResponse>>
+HttpClient::read(Stream aStream, std::size_t aMaxBodyBytes)
+{
+  ResponseReader reader(aMaxBodyBytes);
+  ReadMemory::Holding holding(mOptions.memory, mSource, [&] { aStream->cancel(); });
+  std::optional<TimePoint> begunAt;
+  while (!reader.isDone()) {
+    const auto [ec, n] = co_await aStream->async_read_some(reader.prepare(), kAwaitTuple);
+    if (holding.isRevoked()) {
+      co_return dropResponse("memory_exceeded", reader.heldBytes());
+    }
+    reader.receive(n);
+    if (ec == asio::error::eof) {
+      reader.receiveEnd();
+    } else if (ec) {
+      co_return Failure{ FailureKind::Unknown, "read: " + ec.message() };
+    }
+    if (const auto failure = reader.failure()) {
+      const auto name = kReadFailureNames.name(*failure);
+      co_return isLimit(*failure) ? dropResponse(name, reader.heldBytes())
+                                  : Failure{ FailureKind::Unknown, "read: " + std::string(name) };
+    }
+    if (!holding.set(reader.heldBytes())) {
+      co_return dropResponse("memory_exceeded", reader.heldBytes());
+    }
+    begunAt = begunAt.value_or(bootNow());
+    if (bootNow() > *begunAt + kMaxResponseTime) {
+      co_return Failure{ FailureKind::Unknown, "read: the response does not end" };
+    }
+    aStream->expires_after(kProgressTimeout);
+  }
+  if (reader.isReusable() && mIdle.size() < kMaxIdleConnections) {
+    aStream->expires_never();
+    mIdle.push_back(std::move(aStream));
+  }
+  co_return reader.take();
+}
+
 asio::awaitable<Result<HttpResponse>>
 HttpClient::send(HttpRequest aRequest)
 {
   auto stream = takeIdle();
   if (!stream) {
-    stream = std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
-    stream->expires_after(aRequest.timeout);
-    const auto [ec] = co_await stream->async_connect(mEndpoint, kAwaitTuple);
-    if (ec) {
-      co_return Failure{ FailureKind::NoEffect, "connect: " + ec.message() };
+    auto connected = co_await connect(aRequest.timeout);
+    if (auto* failure = std::get_if<Failure>(&connected)) {
+      co_return std::move(*failure);
     }
-    stream->socket().set_option(asio::ip::tcp::no_delay(true));
-    // A request that timed out must not reach the platform later, for example after a network
-    // partition. Closing with a reset drops unsent data.
-    stream->socket().set_option(asio::socket_base::linger(true, 0));
+    stream = std::move(std::get<Stream>(connected));
   }
   auto request = makeRequest(aRequest, mEndpoint.address().to_string());
   if (bootNow() > aRequest.notAfter) {
@@ -99,32 +176,7 @@
     const auto kind = written == 0 ? FailureKind::NoEffect : FailureKind::Unknown;
     co_return Failure{ kind, "write: " + writeError.message() };
   }
-  beast::flat_buffer buf;
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
-  parser.eager(true);
-  std::optional<TimePoint> begunAt;
-  while (!parser.is_done()) {
-    const auto [readError, n] = co_await http::async_read_some(*stream, buf, parser, kAwaitTuple);
-    if (readError) {
-      co_return Failure{ FailureKind::Unknown, "read: " + readError.message() };
-    }
-    begunAt = begunAt.value_or(bootNow());
-    if (bootNow() > *begunAt + kMaxResponseTime) {
-      co_return Failure{ FailureKind::Unknown, "read: the response does not end" };
-    }
-    stream->expires_after(kProgressTimeout);
-  }
-  auto response = parser.release();
-  if (response.keep_alive() && mIdle.size() < kMaxIdleConnections) {
-    stream->expires_never();
-    mIdle.push_back(std::move(stream));
-  }
-  HttpResponse result{ response.result_int(), std::move(response.body()) };
-  for (const auto& it : response.base()) {
-    result.fields.emplace_back(it.name_string(), it.value());
-  }
-  co_return result;
+  co_return co_await read(std::move(stream), aRequest.maxBodyBytes);
 }
 
 }
--- a/src/mustardplank/platform/http_platform.cpp
+++ b/src/mustardplank/platform/http_platform.cpp
@@ -15,6 +15,24 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A section of the log, and the lists of all instances and servers.
+constexpr std::size_t kMaxLogBytes = 16UL * 1024 * 1024;
+constexpr std::size_t kMaxListBytes = 4UL * 1024 * 1024;
+
+HttpRequest
+makeRead(std::string aTarget, Duration aTimeout, std::size_t aMaxBytes)
+{
+  HttpRequest request;
+  request.target = std::move(aTarget);
+  request.timeout = aTimeout;
+  request.maxBodyBytes = aMaxBytes;
+  return request;
+}
+
+}
+
 struct HttpPlatform::Impl
 {
   Impl(const std::string& aIp, std::uint16_t aPort)
@@ -81,20 +99,22 @@
   const auto wait = duration_cast<Millis>(aWait).count();
   auto target = "/log?from=" + std::to_string(aFrom) + "&limit=" + std::to_string(aLimit) +
                 "&wait_ms=" + std::to_string(wait);
-  mImpl->start(
-    { false, std::move(target), {}, aWait + kCallTimeout }, &parseLogChunk, std::move(aDone));
+  mImpl->start(makeRead(std::move(target), aWait + kCallTimeout, kMaxLogBytes),
+               &parseLogChunk,
+               std::move(aDone));
 }
 
 void
 HttpPlatform::listInstances(Callback<std::vector<Instance>> aDone)
 {
-  mImpl->start({ false, "/instances", {}, kCallTimeout }, &parseInstances, std::move(aDone));
+  mImpl->start(
+    makeRead("/instances", kCallTimeout, kMaxListBytes), &parseInstances, std::move(aDone));
 }
 
 void
 HttpPlatform::listServers(Callback<std::vector<PlatformServer>> aDone)
 {
-  mImpl->start({ false, "/servers", {}, kCallTimeout }, &parseServers, std::move(aDone));
+  mImpl->start(makeRead("/servers", kCallTimeout, kMaxListBytes), &parseServers, std::move(aDone));
 }
 
 void
--- a/src/mustardplank/traffic/load_poller.cpp
+++ b/src/mustardplank/traffic/load_poller.cpp
@@ -29,6 +29,8 @@
 const std::string kLoadPath = "/load";
 /// Some 60,000 cache events.
 constexpr std::uint64_t kMaxAnswerBytes = 4 * 1024 * 1024;
+/// Bytes of one element of an answer (head, chunk size, trailer) that wait for its end.
+constexpr std::size_t kMaxUnparsedBytes = 64UL * 1024;
 
 }
 
@@ -54,7 +56,7 @@
 
   Watched watched;
   Socket socket;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{ kMaxUnparsedBytes };
   Timer pause;
   Timer guard;
   bool stopped = false;
--- a/test/routes/held_parts_test.cpp
+++ b/test/routes/held_parts_test.cpp
@@ -1,9 +1,12 @@
 #include "deployment.hpp"
 
+#include "support/resident_memory.hpp"
 #include "support/wait.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <string>
 
 using namespace mustardplank;
@@ -103,6 +106,48 @@
   awaitKnown(deployment, 2);
 }
 
+// Guards against servers in trouble that answer report calls without end, in one part of the answer
+// or another, or with documents that take many times their size: they take the agents of a failure
+// domain over their memory, one after the other, and callers lose their answers.
+BOOST_AUTO_TEST_CASE(routes_endless_reports_leave_the_memory_of_the_machine)
+{
+  constexpr double kMemoryMb = 100.0;
+  constexpr Millis kTime{ 3000 };
+  constexpr std::size_t kAgents = 2;
+  for (const std::string part : { "chunk", "trailer", "chunked_body", "length", "values" }) {
+    BOOST_TEST_CONTEXT(part)
+    {
+      RouteDeployment deployment(kServers, kAgents);
+      deployment.setReportCalls(kAgents);
+      deployment.configure();
+      for (std::size_t i = 0; i < kServers; ++i) {
+        deployment.server(i).setWorkPercent(120);
+        deployment.server(i).setEndlessReports(part);
+      }
+      for (std::size_t i = 0; i < kAgents; ++i) {
+        callServers(deployment, i);
+      }
+      BOOST_TEST(support::waitUntil(kBound, [&] {
+        return deployment.server(0).reportCalls() + deployment.server(1).reportCalls() > 0;
+      }));
+      double mostMb = 0.0;
+      int calls = 0;
+      int whole = 0;
+      const auto until = std::chrono::steady_clock::now() + kTime;
+      while (std::chrono::steady_clock::now() < until) {
+        const auto instance = static_cast<std::size_t>(calls++) % kAgents;
+        whole += statusOf(deployment.callers(instance)) == 200 ? 1 : 0;
+        for (std::size_t i = 0; i < kAgents; ++i) {
+          mostMb = std::max(mostMb, support::residentMb(deployment.instance(i).id()));
+        }
+      }
+      BOOST_TEST(mostMb < kMemoryMb);
+      BOOST_TEST(mostMb > 0.0);
+      BOOST_TEST(whole == calls);
+    }
+  }
+}
+
 // Guards against calls and messages in deployments whose configuration offers no reports.
 BOOST_AUTO_TEST_CASE(routes_servers_that_offer_no_reports_are_not_asked)
 {
--- a/test/routes/odd_entries_test.cpp
+++ b/test/routes/odd_entries_test.cpp
@@ -1,7 +1,10 @@
 #include "deployment.hpp"
 
+#include "support/resident_memory.hpp"
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <limits>
 #include <sstream>
@@ -430,3 +433,36 @@
     BOOST_TEST(it.size() <= kMaxLogLine, it.size());
   }
 }
+
+// Guards against a list in the store without end, page after page, which takes a process over its
+// memory when it starts or reads anew. Instances that know the list serve on.
+BOOST_AUTO_TEST_CASE(routes_list_without_end_leaves_the_memory_of_the_machine)
+{
+  constexpr double kMemoryMb = 100.0;
+  RouteDeployment deployment(2, 2);
+  deployment.store().setEndlessList(true);
+  deployment.instance(0).kill();
+  deployment.startInstance(0);
+  // Makes the other one read its lists anew.
+  deployment.store().compact("keyed.servers");
+  double mostMb = 0.0;
+  int whole = 0;
+  int calls = 0;
+  const auto until = std::chrono::steady_clock::now() + Seconds(6);
+  while (std::chrono::steady_clock::now() < until) {
+    for (std::size_t i = 0; i < 2; ++i) {
+      mostMb = std::max(mostMb, support::residentMb(deployment.instance(i).id()));
+    }
+    ++calls;
+    try {
+      CallerConnection connection(deployment.callers(1));
+      whole += connection.call(callOf("/twice/ok")).result_int() == 200U ? 1 : 0;
+    } catch (const boost::system::system_error&) {
+    }
+  }
+  BOOST_TEST(deployment.store().pageCalls() > 20U);
+  BOOST_TEST(mostMb < kMemoryMb);
+  BOOST_TEST(whole == calls);
+  deployment.store().setEndlessList(false);
+  deployment.awaitServing();
+}
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -130,6 +130,20 @@
   mVersion = std::move(aVersion);
 }
 
+void
+ServerStandin::setEndlessReports(std::string aPart)
+{
+  const std::lock_guard lock(mMutex);
+  mEndlessReports = std::move(aPart);
+}
+
+std::string
+ServerStandin::endlessReports() const
+{
+  const std::lock_guard lock(mMutex);
+  return mEndlessReports;
+}
+
 std::string
 ServerStandin::version() const
 {
@@ -201,6 +215,10 @@
   constexpr int kMaxWaitMs = 1000;
   constexpr int kStepMs = 10;
   ++mReportCalls;
+  if (const auto part = endlessReports(); !part.empty()) {
+    co_await writeEndlessly(aSocket, "", part);
+    co_return false;
+  }
   if (mWaitingReportCalls > 0) {
     ++mRefusedReportCalls;
     co_return co_await writeText(aSocket, answerText(429, "", "", ""));
@@ -446,6 +464,15 @@
     begin = signed200 + chunked + "1;";
   } else if (aPart == "trailer") {
     begin = signed200 + chunked + "1\r\na\r\n0\r\nX-Trailer: ";
+  } else if (aPart == "values") {
+    constexpr int kValues = 13'000'000;
+    begin =
+      signed200 + "Content-Length: " + std::to_string(14 + 3 * kValues) + "\r\n\r\n{\"events\":[[]";
+    repeated.clear();
+    for (int i = 0; i < kValues; ++i) {
+      repeated += ",[]";
+    }
+    repeated += "]}";
   } else if (aPart == "event") {
     begin = signed200 + "Content-Type: text/event-stream\r\n\r\ndata: ";
   } else if (aPart == "length") {
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -54,8 +54,8 @@
 ///     trickleN N events, then a byte every 50 ms and no further event, unless the caller resumes
 ///     endless_X  bytes until the connection is closed; X is head, interim, other (an answer to
 ///              another request), chunk, trailer, event, body, chunked_body, failure_body (status
-///              500), length (of 90 GB), length_event (the same, a stream) or failure_length (the
-///              same, status 500)
+///              500), length (of 90 GB), length_event (the same, a stream), failure_length (the
+///              same, status 500), or values (of a JSON document, up to 40 MB)
 ///     false_NAME  an answer of false_answers.hpp
 ///     A request whose prompt has the part "dead" ends its connection after the head, whatever the
 ///     mode.
@@ -106,6 +106,8 @@
   void setWorkPercent(int aPercent) { mWorkPercent = aPercent; }
   /// Reports at /kv-events that it holds a prompt part from now on, or no longer.
   void setHeld(const std::string& aPart, bool aHeld);
+  /// Answers /kv-events from now on as the mode endless_X with this X.
+  void setEndlessReports(std::string aPart);
   /// Calls of /kv-events, and those that were refused as another one was waiting.
   int reportCalls() const { return mReportCalls; }
   int refusedReportCalls() const { return mRefusedReportCalls; }
@@ -151,6 +153,7 @@
   std::optional<std::string> reportFrom(std::uint64_t aSince, bool aEvenIfEmpty) const;
   standins::Awaitable<bool> report(standins::SocketPtr aSocket, standins::Request& aRequest);
   std::string version() const;
+  std::string endlessReports() const;
   /// Nothing if the mode is no stream.
   static std::optional<StreamPlan> streamPlan(const std::string& aMode);
   /// Whether the request is answered as its mode says.
@@ -180,6 +183,8 @@
   std::string mMoreFields;
   std::string mVersion;
   std::string mGreeting;
+  /// Empty if reports are as they should be.
+  std::string mEndlessReports;
   std::string mFaultPrefix;
   unsigned mFaultOneIn = 0;
   unsigned mFaultTurn = 0;
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -44,6 +44,20 @@
   return out;
 }
 
+/// A page of keys that no other page has, with more to come.
+json
+endlessPage(std::size_t aNumber)
+{
+  constexpr int kRows = 500;
+  const std::string value(1024, 'A');
+  json page{ { "hasMore", true }, { "endOffset", 1 }, { "entries", json::array() } };
+  for (int i = 0; i < kRows; ++i) {
+    const auto key = "key-" + std::to_string(aNumber) + "-" + std::to_string(i);
+    page["entries"].push_back({ { "key", key }, { "offset", 0 }, { "value", value } });
+  }
+  return page;
+}
+
 http::response<http::string_body>
 answerOf(const Request& aRequest, unsigned aStatus, std::string aBody, std::uint64_t aEra)
 {
@@ -223,6 +237,13 @@
   mRepeatFirstPage = aRepeat;
 }
 
+void
+StoreStandin::setEndlessList(bool aEndless)
+{
+  const std::lock_guard lock(mMutex);
+  mEndlessList = aEndless;
+}
+
 std::size_t
 StoreStandin::pageCalls() const
 {
@@ -320,7 +341,8 @@
       const std::lock_guard lock(mMutex);
       ++mPageCalls;
       const auto after = mRepeatFirstPage ? "" : percentDecode(queryText(aRequest, "after"));
-      auto rows = mLogs.newestPage(queryText(aRequest, "topic"), after, mPageRows);
+      auto rows = mEndlessList ? endlessPage(mPageCalls)
+                               : mLogs.newestPage(queryText(aRequest, "topic"), after, mPageRows);
       page = mRawKeys ? rawPage(std::move(rows))
                       : rows.dump(-1, ' ', false, json::error_handler_t::replace);
       era = mLogs.era();
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -48,6 +48,8 @@
   void setPageRows(std::size_t aRows);
   /// Answers each call for a page with the first one.
   void setRepeatFirstPage(bool aRepeat);
+  /// Answers each call for a page with 500 more keys of 1 KB each, without end.
+  void setEndlessList(bool aEndless);
   /// Calls for a page so far.
   std::size_t pageCalls() const;
   /// Remembers the whole content for restore(), as it is now.
@@ -96,6 +98,7 @@
   bool mRawKeys = false;
   std::size_t mPageRows = 500;
   bool mRepeatFirstPage = false;
+  bool mEndlessList = false;
   std::size_t mPageCalls = 0;
   /// When the bytes that were sent are through, in ms of ledgerMillis().
   double mReadUntilMs = 0.0;
--- a/test/routes/unbounded_answers_test.cpp
+++ b/test/routes/unbounded_answers_test.cpp
@@ -1,15 +1,16 @@
 #include "deployment.hpp"
 
+#include "support/resident_memory.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <cstdlib>
-#include <fstream>
 #include <memory>
 
 using namespace mustardplank;
 using namespace mustardplank::routes;
+using support::residentMb;
 using support::waitUntil;
 
 namespace {
@@ -32,18 +33,6 @@
   return std::chrono::duration<double>(std::chrono::steady_clock::now() - aStart).count();
 }
 
-double
-residentMb(int aProcess)
-{
-  std::ifstream file("/proc/" + std::to_string(aProcess) + "/status");
-  for (std::string line; std::getline(file, line);) {
-    if (line.starts_with("VmRSS:")) {
-      return std::strtod(line.c_str() + 6, nullptr) * 1024 / 1e6;
-    }
-  }
-  return 0.0;
-}
-
 std::string
 eventTexts(int aCount)
 {
