Held parts: a limit for all servers together, and none that were taken back

Cause: 16,384 parts a server for up to 4,096 servers, and changes that wait for a slow link were collected by part, also those that had been taken back.

Change: beyond a tenth of the memory the server with most parts is forgotten and counts as incomplete; a change that is taken back before it was sent is none. The parts of a sound server beside it stay.

Evidence: on the code before, 99,901 changes wait (now 1), and 118,020 parts are held with a limit of 10,000 (held_parts_exchange/changes_that_are_taken_back_*, parts_of_all_servers_*; both failed).

--- a/include/mustardplank/agent/held_parts_exchange.hpp
+++ b/include/mustardplank/agent/held_parts_exchange.hpp
@@ -6,6 +6,7 @@
 #include "mustardplank/base/time.hpp"
 #include "mustardplank/dispatch/held_parts.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -29,6 +30,9 @@
 /// instance needs them, and small ones have links of 10 Mbit/s. Changes of a tenth of a second go
 /// into one datagram; where the link is slow they are collected for longer, and pages of snapshots
 /// wait.
+///
+/// Load pattern: servers in trouble report parts without end. The parts of all servers together
+/// have a limit; beyond it the server with most parts is forgotten and counts as incomplete.
 class HeldPartsExchange
 {
 public:
@@ -64,6 +68,9 @@
   /// Limit on what this instance sends, in bytes a second; nothing: none.
   void setByteRate(std::optional<double> aBytesPerSecond) { mByteRate = aBytesPerSecond; }
 
+  /// Limit on the parts of all servers together.
+  void setMaxTotalParts(std::size_t aParts) { mMaxTotalParts = std::max<std::size_t>(aParts, 1); }
+
   /// Whether this instance follows the servers of its failure domain and passes on the changes of
   /// the others. Ending it drops all that was reported to it.
   void setActive(bool aActive, TimePoint aNow);
@@ -96,6 +103,8 @@
   std::size_t countKnown(TimePoint aNow) const;
   /// Parts that these hold, summed up.
   std::size_t countParts(TimePoint aNow) const;
+  /// Changes that wait to be sent.
+  std::size_t countPending() const;
 
 private:
   /// What is known of the servers of one failure domain.
@@ -135,6 +144,11 @@
   void noteGap(Domain& aDomain, const std::string& aSender, TimePoint aNow);
   void keepRecent(Domain& aDomain, std::uint64_t aSequence, std::string aBytes);
   void clear(Domain& aDomain);
+  /// Adds a part within the limits on one server and on all together.
+  void addPart(dispatch::HeldParts& aHeld, dispatch::PartKey aPart);
+  /// Forgets the parts of the server that has most.
+  void forgetLargest();
+  std::size_t countAllParts() const;
   static std::vector<PartsPage> snapshotOf(const FailureDomainId& aId, const Domain& aDomain);
 
   void addChanges(std::vector<Datagram>& aOut, const Neighbours& aNeighbours, TimePoint aNow);
@@ -154,6 +168,9 @@
   bool mActive = false;
   std::map<FailureDomainId, Domain> mDomains;
   std::map<dispatch::ServerKey, Pending> mPending;
+  std::size_t mMaxTotalParts = kMaxServers * kMaxParts;
+  /// An upper bound: parts that were removed are subtracted when it reaches the limit.
+  std::size_t mPartsAtMost = 0;
   TimePoint mSentAt{};
   TimePoint mRefilledAt{};
   std::optional<double> mByteRate;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -38,6 +38,9 @@
 constexpr double kReportReadShare = 0.04;
 /// Holds the longest answer on machines with little memory.
 constexpr std::size_t kMinReadMemoryBytes = 6UL * 1024 * 1024;
+/// The same of what servers have reported to hold; the bytes are those of one part.
+constexpr double kHeldPartsShare = 0.1;
+constexpr double kBytesPerHeldPart = 48.0;
 constexpr double kBytesPerMb = 1e6;
 constexpr double kBytesPerMbit = 125'000.0;
 /// Share of the link that an agent uses to state the loads of servers to other instances; the rest
@@ -169,6 +172,8 @@
     loads.setByteRate(kLoadsLinkShare * kBytesPerMbit * settings.linkMbps);
     heldParts.setByteRate(kHeldPartsLinkShare * kBytesPerMbit * settings.linkMbps);
   }
+  heldParts.setMaxTotalParts(static_cast<std::size_t>(kHeldPartsShare * kBytesPerMb *
+                                                      settings.memoryMb / kBytesPerHeldPart));
   dispatcher.setInstanceCount(kAssumedInstances);
   dispatcher.setServerListRefreshAge(planner.maxAge());
 }
--- a/src/mustardplank/agent/held_parts_exchange.cpp
+++ b/src/mustardplank/agent/held_parts_exchange.cpp
@@ -79,11 +79,72 @@
     return;
   }
   if (aHeld) {
-    it->second->add(aPart);
+    addPart(*it->second, aPart);
+    if (!it->second->holds(aPart)) {
+      return;
+    }
   } else {
     it->second->remove(aPart);
   }
-  mPending[aServer].held[aPart] = aHeld;
+  // A change that is taken back before it was sent is none.
+  auto& pending = mPending[aServer];
+  if (const auto [entry, isNew] = pending.held.try_emplace(aPart, aHeld); !isNew) {
+    pending.held.erase(entry);
+    if (pending.held.empty() && pending.kind == ServerPartsChange::Kind::Changed) {
+      mPending.erase(aServer);
+    }
+  }
+}
+
+void
+HeldPartsExchange::addPart(HeldParts& aHeld, PartKey aPart)
+{
+  if (aHeld.parts().size() >= kMaxParts) {
+    return;
+  }
+  if (mPartsAtMost >= mMaxTotalParts) {
+    mPartsAtMost = countAllParts();
+  }
+  if (mPartsAtMost >= mMaxTotalParts) {
+    forgetLargest();
+    mPartsAtMost = countAllParts();
+  }
+  aHeld.add(aPart);
+  ++mPartsAtMost;
+}
+
+void
+HeldPartsExchange::forgetLargest()
+{
+  std::pair<ServerKey, HeldParts*> largest{};
+  const FailureDomainId* domainOfLargest = nullptr;
+  for (auto& [id, domain] : mDomains) {
+    for (auto& [server, held] : domain.servers) {
+      if (!largest.second || held->parts().size() > largest.second->parts().size()) {
+        largest = { server, held.get() };
+        domainOfLargest = &id;
+      }
+    }
+  }
+  if (!largest.second) {
+    return;
+  }
+  largest.second->clear(false);
+  if (mActive && *domainOfLargest == mDomain) {
+    mPending[largest.first] = { ServerPartsChange::Kind::ReplacedPartly, {} };
+  }
+}
+
+std::size_t
+HeldPartsExchange::countAllParts() const
+{
+  std::size_t n = 0;
+  for (const auto& [id, domain] : mDomains) {
+    for (const auto& [server, held] : domain.servers) {
+      n += held->parts().size();
+    }
+  }
+  return n;
 }
 
 void
@@ -257,8 +318,8 @@
       held->remove(part);
     }
     for (const auto part : it.added) {
-      if (held->parts().size() < kMaxParts) {
-        held->add(part);
+      if (!held->holds(part)) {
+        addPart(*held, part);
       }
     }
   }
@@ -570,4 +631,14 @@
   return n;
 }
 
+std::size_t
+HeldPartsExchange::countPending() const
+{
+  std::size_t n = 0;
+  for (const auto& [server, pending] : mPending) {
+    n += pending.held.size();
+  }
+  return n;
+}
+
 }
--- a/src/mustardplank/agent/held_parts_exchange_test.cpp
+++ b/src/mustardplank/agent/held_parts_exchange_test.cpp
@@ -388,6 +388,63 @@
   BOOST_TEST(sent <= kRate * 10 + 20 * 1400);
 }
 
+// Load pattern: a server in trouble reports parts and takes them back, faster than a slow link
+// carries changes. Guards against changes that are collected without a limit.
+BOOST_AUTO_TEST_CASE(changes_that_are_taken_back_are_not_collected)
+{
+  HeldPartsExchange exchange(FailureDomainId("a"), 1);
+  exchange.setActive(true, at(0));
+  exchange.reset(1, true, at(0));
+  exchange.setHeld(1, 7, true, at(0));
+  for (PartKey part = 100; part < 100'000; ++part) {
+    exchange.setHeld(1, part, true, at(0));
+    exchange.setHeld(1, part, false, at(0));
+  }
+  BOOST_TEST(exchange.countPending() == 1U);
+  BOOST_TEST(exchange.countParts(at(0)) == 1U);
+}
+
+// Load pattern: many servers in trouble report parts without end beside a sound one. Guards against
+// knowledge that takes the memory of the process, and against a sound server's that gives way.
+BOOST_AUTO_TEST_CASE(parts_of_all_servers_together_have_a_limit)
+{
+  constexpr std::size_t kLimit = 10'000;
+  constexpr ServerKey kSound = 1;
+  constexpr ServerKey kServers = 60;
+  HeldPartsExchange source(FailureDomainId("a"), 1);
+  HeldPartsExchange receiver(FailureDomainId("a"), 2);
+  source.setMaxTotalParts(kLimit);
+  receiver.setMaxTotalParts(kLimit);
+  source.setActive(true, at(0));
+  for (ServerKey server = kSound; server <= kServers; ++server) {
+    source.reset(server, true, at(0));
+  }
+  for (PartKey part = 0; part < 20; ++part) {
+    source.setHeld(kSound, part, true, at(0));
+  }
+  std::size_t most = 0;
+  const Neighbours neighbours{ .agents = {}, .members = { "m" } };
+  for (PartKey part = 0; part < 2000; ++part) {
+    const int now = static_cast<int>(part);
+    for (ServerKey server = kSound + 1; server <= kServers; ++server) {
+      source.setHeld(server, part * kServers + server, true, at(now));
+    }
+    for (const auto& it : source.takeDue(neighbours, at(now))) {
+      Findings findings;
+      if (const auto message = decodeHeldPartsMessage(it.bytes, findings)) {
+        receiver.receive(*message, "s", true, at(now));
+      }
+    }
+    most = std::max({ most, source.countParts(at(now)), receiver.countParts(at(now)) });
+  }
+  BOOST_TEST(most <= kLimit);
+  BOOST_TEST(most > kLimit / 2);
+  const auto table = source.takeTable();
+  BOOST_REQUIRE(table.has_value());
+  BOOST_TEST(table->at(kSound)->parts().size() == 20U);
+  BOOST_TEST(table->at(kSound)->isComplete());
+}
+
 // Guards against messages in deployments whose servers report nothing.
 BOOST_AUTO_TEST_CASE(nothing_is_sent_while_no_server_is_known)
 {
