Streams taken up: the list of servers is confirmed before it decides a version

Cause: what the instance knows was looked at once, when the request arrived. A list of servers up to 1.5 s old counted as complete, so that the only version in it was taken for that of the stream; notes about the stream that waited unread in the socket did not count.

Change: the list counts if it is confirmed since the stream was taken up, by a read of the store that all who wait share, within 600 ms; the own knowledge is looked at again when replies and the list are there. A stream that broke before it was taken up began at a server that was registered before, so that a later list has it.

Both tests fail on the daemon as found.

--- a/include/mustardplank/dispatch/origin_reply.hpp
+++ b/include/mustardplank/dispatch/origin_reply.hpp
@@ -14,7 +14,8 @@
 {
   /// Nothing if the instance does not remember the stream.
   std::optional<StreamOrigin> origin;
-  /// Whether versions names all that may have begun the stream.
+  /// Whether versions names all that may have begun the stream: those of every server that was
+  /// registered before the stream was taken up.
   bool isComplete = false;
   /// Versions of the service that the instance has seen in service.
   std::set<std::string> versions;
@@ -22,6 +23,10 @@
   bool operator==(const OriginReply&) const = default;
 };
 
+/// All versions that any of the replies names.
+std::set<std::string>
+versionsOf(const std::vector<OriginReply>& aReplies);
+
 /// The origin of a stream of the service, from what instances know of it: the one that they
 /// remember, or the only version that has served. Nothing if they contradict each other, or if more
 /// than one version may have begun the stream.
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -423,6 +423,7 @@
   spawn(followOperators());
   spawn(followServers());
   spawn(refreshLoop());
+  spawn(confirmServersLoop());
   spawn(directoryLoop());
   spawn(syncLoop());
   spawn(boardLoop());
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -302,6 +302,7 @@
     applyDigest(std::move(*aReply.digest), aReceivedAt);
   }
   lastSyncAt = aReceivedAt;
+  endServerListWaits();
   answerSyncs();
 }
 
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -41,6 +41,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <deque>
 #include <functional>
 #include <random>
 #include <set>
@@ -159,6 +160,14 @@
                                         std::optional<std::uint64_t>& aEra);
   /// Reads both logs when no agent has stated their changes for too long.
   awaitable<void> refreshLoop();
+  /// Reads the servers' entries from the store while awaitServerList() asks for it.
+  awaitable<void> confirmServersLoop();
+  /// Calls aDone once every server that was registered before aAt is known, or after a while, as
+  /// the store may not answer.
+  void awaitServerList(TimePoint aAt, std::function<void()> aDone);
+  /// Whether every server that was registered before aAt is known.
+  bool knowsServersOf(TimePoint aAt) const;
+  void endServerListWaits();
 
   // Agents.
   /// Reads the directory of agents, and enters this instance where one is missing.
@@ -215,13 +224,32 @@
   /// The first event of a stream was passed on.
   void noteStream(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
   void sendStreamNote(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
-  /// What this instance knows of the stream, and of the versions that may have begun it.
+  using OriginCallback = std::function<void(std::optional<dispatch::StreamOrigin>)>;
+  /// A search for what began a stream that this instance does not remember.
+  struct OriginSearch
+  {
+    std::optional<dispatch::StreamKey> stream;
+    route::ServiceId service;
+    TimePoint begunAt{};
+    std::size_t asked = 0;
+    std::vector<dispatch::OriginReply> replies;
+    bool haveAgentsReplied = false;
+    bool isListAwaited = true;
+    /// Empty once it has been called.
+    OriginCallback done;
+  };
+  /// What this instance knows of a stream that began before aBegunBefore, and of the versions that
+  /// may have begun it.
   dispatch::OriginReply ownOriginReply(std::optional<dispatch::StreamKey> aStream,
-                                       const route::ServiceId& aService) const;
-  /// Asks all agents unless this instance knows the stream. Calls aDone once, now or later.
+                                       const route::ServiceId& aService,
+                                       TimePoint aBegunBefore) const;
+  /// Asks all agents, and reads the list of servers, unless this instance knows the stream. Calls
+  /// aDone once, now or later.
   void findStreamOrigin(std::optional<dispatch::StreamKey> aStream,
                         const route::ServiceId& aService,
-                        const std::function<void(std::optional<dispatch::StreamOrigin>)>& aDone);
+                        OriginCallback aDone);
+  /// Ends the search if enough is known.
+  void continueOriginSearch(OriginSearch& aSearch);
   void receiveStreamMessage(const std::string& aBytes, const std::string& aSender);
   void applyStreamMessage(const agent::StreamNotes& aNotes, const std::string& aSender);
   void applyStreamMessage(const agent::StreamQuery& aQuery, const std::string& aSender);
@@ -471,6 +499,14 @@
   Notifier operatorsDue{ io };
   Notifier serversDue{ io };
   Notifier refreshDue{ io };
+  struct ServerListWait
+  {
+    TimePoint at{};
+    TimePoint until{};
+    std::function<void()> done;
+  };
+  std::deque<ServerListWait> serverListWaits;
+  Notifier confirmDue{ io };
   Notifier syncDue{ io };
   /// The first rollout order has come.
   Notifier rolloutDue{ io };
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -6,6 +6,12 @@
 
 /// Longest wait of a read for the first change of the servers' entries, which change all the time.
 constexpr Duration kServersWait = Millis(400);
+/// How long somebody waits for the store to confirm the list of servers. Callers give up a stream
+/// after two seconds without an event.
+constexpr Duration kServerListTime = Millis(600);
+/// Pause between the reads that confirm it, and after one that failed.
+constexpr Duration kConfirmInterval = Millis(20);
+constexpr Duration kConfirmRetryPause = Millis(50);
 /// How long a loop that has nothing to do waits to be notified.
 constexpr Duration kIdleWait = Seconds(60);
 
@@ -242,6 +248,7 @@
   }
   applyServerRecords(*changes, sentAt);
   answerSyncs();
+  endServerListWaits();
   co_return true;
 }
 
@@ -311,4 +318,54 @@
   }
 }
 
+bool
+RouteDaemon::Impl::knowsServersOf(TimePoint aAt) const
+{
+  const auto now = bootNow();
+  const auto age = serversView.age(now);
+  return age && now - *age >= aAt;
+}
+
+void
+RouteDaemon::Impl::awaitServerList(TimePoint aAt, std::function<void()> aDone)
+{
+  if (knowsServersOf(aAt)) {
+    aDone();
+    return;
+  }
+  const auto until = bootNow() + kServerListTime;
+  serverListWaits.push_back({ aAt, until, std::move(aDone) });
+  alarms.set(until, [this] { endServerListWaits(); });
+  confirmDue.notify();
+}
+
+void
+RouteDaemon::Impl::endServerListWaits()
+{
+  // Those that began later neither end earlier nor are confirmed earlier.
+  while (!serverListWaits.empty() && (knowsServersOf(serverListWaits.front().at) ||
+                                      bootNow() >= serverListWaits.front().until)) {
+    const auto done = std::move(serverListWaits.front().done);
+    serverListWaits.pop_front();
+    done();
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::confirmServersLoop()
+{
+  // A connection of its own: those of the other loops wait for changes.
+  auto store = client();
+  for (;;) {
+    endServerListWaits();
+    if (serverListWaits.empty()) {
+      co_await confirmDue.wait(kIdleWait);
+      continue;
+    }
+    metrics.count(metrics::Event::DirectRead);
+    const bool read = co_await readServers(store, Duration{});
+    co_await pauseFor(read ? kConfirmInterval : kConfirmRetryPause);
+  }
+}
+
 }
--- a/src/daemon/route_daemon_streams.cpp
+++ b/src/daemon/route_daemon_streams.cpp
@@ -4,7 +4,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
 #include <exception>
+#include <memory>
 #include <utility>
 
 namespace mustardplank::daemon {
@@ -57,28 +59,28 @@
 
 dispatch::OriginReply
 RouteDaemon::Impl::ownOriginReply(std::optional<dispatch::StreamKey> aStream,
-                                  const route::ServiceId& aService) const
+                                  const route::ServiceId& aService,
+                                  TimePoint aBegunBefore) const
 {
   const auto now = bootNow();
-  const auto age = serversView.age(now);
   dispatch::OriginReply reply;
   if (aStream) {
     reply.origin = streamOrigins.find(*aStream, now);
   }
-  // A version that this instance does not know yet may have begun the stream at another one.
-  reply.isComplete = versions.isComplete(now) && age && *age <= planner.maxAge();
+  // A version that this instance does not know yet may have begun the stream at another one,
+  // however short the time since its list of servers was complete.
+  reply.isComplete = versions.isComplete(now) && knowsServersOf(aBegunBefore);
   reply.versions = versions.versions(aService, now);
   return reply;
 }
 
 void
-RouteDaemon::Impl::findStreamOrigin(
-  std::optional<dispatch::StreamKey> aStream,
-  const route::ServiceId& aService,
-  const std::function<void(std::optional<dispatch::StreamOrigin>)>& aDone)
+RouteDaemon::Impl::findStreamOrigin(std::optional<dispatch::StreamKey> aStream,
+                                    const route::ServiceId& aService,
+                                    OriginCallback aDone)
 {
-  auto own = ownOriginReply(aStream, aService);
-  if (own.origin) {
+  const auto now = bootNow();
+  if (auto own = ownOriginReply(aStream, aService, now); own.origin) {
     aDone(own.origin);
     return;
   }
@@ -90,32 +92,58 @@
       }
     }
   }
-  const auto sentAt = bootNow();
-  streamExchange.ask(aStream,
-                     aService,
-                     agents,
-                     sentAt,
-                     [own = std::move(own), aService, aDone, sentAt, asked = agents.size()](
-                       std::vector<dispatch::OriginReply> aReplies) {
-                       const auto replies = aReplies.size();
-                       aReplies.push_back(own);
-                       const auto origin = dispatch::decideOrigin(aService, aReplies);
-                       LogEvent(LogLevel::Info, "stream.taken_up")
-                         .field("service", aService.str())
-                         .field("version", origin ? origin->version : std::string("unknown"))
-                         .field("agents", asked)
-                         .field("replies", replies)
-                         .field("versions", own.versions.size())
-                         .field("complete", static_cast<int>(own.isComplete))
-                         .field("waited_ms", toMillis(bootNow() - sentAt))
-                         .write();
-                       aDone(origin);
-                     });
+  const auto search = std::make_shared<OriginSearch>();
+  search->stream = aStream;
+  search->service = aService;
+  search->begunAt = now;
+  search->asked = agents.size();
+  search->done = std::move(aDone);
+  streamExchange.ask(
+    aStream, aService, agents, now, [this, search](std::vector<dispatch::OriginReply> aReplies) {
+      search->replies = std::move(aReplies);
+      search->haveAgentsReplied = true;
+      continueOriginSearch(*search);
+    });
+  awaitServerList(now, [this, search] {
+    search->isListAwaited = false;
+    continueOriginSearch(*search);
+  });
   if (const auto next = streamExchange.nextAt()) {
     armLoadAlarm(*next);
   }
 }
 
+void
+RouteDaemon::Impl::continueOriginSearch(OriginSearch& aSearch)
+{
+  if (!aSearch.done) {
+    return;
+  }
+  auto replies = aSearch.replies;
+  // Notes about the stream may have arrived, or servers become known, since the search began.
+  const auto own = ownOriginReply(aSearch.stream, aSearch.service, aSearch.begunAt);
+  replies.push_back(own);
+  const bool isRemembered = std::any_of(
+    replies.begin(), replies.end(), [](const auto& aReply) { return aReply.origin.has_value(); });
+  const auto versionCount = dispatch::versionsOf(replies).size();
+  if (!isRemembered &&
+      (!aSearch.haveAgentsReplied || (aSearch.isListAwaited && versionCount <= 1))) {
+    return;
+  }
+  const auto origin = dispatch::decideOrigin(aSearch.service, replies);
+  LogEvent(LogLevel::Info, "stream.taken_up")
+    .field("service", aSearch.service.str())
+    .field("version", origin ? origin->version : std::string("unknown"))
+    .field("agents", aSearch.asked)
+    .field("replies", aSearch.replies.size())
+    .field("versions", versionCount)
+    .field("remembered", static_cast<int>(isRemembered))
+    .field("complete", static_cast<int>(own.isComplete))
+    .field("waited_ms", toMillis(bootNow() - aSearch.begunAt))
+    .write();
+  std::exchange(aSearch.done, {})(origin);
+}
+
 void
 RouteDaemon::Impl::receiveStreamMessage(const std::string& aBytes, const std::string& aSender)
 {
@@ -143,7 +171,8 @@
 void
 RouteDaemon::Impl::applyStreamMessage(const agent::StreamQuery& aQuery, const std::string& aSender)
 {
-  const agent::StreamReply reply{ aQuery.number, ownOriginReply(aQuery.stream, aQuery.service) };
+  const agent::StreamReply reply{ aQuery.number,
+                                  ownOriginReply(aQuery.stream, aQuery.service, bootNow()) };
   sendDatagram({ aSender, agent::encodeStreamMessage(reply) }, metrics::ControlMessage::Streams);
 }
 
--- a/test/routes/software_versions_test.cpp
+++ b/test/routes/software_versions_test.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -272,6 +273,128 @@
   BOOST_TEST(outcomes.wentOn >= kStreams / 2);
 }
 
+// Guards against streams of a version that an instance does not know yet, as it stood still or was
+// cut off when the servers of that version joined. It is the version of no stream that only one is
+// known: the instance that began them is gone, and the list of servers is some tenths of a second
+// old.
+BOOST_AUTO_TEST_CASE(routes_stream_taken_up_where_its_version_is_not_known_yet_is_not_joined)
+{
+  constexpr int kStreams = 12;
+  constexpr std::size_t kDomains = 2;
+  for (const int pauseMs : { 0, 300 }) {
+    BOOST_TEST_CONTEXT("pause " << pauseMs << " ms")
+    {
+      RouteDeployment deployment(4, 2, Clocks::OfTheMachine, kDomains);
+      for (std::size_t i = 0; i < 4; ++i) {
+        setVersion(deployment, i, "v1");
+      }
+      std::this_thread::sleep_for(kChangeTime);
+      deployment.restartOnOtherAddress(1);
+      deployment.awaitServing();
+      std::this_thread::sleep_for(kChangeTime);
+      deployment.instance(1).signal(SIGSTOP);
+      deployment.store().turnAway(true);
+      setVersion(deployment, 2, "v2");
+      setVersion(deployment, 3, "v2");
+      std::this_thread::sleep_for(Millis(250 + pauseMs));
+      Streams streams;
+      for (int i = 0; i < kStreams; ++i) {
+        streams.push_back(std::make_unique<BegunStream>(deployment.callers(0)));
+      }
+      std::this_thread::sleep_for(Millis(200));
+      deployment.instance(0).kill();
+      deployment.instance(1).signal(SIGCONT);
+      Outcomes outcomes;
+      int newVersion = 0;
+      std::vector<std::thread> callers;
+      std::mutex mutex;
+      for (auto& it : streams) {
+        callers.emplace_back([&] {
+          const auto events = it->events();
+          auto request = streamCall("/resume/stream6");
+          request.fields = { { "Last-Event-Id", "1" }, { "Resumes", it->first.attempt } };
+          const auto part = call(deployment.callers(1), request);
+          const std::lock_guard lock(mutex);
+          outcomes.begun += versionsIn(events).size() == 1 ? 1 : 0;
+          newVersion += versionsIn(events).contains("v2") ? 1 : 0;
+          count(outcomes, events, part);
+        });
+      }
+      for (auto& it : callers) {
+        it.join();
+      }
+      checkNoneJoined(outcomes, kStreams);
+      BOOST_TEST(newVersion > 0);
+    }
+  }
+}
+
+// Guards against streams that are refused although two servers of their version serve: notes about
+// them wait unread at an instance that stood still while that version joined, when it decides.
+BOOST_AUTO_TEST_CASE(routes_stream_taken_up_at_an_instance_that_stood_still_goes_on)
+{
+  constexpr int kStreams = 12;
+  enum class First
+  {
+    Killed,
+    Stopped,
+    Serves,
+  };
+  for (const int pauseMs : { 1000, 2600 }) {
+    for (const auto first : { First::Killed, First::Stopped, First::Serves }) {
+      BOOST_TEST_CONTEXT("pause " << pauseMs << " ms, first instance " << static_cast<int>(first))
+      {
+        RouteDeployment deployment(4, 2, Clocks::OfTheMachine, 1, Millis(1000));
+        for (std::size_t i = 0; i < 4; ++i) {
+          setVersion(deployment, i, "v1");
+        }
+        std::this_thread::sleep_for(kChangeTime);
+        deployment.instance(1).signal(SIGSTOP);
+        setVersion(deployment, 2, "v2");
+        setVersion(deployment, 3, "v2");
+        std::this_thread::sleep_for(Millis(pauseMs - 600));
+        Streams streams;
+        for (int i = 0; i < kStreams; ++i) {
+          streams.push_back(std::make_unique<BegunStream>(deployment.callers(0)));
+        }
+        std::this_thread::sleep_for(Millis(300));
+        if (first == First::Killed) {
+          deployment.instance(0).kill();
+        } else if (first == First::Stopped) {
+          deployment.instance(0).signal(SIGTERM);
+        }
+        Outcomes outcomes;
+        std::mutex mutex;
+        std::vector<std::thread> callers;
+        for (auto& it : streams) {
+          callers.emplace_back([&] {
+            std::string events;
+            if (first == First::Killed) {
+              events = it->events();
+            }
+            auto request = streamCall("/resume/stream6");
+            request.fields = { { "Last-Event-Id", "1" }, { "Resumes", it->first.attempt } };
+            const auto part = call(deployment.callers(1), request);
+            if (first != First::Killed) {
+              events = it->events();
+            }
+            const std::lock_guard lock(mutex);
+            outcomes.begun += versionsIn(events).size() == 1 ? 1 : 0;
+            count(outcomes, events, part);
+          });
+        }
+        std::this_thread::sleep_for(Millis(300));
+        deployment.instance(1).signal(SIGCONT);
+        for (auto& it : callers) {
+          it.join();
+        }
+        checkNoneJoined(outcomes, kStreams);
+        BOOST_TEST(outcomes.wentOn >= kStreams / 2);
+      }
+    }
+  }
+}
+
 // Guards against a stream that is taken up at a newer version, as its servers have left.
 BOOST_AUTO_TEST_CASE(routes_stream_of_servers_that_left_is_not_joined)
 {
