Logs: knowledge of the configuration older than the bound, and the urgency of a request that ends

The age of the operators' log was a gauge only, so nothing told whether a late change was known to be late (a read that waits) or not (a false confirmation); next_read_ms and store_lost tell. The end of a request stated no urgency, so refused urgent requests could not be told from others.

--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -99,6 +99,8 @@
   /// Whether an instance whose knowledge has this age (nothing: it has none) should read the store
   /// itself now, once.
   bool isDirectReadDue(std::optional<Duration> aAge, TimePoint aNow) const;
+  /// When isDirectReadDue() may next be true; in the past if only the age decides.
+  TimePoint directReadAt() const { return mDirectReadAt; }
   /// A call to the store succeeded or failed.
   void recordStoreCall(bool aSucceeded, TimePoint aNow);
   /// The last call to the store failed.
@@ -114,6 +116,7 @@
   /// The list without this instance, which is stopping; nothing if it is no agent.
   std::optional<AgentList> listWithoutSelf() const;
 
+  Duration changeBound() const { return mOptions.changeBound; }
   /// How long an agent may hold back a reply without changes.
   Duration syncHold() const;
   /// Pause between reads of a log that changes all the time.
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -125,6 +125,7 @@
       planner.isDirectReadDue(serversView.age(now), now)) {
     refreshDue.notify();
   }
+  noteOldKnowledge(now);
   metrics.set(metrics::Gauge::AgentSlot, slot ? static_cast<double>(*slot) : -1.0);
   metrics.set(metrics::Gauge::FollowsStore, follows ? 1 : 0);
   const auto seconds = [](std::optional<Duration> aAge) {
@@ -134,6 +135,24 @@
   metrics.set(metrics::Gauge::ServersAgeSeconds, seconds(serversView.age(now)));
 }
 
+void
+RouteDaemon::Impl::noteOldKnowledge(TimePoint aNow)
+{
+  const auto age = operatorsView.age(aNow);
+  const bool isOld = age && *age > planner.changeBound();
+  if (isOld == knowledgeIsOld) {
+    return;
+  }
+  knowledgeIsOld = isOld;
+  LogEvent(isOld ? LogLevel::Warning : LogLevel::Info,
+           isOld ? "operators.knowledge_old" : "operators.knowledge_current")
+    .field("age_ms", toMillis(*age))
+    .field("store_lost", static_cast<int>(planner.isStoreLost()))
+    .field("next_read_ms", toMillis(std::max<Duration>(planner.directReadAt() - aNow, Duration{})))
+    .field("config", table ? table->version() : 0)
+    .write();
+}
+
 awaitable<void>
 RouteDaemon::Impl::syncLoop()
 {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -187,6 +187,8 @@
   void answerSyncs();
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
+  /// Logs when the operators' log was last confirmed longer ago than the bound on changes.
+  void noteOldKnowledge(TimePoint aNow);
 
   // Loads of servers.
   void openLoadSocket();
@@ -433,6 +435,7 @@
   std::optional<std::uint64_t> serversEra;
   bool followed = false;
   bool wasAgent = false;
+  bool knowledgeIsOld = false;
   agent::LoadExchange loads;
   agent::CrashExchange crashExchange;
   agent::HeldPartsExchange heldParts;
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -687,6 +687,7 @@
     .field("reason", aReason)
     .field("route", std::string_view(mRoute ? mRoute->id.str() : std::string("none")))
     .field("organisation", std::string_view(mJob.organisation.str()))
+    .field("tier", mJob.tier)
     .field("server", std::string_view(mGrant ? mGrant->server.str() : std::string("none")))
     .field("digest", mRequestDigest)
     .field("sends", mSendCount)
