--- a/test/agents/simulation.cpp
+++ b/test/agents/simulation.cpp
@@ -136,6 +136,9 @@
         mLog.append(
           "k" + std::to_string(pick(8)), std::to_string(mNow.time_since_epoch().count()), mNow);
       }
+      if (mOptions.outage) {
+        play(*mOptions.outage);
+      }
       if (mOptions.faults && mNow < calmFrom && pick(1000) < 6) {
         fault();
       }
@@ -623,6 +626,21 @@
     }
   }
 
+  void play(const OutageWithoutAgents& aOutage)
+  {
+    const auto elapsed = mNow - startTime();
+    if (elapsed == aOutage.at) {
+      mStoreSilentUntil = mNow + aOutage.length;
+    }
+    if (elapsed == aOutage.agentsLostAt) {
+      for (const auto& [name, instance] : mInstances) {
+        if (instance->planner.slot()) {
+          instance->frozenUntil = mNow + aOutage.agentsLostFor;
+        }
+      }
+    }
+  }
+
   // Checks.
 
   void violation(const Instance& aInstance, const std::string& aText)
@@ -651,9 +669,7 @@
         violation(aInstance, "knows less than it states");
       }
     }
-    // Calm instances are in touch again some time after a disruption.
-    const auto bound = mOptions.changeBound + Millis(5000);
-    if (mNow - aInstance.inTouchSince > bound && (!age || *age > mOptions.changeBound)) {
+    if (mNow - aInstance.inTouchSince > mOptions.stabilityWindow() && (!age || *age > mOptions.changeBound)) {
       violation(aInstance, "did not receive changes within the bound");
     }
     if (aInstance.acknowledged > mWritten[aInstance.incarnation]) {
--- a/test/agents/simulation.hpp
+++ b/test/agents/simulation.hpp
@@ -17,6 +17,15 @@
 
 namespace mustardplank::agent::simulation {
 
+/// An outage of the store in which all agents lose power. Times count from the start of the run.
+struct OutageWithoutAgents
+{
+  Duration at = Seconds(20);
+  Duration length = Seconds(5);
+  Duration agentsLostAt = Seconds(24);
+  Duration agentsLostFor = Seconds(8);
+};
+
 struct Options
 {
   unsigned seed = 1;
@@ -29,6 +38,10 @@
   /// Without faults in this last part of the run.
   Duration calm = Seconds(20);
   bool faults = true;
+  std::optional<OutageWithoutAgents> outage;
+
+  /// How long after a disruption of it or of the store the bound holds again for an instance.
+  Duration stabilityWindow() const { return changeBound + Seconds(1); }
 };
 
 /// What was promised and not kept.
--- a/test/agents/simulation_test.cpp
+++ b/test/agents/simulation_test.cpp
@@ -47,6 +47,25 @@
   }
 }
 
+// Guards against changes that come late to the other instances when the store returns after an
+// outage in which all agents were lost.
+BOOST_AUTO_TEST_CASE(changes_are_in_time_after_an_outage_without_agents)
+{
+  for (const auto lostAt : { 21, 22, 23, 24, 25 }) {
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+      Options options;
+      options.seed = seed;
+      options.domains = 3;
+      options.instancesPerDomain = 24;
+      options.changeBound = Seconds(3);
+      options.faults = false;
+      options.length = Seconds(40);
+      options.outage.emplace().agentsLostAt = Seconds(lostAt);
+      play(options);
+    }
+  }
+}
+
 // Instances of a build without agents follow the store beside those with agents.
 BOOST_AUTO_TEST_CASE(mixed_builds_break_no_promise)
 {
