Agents: an instance does not rely on silent agents to learn that the store is back

Callers saw (CONFIG): changes that the store had acknowledged seconds before were not in force at instances that were sound and reached it.

Cause: after failed reads in an outage an instance waited 2 to 6 s before its next one, since its agents would state that the store is back. If the agents were lost in the outage, nobody did; an agent's answer long ago counted for ever. A starting instance waited up to 3.2 s, whatever the bound on changes.

Change: the long pause holds only for half the bound after an answer of an agent, and ends when an agent has fresh knowledge; then the pause is at most 1 s. The first read of a start is a part of the bound.

--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -100,7 +100,7 @@
   /// itself now, once.
   bool isDirectReadDue(std::optional<Duration> aAge, TimePoint aNow) const;
   /// When isDirectReadDue() may next be true; in the past if only the age decides.
-  TimePoint directReadAt() const { return mDirectReadAt; }
+  TimePoint directReadAt() const;
   /// A call to the store succeeded or failed.
   void recordStoreCall(bool aSucceeded, TimePoint aNow);
   /// The last call to the store failed.
@@ -164,7 +164,12 @@
   RetryPause mStorePause;
   /// An instance that has just started leaves the store to its agents until then.
   TimePoint mFirstReadAt;
-  TimePoint mDirectReadAt;
+  /// No direct read before this time.
+  TimePoint mStoreRetryAt;
+  /// The same while agents answer.
+  TimePoint mAnsweredRetryAt;
+  /// When an agent last answered, with fresh knowledge or without.
+  std::optional<TimePoint> mAnsweredAt;
   std::size_t mDomainInstances = 1;
   /// The directory is as read last, as far as known.
   bool mDirectoryCurrent = false;
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -13,6 +13,9 @@
 constexpr double kReadPausePart = 0.4;
 constexpr double kSyncHoldPart = 0.2;
 constexpr double kMaxAgePart = 0.75;
+/// An agent that cannot read the store states it when the store is back. That counts on for this
+/// long after an answer.
+constexpr double kAnswerMemoryPart = 0.5;
 
 /// An agent that has not been good for this long is replaced.
 constexpr Duration kReplaceAfter = Seconds(3);
@@ -51,13 +54,14 @@
 constexpr Duration kClaimRetry = Millis(200);
 
 /// An instance that starts gives its agents this long, and a part of the spread, before it reads
-/// the store itself.
-constexpr Duration kStartReadDelay = Millis(1200);
-constexpr Duration kStartReadSpread = Seconds(2);
+/// the store itself; both are parts of the bound on changes and stay below kMaxAgePart together.
+constexpr double kStartReadDelayPart = 0.4;
+constexpr double kStartReadSpreadPart = 0.3;
 constexpr Duration kFirstReadPause = Millis(200);
 constexpr Duration kMaxReadPause = Millis(1000);
-/// While the store is lost to all, the instances of a failure domain together try it about this
-/// often. So many failures in a row of one instance mean the same if it hears of no agent.
+/// While the store is lost to all, the instances of a failure domain that agents answer try it
+/// together about this often. So many failures in a row of one instance mean that it is lost to
+/// all.
 constexpr unsigned kFailuresOfOutage = 4;
 constexpr Duration kLostReadInterval = Millis(500);
 constexpr Duration kMaxLostReadSpread = Seconds(4);
@@ -76,13 +80,15 @@
   , mDirectoryReadAt(aNow)
   , mStorePause(kFirstReadPause, kMaxReadPause)
   , mFirstReadAt(aNow)
-  , mDirectReadAt(aNow)
+  , mStoreRetryAt(aNow)
+  , mAnsweredRetryAt(aNow)
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.seed % 2147483646 + 1))
 {
   if (mOptions.agentsPerDomain == 0) {
     return;
   }
-  mFirstReadAt = aNow + kStartReadDelay + part(kStartReadSpread, random());
+  mFirstReadAt = aNow + part(mOptions.changeBound, kStartReadDelayPart) +
+                 part(mOptions.changeBound, kStartReadSpreadPart * random());
   const bool strong = mOptions.processorShare >= kStrongShare;
   if (mOptions.firstStart && !strong) {
     mDirectoryReadAt = aNow + kFirstDirectoryDelay + part(kFirstDirectorySpread, random());
@@ -323,8 +329,11 @@
     const bool standsIn = followsStore(aNow) && slot().value_or(0) > 0;
     health.retryAt = standsIn ? aNow + kProbeInterval : aNow;
     mSyncedOnce = true;
+    mAnsweredAt = aNow;
     if (!aResult.isStale) {
       health.lastGoodAt = aNow;
+      // The store is not lost to all.
+      mAnsweredRetryAt = mStoreRetryAt;
     }
     for (const auto& reached : aResult.reached) {
       if (const auto other = mHealth.find(reached); other != mHealth.end()) {
@@ -421,7 +430,17 @@
     return false;
   }
   const bool isOld = !aAge || *aAge >= maxAge();
-  return isOld && aNow >= mDirectReadAt;
+  return isOld && aNow >= directReadAt();
+}
+
+TimePoint
+SourcePlanner::directReadAt() const
+{
+  if (!mAnsweredAt) {
+    return mStoreRetryAt;
+  }
+  const auto unanswered = *mAnsweredAt + part(mOptions.changeBound, kAnswerMemoryPart);
+  return std::max(mStoreRetryAt, std::min(mAnsweredRetryAt, unanswered));
 }
 
 void
@@ -431,18 +450,19 @@
   if (aSucceeded) {
     mStorePause.reset();
     mStoreFailures = 0;
-    mDirectReadAt = aNow;
+    mStoreRetryAt = aNow;
+    mAnsweredRetryAt = aNow;
     return;
   }
   ++mStoreFailures;
-  auto pause = mStorePause.next();
+  mStoreRetryAt = aNow + mStorePause.next();
+  mAnsweredRetryAt = mStoreRetryAt;
   const bool others = mAgentsStale || mStoreFailures >= kFailuresOfOutage;
   if (!isAgent() && others) {
     const auto spread =
       std::min(kLostReadInterval * static_cast<int>(mDomainInstances), kMaxLostReadSpread);
-    pause = std::max(pause, part(spread, 0.5 + random()));
+    mAnsweredRetryAt = std::max(mStoreRetryAt, aNow + part(spread, 0.5 + random()));
   }
-  mDirectReadAt = aNow + pause;
 }
 
 Duration
--- a/src/mustardplank/agent/source_planner_test.cpp
+++ b/src/mustardplank/agent/source_planner_test.cpp
@@ -165,7 +165,8 @@
   BOOST_TEST(toMillis(planner.maxAge()) < 2000.0);
 }
 
-// Load pattern: the store rejects all. The instances of a failure domain try it in turn.
+// Load pattern: the store rejects all, and the agents answer so. The instances of a failure domain
+// try it in turn.
 BOOST_AUTO_TEST_CASE(many_instances_share_the_tries_of_a_lost_store)
 {
   SourcePlanner planner(optionsOf("c"), kStart);
@@ -173,7 +174,12 @@
   planner.setDomainInstances(40);
   planner.recordSync(InstanceId("a"), SyncResult{ true, true, {} }, kStart);
   int tries = 0;
+  auto answerAt = kStart;
   for (auto now = kStart + Seconds(5); now < kStart + Seconds(35); now += Millis(10)) {
+    if (now >= answerAt) {
+      planner.recordSync(InstanceId("a"), SyncResult{ true, true, {} }, now);
+      answerAt = now + planner.syncHold();
+    }
     if (planner.isDirectReadDue(Seconds(10), now)) {
       planner.recordStoreCall(false, now);
       ++tries;
@@ -183,6 +189,21 @@
   BOOST_TEST(tries <= 20);
 }
 
+// Guards against an instance that waits for agents to state that the store is back when they are
+// lost with it.
+BOOST_AUTO_TEST_CASE(a_lost_store_is_tried_within_the_bound_once_the_agents_are_silent)
+{
+  SourcePlanner planner(optionsOf("c"), kStart);
+  planner.setDirectory(directoryOf({ agentNamed("a"), agentNamed("b") }), kStart);
+  planner.setDomainInstances(40);
+  for (int i = 0; i < 20; ++i) {
+    const auto now = kStart + i * planner.syncHold();
+    planner.recordSync(InstanceId("a"), SyncResult{ true, true, {} }, now);
+    planner.recordStoreCall(false, now);
+    BOOST_TEST((planner.directReadAt() - now <= planner.changeBound() / 2));
+  }
+}
+
 // Guards against an instance that the store rejects while its whole failure domain does not answer.
 BOOST_AUTO_TEST_CASE(agents_of_other_failure_domains_are_asked_when_the_own_ones_are_silent)
 {
--- a/test/agents/simulation.cpp
+++ b/test/agents/simulation.cpp
@@ -669,7 +669,8 @@
         violation(aInstance, "knows less than it states");
       }
     }
-    if (mNow - aInstance.inTouchSince > mOptions.stabilityWindow() && (!age || *age > mOptions.changeBound)) {
+    if (mNow - aInstance.inTouchSince > mOptions.stabilityWindow() &&
+        (!age || *age > mOptions.changeBound)) {
       violation(aInstance, "did not receive changes within the bound");
     }
     if (aInstance.acknowledged > mWritten[aInstance.incarnation]) {
