Dispatch: a request does not begin before more urgent ones that wait

Cause: a request that arrived was placed at once if a server could accept it, without a look at those that wait; room that appears with time (turns at servers that state a rate, cold servers, ends of suspensions) was offered to the queue only at the next tick, so newcomers of any urgency took it. Long prompts also waited at servers where short ones may not. The queue was gone through by prompt length first when a request ended.

Change: UrgencyBarrier. A job is not placed while a more urgent one of its service waits that needs no more room, at arrival, at the end of a request and at the tick alike. Jobs that need a particular server hold nobody back, nor do they end the turn of their group. An arrival that yields has the queue placed at once.

Other cases of the dispatcher and the model's tests pass.

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -303,12 +303,13 @@
   /// Sort key of waiting jobs: the job with the smallest one is placed first.
   using QueueRank = std::tuple<std::uint32_t, bool, bool, std::size_t, TimePoint>;
   QueueRank queueRank(const Job& aJob, TimePoint aNow) const;
-  /// Places the service's waiting jobs: first those with short prompts, then those with long ones,
-  /// each in rank order until no server can accept the next one.
-  void placeWaitingOfService(const route::ServiceId& aService, TimePoint aNow, Effects& aEffects);
+  /// Whether a newcomer waits since more urgent jobs do, see UrgencyBarrier.
+  bool yieldsToWaiting(const Job& aJob) const;
   /// Places waiting jobs in rank order, for each service and prompt length until no server can
-  /// accept the next one, and refuses those that have waited too long.
-  void placeOrRefuseWaiting(TimePoint aNow, Effects& aEffects);
+  /// accept the next one, and refuses those that have waited too long. aService: those of one
+  /// service only; nullptr: all.
+  void placeOrRefuseWaiting(const route::ServiceId* aService, TimePoint aNow, Effects& aEffects);
+  static bool hasWaitedTooLong(const Job& aJob, TimePoint aNow);
   /// Decrements the organisation's number of granted jobs.
   void decrementGranted(const OrganisationId& aOrganisation);
   /// Estimated time until a server can accept a request like this one; zero when unknown.
--- a/include/mustardplank/dispatch/job.hpp
+++ b/include/mustardplank/dispatch/job.hpp
@@ -61,6 +61,9 @@
   std::optional<double> versionDraw;
   /// Servers that have failed this request and are not tried again.
   std::vector<BackendServerId> excludedServers;
+
+  /// Not every server of the service will do.
+  bool needsParticularServer() const { return softwareVersion || !excludedServers.empty(); }
 };
 
 /// How a job ended on its server.
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "mustardplank/base/hash.hpp"
 #include "mustardplank/dispatch/server_groups.hpp"
+#include "mustardplank/dispatch/urgency_barrier.hpp"
 
 #include "scale_duration.hpp"
 #include "smoothing.hpp"
@@ -306,7 +307,9 @@
                          ? std::uniform_real_distribution<double>(0.0, 1.0)(mRandom)
                          : std::nextafter(1.0, 0.0);
   }
-  if (!waits && tryPlace(aJob, aNow, aEffects)) {
+  const auto service = aJob.service;
+  const bool yields = !waits && yieldsToWaiting(aJob);
+  if (!waits && !yields && tryPlace(aJob, aNow, aEffects)) {
     return;
   }
   const auto reason = waits ? RefusalReason::Overloaded : refusalReason(aJob, aNow);
@@ -315,6 +318,19 @@
     return;
   }
   mWaiting.push_back(std::move(aJob));
+  if (yields) {
+    placeOrRefuseWaiting(&service, aNow, aEffects);
+  }
+}
+
+bool
+Dispatcher::yieldsToWaiting(const Job& aJob) const
+{
+  UrgencyBarrier barrier;
+  for (const auto& it : mWaiting) {
+    barrier.add(it);
+  }
+  return barrier.holdsBack(aJob);
 }
 
 bool
@@ -539,7 +555,7 @@
   decrementGranted(it->second.job.organisation);
   mGranted.erase(it);
   if (!mWaiting.empty() && !awaitsServerList(aNow)) {
-    placeWaitingOfService(service, aNow, aEffects);
+    placeOrRefuseWaiting(&service, aNow, aEffects);
   }
 }
 
@@ -557,7 +573,7 @@
 {
   updateFailureRates(aNow);
   if (!awaitsServerList(aNow)) {
-    placeOrRefuseWaiting(aNow, aEffects);
+    placeOrRefuseWaiting(nullptr, aNow, aEffects);
   }
 }
 
--- a/src/mustardplank/dispatch/dispatcher_queue.cpp
+++ b/src/mustardplank/dispatch/dispatcher_queue.cpp
@@ -1,4 +1,5 @@
 #include "mustardplank/dispatch/dispatcher.hpp"
+#include "mustardplank/dispatch/urgency_barrier.hpp"
 
 #include "scale_duration.hpp"
 
@@ -104,35 +105,18 @@
   return { aJob.tier, aJob.targetDeadline < aNow, !aJob.callerRetry, running, aJob.targetDeadline };
 }
 
-void
-Dispatcher::placeWaitingOfService(const route::ServiceId& aService,
-                                  TimePoint aNow,
-                                  Effects& aEffects)
+bool
+Dispatcher::hasWaitedTooLong(const Job& aJob, TimePoint aNow)
 {
-  for (const bool isLong : { false, true }) {
-    for (;;) {
-      auto bestJob = mWaiting.end();
-      std::optional<QueueRank> best;
-      for (auto it = mWaiting.begin(); it != mWaiting.end(); ++it) {
-        if (isLongPrompt(*it) != isLong || it->service != aService) {
-          continue;
-        }
-        const auto rank = queueRank(*it, aNow);
-        if (!best || rank < *best) {
-          best = rank;
-          bestJob = it;
-        }
-      }
-      if (bestJob == mWaiting.end() || !tryPlace(*bestJob, aNow, aEffects)) {
-        break;
-      }
-      mWaiting.erase(bestJob);
-    }
-  }
+  const auto limit =
+    std::max(kMinWaitLimit, scaleDuration(aJob.targetDeadline - aJob.arrived, kMaxWaitShare));
+  return (aNow - aJob.arrived >= limit && !aJob.begun) || aNow >= aJob.deadline;
 }
 
 void
-Dispatcher::placeOrRefuseWaiting(TimePoint aNow, Effects& aEffects)
+Dispatcher::placeOrRefuseWaiting(const route::ServiceId* aService,
+                                 TimePoint aNow,
+                                 Effects& aEffects)
 {
   if (mWaiting.empty()) {
     return;
@@ -144,21 +128,27 @@
   }
   std::sort(order.begin(), order.end());
   std::set<std::pair<route::ServiceId, bool>> fullGroups;
+  UrgencyBarrier barrier;
   std::vector<Job> stillWaiting;
   stillWaiting.reserve(mWaiting.size());
   for (const auto& [rank, index] : order) {
     auto& job = mWaiting[index];
+    if (aService && job.service != *aService) {
+      stillWaiting.push_back(std::move(job));
+      continue;
+    }
     const auto group = std::pair(job.service, isLongPrompt(job));
-    if (!fullGroups.contains(group) && tryPlace(job, aNow, aEffects)) {
+    if (!fullGroups.contains(group) && !barrier.holdsBack(job) && tryPlace(job, aNow, aEffects)) {
       continue;
     }
-    fullGroups.insert(group);
-    const auto limit =
-      std::max(kMinWaitLimit, scaleDuration(job.targetDeadline - job.arrived, kMaxWaitShare));
-    if ((aNow - job.arrived >= limit && !job.begun) || aNow >= job.deadline) {
+    if (!job.needsParticularServer()) {
+      fullGroups.insert(group);
+    }
+    if (hasWaitedTooLong(job, aNow)) {
       refuse(job, refusalReason(job, aNow), aNow, aEffects);
       continue;
     }
+    barrier.add(job);
     stillWaiting.push_back(std::move(job));
   }
   mWaiting = std::move(stillWaiting);
