--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -137,12 +137,14 @@
                                  std::size_t aDomains,
                                  Millis aStopGrace,
                                  MachineLimits aMachine,
-                                 Rollouts aRollouts)
+                                 Rollouts aRollouts,
+                                 ServerLinks aServerLinks)
   : mClocks(aClocks)
   , mDomains(aDomains)
   , mStopGrace(aStopGrace)
   , mMachine(aMachine)
   , mRollouts(aRollouts)
+  , mServerLinks(aServerLinks)
   , mWork(mIo.get_executor())
   , mFolder(std::filesystem::temp_directory_path() /
             ("mustardplank-routes-" + std::to_string(::getpid()) + newAttempt()))
@@ -202,6 +204,49 @@
   std::ofstream(clockFile(aIndex), std::ios::in | std::ios::out) << text;
 }
 
+std::string
+RouteDeployment::cutFile(std::size_t aIndex) const
+{
+  return mFolder + "/cut" + std::to_string(aIndex);
+}
+
+void
+RouteDeployment::writeCut(std::size_t aIndex, const std::string& aText)
+{
+  // Padded, so that each write replaces the whole text.
+  constexpr std::size_t kFileBytes = 256;
+  auto text = aText;
+  text.resize(kFileBytes, ' ');
+  std::ofstream(cutFile(aIndex), std::ios::in | std::ios::out) << text;
+}
+
+void
+RouteDeployment::cutFromServers(std::size_t aIndex, CutKind aKind)
+{
+  using Tcp = boost::asio::ip::tcp;
+  if (!mSilentAcceptor) {
+    const Tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    mSilentAcceptor = std::make_unique<Tcp::acceptor>(mIo);
+    mSilentAcceptor->open(any.protocol());
+    mSilentAcceptor->bind(any);
+    mSilentAcceptor->listen(0);
+    mSilentConnections.emplace_back(mIo).connect(mSilentAcceptor->local_endpoint());
+  }
+  const char* mode = aKind == CutKind::Hang ? "hang" : aKind == CutKind::Reset ? "reset" : "refuse";
+  std::string text = mode + (" " + std::to_string(mSilentAcceptor->local_endpoint().port()));
+  for (const auto& it : mServers) {
+    const auto address = it->address();
+    text += " " + address.substr(address.find(':') + 1);
+  }
+  writeCut(aIndex, text);
+}
+
+void
+RouteDeployment::restoreServerLinks(std::size_t aIndex)
+{
+  writeCut(aIndex, "none 0");
+}
+
 void
 RouteDeployment::startInstance(std::size_t aIndex)
 {
@@ -235,6 +280,12 @@
       std::string(BUILD_DIR) + "/test/support/libmustardplank_clock_shim.so";
     environment["MUSTARDPLANK_TEST_CLOCK"] = clockFile(aIndex);
   }
+  if (mServerLinks == ServerLinks::Cuttable) {
+    const std::ofstream created(cutFile(aIndex), std::ios::app);
+    environment["LD_PRELOAD"] =
+      std::string(BUILD_DIR) + "/test/support/libmustardplank_cut_shim.so";
+    environment["MUSTARDPLANK_TEST_CUT"] = cutFile(aIndex);
+  }
   std::string program = std::string(BUILD_DIR) + "/src/daemon/mustardplankd";
   std::vector<std::string> arguments{ "--settings", settingsFile(aIndex) };
   if (mMachine.descriptors > 0) {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -84,6 +84,24 @@
   Stated,
 };
 
+/// Whether the instances can be cut off from the servers by RouteDeployment::cutFromServers().
+enum class ServerLinks
+{
+  Sound,
+  Cuttable,
+};
+
+/// How an instance is cut off from servers.
+enum class CutKind
+{
+  /// Connections hang, old and new ones.
+  Hang,
+  /// Connections are reset, old and new ones.
+  Reset,
+  /// New connections are refused, old ones live on.
+  RefuseNew,
+};
+
 /// A store, servers and instances of the daemon in mode "routes" on the loopback interface.
 ///
 /// Routes: /plain/ (non-idempotent), /twice/ (idempotent, two attempts), /events/ (stream),
@@ -100,7 +118,8 @@
                   std::size_t aDomains = 1,
                   Millis aStopGrace = kStopGrace,
                   MachineLimits aMachine = {},
-                  Rollouts aRollouts = Rollouts::NotStated);
+                  Rollouts aRollouts = Rollouts::NotStated,
+                  ServerLinks aServerLinks = ServerLinks::Sound);
   ~RouteDeployment();
 
   StoreStandin& store() { return *mStore; }
@@ -115,6 +134,9 @@
   void startInstance(std::size_t aIndex);
   /// From now on the instance's time of day is off by aBy.
   void shiftClock(std::size_t aIndex, Millis aBy);
+  /// Cuts the instance off from all servers.
+  void cutFromServers(std::size_t aIndex, CutKind aKind);
+  void restoreServerLinks(std::size_t aIndex);
   /// Ends an instance and starts it with the store's second address.
   void restartOnOtherAddress(std::size_t aIndex);
   /// Writes a configuration; version rises with each call.
@@ -146,12 +168,18 @@
 
 private:
   std::string clockFile(std::size_t aIndex) const;
+  std::string cutFile(std::size_t aIndex) const;
+  void writeCut(std::size_t aIndex, const std::string& aText);
 
   Clocks mClocks;
   std::size_t mDomains;
   Millis mStopGrace;
   MachineLimits mMachine;
   Rollouts mRollouts;
+  ServerLinks mServerLinks;
+  /// Its queue of connections is full, so that further ones are not answered.
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> mSilentAcceptor;
+  std::vector<boost::asio::ip::tcp::socket> mSilentConnections;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
