Gateway: an instance cut off from all servers reaches them through other instances

Each request tried up to four servers for 250 ms each and was refused.

Cause: in mode routes an instance reached servers itself or not at all; nothing told lost links from lost servers.

Change: an instance that has reached no server since two could not be reached is cut off (ServerPaths, no I/O). It has other instances set up its connections: a CONNECT request to the address for other instances, which only leads to servers that are in the list, and bytes in both directions from then on (TunnelServer). Placement, retries, counts and the relay of answers stay at the instance that has the caller. A server is tried directly four times a second; once one is reached, connections are direct again. An instance that is asked and is cut off itself says so; its servers are not blamed. An answer that ends with its connection is not taken for whole through a tunnel, as the other instance may have ended. What was concluded on servers from lost connections is forgotten when the way changes.

Weighed: passing on whole requests (a second place that places, counts and retries them) and failing the readiness probe (callers with open connections stay, and most of a failure domain may be cut).

--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -198,6 +198,12 @@
   /// requests.
   bool isInDoubt(const BackendServerId& aServer, TimePoint aSince) const;
 
+  /// Whether a server that is known has this address, "ip:port".
+  bool hasServerAt(const std::string& aAddress) const;
+  /// Servers are reached another way from now on: what was concluded from lost connections to them
+  /// counts no longer.
+  void forgetUnreachable();
+
   CrashSuspects& crashSuspects() { return mCrashSuspects; }
   PromptPartSuspects& promptPartSuspects() { return mPromptPartSuspects; }
 
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mustardplank::gateway {
 
@@ -25,7 +26,8 @@
   std::string callerAddress;
   /// "ip:port" of the readiness probe, which tells whether the instance takes new callers.
   std::string readinessAddress;
-  /// "ip:port" for metrics, status and board entries; empty to disable.
+  /// "ip:port" for metrics, status, board entries and connections to servers on behalf of other
+  /// instances; empty to disable.
   std::string adminAddress;
   std::string metricsPath = "/metrics";
   std::string readinessPath = "/readyz";
@@ -84,6 +86,8 @@
                      const route::ServiceId& aService,
                      std::function<void(std::optional<dispatch::StreamOrigin>)> aDone)>
     findStreamOrigin;
+  /// The adminAddress of other instances, which may set up connections to servers for this one.
+  std::function<std::vector<std::string>()> peers;
   /// Text of the /status page.
   std::function<std::string()> makeStatusPage;
   /// Time of day on which the instances agree, in Unix milliseconds.
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -48,9 +48,11 @@
   HeldPartsKnown,
   /// Taken by responses that the process reads for itself.
   ReadMemoryBytes,
+  /// 1 while no server can be reached directly.
+  CutOffFromServers,
 };
 
-inline constexpr NameTable<Gauge, 22> kGaugeNames{ { {
+inline constexpr NameTable<Gauge, 23> kGaugeNames{ { {
   { Gauge::CallerConnections, "caller_connections" },
   { Gauge::RunningRequests, "running_requests" },
   { Gauge::WaitingRequests, "waiting_requests" },
@@ -73,6 +75,7 @@
   { Gauge::HeldPartsFollowed, "held_parts_servers_followed" },
   { Gauge::HeldPartsKnown, "held_parts_servers_known" },
   { Gauge::ReadMemoryBytes, "read_memory_bytes" },
+  { Gauge::CutOffFromServers, "cut_off_from_servers" },
 } } };
 
 /// Values of one pool that rise and fall. Series "mustardplank_pool_<name>{pool}".
@@ -138,9 +141,11 @@
   HeldPartsMessageIgnored,
   /// Responses to the process's own requests that took more than they may.
   ResponseDropped,
+  /// Connections to servers that another instance asked for.
+  TunnelRequest,
 };
 
-inline constexpr NameTable<Event, 27> kEventNames{ { {
+inline constexpr NameTable<Event, 28> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -168,6 +173,7 @@
   { Event::HeldPartsLoss, "held_parts_losses" },
   { Event::HeldPartsMessageIgnored, "held_parts_messages_ignored" },
   { Event::ResponseDropped, "read_responses_dropped" },
+  { Event::TunnelRequest, "tunnel_requests" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -222,6 +222,13 @@
   callbacks.receiveSync = [this](std::string aRequest, const gateway::SyncResponse& aRespond) {
     receiveSync(std::move(aRequest), aRespond);
   };
+  callbacks.peers = [this] {
+    std::vector<std::string> addresses;
+    for (auto& it : clockPeers()) {
+      addresses.push_back(std::move(it.address));
+    }
+    return addresses;
+  };
   callbacks.makeStatusPage = [this] { return statusText(); };
   callbacks.sharedTimeMs = [this] { return clock.now(bootNow()); };
   return callbacks;
--- a/src/mustardplank/dispatch/dispatcher_learning.cpp
+++ b/src/mustardplank/dispatch/dispatcher_learning.cpp
@@ -270,6 +270,29 @@
   return it == mServers.end() || it->second->lastLoss > aSince;
 }
 
+bool
+Dispatcher::hasServerAt(const std::string& aAddress) const
+{
+  return std::any_of(mServers.begin(), mServers.end(), [&](const auto& aItem) {
+    return aItem.second->server.address == aAddress;
+  });
+}
+
+void
+Dispatcher::forgetUnreachable()
+{
+  for (auto& [id, server] : mServers) {
+    server->suspendedUntil = {};
+    server->suspensionBackoff = {};
+    server->probeRunning = false;
+    server->failureRate = 0.0;
+    server->consecutiveLossesOrStalls = 0;
+  }
+  for (auto& [id, service] : mServices) {
+    service.domains.clear();
+  }
+}
+
 void
 Dispatcher::updateFailureRates(TimePoint aNow)
 {
--- a/src/mustardplank/gateway/admin_server.cpp
+++ b/src/mustardplank/gateway/admin_server.cpp
@@ -29,10 +29,12 @@
   Listener(boost::asio::io_context& aIo,
            const Tcp::endpoint& aEndpoint,
            GetHandler aOnGet,
-           PostHandler aOnPost)
+           PostHandler aOnPost,
+           ConnectHandler aOnConnect)
     : acceptor(aIo.get_executor(), aEndpoint)
     , onGet(std::move(aOnGet))
     , onPost(std::move(aOnPost))
+    , onConnect(std::move(aOnConnect))
   {
   }
 
@@ -43,6 +45,7 @@
   Acceptor acceptor;
   GetHandler onGet;
   PostHandler onPost;
+  ConnectHandler onConnect;
   std::vector<std::weak_ptr<AdminConnection>> connections;
 };
 
@@ -50,10 +53,14 @@
 
 struct AdminConnection : std::enable_shared_from_this<AdminConnection>
 {
-  AdminConnection(Socket aSocket, AdminServer::GetHandler aOnGet, AdminServer::PostHandler aOnPost)
+  AdminConnection(Socket aSocket,
+                  AdminServer::GetHandler aOnGet,
+                  AdminServer::PostHandler aOnPost,
+                  AdminServer::ConnectHandler aOnConnect)
     : socket(std::move(aSocket))
     , onGet(std::move(aOnGet))
     , onPost(std::move(aOnPost))
+    , onConnect(std::move(aOnConnect))
   {
   }
 
@@ -68,6 +75,13 @@
         }
         self->lastProgressAt = bootNow();
         const std::string path(self->request.target());
+        if (self->request.method() == http::verb::connect && self->onConnect) {
+          // Bytes sent ahead would be lost.
+          if (self->buf.size() == 0) {
+            self->onConnect(std::move(self->socket), path);
+          }
+          return;
+        }
         if (self->request.method() != http::verb::post || !self->onPost) {
           self->respond(self->onGet(path));
           return;
@@ -105,6 +119,7 @@
   TimePoint lastProgressAt = bootNow();
   AdminServer::GetHandler onGet;
   AdminServer::PostHandler onPost;
+  AdminServer::ConnectHandler onConnect;
   boost::beast::flat_buffer buf{ kMaxUnparsedBytes };
   http::request<http::string_body> request;
   http::response<http::string_body> response;
@@ -121,8 +136,8 @@
     }
     if (!aError) {
       self->closeSilentConnections();
-      const auto connection =
-        std::make_shared<AdminConnection>(std::move(aSocket), self->onGet, self->onPost);
+      const auto connection = std::make_shared<AdminConnection>(
+        std::move(aSocket), self->onGet, self->onPost, self->onConnect);
       self->connections.push_back(connection);
       connection->read();
     }
@@ -151,8 +166,13 @@
 AdminServer::AdminServer(boost::asio::io_context& aIo,
                          const Tcp::endpoint& aEndpoint,
                          GetHandler aOnGet,
-                         PostHandler aOnPost)
-  : mListener(std::make_shared<Listener>(aIo, aEndpoint, std::move(aOnGet), std::move(aOnPost)))
+                         PostHandler aOnPost,
+                         ConnectHandler aOnConnect)
+  : mListener(std::make_shared<Listener>(aIo,
+                                         aEndpoint,
+                                         std::move(aOnGet),
+                                         std::move(aOnPost),
+                                         std::move(aOnConnect)))
 {
   mListener->accept();
 }
--- a/src/mustardplank/gateway/admin_server.hpp
+++ b/src/mustardplank/gateway/admin_server.hpp
@@ -16,7 +16,8 @@
 
 /// HTTP server for the readiness probe, or for metrics, status and board entries. Responses are
 /// generated for each request. POST requests go to aOnPost, if there is one, which responds
-/// asynchronously; all others go to aOnGet.
+/// asynchronously; all others go to aOnGet. A CONNECT request goes to aOnConnect, if there is one,
+/// which takes the connection over.
 class AdminServer
 {
 public:
@@ -25,11 +26,14 @@
   using PostHandler =
     std::function<void(const std::string& aPath, std::string aBody, ResponseCallback aRespond)>;
 
+  using ConnectHandler = std::function<void(Socket aSocket, const std::string& aTarget)>;
+
   /// Throws std::system_error when the address cannot be bound.
   AdminServer(boost::asio::io_context& aIo,
               const Tcp::endpoint& aEndpoint,
               GetHandler aOnGet,
-              PostHandler aOnPost = nullptr);
+              PostHandler aOnPost = nullptr,
+              ConnectHandler aOnConnect = nullptr);
   ~AdminServer();
   AdminServer(const AdminServer&) = delete;
   AdminServer& operator=(const AdminServer&) = delete;
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -6,12 +6,14 @@
 #include "socket_state.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
 #include <iterator>
+#include <string_view>
 #include <vector>
 
 namespace mustardplank::gateway {
@@ -40,6 +42,12 @@
 /// longest time limit of a request whose caller states none.
 constexpr Duration kMaxUploadAfterResponse = Seconds(30);
 
+/// Answers of an instance that is asked for a connection to a server: it is open; the server cannot
+/// be reached from there.
+constexpr std::string_view kTunnelOpen = "HTTP/1.1 200 ";
+constexpr std::string_view kTunnelRefused = "HTTP/1.1 502 ";
+constexpr std::size_t kMaxTunnelAnswerBytes = 1024;
+
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 constexpr unsigned kSwitchingProtocols = 101;
@@ -60,21 +68,69 @@
 void
 BackendConnection::connect(const Tcp::endpoint& aEndpoint, ConnectCallback aCallback)
 {
+  mSocket.async_connect(aEndpoint,
+                        [self = shared_from_this(), aCallback = std::move(aCallback)](
+                          BoostErrorCode aError) { self->finishConnect(aError, aCallback); });
+}
+
+void
+BackendConnection::connectThrough(const Tcp::endpoint& aInstance, ConnectCallback aCallback)
+{
+  mTunnelled = true;
   mSocket.async_connect(
-    aEndpoint,
+    aInstance,
     [self = shared_from_this(), aCallback = std::move(aCallback)](BoostErrorCode aError) {
-      if (!aError && !self->isQuiet()) {
-        // Bytes before the request are no response to it.
-        aError = asio::error::connection_aborted;
+      if (aError) {
+        self->finishConnect(aError, aCallback);
+      } else {
+        self->requestTunnel(aCallback);
       }
-      if (!aError) {
-        setServerConnectionOptions(self->mSocket);
-        self->read();
+    });
+}
+
+void
+BackendConnection::requestTunnel(const ConnectCallback& aCallback)
+{
+  mRequestHeader = "CONNECT " + mAddress + " HTTP/1.1\r\nHost: " + mAddress + "\r\n\r\n";
+  const auto onAnswer = [self = shared_from_this(), aCallback](BoostErrorCode aError,
+                                                               std::size_t aBytes) {
+    const auto answer = std::exchange(self->mTunnelAnswer, {});
+    if (!aError && answer.starts_with(kTunnelRefused)) {
+      aError = asio::error::host_unreachable;
+    } else if (!aError && (!answer.starts_with(kTunnelOpen) || answer.size() != aBytes)) {
+      aError = asio::error::connection_aborted;
+    }
+    self->finishConnect(aError, aCallback);
+  };
+  asio::async_write(
+    mSocket,
+    asio::buffer(mRequestHeader),
+    [self = shared_from_this(), aCallback, onAnswer](BoostErrorCode aError, std::size_t) {
+      if (aError) {
+        self->finishConnect(aError, aCallback);
+        return;
       }
-      aCallback(aError);
+      asio::async_read_until(self->mSocket,
+                             asio::dynamic_buffer(self->mTunnelAnswer, kMaxTunnelAnswerBytes),
+                             "\r\n\r\n",
+                             onAnswer);
     });
 }
 
+void
+BackendConnection::finishConnect(BoostErrorCode aError, const ConnectCallback& aCallback)
+{
+  if (!aError && !isQuiet()) {
+    // Bytes before the request are no response to it.
+    aError = asio::error::connection_aborted;
+  }
+  if (!aError) {
+    setServerConnectionOptions(mSocket);
+    read();
+  }
+  aCallback(aError);
+}
+
 void
 BackendConnection::send(std::string aHeader,
                         std::shared_ptr<const BodyBuffer> aBody,
@@ -330,6 +386,10 @@
 bool
 BackendConnection::hasEndedCleanly()
 {
+  if (mTunnelled) {
+    // The other instance may have ended, and it confirms bytes that the server has not received.
+    return false;
+  }
   // The kernel reports an end of file after a reset if the write took its error, and for a server
   // that closed the connection before it received the rest of the request.
   return !mWriting && !mWriteFailed && !takeSocketError(mSocket) &&
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -68,6 +68,9 @@
   BackendConnection(boost::asio::io_context& aIo, std::string aAddress, ReleaseCallback aOnRelease);
 
   void connect(const Tcp::endpoint& aEndpoint, ConnectCallback aCallback);
+  /// Connects through another instance at its address for other instances. The callback gets
+  /// asio::error::host_unreachable if that one does not reach the server.
+  void connectThrough(const Tcp::endpoint& aInstance, ConnectCallback aCallback);
   /// Sends one request: its serialized header section and its body, which is not copied.
   /// aIsHeadRequest is true for the method HEAD, whose responses have no body.
   void send(std::string aHeader,
@@ -98,6 +101,8 @@
   /// Whether an earlier request on this connection was answered.
   bool isReused() const { return mResponseCount > 0; }
   bool isOpen() const { return !mClosed; }
+  /// Whether it leads through another instance.
+  bool isTunnelled() const { return mTunnelled; }
   /// Since when connections to the same process have been open.
   TimePoint reachedAt() const { return mReachedAt; }
   void setReachedAt(TimePoint aAt) { mReachedAt = aAt; }
@@ -108,6 +113,9 @@
   /// string_body would reserve memory for the length that a server states, however large.
   using Parser = boost::beast::http::response_parser<SinkBody>;
 
+  void requestTunnel(const ConnectCallback& aCallback);
+  /// The server is reached, or aError tells why not.
+  void finishConnect(BoostErrorCode aError, const ConnectCallback& aCallback);
   void read();
   void onRead(BoostErrorCode aError, std::size_t aBytes);
   void parse();
@@ -146,6 +154,9 @@
   bool mPaused = false;
   bool mRequestActive = false;
   bool mClosed = false;
+  bool mTunnelled = false;
+  /// While the tunnel is being set up.
+  std::string mTunnelAnswer;
   bool mHeadDelivered = false;
   bool mSkippingResponse = false;
   std::size_t mResponseCount = 0;
--- a/src/mustardplank/gateway/backend_connection_pool.hpp
+++ b/src/mustardplank/gateway/backend_connection_pool.hpp
@@ -2,6 +2,8 @@
 
 #include "backend_connection.hpp"
 
+#include "mustardplank/gateway/server_paths.hpp"
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -10,19 +12,34 @@
 
 namespace mustardplank::gateway {
 
-/// Connections to backend servers, by address. The most recently used idle connection is reused
-/// first, so that surplus ones expire.
+/// What came of an attempt to connect to a server.
+enum class ConnectResult
+{
+  Connected,
+  /// The server cannot be reached, directly or from the instance that was asked.
+  ServerUnreachable,
+  /// The server was not asked: the instance that was to connect to it cannot help.
+  NoPath,
+};
+
+/// Connections to backend servers, by address, directly or through other instances as ServerPaths
+/// decides. The most recently used idle connection is reused first, so that surplus ones expire.
 class BackendConnectionPool
 {
 public:
   using ConnectionPtr = std::shared_ptr<BackendConnection>;
   /// Called with nullptr when no connection could be set up.
-  using ConnectCallback = std::function<void(ConnectionPtr)>;
+  using ConnectCallback = std::function<void(ConnectionPtr, ConnectResult)>;
 
-  explicit BackendConnectionPool(boost::asio::io_context& aIo)
-    : mIo(aIo)
+  struct Callbacks
   {
-  }
+    /// Other instances, as addresses for BackendConnection::connectThrough().
+    std::function<std::vector<std::string>()> peers;
+    /// ServerPaths::isCutOff() has changed.
+    std::function<void(bool aCutOff)> onPathsChanged;
+  };
+
+  BackendConnectionPool(boost::asio::io_context& aIo, Callbacks aCallbacks);
   ~BackendConnectionPool();
   BackendConnectionPool(const BackendConnectionPool&) = delete;
   BackendConnectionPool& operator=(const BackendConnectionPool&) = delete;
@@ -33,6 +50,10 @@
   /// aCallback is then called with nullptr. If aAddress is malformed, returns nullptr and calls
   /// aCallback with nullptr later.
   ConnectionPtr connect(const std::string& aAddress, ConnectCallback aCallback);
+  /// A server was reached directly, or was not.
+  void recordDirect(const std::string& aAddress, bool aReached);
+  /// Whether this instance reaches no servers itself.
+  bool isCutOff() const { return mPaths.isCutOff(); }
   /// Closes the idle connections to an address whose server is gone.
   void closeIdle(const std::string& aAddress);
   /// Idle connections, those in use and those being set up.
@@ -46,10 +67,21 @@
     std::size_t connections = 0;
   };
 
+  ConnectionPtr makeConnection(const std::string& aAddress);
+  void connectDirect(const ConnectionPtr& aConnection, ConnectCallback aCallback);
+  void connectThrough(const std::string& aPeer,
+                      const ConnectionPtr& aConnection,
+                      ConnectCallback aCallback);
+  /// Finds out whether a server can be reached directly again.
+  void probe(const std::string& aAddress);
+  /// Closes the idle connections that lead through other instances, or all others.
+  void closeIdleOfPath(bool aTunnelled);
   void onConnected(BackendConnection& aConnection);
   void onReleased(const ConnectionPtr& aConnection, bool aIdle);
 
   boost::asio::io_context& mIo;
+  Callbacks mCallbacks;
+  ServerPaths mPaths;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> mIdleConnections;
   std::unordered_map<std::string, Reach> mReached;
   std::size_t mConnectionCount = 0;
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -299,17 +299,17 @@
     sendOnceConfirmed(connection);
     return;
   }
-  mConnection =
-    mContext.connectionPool.connect(aGrant.address,
-                                    [&context = mContext, id = mJob.id, grantNumber](
-                                      const BackendConnectionPool::ConnectionPtr& aConnection) {
-                                      const auto it = context.exchanges.find(id);
-                                      if (it != context.exchanges.end()) {
-                                        it->second->onConnected(grantNumber, aConnection);
-                                      } else if (aConnection) {
-                                        aConnection->close();
-                                      }
-                                    });
+  mConnection = mContext.connectionPool.connect(
+    aGrant.address,
+    [&context = mContext, id = mJob.id, grantNumber](
+      const BackendConnectionPool::ConnectionPtr& aConnection, ConnectResult aResult) {
+      const auto it = context.exchanges.find(id);
+      if (it != context.exchanges.end()) {
+        it->second->onConnected(grantNumber, aConnection, aResult);
+      } else if (aConnection) {
+        aConnection->close();
+      }
+    });
   mConnectTimer = mContext.timers.set(bootNow() + kConnectTimeout, [this] {
     mConnectTimer.reset();
     if (mConnection) {
@@ -320,7 +320,8 @@
 
 void
 Exchange::onConnected(std::uint32_t aGrantNumber,
-                      const BackendConnectionPool::ConnectionPtr& aConnection)
+                      const BackendConnectionPool::ConnectionPtr& aConnection,
+                      ConnectResult aResult)
 {
   if (mDone || mPhase != Phase::Connecting || aGrantNumber != mGrantCount) {
     if (aConnection) {
@@ -338,9 +339,17 @@
     return;
   }
   const auto server = mGrant->server;
-  log(makeLogEvent(LogLevel::Warning, "request.not_connected").field("server", server.str()), true);
-  releaseServer(dispatch::JobOutcome::NotConnected);
-  mJob.excludedServers.push_back(server);
+  const bool isServersFault = aResult == ConnectResult::ServerUnreachable;
+  log(makeLogEvent(LogLevel::Warning, "request.not_connected")
+        .field("server", server.str())
+        .field("path", isServersFault ? "server" : "none"),
+      true);
+  if (isServersFault) {
+    releaseServer(dispatch::JobOutcome::NotConnected);
+    mJob.excludedServers.push_back(server);
+  } else {
+    releaseServer(dispatch::JobOutcome::Cancelled);
+  }
   if (++mUnsentGrants >= kMaxUnsentGrants || deadline() - bootNow() < kMinRetryTimeLeft) {
     if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
       return;
@@ -484,6 +493,7 @@
         .field("server", std::string_view(mGrant->server.str()))
         .field("attempt", mSendCount)
         .field("reused", static_cast<int>(aConnection->isReused()))
+        .field("tunnelled", static_cast<int>(aConnection->isTunnelled()))
         .field("time_left_ms", toMillis(deadline() - now)),
       true);
   aConnection->send(
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -89,7 +89,8 @@
   void noteOrigin();
   void submit();
   void onConnected(std::uint32_t aGrantNumber,
-                   const BackendConnectionPool::ConnectionPtr& aConnection);
+                   const BackendConnectionPool::ConnectionPtr& aConnection,
+                   ConnectResult aResult);
   /// Sends the request, for a stream that has begun only once it is certain that the server runs
   /// the software that its entry names, and that the one that began the stream did.
   void sendOnceConfirmed(const BackendConnectionPool::ConnectionPtr& aConnection);
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -108,6 +108,19 @@
   return id && callerConnections.at(*id)->closeForAnother();
 }
 
+void
+GatewayContext::onServerPathsChanged(bool aCutOff)
+{
+  LogEvent(aCutOff ? LogLevel::Warning : LogLevel::Info,
+           aCutOff ? "servers.out_of_reach" : "servers.in_reach")
+    .field("peers", callbacks.peers().size())
+    .write();
+  metrics.set(metrics::Gauge::CutOffFromServers, aCutOff ? 1 : 0);
+  if (aCutOff) {
+    dispatcher.forgetUnreachable();
+  }
+}
+
 std::size_t
 GatewayContext::outputPauseBytes() const
 {
@@ -305,6 +318,10 @@
                            std::string aBody,
                            const AdminServer::ResponseCallback& aRespond) {
         impl->handleAdminPost(aPath, std::move(aBody), aRespond);
+      },
+      [impl = mImpl.get()](Socket aSocket, const std::string& aTarget) {
+        impl->context.metrics.count(metrics::Event::TunnelRequest);
+        impl->context.tunnels.open(std::move(aSocket), aTarget);
       });
   }
   mImpl->accept();
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "backend_connection_pool.hpp"
+#include "tunnel_server.hpp"
 
 #include "mustardplank/base/response_memory.hpp"
 #include "mustardplank/dispatch/caller_retry_detector.hpp"
@@ -38,7 +39,13 @@
     , timers(aTimers)
     , metrics(aMetrics)
     , callbacks(std::move(aCallbacks))
-    , connectionPool(aIo)
+    , connectionPool(aIo,
+                     { callbacks.peers, [this](bool aCutOff) { onServerPathsChanged(aCutOff); } })
+    , tunnels({ [this](const std::string& aAddress) { return dispatcher.hasServerAt(aAddress); },
+                [this] { return connectionPool.isCutOff(); },
+                [this](const std::string& aAddress, bool aReached) {
+                  connectionPool.recordDirect(aAddress, aReached);
+                } })
     , serverResponses(options.maxResponseBytes)
     , callerMemory({ options.maxCallerBytes,
                      options.maxCallerBytes / kGuaranteedDivisor,
@@ -58,6 +65,8 @@
   void freeCallerMemory();
   /// Closes a connection for a new one from aAddress. False if there is none to close.
   bool replaceConnection(const std::string& aAddress);
+  /// This instance no longer reaches any server, or reaches one again.
+  void onServerPathsChanged(bool aCutOff);
   /// Bytes that a caller may leave unread before reading from its server is paused.
   std::size_t outputPauseBytes() const;
 
@@ -69,6 +78,8 @@
   metrics::Metrics& metrics;
   GatewayCallbacks callbacks;
   BackendConnectionPool connectionPool;
+  /// Connections to servers for other instances.
+  TunnelServer tunnels;
   route::RouteTablePtr table;
   bool draining = false;
   /// Whether new requests are accepted.
