Streams taken up: not at a service that a change has taken out of the route by its weight

Cause: a stream that is taken up goes to the service that began it if the route names it, also with weight 0. Change: it has to be one to which the route sends requests.

--- a/include/mustardplank/route/table.hpp
+++ b/include/mustardplank/route/table.hpp
@@ -49,4 +49,8 @@
 const ServiceId&
 pickService(const Route& aRoute, double aRandom);
 
+/// Whether pickService() may return the service.
+bool
+isRoutedTo(const Route& aRoute, const ServiceId& aService);
+
 }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -153,12 +153,7 @@
 void
 Exchange::onOrigin(const std::optional<dispatch::StreamOrigin>& aOrigin)
 {
-  const bool isRouted =
-    aOrigin &&
-    std::any_of(mRoute->services.begin(), mRoute->services.end(), [&](const auto& aService) {
-      return aService.service == aOrigin->service;
-    });
-  if (!isRouted) {
+  if (!aOrigin || !route::isRoutedTo(*mRoute, aOrigin->service)) {
     sendLocalResponse(503, "origin_unknown", kShortRetryDelay);
     return;
   }
--- a/src/mustardplank/route/table.cpp
+++ b/src/mustardplank/route/table.cpp
@@ -92,4 +92,16 @@
   return aRoute.services.back().service;
 }
 
+bool
+isRoutedTo(const Route& aRoute, const ServiceId& aService)
+{
+  const bool hasWeights = std::any_of(
+    aRoute.services.begin(), aRoute.services.end(), [](const auto& it) { return it.weight > 0; });
+  return hasWeights
+           ? std::any_of(aRoute.services.begin(),
+                         aRoute.services.end(),
+                         [&](const auto& it) { return it.service == aService && it.weight > 0; })
+           : aRoute.services.back().service == aService;
+}
+
 }
--- a/src/mustardplank/route/table_test.cpp
+++ b/src/mustardplank/route/table_test.cpp
@@ -73,6 +73,12 @@
   BOOST_TEST(picked["a"] == 900);
   BOOST_TEST(picked["b"] == 100);
   BOOST_TEST(picked.count("none") == 0U);
+  for (const auto* service : { "a", "b", "none", "unknown" }) {
+    BOOST_TEST(isRoutedTo(route, ServiceId(service)) == (picked.count(service) > 0), service);
+  }
+  route.services = { { ServiceId("a"), 0 }, { ServiceId("b"), 0 } };
+  BOOST_TEST(isRoutedTo(route, pickService(route, 0.5)));
+  BOOST_TEST(!isRoutedTo(route, ServiceId("a")));
 }
 
 // Guards against equal ranks for all requests of an organisation that overrides the tiers of
--- a/test/routes/changes_test.cpp
+++ b/test/routes/changes_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <future>
 #include <set>
@@ -375,3 +376,35 @@
   BOOST_TEST(windows.size() >= 2U);
   BOOST_TEST(reported >= 40U);
 }
+
+// Guards against a stream that a caller takes up at the service that began it after a change has
+// set its weight in the route to 0.
+BOOST_AUTO_TEST_CASE(routes_stream_taken_up_does_not_go_on_at_a_service_of_weight_0)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.writeServer(1, "ready", R"({"service": "other"})");
+  deployment.setWeights(1, 1);
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(1500));
+  const auto reachedFirst = [&](const Call& aCall) {
+    const auto arrivals = deployment.server(0).arrivals();
+    return std::any_of(arrivals.begin(), arrivals.end(), [&](const auto& aArrival) {
+      return aArrival.attempt == aCall.attempt;
+    });
+  };
+  auto first = callOf("/resume/stream6");
+  for (int i = 0; i < 20 && !reachedFirst(first); ++i) {
+    first = callOf("/resume/stream6");
+    CallerConnection(deployment.callers()).call(first);
+  }
+  BOOST_TEST_REQUIRE(reachedFirst(first));
+  deployment.setWeights(0, 1);
+  deployment.configure();
+  std::this_thread::sleep_for(Millis(1500));
+  const auto before = deployment.server(0).arrivals().size();
+  auto second = callOf("/resume/stream6");
+  second.fields = { { "Last-Event-Id", "2" }, { "Resumes", first.attempt } };
+  const auto answer = CallerConnection(deployment.callers()).call(second);
+  BOOST_TEST(answer.result_int() == 503U);
+  BOOST_TEST(deployment.server(0).arrivals().size() == before);
+}
--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -327,9 +327,15 @@
   }
   for (auto& it : config["routes"]) {
     it["timeoutMs"] = mRouteTimeout.count();
+    if (mWeights != std::pair(1, 0)) {
+      it["weightedServices"] =
+        json::array({ { { "service", "svc" }, { "weight", mWeights.first } },
+                      { { "service", "other" }, { "weight", mWeights.second } } });
+    }
   }
   config["services"] =
-    json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
+    json::array({ { { "name", "svc" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } },
+                  { { "name", "other" }, { "maxConnections", 100 }, { "coldPerS", 2.0 } } });
   if (mReportCalls > 0) {
     config["services"][0]["engine"] = { { "slots", 8 },
                                         { "kvCapacityTokens", 100000 },
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -147,6 +147,8 @@
   void setIdleTimeout(Millis aTimeout) { mIdleTimeout = aTimeout; }
   /// The time limit of all routes that configure() sets.
   void setRouteTimeout(Millis aTimeout) { mRouteTimeout = aTimeout; }
+  /// Weights of the services "svc" and "other" in all routes that configure() sets.
+  void setWeights(int aOfSvc, int aOfOther) { mWeights = { aOfSvc, aOfOther }; }
   /// The limit on bodies that configure() sets.
   void setMaxBodyBytes(std::size_t aBytes) { mMaxBodyBytes = aBytes; }
   /// Calls of /kv-events that configure() lets wait at a server, which makes it an engine; 0: none.
@@ -194,6 +196,7 @@
   std::size_t mMoreRoutes = 0;
   Millis mIdleTimeout{ 3000 };
   Millis mRouteTimeout{ 3000 };
+  std::pair<int, int> mWeights{ 1, 0 };
   std::size_t mMaxBodyBytes = 100000;
   int mReportCalls = 0;
   std::thread mThread;
