Gateway: lost servers are not taken for a cut, and refused new connections are

Change: a response on a direct connection of a server to which no connection has failed shows that there is no cut. A response does not end one either, as old connections may live on while new ones are refused; only a new connection does.

Evidence: crashes_of_most_servers_are_no_cut and servers_that_refuse_new_connections_are_out_of_reach (no I/O). The stand-in for a silent address is destroyed before the event loop that it uses.

--- a/include/mustardplank/gateway/server_paths.hpp
+++ b/include/mustardplank/gateway/server_paths.hpp
@@ -25,8 +25,10 @@
 class ServerPaths
 {
 public:
-  /// An instance that has reached no server since so many could not be reached is cut off.
+  /// An instance is cut off if it could not connect to so many servers, has connected to none
+  /// since, and got no response from others in this time.
   static constexpr std::size_t kMinUnreachableServers = 2;
+  static constexpr Duration kResponseMemory = Millis(300);
   /// A failure to reach a server counts for this long.
   static constexpr Duration kFailureMemory = Seconds(3);
   /// While it is cut off, it tries a server directly this often.
@@ -39,6 +41,8 @@
   /// A connection to the server was set up directly, or could not be. Returns whether isCutOff()
   /// has changed.
   bool recordDirect(const std::string& aServer, bool aReached, TimePoint aNow);
+  /// A response came on a direct connection. That does not show that others can be set up.
+  void recordResponse(const std::string& aServer, TimePoint aNow) { mRespondedAt[aServer] = aNow; }
   bool isCutOff() const { return mCutOff; }
   /// Whether a server is to be tried directly now, beside the connections through other instances.
   bool takeProbe(TimePoint aNow);
@@ -49,8 +53,12 @@
   void recordPeer(const std::string& aPeer, bool aReached, TimePoint aNow);
 
 private:
+  /// Whether a server responds to which a connection has not failed.
+  bool respondsWithoutFailure(TimePoint aNow);
+
   /// When each server could last not be reached, since one was reached.
   std::map<std::string, TimePoint> mFailedAt;
+  std::map<std::string, TimePoint> mRespondedAt;
   std::map<std::string, TimePoint> mPeerPausedUntil;
   bool mCutOff = false;
   TimePoint mProbeAt{};
--- a/src/mustardplank/gateway/backend_connection_pool.cpp
+++ b/src/mustardplank/gateway/backend_connection_pool.cpp
@@ -186,6 +186,12 @@
   mCallbacks.onPathsChanged(mPaths.isCutOff());
 }
 
+void
+BackendConnectionPool::recordResponse(const std::string& aAddress)
+{
+  mPaths.recordResponse(aAddress, bootNow());
+}
+
 void
 BackendConnectionPool::closeIdleOfPath(bool aTunnelled)
 {
--- a/src/mustardplank/gateway/backend_connection_pool.hpp
+++ b/src/mustardplank/gateway/backend_connection_pool.hpp
@@ -52,6 +52,8 @@
   ConnectionPtr connect(const std::string& aAddress, ConnectCallback aCallback);
   /// A server was reached directly, or was not.
   void recordDirect(const std::string& aAddress, bool aReached);
+  /// A server has responded on a direct connection.
+  void recordResponse(const std::string& aAddress);
   /// Whether this instance reaches no servers itself.
   bool isCutOff() const { return mPaths.isCutOff(); }
   /// Closes the idle connections to an address whose server is gone.
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -67,6 +67,9 @@
   if (!isResponseToThis(head, *mConnection)) {
     return false;
   }
+  if (!mConnection->isTunnelled()) {
+    mContext.connectionPool.recordResponse(mConnection->address());
+  }
   acceptResponseHead(head, { aStatus, aFields, aFraming, bootNow() });
   return true;
 }
--- a/src/mustardplank/gateway/server_paths.cpp
+++ b/src/mustardplank/gateway/server_paths.cpp
@@ -1,5 +1,7 @@
 #include "mustardplank/gateway/server_paths.hpp"
 
+#include <algorithm>
+
 namespace mustardplank::gateway {
 
 ServerPaths::ServerPaths(std::uint64_t aSeed)
@@ -21,10 +23,20 @@
   }
   std::erase_if(mFailedAt, [&](const auto& aItem) { return aNow - aItem.second > kFailureMemory; });
   mFailedAt[aServer] = aNow;
-  mCutOff = mFailedAt.size() >= kMinUnreachableServers;
+  mCutOff = mFailedAt.size() >= kMinUnreachableServers && !respondsWithoutFailure(aNow);
   return mCutOff;
 }
 
+bool
+ServerPaths::respondsWithoutFailure(TimePoint aNow)
+{
+  std::erase_if(mRespondedAt,
+                [&](const auto& aItem) { return aNow - aItem.second > kResponseMemory; });
+  return std::any_of(mRespondedAt.begin(), mRespondedAt.end(), [&](const auto& aItem) {
+    return !mFailedAt.contains(aItem.first);
+  });
+}
+
 bool
 ServerPaths::takeProbe(TimePoint aNow)
 {
--- a/src/mustardplank/gateway/server_paths_test.cpp
+++ b/src/mustardplank/gateway/server_paths_test.cpp
@@ -47,6 +47,34 @@
   BOOST_TEST(!paths.isCutOff());
 }
 
+// Load pattern: all servers refuse new connections and go on responding on old ones.
+BOOST_AUTO_TEST_CASE(servers_that_refuse_new_connections_are_out_of_reach)
+{
+  ServerPaths paths(1);
+  for (const auto* it : { "s1", "s2", "s3" }) {
+    paths.recordResponse(it, atMillis(0));
+  }
+  BOOST_TEST(!paths.recordDirect("s1", false, atMillis(10)));
+  BOOST_TEST(!paths.recordDirect("s2", false, atMillis(20)));
+  BOOST_TEST(paths.recordDirect("s3", false, atMillis(30)));
+  paths.recordResponse("s1", atMillis(40));
+  BOOST_TEST(paths.isCutOff());
+}
+
+// Load pattern: most servers crash at the same moment. Connections to them are refused at once,
+// more often than one is set up to another, while those that are left respond.
+BOOST_AUTO_TEST_CASE(crashes_of_most_servers_are_no_cut)
+{
+  ServerPaths paths(1);
+  for (int i = 0; i < 200; ++i) {
+    paths.recordResponse("sound", atMillis(20 * i));
+    for (int server = 0; server < 10; ++server) {
+      BOOST_TEST(
+        !paths.recordDirect("s" + std::to_string(server), false, atMillis(20 * i + server)));
+    }
+  }
+}
+
 // Guards against an instance that goes on with detours when its links are back.
 BOOST_AUTO_TEST_CASE(a_server_is_tried_directly_at_intervals)
 {
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -179,12 +179,12 @@
   MachineLimits mMachine;
   Rollouts mRollouts;
   ServerLinks mServerLinks;
-  /// Its queue of connections is full, so that further ones are not answered.
-  std::unique_ptr<boost::asio::ip::tcp::acceptor> mSilentAcceptor;
-  std::vector<boost::asio::ip::tcp::socket> mSilentConnections;
   std::set<std::size_t> mOnOtherAddress;
   boost::asio::io_context mIo;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> mWork;
+  /// Its queue of connections is full, so that further ones are not answered.
+  std::unique_ptr<boost::asio::ip::tcp::acceptor> mSilentAcceptor;
+  std::vector<boost::asio::ip::tcp::socket> mSilentConnections;
   std::unique_ptr<StoreStandin> mStore;
   std::vector<std::unique_ptr<ServerStandin>> mServers;
   std::vector<std::unique_ptr<support::ChildProcess>> mInstances;
