Gateway: a planned stop waits for requests that pass through for other instances

Change: a tunnel through which something has passed within the last 1.6 s keeps the instance busy until the end of its grace period; an instance that stops sets up no further ones. The soak cuts instances from servers, in a series of its own.

--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -138,7 +138,8 @@
   /// Ends all requests: 503 if no server may have run them, otherwise 504; responses that callers
   /// have received in part are cut. Returns the number of requests that were ended.
   std::size_t endRequests();
-  /// Whether a request is being received or is in progress, or output is still to be written.
+  /// Whether a request is being received or is in progress, also through a connection that was set
+  /// up for another instance, or output is still to be written.
   bool isBusy() const;
   /// Requests in progress.
   std::size_t activeRequestCount() const;
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -405,10 +405,12 @@
 bool
 Gateway::isBusy() const
 {
-  const auto& connections = mImpl->context.callerConnections;
-  return std::any_of(connections.begin(), connections.end(), [](const auto& aItem) {
-    return aItem.second->isBusy();
-  });
+  const auto& context = mImpl->context;
+  const auto& connections = context.callerConnections;
+  return context.tunnels.isBusy(bootNow()) ||
+         std::any_of(connections.begin(), connections.end(), [](const auto& aItem) {
+           return aItem.second->isBusy();
+         });
 }
 
 std::size_t
--- a/src/mustardplank/gateway/gateway_context.hpp
+++ b/src/mustardplank/gateway/gateway_context.hpp
@@ -42,7 +42,7 @@
     , connectionPool(aIo,
                      { callbacks.peers, [this](bool aCutOff) { onServerPathsChanged(aCutOff); } })
     , tunnels({ [this](const std::string& aAddress) { return dispatcher.hasServerAt(aAddress); },
-                [this] { return connectionPool.isCutOff(); },
+                [this] { return !connectionPool.isCutOff() && !draining; },
                 [this](const std::string& aAddress, bool aReached) {
                   connectionPool.recordDirect(aAddress, aReached);
                 } })
--- a/src/mustardplank/gateway/tunnel_server.cpp
+++ b/src/mustardplank/gateway/tunnel_server.cpp
@@ -2,6 +2,7 @@
 
 #include "socket_options.hpp"
 
+#include "mustardplank/base/clock.hpp"
 #include "mustardplank/settings/parse.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -41,17 +42,17 @@
 {
 public:
   Tunnel(Socket aInstance,
-         std::shared_ptr<std::size_t> aCount,
+         std::shared_ptr<Usage> aUsage,
          std::shared_ptr<const Callbacks> aCallbacks)
     : mInstance(std::move(aInstance))
     , mServer(mInstance.get_executor())
     , mTimer(mInstance.get_executor())
-    , mCount(std::move(aCount))
+    , mUsage(std::move(aUsage))
     , mCallbacks(std::move(aCallbacks))
   {
-    ++*mCount;
+    ++mUsage->tunnels;
   }
-  ~Tunnel() { --*mCount; }
+  ~Tunnel() { --mUsage->tunnels; }
   Tunnel(const Tunnel&) = delete;
   Tunnel& operator=(const Tunnel&) = delete;
 
@@ -111,7 +112,8 @@
   {
     aFrom.async_read_some(
       asio::buffer(aBuffer),
-      [self = shared_from_this(), &aFrom, &aTo, &aBuffer](BoostErrorCode aError, std::size_t n) {
+      [self = shared_from_this(), &aFrom, &aTo, &aBuffer](BoostErrorCode aError,
+                                                          std::size_t aBytes) {
         if (aError == asio::error::eof) {
           BoostErrorCode ec;
           aTo.shutdown(Tcp::socket::shutdown_send, ec);
@@ -121,8 +123,9 @@
           self->abort();
           return;
         }
+        self->mUsage->lastPassedAt = bootNow();
         asio::async_write(aTo,
-                          asio::buffer(aBuffer.data(), n),
+                          asio::buffer(aBuffer.data(), aBytes),
                           [self, &aFrom, &aTo, &aBuffer](BoostErrorCode aWriteError, std::size_t) {
                             if (aWriteError) {
                               self->abort();
@@ -142,7 +145,7 @@
   Socket mInstance;
   Socket mServer;
   Timer mTimer;
-  std::shared_ptr<std::size_t> mCount;
+  std::shared_ptr<Usage> mUsage;
   std::shared_ptr<const Callbacks> mCallbacks;
   Buffer mToServer;
   Buffer mToInstance;
@@ -158,9 +161,9 @@
 void
 TunnelServer::open(Socket aSocket, const std::string& aAddress)
 {
-  const auto tunnel = std::make_shared<Tunnel>(std::move(aSocket), mCount, mCallbacks);
+  const auto tunnel = std::make_shared<Tunnel>(std::move(aSocket), mUsage, mCallbacks);
   const auto address = settings::parseAddress(aAddress);
-  if (!address || *mCount > kMaxTunnels || mCallbacks->isCutOff() ||
+  if (!address || mUsage->tunnels > kMaxTunnels || !mCallbacks->canHelp() ||
       !mCallbacks->isServer(aAddress)) {
     tunnel->refuse(kUnavailable);
     return;
@@ -168,4 +171,10 @@
   tunnel->connect(aAddress, { asio::ip::make_address_v4(address->ip), address->port });
 }
 
+bool
+TunnelServer::isBusy(TimePoint aNow) const
+{
+  return mUsage->tunnels > 0 && aNow - mUsage->lastPassedAt < kIdleTime;
+}
+
 }
--- a/src/mustardplank/gateway/tunnel_server.hpp
+++ b/src/mustardplank/gateway/tunnel_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "mustardplank/base/time.hpp"
 #include "mustardplank/gateway/types.hpp"
 
 #include <cstddef>
@@ -17,13 +18,16 @@
 public:
   /// Further tunnels are refused.
   static constexpr std::size_t kMaxTunnels = 256;
+  /// Tunnels through which nothing has passed for this long are idle. Longer than a sound server is
+  /// silent within a stream.
+  static constexpr Duration kIdleTime = Millis(1600);
 
   struct Callbacks
   {
     /// Whether a server is at aAddress, "ip:port". Tunnels lead to servers only.
     std::function<bool(const std::string& aAddress)> isServer;
-    /// Whether this instance reaches no servers either.
-    std::function<bool()> isCutOff;
+    /// Whether this instance reaches servers and is not about to stop.
+    std::function<bool()> canHelp;
     /// A server was reached or not.
     std::function<void(const std::string& aAddress, bool aReached)> onConnect;
   };
@@ -37,13 +41,20 @@
   /// server's bytes, 502 if the server is not reached, or 503 if this instance cannot help.
   void open(Socket aSocket, const std::string& aAddress);
 
-  std::size_t tunnelCount() const { return *mCount; }
+  /// Whether a request may be in progress through one of the tunnels.
+  bool isBusy(TimePoint aNow) const;
 
 private:
   class Tunnel;
 
   std::shared_ptr<const Callbacks> mCallbacks;
-  std::shared_ptr<std::size_t> mCount = std::make_shared<std::size_t>(0);
+  /// What the tunnels share, which may outlive the server.
+  struct Usage
+  {
+    std::size_t tunnels = 0;
+    TimePoint lastPassedAt{};
+  };
+  std::shared_ptr<Usage> mUsage = std::make_shared<Usage>();
 };
 
 }
--- a/src/mustardplank/route/table.cpp
+++ b/src/mustardplank/route/table.cpp
@@ -95,13 +95,15 @@
 bool
 isRoutedTo(const Route& aRoute, const ServiceId& aService)
 {
-  const bool hasWeights = std::any_of(
-    aRoute.services.begin(), aRoute.services.end(), [](const auto& it) { return it.weight > 0; });
-  return hasWeights
-           ? std::any_of(aRoute.services.begin(),
-                         aRoute.services.end(),
-                         [&](const auto& it) { return it.service == aService && it.weight > 0; })
-           : aRoute.services.back().service == aService;
+  const bool hasWeights = std::any_of(aRoute.services.begin(),
+                                      aRoute.services.end(),
+                                      [](const auto& aItem) { return aItem.weight > 0; });
+  return hasWeights ? std::any_of(aRoute.services.begin(),
+                                  aRoute.services.end(),
+                                  [&](const auto& aItem) {
+                                    return aItem.service == aService && aItem.weight > 0;
+                                  })
+                    : aRoute.services.back().service == aService;
 }
 
 }
--- a/test/routes/cut_instances_test.cpp
+++ b/test/routes/cut_instances_test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
 #include <future>
 #include <optional>
 #include <set>
@@ -147,3 +148,37 @@
 {
   checkCutInstances(CutKind::Reset, 4, { 0, 1, 2 });
 }
+
+// Guards against a planned stop that cuts the streams of another instance, for which it connects to
+// the servers.
+BOOST_AUTO_TEST_CASE(routes_planned_stop_keeps_connections_for_a_cut_instance)
+{
+  RouteDeployment deployment(3,
+                             2,
+                             Clocks::OfTheMachine,
+                             1,
+                             RouteDeployment::kStopGrace,
+                             {},
+                             Rollouts::NotStated,
+                             ServerLinks::Cuttable);
+  deployment.setRouteTimeout(Millis(5000));
+  deployment.configure();
+  callFor(deployment.callers(0), Seconds(1));
+  deployment.cutFromServers(0, CutKind::Reset);
+  callFor(deployment.callers(0), kStabilityWindow);
+  constexpr int kStreams = 6;
+  std::vector<std::future<bool>> streams;
+  for (int i = 0; i < kStreams; ++i) {
+    auto call = callOf("/events/slow6");
+    call.deadlineMs = 5000;
+    streams.push_back(std::async(std::launch::async, isServed, deployment.callers(0), call));
+  }
+  std::this_thread::sleep_for(Millis(400));
+  deployment.instance(1).signal(SIGTERM);
+  int whole = 0;
+  for (auto& it : streams) {
+    whole += it.get() ? 1 : 0;
+  }
+  BOOST_TEST(whole == kStreams);
+  BOOST_TEST(deployment.instance(1).wait(RouteDeployment::kStopGrace).has_value());
+}
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -55,6 +55,12 @@
 constexpr int kMinCopyAgeMs = 500;
 constexpr int kMaxCopyAgeMs = 5000;
 constexpr int kMaxRewriteMs = 2000;
+/// Longest cut of an instance from the servers, and longest time between two, in milliseconds.
+constexpr int kMaxCutMs = 3000;
+constexpr int kMaxBetweenCutsMs = 2000;
+constexpr std::uint64_t kCutSeed = 7'000'000;
+/// A connection through another instance may be in use for so long after a cut.
+constexpr Millis kTunnelSlack{ 5000 };
 /// Time between two faults, in milliseconds.
 constexpr int kMaxBetweenMs = 900;
 /// Usage of the last windows is reported within this.
@@ -91,7 +97,14 @@
 public:
   explicit Soak(const Options& aOptions)
     : mOptions(aOptions)
-    , mDeployment(aOptions.servers, aOptions.instances)
+    , mDeployment(aOptions.servers,
+                  aOptions.instances,
+                  routes::Clocks::OfTheMachine,
+                  1,
+                  RouteDeployment::kStopGrace,
+                  {},
+                  routes::Rollouts::NotStated,
+                  routes::ServerLinks::Cuttable)
     , mInstanceMutexes(aOptions.instances)
   {
     mDeployment.setMaxBodyBytes(kMaxBodyBytes);
@@ -115,7 +128,9 @@
         checked.wait();
       });
     }
+    std::thread cuts([this] { injectCuts(); });
     injected.wait();
+    cuts.join();
     repair();
     mStop = true;
     for (auto& it : callers) {
@@ -246,6 +261,29 @@
     }
   }
 
+  /// A series of its own, so that the others are those of the same seed without it: instances are
+  /// cut off from all servers, one at a time.
+  void injectCuts()
+  {
+    Random random(mOptions.seed + kCutSeed);
+    const auto until = Clock::now() + Seconds(mOptions.seconds);
+    while (Clock::now() < until) {
+      std::this_thread::sleep_for(Millis(pick(random, kMaxBetweenCutsMs)));
+      const auto instance =
+        static_cast<std::size_t>(pick(random, static_cast<int>(mOptions.instances)));
+      const bool resets = pick(random, 2) == 0;
+      note("instance" + std::to_string(instance) + " is cut off from the servers, " +
+           (resets ? "reset" : "new connections refused"));
+      const auto from = Clock::now();
+      mDeployment.cutFromServers(instance,
+                                 resets ? routes::CutKind::Reset : routes::CutKind::RefuseNew);
+      std::this_thread::sleep_for(Millis(pick(random, kMaxCutMs)));
+      mDeployment.restoreServerLinks(instance);
+      const std::lock_guard lock(mMutex);
+      mCuts[instance].push_back({ from, Clock::now() });
+    }
+  }
+
   void fault(Random& aRandom)
   {
     const auto instance =
@@ -535,12 +573,25 @@
     }
   }
 
+  /// An outage of its instance, or of the one that connected to the server for it.
   bool hadOutage(const Seen& aSeen) const
   {
-    const auto it = mOutages.find(aSeen.instance);
-    return it != mOutages.end() &&
+    const bool isCut = overlaps(mCuts, aSeen.instance, aSeen, kTunnelSlack);
+    return std::any_of(mOutages.begin(), mOutages.end(), [&](const auto& aItem) {
+      return (isCut || aItem.first == aSeen.instance) &&
+             overlaps(mOutages, aItem.first, aSeen, kOutageSlack);
+    });
+  }
+
+  static bool overlaps(const std::map<std::size_t, std::vector<Outage>>& aOutages,
+                       std::size_t aInstance,
+                       const Seen& aSeen,
+                       Millis aSlack)
+  {
+    const auto it = aOutages.find(aInstance);
+    return it != aOutages.end() &&
            std::any_of(it->second.begin(), it->second.end(), [&](const auto& aOutage) {
-             return aSeen.sent < aOutage.to + kOutageSlack && aSeen.ended > aOutage.from;
+             return aSeen.sent < aOutage.to + aSlack && aSeen.ended > aOutage.from;
            });
   }
 
@@ -584,6 +635,8 @@
   std::mutex mMutex;
   std::vector<Seen> mSeen;
   std::map<std::size_t, std::vector<Outage>> mOutages;
+  /// When each instance was cut off from the servers.
+  std::map<std::size_t, std::vector<Outage>> mCuts;
   Violations mViolations;
 };
 
