--- a/review/standins-3/brittle_servers.cpp
+++ b/review/standins-3/brittle_servers.cpp
@@ -1,4 +1,4 @@
-// Case 13: the runners of a service are brittle while many users come at once.
+// The runners of a service are brittle while many users come at once.
 #include "small_site.hpp"
 
 #include <boost/asio.hpp>
--- a/review/standins-3/lone_zone_streams.cpp
+++ b/review/standins-3/lone_zone_streams.cpp
@@ -1,4 +1,4 @@
-// Case 12: the only machine of a zone is killed, and its streams are taken up at other machines.
+// The only machine of a zone is killed, and its streams are taken up at other machines.
 #include "small_site.hpp"
 
 #include <mutex>
--- a/review/standins-3/small_site.hpp
+++ b/review/standins-3/small_site.hpp
@@ -60,7 +60,7 @@
                    const std::string& aAddress = "",
                    const std::string& aMore = "");
   void configure();
-  /// Waits until every instance answers a request; false after 20 s.
+  /// Waits until every instance answers a request; false after 10 s.
   bool awaitServing();
   Record& record() { return mRecord; }
   boost::asio::io_context& io() { return mIo; }
