LOST: streams of a lost failure domain go on

Cause: notes about what began a stream went to the other agents of the failure domain only, so they were lost with it; and they waited for 25 ms in the instance, so those of the last streams were lost with the process. Ruled out: notes that arrive and are not found (streams go on where a neighbour lives), agents that do not reply in time (the refusal comes at once); stream.taken_up shows remembered=0 with all replies there.

Change: notes go to the agents of the own failure domain and of the two that follow in the directory, from each instance directly and before the first event is passed on. Receivers take them from each instance, as those of other domains need not be agents. The message is the same: builds before this one read it, and take it from agents. Who does not know still refuses.

--- a/include/mustardplank/agent/stream_messages.hpp
+++ b/include/mustardplank/agent/stream_messages.hpp
@@ -13,7 +13,7 @@
 
 namespace mustardplank::agent {
 
-/// Streams that an instance has begun to pass on, for the agents of its failure domain.
+/// Streams that an instance has begun to pass on, for the agents that keep its notes.
 struct StreamNotes
 {
   std::vector<std::pair<dispatch::StreamKey, dispatch::StreamOrigin>> streams;
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -227,9 +227,11 @@
 
   // Streams and the versions of servers' software.
   void noteVersion(const route::BackendServer& aServer);
-  /// The first event of a stream was passed on.
+  /// The first event of a stream is passed on.
   void noteStream(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
-  void sendStreamNote(dispatch::StreamKey aStream, const dispatch::StreamOrigin& aOrigin);
+  /// Sends at once: notes that wait are lost with the process.
+  void sendStreamNotes(
+    const std::vector<std::pair<dispatch::StreamKey, dispatch::StreamOrigin>>& aStreams);
   using OriginCallback = std::function<void(std::optional<dispatch::StreamOrigin>)>;
   /// A search for what began a stream that this instance does not remember.
   struct OriginSearch
--- a/src/daemon/route_daemon_loads.cpp
+++ b/src/daemon/route_daemon_loads.cpp
@@ -104,7 +104,7 @@
   }
   const auto streamsAt = streamExchange.nextAt();
   if (streamsAt && *streamsAt <= now) {
-    for (const auto& it : streamExchange.takeDue(loads.ownAgents(), now)) {
+    for (const auto& it : streamExchange.takeDue(now)) {
       sendDatagram(it, metrics::ControlMessage::Streams);
     }
   }
--- a/src/daemon/route_daemon_streams.cpp
+++ b/src/daemon/route_daemon_streams.cpp
@@ -30,11 +30,10 @@
     return;
   }
   // While there was one version only, no agent had to know the streams.
-  for (const auto& [stream, origin] : streamOrigins.list(now)) {
-    if (origin.service == aServer.service) {
-      sendStreamNote(stream, origin);
-    }
-  }
+  auto streams = streamOrigins.list(now);
+  std::erase_if(streams,
+                [&](const auto& aItem) { return aItem.second.service != aServer.service; });
+  sendStreamNotes(streams);
 }
 
 void
@@ -43,17 +42,21 @@
   const auto now = bootNow();
   if (streamOrigins.record(aStream, aOrigin, now) &&
       versions.versions(aOrigin.service, now).size() > 1) {
-    sendStreamNote(aStream, aOrigin);
+    sendStreamNotes({ { aStream, aOrigin } });
   }
 }
 
 void
-RouteDaemon::Impl::sendStreamNote(dispatch::StreamKey aStream,
-                                  const dispatch::StreamOrigin& aOrigin)
+RouteDaemon::Impl::sendStreamNotes(
+  const std::vector<std::pair<dispatch::StreamKey, dispatch::StreamOrigin>>& aStreams)
 {
-  if (loadSocket.is_open()) {
-    streamExchange.addNote(aStream, aOrigin, bootNow());
-    armLoadAlarm(*streamExchange.nextAt());
+  if (!loadSocket.is_open()) {
+    return;
+  }
+  const auto recipients =
+    agent::noteRecipients(planner.directory(), settings.instance, settings.failureDomain);
+  for (const auto& it : agent::makeStreamNotes(aStreams, recipients)) {
+    sendDatagram(it, metrics::ControlMessage::Streams);
   }
 }
 
@@ -172,12 +175,10 @@
 }
 
 void
-RouteDaemon::Impl::applyStreamMessage(const agent::StreamNotes& aNotes, const std::string& aSender)
+RouteDaemon::Impl::applyStreamMessage(const agent::StreamNotes& aNotes,
+                                      const std::string& /*aSender*/)
 {
-  if (!loads.isNeighbour(aSender)) {
-    metrics.count(metrics::Event::LoadMessageIgnored);
-    return;
-  }
+  // Instances of other failure domains need not be agents: no list names them.
   for (const auto& [stream, origin] : aNotes.streams) {
     streamOrigins.record(stream, origin, bootNow());
   }
--- a/src/mustardplank/agent/stream_exchange.cpp
+++ b/src/mustardplank/agent/stream_exchange.cpp
@@ -1,7 +1,7 @@
 #include "mustardplank/agent/stream_exchange.hpp"
 
 #include <algorithm>
-#include <iterator>
+#include <cstddef>
 #include <utility>
 
 namespace mustardplank::agent {
@@ -9,15 +9,52 @@
 using dispatch::StreamKey;
 using dispatch::StreamOrigin;
 
-void
-StreamExchange::addNote(StreamKey aStream, const StreamOrigin& aOrigin, TimePoint aNow)
+std::vector<std::string>
+noteRecipients(const Directory& aDirectory,
+               const InstanceId& aInstance,
+               const FailureDomainId& aDomain)
 {
-  if (mNotes.streams.empty()) {
-    mNotesDueAt = aNow + kNoteInterval;
+  std::vector<std::string> recipients;
+  const auto add = [&](const AgentList& aAgents) {
+    for (const auto& it : aAgents) {
+      if (it.instance != aInstance) {
+        recipients.push_back(it.address);
+      }
+    }
+  };
+  const auto& domains = aDirectory.domains;
+  if (const auto own = domains.find(aDomain); own != domains.end()) {
+    add(own->second);
   }
-  if (mNotes.streams.size() < kMaxNotes) {
-    mNotes.streams.emplace_back(aStream, aOrigin);
+  auto next = domains.upper_bound(aDomain);
+  std::size_t remote = 0;
+  for (std::size_t i = 0; i < domains.size() && remote < kRemoteNoteDomains; ++i) {
+    if (next == domains.end()) {
+      next = domains.begin();
+    }
+    if (next->first != aDomain && !next->second.empty()) {
+      add(next->second);
+      ++remote;
+    }
+    ++next;
   }
+  return recipients;
+}
+
+std::vector<Datagram>
+makeStreamNotes(const std::vector<std::pair<StreamKey, StreamOrigin>>& aStreams,
+                const std::vector<std::string>& aRecipients)
+{
+  std::vector<Datagram> out;
+  for (auto it = aStreams.begin(); it != aStreams.end();) {
+    const auto n = std::min<std::ptrdiff_t>(kMaxNotesPerDatagram, aStreams.end() - it);
+    const auto bytes = encodeStreamMessage(StreamNotes{ { it, it + n } });
+    for (const auto& address : aRecipients) {
+      out.push_back({ address, bytes });
+    }
+    it += n;
+  }
+  return out;
 }
 
 void
@@ -65,20 +102,9 @@
 }
 
 std::vector<Datagram>
-StreamExchange::takeDue(const std::vector<std::string>& aOwnAgents, TimePoint aNow)
+StreamExchange::takeDue(TimePoint aNow)
 {
   auto out = std::exchange(mUnsent, {});
-  if (!mNotes.streams.empty() && aNow >= mNotesDueAt) {
-    const auto notes = std::exchange(mNotes, {});
-    for (auto it = notes.streams.begin(); it != notes.streams.end();) {
-      const auto n = std::min<std::ptrdiff_t>(kMaxNotesPerDatagram, notes.streams.end() - it);
-      const auto bytes = encodeStreamMessage(StreamNotes{ { it, it + n } });
-      for (const auto& address : aOwnAgents) {
-        out.push_back({ address, bytes });
-      }
-      it += n;
-    }
-  }
   std::vector<std::uint64_t> over;
   for (const auto& [number, query] : mQueries) {
     if (aNow >= query.until) {
@@ -99,9 +125,6 @@
   if (!mUnsent.empty()) {
     add(mUnsentSince);
   }
-  if (!mNotes.streams.empty()) {
-    add(mNotesDueAt);
-  }
   for (const auto& [number, query] : mQueries) {
     add(query.until);
   }
