REFUSED: a server's 408, 429 or 503 is no promise without its statement

Callers saw: a server runs a request, fails and answers 429, signed, without X-Not-Executed.

Which statuses are a promise was said nowhere: each place had its own list. Ruled out: refusals of our own after an attempt that may have run; the body and the signature are the server's.

Change: gateway/response_status.hpp says it once. A server's 408, 429 or 503 without its statement is a failure: the request goes to another server where it may run twice, else the caller gets 502 without a signature. The same for a second attempt beside a silent one, where a 429 ended the attempt that would have answered. Exchange::refuse() ends a request that no server takes, which was written out in five places. Log line request.server_refused.

--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -50,7 +50,8 @@
       "the server's answer was malformed, and it could not be sent to another one" },
     { "stalled", "the server fell silent, and it could not be sent to another one" },
     { "time_up", "its time limit was reached before its answer was complete" },
-    { "server_error", "the server answered 503 without saying that the request had not run" },
+    { "server_error",
+      "the server answered 408, 429 or 503 without saying that the request had not run" },
   };
   return texts;
 }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -349,11 +349,7 @@
     if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
       return;
     }
-    if (mMayHaveExecuted) {
-      sendLocalResponse(502, "not_connected", std::nullopt);
-    } else {
-      sendLocalResponse(503, "not_connected", kShortRetryDelay);
-    }
+    refuse("not_connected", kShortRetryDelay);
     return;
   }
   submit();
@@ -430,11 +426,7 @@
   if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
     return;
   }
-  if (mMayHaveExecuted) {
-    failResponse("version_unknown");
-  } else {
-    sendLocalResponse(503, "version_unknown", kShortRetryDelay);
-  }
+  refuse("version_unknown", kShortRetryDelay);
 }
 
 void
@@ -454,11 +446,7 @@
     if (resumeStalledAttempt(dispatch::JobOutcome::Cancelled)) {
       return;
     }
-    if (mMayHaveExecuted) {
-      failResponse("crash_suspect");
-    } else {
-      sendLocalResponse(503, "crash_suspect", kCrashSuspectRetryDelay);
-    }
+    refuse("crash_suspect", kCrashSuspectRetryDelay);
     return;
   }
   if (!mContext.dispatcher.confirmSend(mJob.id, now)) {
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -127,6 +127,9 @@
   void onStalledAttemptLost(ResponseFailure aFailure);
   void writeResponseHead(unsigned aStatus, Fields& aFields, bool aIsStreamed);
   void relayEvents();
+  /// Ends a request that no server takes: with a guarantee that it was not executed, unless an
+  /// earlier attempt may have been.
+  void refuse(const char* aReason, std::optional<Duration> aRetryAfter);
   /// Responds without a body on the gateway's own behalf; aborts a response whose head has been
   /// sent to the caller.
   void sendLocalResponse(unsigned aStatus,
--- a/src/mustardplank/gateway/exchange_response.cpp
+++ b/src/mustardplank/gateway/exchange_response.cpp
@@ -2,6 +2,7 @@
 
 #include "caller_connection.hpp"
 #include "http_serialization.hpp"
+#include "response_status.hpp"
 
 #include "mustardplank/base/clock.hpp"
 
@@ -92,11 +93,7 @@
       aHead.misdirected ? dispatch::JobOutcome::Misdirected : dispatch::JobOutcome::Rejected;
     const auto address = mGrant->address;
     if (!retryOnOtherServer(outcome, true, aHead.misdirected ? "misdirected" : "rejected")) {
-      if (mMayHaveExecuted) {
-        failResponse("rejected");
-      } else {
-        sendLocalResponse(503, "rejected", kShortRetryDelay);
-      }
+      refuse("rejected", kShortRetryDelay);
     }
     if (aHead.misdirected) {
       mContext.connectionPool.closeIdle(address);
@@ -108,11 +105,11 @@
     onResponseFailure(ResponseFailure::Malformed);
     return;
   }
-  if (aStart.status >= 500) {
+  if (isServerFailure(aStart.status)) {
     mContext.dispatcher.recordBadResponse(mJob.id);
-  }
-  if (aStart.status >= 500 && resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
-    return;
+    if (resumeStalledAttempt(dispatch::JobOutcome::Failed)) {
+      return;
+    }
   }
   recordResponseStart();
   if (!isStreamingRoute() || !success) {
@@ -372,7 +369,14 @@
     finishResponse();
     return;
   }
-  if (mResponse.status >= 500) {
+  if (isServerFailure(mResponse.status)) {
+    const bool refused = guaranteesNotExecuted(mResponse.status);
+    if (refused) {
+      log(makeLogEvent(LogLevel::Warning, "request.server_refused")
+            .field("server", mGrant->server.str())
+            .field("status", mResponse.status),
+          false);
+    }
     if (mJob.retryable) {
       if (retryOnOtherServer(dispatch::JobOutcome::Failed, false, "server_error")) {
         mResponse.body.clear();
@@ -380,9 +384,9 @@
         return;
       }
     }
-    // To callers, 503 guarantees that the request was not executed; the server did not state that.
-    if (mResponse.status == 503) {
-      sendLocalResponse(502, "server_error", std::nullopt);
+    // The server did not state that it has not executed the request.
+    if (refused) {
+      failResponse("server_error");
       return;
     }
   }
@@ -496,6 +500,16 @@
   mCaller.abort(aReason);
 }
 
+void
+Exchange::refuse(const char* aReason, std::optional<Duration> aRetryAfter)
+{
+  if (mMayHaveExecuted) {
+    failResponse(aReason);
+  } else {
+    sendLocalResponse(503, aReason, aRetryAfter);
+  }
+}
+
 void
 Exchange::sendLocalResponse(unsigned aStatus,
                             const char* aReason,
@@ -519,7 +533,7 @@
     text += "Connection: close\r\n";
   }
   text += "\r\n";
-  const bool refusal = aStatus == 503 || aStatus == 429 || aStatus == 408;
+  const bool refusal = guaranteesNotExecuted(aStatus);
   if (mRecorder) {
     mRecorder->refusal(toErrorCode(aReason, refusal));
   }
@@ -549,11 +563,7 @@
     return;
   }
   const std::string reason(dispatch::kRefusalReasonNames.name(aRefusal.reason));
-  if (mMayHaveExecuted) {
-    failResponse(reason.c_str());
-    return;
-  }
-  sendLocalResponse(503, reason.c_str(), aRefusal.retryAfter);
+  refuse(reason.c_str(), aRefusal.retryAfter);
 }
 
 }
--- a/src/mustardplank/gateway/exchange_stall.cpp
+++ b/src/mustardplank/gateway/exchange_stall.cpp
@@ -1,5 +1,7 @@
 #include "exchange.hpp"
 
+#include "response_status.hpp"
+
 #include "mustardplank/base/clock.hpp"
 
 #include <algorithm>
@@ -216,7 +218,7 @@
                                                   : dispatch::JobOutcome::Rejected);
     return true;
   }
-  if (aStatus >= 500 || !mExchange.mayRelay(head, aStatus, aFields)) {
+  if (isServerFailure(aStatus) || !mExchange.mayRelay(head, aStatus, aFields)) {
     mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
     return true;
   }
@@ -267,7 +269,7 @@
 Exchange::StalledResponse::onResponseEnd()
 {
   auto& stalled = *mExchange.mStalled;
-  if (!stalled.head && stalled.response.status >= 500) {
+  if (!stalled.head && isServerFailure(stalled.response.status)) {
     mExchange.dropStalledAttempt(dispatch::JobOutcome::Failed);
     return;
   }
--- a/test/routes/server_standin.cpp
+++ b/test/routes/server_standin.cpp
@@ -395,6 +395,10 @@
   if (mode == "error") {
     co_return co_await writeText(aSocket, answerText(500, attempt, signature, "failed"));
   }
+  if (mode.starts_with("status")) {
+    const auto status = static_cast<unsigned>(numberIn(mode, std::string("status").size()));
+    co_return co_await writeText(aSocket, answerText(status, attempt, signature, "failed"));
+  }
   if (mode == "not_run") {
     co_return co_await writeText(
       aSocket, answerText(503, attempt, "X-Not-Executed: 1\r\n" + moreFields(), ""));
--- a/test/routes/server_standin.hpp
+++ b/test/routes/server_standin.hpp
@@ -18,6 +18,7 @@
 ///
 ///     ok       an answer with signature           error    500
 ///     not_run  503 that says it has not run       hang     no answer
+///     statusN  status N, with signature, of a server that has run the request
 ///     cut      half of an answer, then the end    garbage  bytes that are no answer
 ///     surplus  an answer, and one more            unsigned 200 without signature
 ///     late     an answer to another request first
--- a/test/routes/two_attempts_test.cpp
+++ b/test/routes/two_attempts_test.cpp
@@ -112,7 +112,14 @@
 // asked meanwhile and failed.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_answer_keeps_its_own_status)
 {
-  for (const auto* other : { "error", "not_run", "replaced", "unsigned", "cut", "head_cut1" }) {
+  for (const auto* other : { "error",
+                             "not_run",
+                             "replaced",
+                             "unsigned",
+                             "cut",
+                             "head_cut1",
+                             "status408",
+                             "status429" }) {
     checkAnswered(std::string("/twice/half1500+") + other);
   }
 }
@@ -121,7 +128,7 @@
 // failed.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_stream_keeps_its_own_status)
 {
-  for (const auto* other : { "error", "not_run", "replaced", "cut" }) {
+  for (const auto* other : { "error", "not_run", "replaced", "cut", "status429" }) {
     checkStreamed(std::string("/resume/head1800+") + other);
   }
 }
@@ -138,7 +145,8 @@
 // Guards against a failure of a silent server that ends the attempt at the other one.
 BOOST_AUTO_TEST_CASE(routes_two_attempts_late_failure_leaves_the_other_one)
 {
-  for (const auto* late : { "error", "not_run", "replaced", "unsigned", "cut", "garbage" }) {
+  for (const auto* late :
+       { "error", "not_run", "replaced", "unsigned", "cut", "garbage", "status429" }) {
     checkAnswered(std::string("/twice/after1200_") + late + "+delayed");
     checkStreamed(std::string("/resume/after1200_") + late + "+after1200_stream6");
   }
