--- a/include/mustardplank/agent/load_exchange.hpp
+++ b/include/mustardplank/agent/load_exchange.hpp
@@ -60,8 +60,6 @@
   /// The other agents of the failure domain; for an agent also those of the other failure domains
   /// and the instances of its own.
   Neighbours neighbours() const;
-  /// Addresses, "ip:port", of the other agents of this failure domain.
-  std::vector<std::string> ownAgents() const;
   /// Whether the address is that of an agent, or of an instance that reports to this agent.
   bool isNeighbour(const std::string& aAddress) const;
   bool isAgent() const { return mSlot.has_value(); }
@@ -96,6 +94,8 @@
   void addWorkFactors(const std::vector<AgedWorkFactor>& aReports,
                       std::initializer_list<WorkFactorRelay::Recipient> aRecipients,
                       TimePoint aNow);
+  /// Addresses, "ip:port", of the other agents of this failure domain.
+  std::vector<std::string> ownAgents() const;
   bool isReportChanged() const;
   bool isDomainChanged() const;
   bool isTotalChanged() const;
--- a/src/mustardplank/agent/stream_exchange_test.cpp
+++ b/src/mustardplank/agent/stream_exchange_test.cpp
@@ -67,6 +67,15 @@
   }
 }
 
+// Guards against notes that builds before this one cannot read while instances are replaced.
+BOOST_AUTO_TEST_CASE(notes_are_encoded_as_by_earlier_builds)
+{
+  const std::string bytes("\x82\x11\x82\x01\x81\x83\x63llm\x62v1\x82\x01\x1b"
+                          "\xff\xff\xff\xff\xff\xff\xff\xff",
+                          24);
+  BOOST_TEST(encodeStreamMessage(messages().front()) == bytes);
+}
+
 // Guards against a process that ends at bytes of an unknown sender.
 BOOST_AUTO_TEST_CASE(malformed_messages_are_refused)
 {
