--- a/test/routes/false_refusals_test.cpp
+++ b/test/routes/false_refusals_test.cpp
@@ -127,8 +127,8 @@
                              Rollouts::NotStated,
                              ServerLinks::Cuttable);
   deployment.cutFromServers(0, CutKind::Reset);
-  BOOST_TEST(support::waitUntil(
-    Millis(3000), [&] { return outcomeOf(deployment, "/plain/ok").status == 200U; }));
+  BOOST_TEST(support::waitUntil(Millis(3000),
+                                [&] { return outcomeOf(deployment, "/plain/ok").status == 200U; }));
   for (const auto* status : kGuarantees) {
     for (const auto* route : { "/plain/status", "/events/status" }) {
       const auto path = std::string(route) + status;
