DRAIN, observability: age of knowledge at each decision, reads that are slow, requests not received

No log line told apart whether a request was late on its way or sent by an old list, and why the list was old. Added: servers.knowledge_old beside operators.knowledge_old, with the last answer of an agent and the direct read that is open; store.read_slow; how long the connection of a failed call had been idle; the age of the list in request.sent and of the configuration at the end of a request; request.not_received. No logic is changed.

--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -105,6 +105,8 @@
   void recordStoreCall(bool aSucceeded, TimePoint aNow);
   /// The last call to the store failed.
   bool isStoreLost() const { return mStoreLost; }
+  /// When an agent last answered, with fresh knowledge or without.
+  std::optional<TimePoint> answeredAt() const { return mAnsweredAt; }
   /// Instances in this failure domain, as far as known; spreads their direct reads.
   void setDomainInstances(std::size_t aCount) { mDomainInstances = aCount; }
 
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -112,6 +112,9 @@
   void setServerListRefreshAge(Duration aAge) { mServerListRefreshAge = aAge; }
   /// All changes of servers made before aAt are applied.
   void confirmServers(TimePoint aAt);
+  /// Time since the moment up to which all changes of servers are applied; nothing before the first
+  /// confirmServers().
+  std::optional<Duration> serverListAge(TimePoint aNow) const;
   /// Sets the failure domains that get no new requests.
   void setEvacuatedDomains(std::set<FailureDomainId> aDomains);
   /// Sets the number of instances that share the retry budgets and servers.
--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -86,6 +86,9 @@
                      const route::ServiceId& aService,
                      std::function<void(std::optional<dispatch::StreamOrigin>)> aDone)>
     findStreamOrigin;
+  /// Time since the moment up to which all changes of the configuration are known; nothing before
+  /// the first one.
+  std::function<std::optional<Duration>()> configurationAge;
   /// The adminAddress of other instances, which may set up connections to servers for this one.
   std::function<std::vector<std::string>()> peers;
   /// Text of the /status page.
@@ -138,6 +141,8 @@
   /// Ends all requests: 503 if no server may have run them, otherwise 504; responses that callers
   /// have received in part are cut. Returns the number of requests that were ended.
   std::size_t endRequests();
+  /// Logs requests that servers' machines have not received for long. To be called every 100 ms.
+  void checkDeliveries();
   /// Whether a request is being received or is in progress, also through a connection that was set
   /// up for another instance, or output is still to be written.
   bool isBusy() const;
--- a/include/mustardplank/platform/http_client.hpp
+++ b/include/mustardplank/platform/http_client.hpp
@@ -80,8 +80,15 @@
 
 private:
   using Stream = std::unique_ptr<boost::beast::tcp_stream>;
-  Stream takeIdle();
+  struct IdleConnection
+  {
+    Stream stream;
+    TimePoint since{};
+  };
+  /// Nothing if no idle connection can be reused.
+  std::optional<IdleConnection> takeIdle();
   boost::asio::awaitable<Result<Stream>> connect(Duration aTimeout);
+  boost::asio::awaitable<Result<HttpResponse>> exchange(Stream aStream, HttpRequest aRequest);
   boost::asio::awaitable<Result<HttpResponse>> read(Stream aStream, std::size_t aMaxBodyBytes);
   /// The failure of a response that takes more than it may.
   Failure dropResponse(std::string_view aReason, std::size_t aBytes);
@@ -90,7 +97,7 @@
   HttpClientOptions mOptions;
   /// Names this client's responses in the accounts.
   std::string mSource;
-  std::vector<Stream> mIdle;
+  std::vector<IdleConnection> mIdle;
 };
 
 }
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -229,6 +229,7 @@
     }
     return addresses;
   };
+  callbacks.configurationAge = [this] { return operatorsView.age(bootNow()); };
   callbacks.makeStatusPage = [this] { return statusText(); };
   callbacks.sharedTimeMs = [this] { return clock.now(bootNow()); };
   return callbacks;
@@ -262,6 +263,7 @@
     dispatch::Effects effects;
     dispatcher.tick(bootNow(), effects);
     gateway.applyEffects(effects);
+    gateway.checkDeliveries();
     applyServers(registry.tick(adapter::storeDialect(), bootNow()));
     if (evacuatedDomains.tick(bootNow())) {
       dispatcher.setEvacuatedDomains(evacuatedDomains.domains());
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -125,7 +125,8 @@
       planner.isDirectReadDue(serversView.age(now), now)) {
     refreshDue.notify();
   }
-  noteOldKnowledge(now);
+  noteOldKnowledge(operatorsView, operatorsState, now);
+  noteOldKnowledge(serversView, serversState, now);
   metrics.set(metrics::Gauge::AgentSlot, slot ? static_cast<double>(*slot) : -1.0);
   metrics.set(metrics::Gauge::FollowsStore, follows ? 1 : 0);
   const auto seconds = [](std::optional<Duration> aAge) {
@@ -136,18 +137,25 @@
 }
 
 void
-RouteDaemon::Impl::noteOldKnowledge(TimePoint aNow)
+RouteDaemon::Impl::noteOldKnowledge(const agent::KeyedView& aView,
+                                    KnowledgeState& aState,
+                                    TimePoint aNow)
 {
-  const auto age = operatorsView.age(aNow);
+  const auto age = aView.age(aNow);
   const bool isOld = age && *age > planner.changeBound();
-  if (isOld == knowledgeIsOld) {
+  if (isOld == aState.isOld) {
     return;
   }
-  knowledgeIsOld = isOld;
+  aState.isOld = isOld;
+  const auto since = [&](std::optional<TimePoint> aAt) {
+    return aAt ? toMillis(aNow - *aAt) : -1.0;
+  };
   LogEvent(isOld ? LogLevel::Warning : LogLevel::Info,
-           isOld ? "operators.knowledge_old" : "operators.knowledge_current")
+           aState.name + (isOld ? ".knowledge_old" : ".knowledge_current"))
     .field("age_ms", toMillis(*age))
     .field("store_lost", static_cast<int>(planner.isStoreLost()))
+    .field("agent_answered_ms", since(planner.answeredAt()))
+    .field("read_open_ms", since(directReadSentAt))
     .field("next_read_ms", toMillis(std::max<Duration>(planner.directReadAt() - aNow, Duration{})))
     .field("config", table ? table->version() : 0)
     .write();
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -187,8 +187,14 @@
   void answerSyncs();
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
-  /// Logs when the operators' log was last confirmed longer ago than the bound on changes.
-  void noteOldKnowledge(TimePoint aNow);
+  /// Whether what is known of a log was last confirmed longer ago than the bound on changes.
+  struct KnowledgeState
+  {
+    std::string name;
+    bool isOld = false;
+  };
+  /// Writes a line when that changes.
+  void noteOldKnowledge(const agent::KeyedView& aView, KnowledgeState& aState, TimePoint aNow);
 
   // Loads of servers.
   void openLoadSocket();
@@ -437,7 +443,10 @@
   std::optional<std::uint64_t> serversEra;
   bool followed = false;
   bool wasAgent = false;
-  bool knowledgeIsOld = false;
+  KnowledgeState operatorsState{ "operators" };
+  KnowledgeState serversState{ "servers" };
+  /// When the direct read that waits for its answer was sent.
+  std::optional<TimePoint> directReadSentAt;
   agent::LoadExchange loads;
   agent::CrashExchange crashExchange;
   agent::HeldPartsExchange heldParts;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -16,6 +16,8 @@
 /// Pause between the reads that confirm it, and after one that failed.
 constexpr Duration kConfirmInterval = Millis(20);
 constexpr Duration kConfirmRetryPause = Millis(50);
+/// A direct read that takes longer is logged.
+constexpr Duration kSlowRead = Millis(200);
 /// How long a loop that has nothing to do waits to be notified.
 constexpr Duration kIdleWait = Seconds(60);
 
@@ -316,12 +318,20 @@
       continue;
     }
     metrics.count(metrics::Event::DirectRead);
+    directReadSentAt = now;
     bool read = true;
     if (operatorsOld) {
       read = co_await readOperators(store, Duration{});
     }
     if (read && serversOld) {
-      co_await readServers(store, Duration{});
+      read = co_await readServers(store, Duration{});
+    }
+    directReadSentAt.reset();
+    if (const auto took = bootNow() - now; took >= kSlowRead) {
+      LogEvent(LogLevel::Warning, "store.read_slow")
+        .field("took_ms", toMillis(took))
+        .field("answered", static_cast<int>(read))
+        .write();
     }
   }
 }
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -124,6 +124,15 @@
   mServersConfirmedAt = std::max(mServersConfirmedAt.value_or(aAt), aAt);
 }
 
+std::optional<Duration>
+Dispatcher::serverListAge(TimePoint aNow) const
+{
+  if (!mServersConfirmedAt) {
+    return std::nullopt;
+  }
+  return aNow - *mServersConfirmedAt;
+}
+
 bool
 Dispatcher::awaitsServerList(TimePoint aNow)
 {
--- a/src/mustardplank/gateway/backend_connection.cpp
+++ b/src/mustardplank/gateway/backend_connection.cpp
@@ -333,7 +333,7 @@
     }
     mHeadDelivered = true;
     mParser->eager(true);
-    if (mWriting || unacknowledgedBytes(mSocket) > 0) {
+    if (mWriting || unacknowledgedBytes() > 0) {
       mRespondedEarly = true;
       setPatientServerOptions(mSocket);
     }
@@ -392,8 +392,7 @@
   }
   // The kernel reports an end of file after a reset if the write took its error, and for a server
   // that closed the connection before it received the rest of the request.
-  return !mWriting && !mWriteFailed && !takeSocketError(mSocket) &&
-         unacknowledgedBytes(mSocket) == 0;
+  return !mWriting && !mWriteFailed && !takeSocketError(mSocket) && unacknowledgedBytes() == 0;
 }
 
 bool
@@ -402,6 +401,12 @@
   return !hasUnreadBytesOrEnd(mSocket);
 }
 
+std::size_t
+BackendConnection::unacknowledgedBytes()
+{
+  return gateway::unacknowledgedBytes(mSocket);
+}
+
 void
 BackendConnection::updateIdleExpiry()
 {
--- a/src/mustardplank/gateway/backend_connection.hpp
+++ b/src/mustardplank/gateway/backend_connection.hpp
@@ -108,6 +108,8 @@
   void setReachedAt(TimePoint aAt) { mReachedAt = aAt; }
   /// Whether all bytes of the request have been written.
   bool isRequestWritten() const { return !mWriting; }
+  /// Bytes that were written and whose receipt the server's machine has not confirmed.
+  std::size_t unacknowledgedBytes();
 
 private:
   /// string_body would reserve memory for the length that a server states, however large.
--- a/src/mustardplank/gateway/caller_connection.cpp
+++ b/src/mustardplank/gateway/caller_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http_serialization.hpp"
 #include "socket_options.hpp"
+#include "socket_state.hpp"
 
 #include "mustardplank/base/clock.hpp"
 
@@ -282,6 +283,12 @@
   setOrganisation(organisation ? organisation->id.str() : std::string());
 }
 
+std::size_t
+CallerConnection::unacknowledgedBytes()
+{
+  return gateway::unacknowledgedBytes(mSocket);
+}
+
 void
 CallerConnection::setOrganisation(const std::string& aOrganisation)
 {
--- a/src/mustardplank/gateway/caller_connection.hpp
+++ b/src/mustardplank/gateway/caller_connection.hpp
@@ -46,6 +46,9 @@
   /// Closes the connection for one of another caller; false if a request has arrived.
   bool closeForAnother();
 
+  /// Bytes that were written and whose receipt the caller's machine has not confirmed.
+  std::size_t unacknowledgedBytes();
+
   // For Exchange.
   void setOrganisation(const std::string& aOrganisation);
   /// A server may run the request from now on.
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -37,6 +37,12 @@
 /// Model engines accept priorities from 0 to 9.
 constexpr std::uint32_t kLowestPriority = 9;
 
+double
+ageInMs(std::optional<Duration> aAge)
+{
+  return aAge ? toMillis(*aAge) : -1.0;
+}
+
 double
 drawUniform(std::minstd_rand& aRandom)
 {
@@ -55,6 +61,7 @@
 {
   mJob.id = ++mContext.lastJobId;
   mJob.arrived = bootNow();
+  mConfigurationAge = mContext.callbacks.configurationAge();
   mLogSampled =
     stableHash(mRequestHead.attemptId) % std::max(1U, mContext.options.logSamplingInterval) == 0;
   mContext.exchanges[mJob.id] = this;
@@ -470,6 +477,7 @@
   mResponse.startedAt.reset();
   mConnection = aConnection;
   mSentAt = now;
+  mDeliveryChecked = false;
   mSentAtMs = mContext.callbacks.sharedTimeMs();
   ++mSendCount;
   log(makeLogEvent(LogLevel::Info, "request.sent")
@@ -477,6 +485,7 @@
         .field("attempt", mSendCount)
         .field("reused", static_cast<int>(aConnection->isReused()))
         .field("tunnelled", static_cast<int>(aConnection->isTunnelled()))
+        .field("list_age_ms", ageInMs(mContext.dispatcher.serverListAge(now)))
         .field("time_left_ms", toMillis(deadline() - now)),
       true);
   aConnection->send(
@@ -689,7 +698,8 @@
     .field("unfinished_bytes", mUnfinishedEventBytes)
     .field("total_ms", toMillis(now - mJob.arrived))
     .field("first_ms", mResponseStarted ? toMillis(mResponseStartedAt - mJob.arrived) : -1.0)
-    .field("config", mTable ? mTable->version() : 0);
+    .field("config", mTable ? mTable->version() : 0)
+    .field("config_age_ms", ageInMs(mConfigurationAge));
   const bool succeeded = aStatus / 100 == 2 && aReason == "complete";
   const bool isRoutine = succeeded && mUnfinishedEventBytes == 0;
   log(event, isRoutine || aReason == "caller_left");
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -49,6 +49,10 @@
   /// A write to the caller has completed: resumes reading from the server.
   void onCallerWritable();
   bool isDone() const { return mDone; }
+  /// Logs an attempt whose request has not been received by the server's machine for long.
+  void checkDelivery(TimePoint aNow);
+  /// Bytes of requests that were written and whose receipt is not confirmed.
+  std::size_t unacknowledgedBytes() const;
   /// The attempt with this job has to give up what it holds of its response.
   void onMemoryExceeded(dispatch::JobId aJob);
   /// Whether a server may have executed the request, or executes it.
@@ -264,6 +268,8 @@
   std::shared_ptr<const BodyBuffer> mRequestBody;
   RequestHead mRequestHead;
   route::RouteTablePtr mTable;
+  /// Of mTable when it was taken.
+  std::optional<Duration> mConfigurationAge;
   const route::Route* mRoute = nullptr;
   dispatch::Job mJob;
   /// Identifies the request in crash reports.
@@ -300,6 +306,9 @@
   /// The server whose events this response began with.
   std::optional<dispatch::ServerReach> mBegunAt;
   bool mOriginNoted = false;
+  /// Whether the server's machine has confirmed the request, or checkDelivery() has logged that it
+  /// has not.
+  bool mDeliveryChecked = false;
   /// When the request was sent or stream data last arrived.
   TimePoint mLastProgressAt{};
 
--- a/src/mustardplank/gateway/gateway.cpp
+++ b/src/mustardplank/gateway/gateway.cpp
@@ -402,6 +402,15 @@
   return n;
 }
 
+void
+Gateway::checkDeliveries()
+{
+  const auto now = bootNow();
+  for (const auto& [id, exchange] : mImpl->context.exchanges) {
+    exchange->checkDelivery(now);
+  }
+}
+
 bool
 Gateway::isBusy() const
 {
--- a/src/mustardplank/platform/http_client.cpp
+++ b/src/mustardplank/platform/http_client.cpp
@@ -68,17 +68,17 @@
   }
 }
 
-HttpClient::Stream
+std::optional<HttpClient::IdleConnection>
 HttpClient::takeIdle()
 {
   while (!mIdle.empty()) {
-    auto stream = std::move(mIdle.back());
+    auto idle = std::move(mIdle.back());
     mIdle.pop_back();
-    if (!isUnusable(*stream)) {
-      return stream;
+    if (!isUnusable(*idle.stream)) {
+      return idle;
     }
   }
-  return nullptr;
+  return std::nullopt;
 }
 
 asio::awaitable<Result<HttpClient::Stream>>
@@ -150,7 +150,7 @@
   }
   if (reader.isReusable() && mIdle.size() < kMaxIdleConnections) {
     aStream->expires_never();
-    mIdle.push_back(std::move(aStream));
+    mIdle.push_back({ std::move(aStream), bootNow() });
   }
   co_return reader.take();
 }
@@ -158,25 +158,37 @@
 asio::awaitable<Result<HttpResponse>>
 HttpClient::send(HttpRequest aRequest)
 {
-  auto stream = takeIdle();
-  if (!stream) {
+  auto idle = takeIdle();
+  if (!idle) {
     auto connected = co_await connect(aRequest.timeout);
     if (auto* failure = std::get_if<Failure>(&connected)) {
       co_return std::move(*failure);
     }
-    stream = std::move(std::get<Stream>(connected));
+    co_return co_await exchange(std::move(std::get<Stream>(connected)), std::move(aRequest));
   }
+  const auto idleTime = bootNow() - idle->since;
+  auto response = co_await exchange(std::move(idle->stream), std::move(aRequest));
+  if (auto* failure = std::get_if<Failure>(&response)) {
+    failure->message +=
+      " (connection idle for " + std::to_string(duration_cast<Millis>(idleTime).count()) + " ms)";
+  }
+  co_return response;
+}
+
+asio::awaitable<Result<HttpResponse>>
+HttpClient::exchange(Stream aStream, HttpRequest aRequest)
+{
   auto request = makeRequest(aRequest, mEndpoint.address().to_string());
   if (bootNow() > aRequest.notAfter) {
     co_return Failure{ FailureKind::NoEffect, "not sent: the permitted time has ended" };
   }
-  stream->expires_after(aRequest.timeout);
-  const auto [writeError, written] = co_await http::async_write(*stream, request, kAwaitTuple);
+  aStream->expires_after(aRequest.timeout);
+  const auto [writeError, written] = co_await http::async_write(*aStream, request, kAwaitTuple);
   if (writeError) {
     const auto kind = written == 0 ? FailureKind::NoEffect : FailureKind::Unknown;
     co_return Failure{ kind, "write: " + writeError.message() };
   }
-  co_return co_await read(std::move(stream), aRequest.maxBodyBytes);
+  co_return co_await read(std::move(aStream), aRequest.maxBodyBytes);
 }
 
 }
