DRAIN: requests wait for a list of servers that is being read

An instance that no agent tells of changes reads the list itself from 0.75 of the bound on; requests were to wait for that from 0.9 of it on. The wait was limited to 250 ms, counted from when the read begins, so that in a process that runs it was over before it was needed: an instance that knew its list to be too old went by it. Besides, the list was read after the configuration, on the same connection, so that its read took twice as long.

StalenessGate decides now: requests wait from 0.9 of the bound on, for as long as a read may take, unless the store is known not to answer, by a failed call of this instance or by its agent's word. The two logs are read side by side; while the store is lost one call at a time tries it.

A silent store holds requests up at most once: routes_silent_store_holds_requests_up_at_most_once.

--- a/include/mustardplank/agent/source_planner.hpp
+++ b/include/mustardplank/agent/source_planner.hpp
@@ -46,6 +46,8 @@
   bool isStale = false;
   /// Agents with which the one that answered had contact.
   std::vector<InstanceId> reached;
+  /// The agent's last call to the store failed.
+  bool storeLost = false;
 };
 
 /// Decides where an instance gets the changes of the store from: from an agent of its failure
@@ -105,6 +107,9 @@
   void recordStoreCall(bool aSucceeded, TimePoint aNow);
   /// The last call to the store failed.
   bool isStoreLost() const { return mStoreLost; }
+  /// Whether a read that is due or under way can be expected to succeed: neither has the last call
+  /// of this instance failed, nor has an agent stated just now that its own did.
+  bool expectsStoreAnswer(TimePoint aNow) const;
   /// When an agent last answered, with fresh knowledge or without.
   std::optional<TimePoint> answeredAt() const { return mAnsweredAt; }
   /// Instances in this failure domain, as far as known; spreads their direct reads.
@@ -163,6 +168,8 @@
   unsigned mStoreFailures = 0;
   /// The agent that answered last had no fresh knowledge either.
   bool mAgentsStale = false;
+  /// Its last call to the store had failed.
+  bool mAgentsLostStore = false;
   RetryPause mStorePause;
   /// An instance that has just started leaves the store to its agents until then.
   TimePoint mFirstReadAt;
--- a/include/mustardplank/dispatch/dispatcher.hpp
+++ b/include/mustardplank/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "mustardplank/dispatch/server_admission.hpp"
 #include "mustardplank/dispatch/server_state.hpp"
 #include "mustardplank/dispatch/service_demand.hpp"
+#include "mustardplank/dispatch/staleness_gate.hpp"
 #include "mustardplank/dispatch/version_evidence.hpp"
 #include "mustardplank/dispatch/version_gate.hpp"
 #include "mustardplank/dispatch/work_factor.hpp"
@@ -109,12 +110,14 @@
   /// Removes a server that has stopped or whose registry entry has expired.
   void removeServer(const BackendServerId& aId);
   /// Age of the server list from which a newer one is being fetched.
-  void setServerListRefreshAge(Duration aAge) { mServerListRefreshAge = aAge; }
+  void setServerListRefreshAge(Duration aAge) { mServerListGate.setRefreshAge(aAge); }
+  /// Whether a newer list that is being fetched can be expected.
+  void setStoreAnswers(bool aAnswers) { mServerListGate.setStoreAnswers(aAnswers); }
   /// All changes of servers made before aAt are applied.
   void confirmServers(TimePoint aAt);
   /// Time since the moment up to which all changes of servers are applied; nothing before the first
   /// confirmServers().
-  std::optional<Duration> serverListAge(TimePoint aNow) const;
+  std::optional<Duration> serverListAge(TimePoint aNow) const { return mServerListGate.age(aNow); }
   /// Sets the failure domains that get no new requests.
   void setEvacuatedDomains(std::set<FailureDomainId> aDomains);
   /// Sets the number of instances that share the retry budgets and servers.
@@ -286,12 +289,6 @@
                            JobOutcome aOutcome);
   /// Rebuilds the services' server lists if a server was added, removed or changed.
   void refreshServerLists();
-  /// Whether requests wait for a newer server list.
-  ///
-  /// Load pattern: the process was paused for seconds, or got no processor time, under load.
-  /// Servers may have left meanwhile; a newer list is there within moments. While the store is
-  /// silent the list that is known serves.
-  bool awaitsServerList(TimePoint aNow);
   /// Neither draining nor leaving nor in an evacuated failure domain.
   bool isUsable(const ServerState& aServer) const;
   PlacementInput makePlacementInput(const Job& aJob, ServiceState& aService, TimePoint aNow) const;
@@ -358,11 +355,7 @@
   /// What removed servers had stated.
   AdmissionMemory mAdmissionMemory;
   bool mServerListsStale = false;
-  /// Nothing until the first confirmServers().
-  std::optional<TimePoint> mServersConfirmedAt;
-  Duration mServerListRefreshAge = Duration::max();
-  /// When the server list was first seen to be older than that.
-  std::optional<TimePoint> mServerListOldSince;
+  StalenessGate mServerListGate;
   std::set<FailureDomainId> mEvacuatedDomains;
   std::size_t mInstanceCount = 1;
   std::unordered_map<JobId, GrantedJob> mGranted;
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -24,9 +24,8 @@
 /// Time without a read of the servers' entries, in parts of the bound on changes, that counts as an
 /// outage.
 constexpr double kOutagePart = 0.9;
-/// Part of the time for which a leaving server still serves; requests wait for a newer list when
-/// that of the servers is older.
-constexpr double kMaxServerListPart = 0.9;
+/// Part of a bound on changes; requests wait for a confirmation when what is known is older.
+constexpr double kMaxAgePart = 0.9;
 /// Share of the process's memory that responses of servers may take.
 constexpr double kResponseMemoryShare = 0.25;
 /// The same of everything that callers make it hold. The rest is for the process itself and for
@@ -59,6 +58,12 @@
   return std::make_shared<platform::ReadMemory>(std::max(bytes, kMinReadMemoryBytes));
 }
 
+Duration
+maxAge(Duration aBound)
+{
+  return Duration(static_cast<std::int64_t>(kMaxAgePart * static_cast<double>(aBound.count())));
+}
+
 dispatch::DispatcherOptions
 dispatcherOptions(const settings::RouteSettings& aSettings)
 {
@@ -70,8 +75,7 @@
                           aSettings.bounds.retrySlack };
   options.coldRateFactor = aSettings.bounds.coldOverage;
   options.coldTolerance = aSettings.bounds.coldTolerance;
-  const auto bound = static_cast<double>(aSettings.bounds.serverDrain.count());
-  options.maxServerListAge = Duration(static_cast<std::int64_t>(kMaxServerListPart * bound));
+  options.maxServerListAge = maxAge(aSettings.bounds.serverDrain);
   options.seed = stableHash(aSettings.instance.str());
   return options;
 }
@@ -444,7 +448,8 @@
   };
   spawn(followOperators());
   spawn(followServers());
-  spawn(refreshLoop());
+  spawn(refreshOperatorsLoop());
+  spawn(refreshServersLoop());
   spawn(confirmServersLoop());
   spawn(directoryLoop());
   spawn(syncLoop());
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -121,10 +121,13 @@
     operatorsDue.notify();
     serversDue.notify();
   }
-  if (planner.isDirectReadDue(operatorsView.age(now), now) ||
-      planner.isDirectReadDue(serversView.age(now), now)) {
-    refreshDue.notify();
+  if (planner.isDirectReadDue(operatorsView.age(now), now)) {
+    operatorsRefreshDue.notify();
   }
+  if (planner.isDirectReadDue(serversView.age(now), now)) {
+    serversRefreshDue.notify();
+  }
+  dispatcher.setStoreAnswers(planner.expectsStoreAnswer(now));
   noteOldKnowledge(operatorsView, operatorsState, now);
   noteOldKnowledge(serversView, serversState, now);
   metrics.set(metrics::Gauge::AgentSlot, slot ? static_cast<double>(*slot) : -1.0);
@@ -155,7 +158,7 @@
     .field("age_ms", toMillis(*age))
     .field("store_lost", static_cast<int>(planner.isStoreLost()))
     .field("agent_answered_ms", since(planner.answeredAt()))
-    .field("read_open_ms", since(directReadSentAt))
+    .field("read_open_ms", since(aState.directReadSentAt))
     .field("next_read_ms", toMillis(std::max<Duration>(planner.directReadAt() - aNow, Duration{})))
     .field("config", table ? table->version() : 0)
     .write();
@@ -289,6 +292,7 @@
   agent::SyncResult result;
   result.answered = true;
   result.isStale = agent::isStale(aReply, planner.maxAge());
+  result.storeLost = aReply.storeLost;
   result.reached = std::move(aReply.reached);
   planner.recordSync(aReply.agent, result, aReceivedAt);
   planner.setDomainInstances(aReply.domainInstances);
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -30,6 +30,7 @@
 #include "mustardplank/control/usage_windows.hpp"
 #include "mustardplank/dispatch/dispatcher.hpp"
 #include "mustardplank/dispatch/server_incarnations.hpp"
+#include "mustardplank/dispatch/staleness_gate.hpp"
 #include "mustardplank/dispatch/version_history.hpp"
 #include "mustardplank/gateway/gateway.hpp"
 #include "mustardplank/metrics/metrics.hpp"
@@ -106,6 +107,16 @@
   TimePoint mSince{};
 };
 
+/// What is noted of the state of one of the store's logs.
+struct KnowledgeState
+{
+  std::string name;
+  /// Whether what is known of the log was last confirmed longer ago than the bound on changes.
+  bool isOld = false;
+  /// When the direct read that waits for its answer was sent.
+  std::optional<TimePoint> directReadSentAt{};
+};
+
 /// Everything runs on the thread of io. What follows the store, the agents, the board and the
 /// duties stands in files of their own.
 struct RouteDaemon::Impl
@@ -159,8 +170,10 @@
   /// Where the changes come from that the view has given last; aEra is that of the changes before.
   static control::RecordSource sourceOf(const agent::KeyedView& aView,
                                         std::optional<std::uint64_t>& aEra);
-  /// Reads both logs when no agent has stated their changes for too long.
-  awaitable<void> refreshLoop();
+  /// Each reads a log when no agent has stated its changes for too long.
+  awaitable<void> refreshOperatorsLoop();
+  awaitable<void> refreshServersLoop();
+  void noteDirectRead(KnowledgeState& aState, bool aAnswered);
   /// Reads the servers' entries from the store while awaitServerList() asks for it.
   awaitable<void> confirmServersLoop();
   /// Calls aDone once every server that was registered before aAt is known, or after a while, as
@@ -187,12 +200,6 @@
   void answerSyncs();
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
-  /// Whether what is known of a log was last confirmed longer ago than the bound on changes.
-  struct KnowledgeState
-  {
-    std::string name;
-    bool isOld = false;
-  };
   /// Writes a line when that changes.
   void noteOldKnowledge(const agent::KeyedView& aView, KnowledgeState& aState, TimePoint aNow);
 
@@ -445,8 +452,6 @@
   bool wasAgent = false;
   KnowledgeState operatorsState{ "operators" };
   KnowledgeState serversState{ "servers" };
-  /// When the direct read that waits for its answer was sent.
-  std::optional<TimePoint> directReadSentAt;
   agent::LoadExchange loads;
   agent::CrashExchange crashExchange;
   agent::HeldPartsExchange heldParts;
@@ -521,7 +526,8 @@
   /// The decision whether to follow the store, or whom to ask, may have changed.
   Notifier operatorsDue{ io };
   Notifier serversDue{ io };
-  Notifier refreshDue{ io };
+  Notifier operatorsRefreshDue{ io };
+  Notifier serversRefreshDue{ io };
   struct ServerListWait
   {
     TimePoint at{};
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -305,34 +305,54 @@
 }
 
 awaitable<void>
-RouteDaemon::Impl::refreshLoop()
+RouteDaemon::Impl::refreshOperatorsLoop()
 {
   // A connection of its own: those of the other loops may have gone silent.
   auto store = client();
   for (;;) {
     const auto now = bootNow();
-    const bool operatorsOld = planner.isDirectReadDue(operatorsView.age(now), now);
-    const bool serversOld = planner.isDirectReadDue(serversView.age(now), now);
-    if (!operatorsOld && !serversOld) {
-      co_await refreshDue.wait(kIdleWait);
+    if (!planner.isDirectReadDue(operatorsView.age(now), now)) {
+      co_await operatorsRefreshDue.wait(kIdleWait);
       continue;
     }
-    metrics.count(metrics::Event::DirectRead);
-    directReadSentAt = now;
-    bool read = true;
-    if (operatorsOld) {
-      read = co_await readOperators(store, Duration{});
-    }
-    if (read && serversOld) {
-      read = co_await readServers(store, Duration{});
+    operatorsState.directReadSentAt = now;
+    const bool read = co_await readOperators(store, Duration{});
+    noteDirectRead(operatorsState, read);
+    if (read) {
+      serversRefreshDue.notify();
     }
-    directReadSentAt.reset();
-    if (const auto took = bootNow() - now; took >= kSlowRead) {
-      LogEvent(LogLevel::Warning, "store.read_slow")
-        .field("took_ms", toMillis(took))
-        .field("answered", static_cast<int>(read))
-        .write();
+  }
+}
+
+awaitable<void>
+RouteDaemon::Impl::refreshServersLoop()
+{
+  auto store = client();
+  for (;;) {
+    const auto now = bootNow();
+    // One call at a time tries a store that is lost.
+    const bool isLeftToOther =
+      planner.isStoreLost() && planner.isDirectReadDue(operatorsView.age(now), now);
+    if (isLeftToOther || !planner.isDirectReadDue(serversView.age(now), now)) {
+      co_await serversRefreshDue.wait(kIdleWait);
+      continue;
     }
+    serversState.directReadSentAt = now;
+    noteDirectRead(serversState, co_await readServers(store, Duration{}));
+  }
+}
+
+void
+RouteDaemon::Impl::noteDirectRead(KnowledgeState& aState, bool aAnswered)
+{
+  metrics.count(metrics::Event::DirectRead);
+  const auto sentAt = std::exchange(aState.directReadSentAt, std::nullopt);
+  if (const auto took = bootNow() - *sentAt; took >= kSlowRead) {
+    LogEvent(LogLevel::Warning, "store.read_slow")
+      .field("log", aState.name)
+      .field("took_ms", toMillis(took))
+      .field("answered", static_cast<int>(aAnswered))
+      .write();
   }
 }
 
--- a/src/mustardplank/agent/source_planner.cpp
+++ b/src/mustardplank/agent/source_planner.cpp
@@ -325,6 +325,7 @@
     health.failures = 0;
     health.isStale = aResult.isStale;
     mAgentsStale = aResult.isStale;
+    mAgentsLostStore = aResult.storeLost;
     health.contactAt = aNow;
     const bool standsIn = followsStore(aNow) && slot().value_or(0) > 0;
     health.retryAt = standsIn ? aNow + kProbeInterval : aNow;
@@ -465,6 +466,14 @@
   }
 }
 
+bool
+SourcePlanner::expectsStoreAnswer(TimePoint aNow) const
+{
+  const bool agentsAnswer =
+    mAnsweredAt && aNow - *mAnsweredAt < part(mOptions.changeBound, kAnswerMemoryPart);
+  return !mStoreLost && !(agentsAnswer && mAgentsLostStore);
+}
+
 Duration
 SourcePlanner::claimDelay() const
 {
--- a/src/mustardplank/dispatch/dispatcher.cpp
+++ b/src/mustardplank/dispatch/dispatcher.cpp
@@ -22,13 +22,12 @@
 /// same time.
 constexpr double kMaxEstimateShareOfTarget = 0.8;
 constexpr std::size_t kMaxWaitingJobs = 4096;
-/// Requests do not wait for a newer server list after it has been asked for this long ago.
-constexpr Duration kServerListWait = Millis(250);
 
 }
 
 Dispatcher::Dispatcher(DispatcherOptions aOptions)
   : mOptions(std::move(aOptions))
+  , mServerListGate(mOptions.maxServerListAge)
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.seed))
 {
 }
@@ -121,28 +120,7 @@
 void
 Dispatcher::confirmServers(TimePoint aAt)
 {
-  mServersConfirmedAt = std::max(mServersConfirmedAt.value_or(aAt), aAt);
-}
-
-std::optional<Duration>
-Dispatcher::serverListAge(TimePoint aNow) const
-{
-  if (!mServersConfirmedAt) {
-    return std::nullopt;
-  }
-  return aNow - *mServersConfirmedAt;
-}
-
-bool
-Dispatcher::awaitsServerList(TimePoint aNow)
-{
-  if (!mServersConfirmedAt || aNow - *mServersConfirmedAt <= mServerListRefreshAge) {
-    mServerListOldSince.reset();
-    return false;
-  }
-  mServerListOldSince = mServerListOldSince.value_or(aNow);
-  return aNow - *mServersConfirmedAt > mOptions.maxServerListAge &&
-         aNow - *mServerListOldSince < kServerListWait;
+  mServerListGate.confirm(aAt);
 }
 
 void
@@ -305,7 +283,7 @@
 void
 Dispatcher::submit(Job aJob, TimePoint aNow, Effects& aEffects)
 {
-  const bool waits = awaitsServerList(aNow);
+  const bool waits = mServerListGate.isClosed(aNow);
   if (aJob.streaming && !isLongPrompt(aJob) && aJob.eventGapTarget > Duration{}) {
     auto& target = refreshAndGetState(aJob.service).model.shortEventGapTarget;
     target = target == Duration{} ? aJob.eventGapTarget : std::min(target, aJob.eventGapTarget);
@@ -456,7 +434,7 @@
   auto* server = findServer(it->second.server);
   if (!server || server->server.startTimeMs != it->second.serverStartTimeMs ||
       server->server.softwareVersion != it->second.softwareVersion || !isUsable(*server) ||
-      awaitsServerList(aNow) || !isVersionAdmitted(it->second, aNow)) {
+      mServerListGate.isClosed(aNow) || !isVersionAdmitted(it->second, aNow)) {
     return false;
   }
   if (server->coldUntil > aNow) {
@@ -563,7 +541,7 @@
   const auto service = it->second.job.service;
   decrementGranted(it->second.job.organisation);
   mGranted.erase(it);
-  if (!mWaiting.empty() && !awaitsServerList(aNow)) {
+  if (!mWaiting.empty() && !mServerListGate.isClosed(aNow)) {
     placeOrRefuseWaiting(&service, aNow, aEffects);
   }
 }
@@ -581,7 +559,7 @@
 Dispatcher::tick(TimePoint aNow, Effects& aEffects)
 {
   updateFailureRates(aNow);
-  if (!awaitsServerList(aNow)) {
+  if (!mServerListGate.isClosed(aNow)) {
     placeOrRefuseWaiting(nullptr, aNow, aEffects);
   }
 }
--- a/src/mustardplank/dispatch/dispatcher_test.cpp
+++ b/src/mustardplank/dispatch/dispatcher_test.cpp
@@ -489,6 +489,33 @@
   BOOST_TEST(std::get<Grant>(effects[0]).server.str() == "new");
 }
 
+// Guards against requests to a server that has left while the read that will show it takes long:
+// the process runs, and the wait was over before the list was too old.
+BOOST_AUTO_TEST_CASE(requests_wait_for_a_server_list_that_is_being_read)
+{
+  DispatcherOptions options;
+  options.domain = FailureDomainId("a");
+  options.maxServerListAge = Millis(1800);
+  Dispatcher dispatcher(options);
+  dispatcher.setServerListRefreshAge(Millis(1500));
+  dispatcher.setRouteTable(std::make_shared<route::RouteTable>(makeConfig()));
+  dispatcher.updateServer(makeServer("left", "a"), atMillis(0));
+  dispatcher.confirmServers(atMillis(0));
+  dispatcher.setStoreAnswers(true);
+  Effects effects;
+  for (int now = 0; now <= 2200; now += 100) {
+    dispatcher.tick(atMillis(now), effects);
+  }
+  dispatcher.submit(makeEngineJob(1, 300, 1, atMillis(2200)), atMillis(2200), effects);
+  BOOST_TEST(effects.empty());
+  dispatcher.removeServer(BackendServerId("left"));
+  dispatcher.updateServer(makeServer("new", "a"), atMillis(2400));
+  dispatcher.confirmServers(atMillis(2300));
+  dispatcher.tick(atMillis(2400), effects);
+  BOOST_TEST_REQUIRE(effects.size() == 1U);
+  BOOST_TEST(std::get<Grant>(effects[0]).server.str() == "new");
+}
+
 // Guards against an outage of the store that stops the service: a process that was running has
 // asked for a newer list in vain.
 BOOST_AUTO_TEST_CASE(requests_do_not_wait_for_a_store_that_is_silent)
--- /dev/null
+++ b/test/routes/old_knowledge_test.cpp
@@ -0,0 +1,196 @@
+#include "deployment.hpp"
+
+#include "mustardplank/base/clock.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <limits>
+#include <sstream>
+#include <string>
+#include <vector>
+
+using namespace mustardplank;
+using namespace mustardplank::routes;
+using support::waitUntil;
+
+namespace {
+
+/// A change is in force within this after its acknowledgement (bounds.config_apply_ms).
+constexpr Millis kApplyBound{ 2000 };
+/// A leaving server gets nothing this long after the acknowledgement (bounds.server_drain_ms).
+constexpr Millis kDrainBound{ 2000 };
+/// Until agents are found and every instance follows them.
+constexpr Millis kAgentsBound{ 8000 };
+/// Until the agents are followed again.
+constexpr Millis kRecovery{ 5000 };
+/// A connection that was idle for so long, and is needed 1.3 s later at the earliest, is not used
+/// again.
+constexpr Millis kQuiet{ 1000 };
+constexpr Millis kQuietBound{ 20000 };
+/// Less than the time after which a read of the store is given up.
+constexpr Millis kSlowRead{ 800 };
+/// How long requests are sent after the bound.
+constexpr Millis kWatched{ 1500 };
+constexpr Millis kCallPause{ 20 };
+/// Age of what an instance knows shortly after its agent has read the store.
+constexpr Millis kFreshAge{ 200 };
+/// Longest time for which an outage of the store may hold up a request.
+constexpr Millis kOutageWait{ 1200 };
+
+/// Three instances of one failure domain, two of which are agents.
+class AgentsAndMember
+{
+public:
+  explicit AgentsAndMember(std::size_t aServers)
+    : deployment(aServers, 3)
+  {
+    BOOST_REQUIRE(waitUntil(kAgentsBound, [&] {
+      mAgents.clear();
+      for (std::size_t i = 0; i < 3; ++i) {
+        if (deployment.adminPage(i, "/status").find("agent slot none") == std::string::npos) {
+          mAgents.push_back(i);
+        } else {
+          member = i;
+        }
+      }
+      return mAgents.size() == 2;
+    }));
+  }
+
+  /// Stops them when the member has just learned from one of them what there is in the log, so that
+  /// it learns no more for long, and has not read the store itself of late.
+  void stopAgents(const std::string& aLog)
+  {
+    auto reads = directReads();
+    auto readAt = bootNow();
+    BOOST_REQUIRE(waitUntil(kQuietBound, [&] {
+      if (const auto n = directReads(); n != reads) {
+        reads = n;
+        readAt = bootNow();
+      }
+      return bootNow() - readAt > kQuiet && ageMs(aLog) < kFreshAge.count();
+    }));
+    signalAgents(SIGSTOP);
+  }
+  void resumeAgents() { signalAgents(SIGCONT); }
+
+  unsigned call(const Call& aCall) const
+  {
+    try {
+      CallerConnection connection(deployment.callers(member));
+      return connection.call(aCall).result_int();
+    } catch (const boost::system::system_error&) {
+      return 0;
+    }
+  }
+  unsigned callWithKey(const std::string& aKey) const
+  {
+    auto one = callOf("/twice/ok");
+    one.key = aKey;
+    return call(one);
+  }
+
+  /// Has the member read the store itself once, at an address that others do not use.
+  void openDirectReads()
+  {
+    deployment.restartOnOtherAddress(member);
+    stopAgents("configuration");
+    deployment.configure("key-first");
+    BOOST_REQUIRE(waitUntil(kAgentsBound, [&] { return callWithKey("key-first") == 200U; }));
+    resumeAgents();
+    std::this_thread::sleep_for(kRecovery);
+  }
+
+  RouteDeployment deployment;
+  std::size_t member = 0;
+
+private:
+  /// What the member has read itself, as its metrics count it.
+  std::string directReads() const
+  {
+    std::istringstream page(deployment.adminPage(member, "/metrics"));
+    for (std::string line; std::getline(page, line);) {
+      if (line.starts_with("mustardplank_direct_reads_total")) {
+        return line;
+      }
+    }
+    return {};
+  }
+  /// Age of what the member knows of the log.
+  int ageMs(const std::string& aLog) const
+  {
+    std::istringstream page(deployment.adminPage(member, "/status"));
+    bool isAge = false;
+    for (std::string word; page >> word;) {
+      isAge = isAge || word == "age_ms";
+      int age = 0;
+      if (isAge && word == aLog && page >> age) {
+        return age;
+      }
+    }
+    return std::numeric_limits<int>::max();
+  }
+  void signalAgents(int aSignal)
+  {
+    for (const auto it : mAgents) {
+      deployment.instance(it).signal(aSignal);
+    }
+  }
+
+  std::vector<std::size_t> mAgents;
+};
+
+/// Lets the first server leave, and counts the requests that reach it after the bound on that.
+std::ptrdiff_t
+arrivalsAfterDrainBound(AgentsAndMember& aInstances, const std::string& aKey = "key-one")
+{
+  auto call = callOf("/plain/ok");
+  call.key = aKey;
+  auto& deployment = aInstances.deployment;
+  const auto leftAt = std::chrono::steady_clock::now();
+  deployment.writeServer(0, "draining");
+  while (std::chrono::steady_clock::now() < leftAt + kDrainBound + kWatched) {
+    call.attempt = newAttempt();
+    BOOST_TEST(aInstances.call(call) == 200U);
+    std::this_thread::sleep_for(kCallPause);
+  }
+  const auto arrivals = deployment.server(0).arrivals();
+  return std::count_if(arrivals.begin(), arrivals.end(), [&](const auto& aArrival) {
+    return aArrival.at > leftAt + kDrainBound;
+  });
+}
+
+}
+
+// Guards against requests to a server that has left, by a list that the instance knows to be older
+// than the bound, while the read that will renew it is under way.
+BOOST_AUTO_TEST_CASE(routes_requests_wait_for_a_server_list_that_is_being_read)
+{
+  AgentsAndMember instances(2);
+  instances.stopAgents("servers");
+  instances.deployment.store().setReadDelay(kSlowRead);
+  BOOST_TEST(arrivalsAfterDrainBound(instances) == 0);
+  instances.resumeAgents();
+}
+
+// Guards against an outage of the store that holds requests up: what is known serves, and requests
+// wait at most once, for as long as a read may take.
+BOOST_AUTO_TEST_CASE(routes_silent_store_holds_requests_up_at_most_once)
+{
+  AgentsAndMember instances(1);
+  instances.deployment.store().setSilent(true);
+  const auto until = std::chrono::steady_clock::now() + Seconds(8);
+  Duration waited{};
+  while (std::chrono::steady_clock::now() < until) {
+    const auto sentAt = bootNow();
+    BOOST_TEST(instances.call(callOf("/plain/ok")) == 200U);
+    const auto took = bootNow() - sentAt;
+    waited += took > Millis(100) ? took : Duration{};
+    std::this_thread::sleep_for(kCallPause);
+  }
+  BOOST_TEST_MESSAGE("waited " << duration_cast<Millis>(waited).count() << " ms");
+  BOOST_TEST((waited <= kOutageWait));
+  instances.deployment.store().setSilent(false);
+}
--- a/test/routes/store_standin.cpp
+++ b/test/routes/store_standin.cpp
@@ -130,6 +130,9 @@
   {
     const std::lock_guard lock(mMutex);
     away = mAway;
+    if (!isSilent(aSocket)) {
+      mConnections.insert(aSocket);
+    }
   }
   if (away) {
     co_return co_await refuse(aSocket, aRequest, "turned away", era());
@@ -174,6 +177,27 @@
   mSilent = aSilent;
 }
 
+void
+StoreStandin::silenceOtherConnections()
+{
+  const std::lock_guard lock(mMutex);
+  mSilenced.merge(mConnections);
+  mConnections.clear();
+}
+
+bool
+StoreStandin::isSilent(const SocketPtr& aSocket) const
+{
+  return mSilent || mSilenced.contains(aSocket);
+}
+
+void
+StoreStandin::setReadDelay(Millis aDelay)
+{
+  const std::lock_guard lock(mMutex);
+  mReadDelayMs = aDelay.count();
+}
+
 void
 StoreStandin::compact(const std::string& aTopic)
 {
@@ -318,7 +342,7 @@
   {
     const std::lock_guard lock(mMutex);
     down = mDown;
-    silent = mSilent;
+    silent = isSilent(aSocket);
   }
   if (silent) {
     constexpr std::int64_t kLongerThanAnyCallMs = 60000;
@@ -373,7 +397,7 @@
   for (std::uint64_t waited = 0; waited < wait; waited += kStepMs) {
     {
       const std::lock_guard lock(mMutex);
-      if (mLogs.endOf(topic) != from || mLogs.era() != eraOfCall || mDown || mSilent) {
+      if (mLogs.endOf(topic) != from || mLogs.era() != eraOfCall || mDown || isSilent(aSocket)) {
         break;
       }
     }
@@ -384,7 +408,7 @@
   bool silent = false;
   {
     const std::lock_guard lock(mMutex);
-    silent = mSilent;
+    silent = isSilent(aSocket);
     if (mLogs.era() != eraOfCall) {
       co_return false;
     }
@@ -398,6 +422,14 @@
     co_await standins::sleepMillis(kLongerThanAnyCallMs);
     co_return false;
   }
+  std::int64_t delay = 0;
+  {
+    const std::lock_guard lock(mMutex);
+    delay = mReadDelayMs;
+  }
+  if (delay > 0) {
+    co_await standins::sleepMillis(delay);
+  }
   if (!body) {
     json gone{ { "startOffset", start } };
     co_return co_await respondJson(aSocket, aRequest, 410, std::move(gone), eraOfCall);
--- a/test/routes/store_standin.hpp
+++ b/test/routes/store_standin.hpp
@@ -4,10 +4,13 @@
 
 #include "standins/common/http_server.hpp"
 
+#include "mustardplank/base/time.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -37,6 +40,11 @@
   void setDown(bool aDown);
   /// While silent, calls get no answer, also later.
   void setSilent(bool aSilent);
+  /// Calls on connections to the second address that have carried a call get no answer from now on;
+  /// those on new connections do.
+  void silenceOtherConnections();
+  /// Answers to reads come so much later from now on.
+  void setReadDelay(Millis aDelay);
   /// Forgets all records of a topic but the newest of each key.
   void compact(const std::string& aTopic);
   /// All reads of whole topics together get this many bytes a second; 0: as many as there are.
@@ -86,12 +94,20 @@
   /// Reserves the time for some bytes and returns how long to wait, in ms.
   std::int64_t reserveRead(std::size_t aBytes);
   std::uint64_t era() const;
+  bool isSilent(const standins::SocketPtr& aSocket) const;
+
+  using SocketSet = std::set<std::weak_ptr<standins::Tcp::socket>,
+                             std::owner_less<std::weak_ptr<standins::Tcp::socket>>>;
 
   mutable std::mutex mMutex;
   StoreLogs mLogs;
   std::vector<DutyCall> mDutyCalls;
   bool mDown = false;
   bool mSilent = false;
+  /// Connections to the second address.
+  SocketSet mConnections;
+  SocketSet mSilenced;
+  std::int64_t mReadDelayMs = 0;
   bool mAway = false;
   int mLoseAnswers = 0;
   std::size_t mReadRate = 0;
