CONFIG: requests wait for a configuration that is being read

Callers were answered by a version older than the bound allows: 404 and 401, routes that are gone. An instance knows how old its configuration is and logged it above the bound; nothing was decided by it. From 0.75 of the bound on it reads the store itself, and a read may take 0.9 s, more than the rest of the bound.

A request takes its configuration when that was confirmed less than 0.9 of the bound ago, and else waits for the read that is under way, by the same StalenessGate as for the list of servers: at most 1 s, and not at all where the store is known not to answer. Counter configuration_waits.

routes_requests_wait_for_a_configuration_that_is_being_read on the code as found: 32 requests with a dropped key get 200, 32 with the new one 401, after the bound; none now.

--- a/include/mustardplank/gateway/gateway.hpp
+++ b/include/mustardplank/gateway/gateway.hpp
@@ -86,6 +86,9 @@
                      const route::ServiceId& aService,
                      std::function<void(std::optional<dispatch::StreamOrigin>)> aDone)>
     findStreamOrigin;
+  /// Calls aDone, during the call or later, once requests can be decided by the configuration that
+  /// is known.
+  std::function<void(std::function<void()> aDone)> awaitConfiguration;
   /// Time since the moment up to which all changes of the configuration are known; nothing before
   /// the first one.
   std::function<std::optional<Duration>()> configurationAge;
--- a/include/mustardplank/metrics/metrics.hpp
+++ b/include/mustardplank/metrics/metrics.hpp
@@ -143,9 +143,11 @@
   ResponseDropped,
   /// Connections to servers that another instance asked for.
   TunnelRequest,
+  /// Requests that waited for a confirmation of the configuration.
+  ConfigurationWait,
 };
 
-inline constexpr NameTable<Event, 28> kEventNames{ { {
+inline constexpr NameTable<Event, 29> kEventNames{ { {
   { Event::LogAppend, "log_appends" },
   { Event::LogAppendFailure, "log_append_failures" },
   { Event::LogRead, "log_reads" },
@@ -174,6 +176,7 @@
   { Event::HeldPartsMessageIgnored, "held_parts_messages_ignored" },
   { Event::ResponseDropped, "read_responses_dropped" },
   { Event::TunnelRequest, "tunnel_requests" },
+  { Event::ConfigurationWait, "configuration_waits" },
 } } };
 
 /// Messages that an instance sends to others. Series "mustardplank_control_messages_total{kind}"
--- a/src/daemon/route_daemon.cpp
+++ b/src/daemon/route_daemon.cpp
@@ -164,6 +164,7 @@
   , lease(leaseOptions(settings), settings.firstStart, bootNow())
   , usage({ settings.bounds.usageWindow, settings.bounds.usageLate })
   , orders({})
+  , configurationGate(maxAge(settings.bounds.configApply))
   , gateway(io,
             gatewayOptions(settings),
             adapter::headerDialect(),
@@ -180,6 +181,7 @@
                                                       settings.memoryMb / kBytesPerHeldPart));
   dispatcher.setInstanceCount(kAssumedInstances);
   dispatcher.setServerListRefreshAge(planner.maxAge());
+  configurationGate.setRefreshAge(planner.maxAge());
 }
 
 gateway::GatewayCallbacks
@@ -233,6 +235,9 @@
     }
     return addresses;
   };
+  callbacks.awaitConfiguration = [this](std::function<void()> aDone) {
+    awaitConfiguration(std::move(aDone));
+  };
   callbacks.configurationAge = [this] { return operatorsView.age(bootNow()); };
   callbacks.makeStatusPage = [this] { return statusText(); };
   callbacks.sharedTimeMs = [this] { return clock.now(bootNow()); };
@@ -269,6 +274,7 @@
     gateway.applyEffects(effects);
     gateway.checkDeliveries();
     applyServers(registry.tick(adapter::storeDialect(), bootNow()));
+    endConfigurationWaits();
     if (evacuatedDomains.tick(bootNow())) {
       dispatcher.setEvacuatedDomains(evacuatedDomains.domains());
     }
--- a/src/daemon/route_daemon_agents.cpp
+++ b/src/daemon/route_daemon_agents.cpp
@@ -128,6 +128,7 @@
     serversRefreshDue.notify();
   }
   dispatcher.setStoreAnswers(planner.expectsStoreAnswer(now));
+  configurationGate.setStoreAnswers(planner.expectsStoreAnswer(now));
   noteOldKnowledge(operatorsView, operatorsState, now);
   noteOldKnowledge(serversView, serversState, now);
   metrics.set(metrics::Gauge::AgentSlot, slot ? static_cast<double>(*slot) : -1.0);
@@ -309,6 +310,7 @@
     const auto at = confirmedAt(*aReply.operators);
     applyOperators(operatorsView.apply(std::move(aReply.operators->part)));
     operatorsView.confirm(at);
+    noteOperatorsConfirmed();
   }
   if (aReply.servers) {
     const auto at = confirmedAt(*aReply.servers);
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -143,6 +143,11 @@
   void applyOperator(const control::Record& aRecord, control::RecordSource aSource);
   void applyConfig(route::Config aConfig, control::Offset aOffset);
   awaitable<void> followOperators();
+  /// What the operators' log held at some moment is known.
+  void noteOperatorsConfirmed();
+  /// Calls aDone once requests can be decided by the configuration that is known.
+  void awaitConfiguration(std::function<void()> aDone);
+  void endConfigurationWaits();
 
   // Backend servers.
   void applyServerRecords(const std::vector<control::Record>& aChanges, TimePoint aConfirmedAt);
@@ -479,6 +484,8 @@
   control::UpdateOutbox outbox;
   control::ServerOrderPlanner orders;
   route::RouteTablePtr table;
+  dispatch::StalenessGate configurationGate;
+  std::vector<std::function<void()>> configurationWaits;
   control::EvacuatedDomains evacuatedDomains;
   std::map<BackendServerId, std::string> serverTexts;
   std::map<InstanceId, Needs> needs;
--- a/src/daemon/route_daemon_store.cpp
+++ b/src/daemon/route_daemon_store.cpp
@@ -128,6 +128,39 @@
     .write();
 }
 
+void
+RouteDaemon::Impl::noteOperatorsConfirmed()
+{
+  const auto now = bootNow();
+  if (const auto age = operatorsView.age(now)) {
+    configurationGate.confirm(now - *age);
+  }
+  endConfigurationWaits();
+}
+
+void
+RouteDaemon::Impl::awaitConfiguration(std::function<void()> aDone)
+{
+  if (!configurationGate.isClosed(bootNow())) {
+    aDone();
+    return;
+  }
+  metrics.count(metrics::Event::ConfigurationWait);
+  configurationWaits.push_back(std::move(aDone));
+  operatorsRefreshDue.notify();
+}
+
+void
+RouteDaemon::Impl::endConfigurationWaits()
+{
+  if (configurationWaits.empty() || configurationGate.isClosed(bootNow())) {
+    return;
+  }
+  for (const auto& it : std::exchange(configurationWaits, {})) {
+    it();
+  }
+}
+
 void
 RouteDaemon::Impl::applyServerRecords(const std::vector<control::Record>& aChanges,
                                       TimePoint aConfirmedAt)
@@ -243,6 +276,7 @@
     co_return false;
   }
   applyOperators(*changes);
+  noteOperatorsConfirmed();
   answerSyncs();
   co_return true;
 }
--- a/src/mustardplank/gateway/exchange.cpp
+++ b/src/mustardplank/gateway/exchange.cpp
@@ -57,11 +57,9 @@
   , mRequest(std::move(aRequest.header))
   , mRequestBody(std::move(aRequest.body))
   , mRequestHead(aContext.dialect.parseRequestHead(mRequest))
-  , mTable(aContext.table)
 {
   mJob.id = ++mContext.lastJobId;
   mJob.arrived = bootNow();
-  mConfigurationAge = mContext.callbacks.configurationAge();
   mLogSampled =
     stableHash(mRequestHead.attemptId) % std::max(1U, mContext.options.logSamplingInterval) == 0;
   mContext.exchanges[mJob.id] = this;
@@ -119,6 +117,19 @@
 void
 Exchange::start()
 {
+  mContext.callbacks.awaitConfiguration([&context = mContext, id = mJob.id] {
+    const auto it = context.exchanges.find(id);
+    if (it != context.exchanges.end() && !it->second->isDone()) {
+      it->second->begin();
+    }
+  });
+}
+
+void
+Exchange::begin()
+{
+  mTable = mContext.table;
+  mConfigurationAge = mContext.callbacks.configurationAge();
   if (!admit()) {
     return;
   }
--- a/src/mustardplank/gateway/exchange.hpp
+++ b/src/mustardplank/gateway/exchange.hpp
@@ -76,6 +76,8 @@
     Done,
   };
 
+  /// Takes the configuration and submits the request.
+  void begin();
   /// Checks the route, the caller key and whether the request is suspected of crashing servers;
   /// prepares mJob and sets the deadline timer. Returns false if a local response was sent.
   bool admit();
--- a/test/routes/old_knowledge_test.cpp
+++ b/test/routes/old_knowledge_test.cpp
@@ -175,6 +175,24 @@
   instances.resumeAgents();
 }
 
+// Guards against requests that are decided by a configuration that the instance knows to be older
+// than the bound, while the read that will renew it is under way.
+BOOST_AUTO_TEST_CASE(routes_requests_wait_for_a_configuration_that_is_being_read)
+{
+  AgentsAndMember instances(1);
+  instances.stopAgents("configuration");
+  instances.deployment.store().setReadDelay(kSlowRead);
+  const auto changedAt = std::chrono::steady_clock::now();
+  instances.deployment.configure("key-new");
+  std::this_thread::sleep_until(changedAt + kApplyBound);
+  while (std::chrono::steady_clock::now() < changedAt + kApplyBound + kWatched) {
+    BOOST_TEST(instances.callWithKey("key-one") == 401U);
+    BOOST_TEST(instances.callWithKey("key-new") == 200U);
+    std::this_thread::sleep_for(kCallPause);
+  }
+  instances.resumeAgents();
+}
+
 // Guards against an outage of the store that holds requests up: what is known serves, and requests
 // wait at most once, for as long as a read may take.
 BOOST_AUTO_TEST_CASE(routes_silent_store_holds_requests_up_at_most_once)
