DRAIN: connections to the store that were idle for long are not used again

An instance reads the store itself only when its agents are lost, on a connection that may have gone silent since it was last used. Nothing shows a silent idle connection but a call on it.

HttpClient uses a connection again only if it was idle for 2 s at most: then an instance whose links failed meanwhile learns it from the calls of that time. It holds for all calls of the process to the store, the duties, agents and other instances.

The simulation of the agents excused the call that finds a silent connection, as if the links had failed at that moment; it has connections now that go silent before.

--- a/include/mustardplank/platform/http_client.hpp
+++ b/include/mustardplank/platform/http_client.hpp
@@ -61,6 +61,10 @@
 /// begun may take as long as it makes progress, up to kMaxResponseTime, since one that is given up
 /// and requested again costs the others their share.
 ///
+/// Load pattern: connections go silent without a reset. One that is in use shows that by a call
+/// that fails; one that is idle would cost the next call its time limit, at the moment at which it
+/// is needed.
+///
 /// Load pattern: a server in trouble responds with bytes without end, in a head, a chunk's size
 /// line, a body or a trailer section. Each of these has a limit, and the responses of all clients
 /// that share a ReadMemory have one together.
@@ -69,6 +73,8 @@
 public:
   /// Longest time without further bytes of a response that has begun.
   static constexpr Duration kProgressTimeout = Millis(900);
+  /// A connection that was idle for longer is not used again.
+  static constexpr Duration kMaxIdleTime = Seconds(2);
   /// Longest time from the first to the last byte of a response.
   static constexpr Duration kMaxResponseTime = Seconds(15);
 
--- a/src/mustardplank/platform/http_client.cpp
+++ b/src/mustardplank/platform/http_client.cpp
@@ -74,7 +74,7 @@
   while (!mIdle.empty()) {
     auto idle = std::move(mIdle.back());
     mIdle.pop_back();
-    if (!isUnusable(*idle.stream)) {
+    if (bootNow() - idle.since <= kMaxIdleTime && !isUnusable(*idle.stream)) {
       return idle;
     }
   }
--- a/src/mustardplank/platform/http_client_test.cpp
+++ b/src/mustardplank/platform/http_client_test.cpp
@@ -319,4 +319,32 @@
   BOOST_TEST(connections == 2);
 }
 
+// Guards against a call that fails as it is sent on a connection that went silent while it was
+// idle.
+BOOST_AUTO_TEST_CASE(connection_that_was_idle_for_long_is_not_used_again)
+{
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io, { asio::ip::address_v4::loopback(), 0 });
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  int connections = 0;
+  auto server = serveTexts(acceptor, { answer, answer, answer }, connections);
+  HttpClient client(acceptor.local_endpoint());
+  std::vector<Result<HttpResponse>> responses;
+  const auto call = [&] {
+    asio::co_spawn(io, get(client, 0, responses), asio::detached);
+    io.restart();
+    io.run();
+  };
+  call();
+  call();
+  BOOST_TEST(connections == 1);
+  std::this_thread::sleep_for(HttpClient::kMaxIdleTime + Millis(100));
+  call();
+  server.join();
+  BOOST_TEST(connections == 2);
+  for (const auto& it : responses) {
+    BOOST_TEST(std::holds_alternative<HttpResponse>(it));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/agents/simulation.cpp
+++ b/test/agents/simulation.cpp
@@ -1,5 +1,7 @@
 #include "simulation.hpp"
 
+#include "mustardplank/platform/http_client.hpp"
+
 #include <algorithm>
 #include <array>
 #include <sstream>
@@ -63,10 +65,20 @@
   LoopCount,
 };
 
+/// The connection to the store that a loop keeps between its calls.
+struct StoreConnection
+{
+  bool isOpen = false;
+  /// Calls on it get no answer.
+  bool isSilent = false;
+  TimePoint usedAt{};
+};
+
 struct Loop
 {
   Call call;
   TimePoint notBefore{};
+  StoreConnection connection;
 };
 
 struct Instance
@@ -139,6 +151,9 @@
       if (mOptions.outage) {
         play(*mOptions.outage);
       }
+      if (mOptions.silence) {
+        play(*mOptions.silence);
+      }
       if (mOptions.faults && mNow < calmFrom && pick(1000) < 6) {
         fault();
       }
@@ -237,6 +252,7 @@
                  auto& call = instance->loops[aLoop].call;
                  if (call.active && call.number == aCall) {
                    call.active = false;
+                   instance->loops[aLoop].connection.usedAt = mNow;
                    aThen(*instance);
                  }
                });
@@ -250,8 +266,18 @@
                  std::function<void()> aFail)
   {
     mResult.calmCalls += mInCalm ? 1 : 0;
-    begin(aInstance, aLoop, aWait + kReadTimeout, std::move(aFail));
+    auto& connection = aInstance.loops[aLoop].connection;
+    if (!connection.isOpen || mNow - connection.usedAt > platform::HttpClient::kMaxIdleTime) {
+      connection = { true, false, mNow };
+    }
+    begin(aInstance, aLoop, aWait + kReadTimeout, [&connection, fail = std::move(aFail)] {
+      connection.isOpen = false;
+      fail();
+    });
     const auto number = aInstance.loops[aLoop].call.number;
+    if (connection.isSilent) {
+      return;
+    }
     if (mNow < aInstance.cutUntil || mNow < mStoreSilentUntil) {
       return;
     }
@@ -633,13 +659,33 @@
       mStoreSilentUntil = mNow + aOutage.length;
     }
     if (elapsed == aOutage.agentsLostAt) {
+      loseAgents(aOutage.agentsLostFor);
+    }
+  }
+  void play(const SilentConnections& aSilence)
+  {
+    const auto elapsed = mNow - startTime();
+    if (elapsed == aSilence.agentsLostAt || elapsed == aSilence.agentsLostAgainAt) {
+      loseAgents(aSilence.agentsLostFor);
+    }
+    if (elapsed == aSilence.at) {
       for (const auto& [name, instance] : mInstances) {
-        if (instance->planner.slot()) {
-          instance->frozenUntil = mNow + aOutage.agentsLostFor;
+        // A disruption of the links of this instance.
+        instance->inTouchSince = mNow;
+        for (auto& it : instance->loops) {
+          it.connection.isSilent = it.connection.isOpen;
         }
       }
     }
   }
+  void loseAgents(Duration aFor)
+  {
+    for (const auto& [name, instance] : mInstances) {
+      if (instance->planner.slot()) {
+        instance->frozenUntil = mNow + aFor;
+      }
+    }
+  }
 
   // Checks.
 
--- a/test/agents/simulation.hpp
+++ b/test/agents/simulation.hpp
@@ -26,6 +26,16 @@
   Duration agentsLostFor = Seconds(8);
 };
 
+/// All connections to the store go silent between two losses of the agents. In the first one the
+/// other instances open those on which they read the store themselves.
+struct SilentConnections
+{
+  Duration agentsLostAt = Seconds(10);
+  Duration at = Seconds(22);
+  Duration agentsLostAgainAt = Seconds(32);
+  Duration agentsLostFor = Seconds(6);
+};
+
 struct Options
 {
   unsigned seed = 1;
@@ -39,6 +49,7 @@
   Duration calm = Seconds(20);
   bool faults = true;
   std::optional<OutageWithoutAgents> outage;
+  std::optional<SilentConnections> silence;
 
   /// How long after a disruption of it or of the store the bound holds again for an instance.
   Duration stabilityWindow() const { return changeBound + Seconds(1); }
--- a/test/agents/simulation_test.cpp
+++ b/test/agents/simulation_test.cpp
@@ -66,6 +66,24 @@
   }
 }
 
+// Guards against changes that come late as a direct read waits on a connection that went silent
+// long before, while it was idle.
+BOOST_AUTO_TEST_CASE(changes_are_in_time_after_idle_connections_went_silent)
+{
+  for (unsigned seed = 1; seed <= 4; ++seed) {
+    for (const auto bound : { Seconds(2), Seconds(3), Seconds(4) }) {
+      Options options;
+      options.seed = seed;
+      options.instancesPerDomain = 24;
+      options.changeBound = bound;
+      options.faults = false;
+      options.length = Seconds(45);
+      options.silence.emplace();
+      play(options);
+    }
+  }
+}
+
 // Instances of a build without agents follow the store beside those with agents.
 BOOST_AUTO_TEST_CASE(mixed_builds_break_no_promise)
 {
--- a/test/routes/old_knowledge_test.cpp
+++ b/test/routes/old_knowledge_test.cpp
@@ -164,6 +164,30 @@
 
 }
 
+// Guards against a change that comes late as the read that ought to bring it waits on a connection
+// that went silent while nobody used it.
+BOOST_AUTO_TEST_CASE(routes_change_is_in_force_after_an_idle_connection_to_the_store_went_silent)
+{
+  AgentsAndMember instances(1);
+  instances.openDirectReads();
+  instances.stopAgents("configuration");
+  instances.deployment.store().silenceOtherConnections();
+  instances.deployment.configure("key-new");
+  BOOST_TEST(waitUntil(kApplyBound, [&] { return instances.callWithKey("key-new") == 200U; }));
+  instances.resumeAgents();
+}
+
+// The same for a server that leaves.
+BOOST_AUTO_TEST_CASE(routes_leaving_server_gets_nothing_after_an_idle_connection_went_silent)
+{
+  AgentsAndMember instances(2);
+  instances.openDirectReads();
+  instances.stopAgents("servers");
+  instances.deployment.store().silenceOtherConnections();
+  BOOST_TEST(arrivalsAfterDrainBound(instances, "key-first") == 0);
+  instances.resumeAgents();
+}
+
 // Guards against requests to a server that has left, by a list that the instance knows to be older
 // than the bound, while the read that will renew it is under way.
 BOOST_AUTO_TEST_CASE(routes_requests_wait_for_a_server_list_that_is_being_read)
