--- a/include/mustardplank/dispatch/staleness_gate.hpp
+++ b/include/mustardplank/dispatch/staleness_gate.hpp
@@ -15,12 +15,14 @@
 class StalenessGate
 {
 public:
-  /// Requests wait for so long after the first one was found to wait, if the store may answer.
+  /// Longest wait if the store may answer, from when the knowledge was first seen to be too old. As
+  /// long as a read may take.
   static constexpr Duration kMaxWait = Millis(1000);
-  /// The same, counted from when a read was found to be due, whatever is known of the store.
+  /// Longest wait if it is not known whether the store answers, from when the knowledge was first
+  /// seen to be due for a read. The age of a process that was paused exceeds both limits at once.
   static constexpr Duration kPauseWait = Millis(250);
 
-  /// Older knowledge is not used without waiting.
+  /// Requests wait while the knowledge is older than aMaxAge.
   explicit StalenessGate(Duration aMaxAge)
     : mMaxAge(aMaxAge)
   {
--- a/src/daemon/route_daemon_impl.hpp
+++ b/src/daemon/route_daemon_impl.hpp
@@ -143,7 +143,7 @@
   void applyOperator(const control::Record& aRecord, control::RecordSource aSource);
   void applyConfig(route::Config aConfig, control::Offset aOffset);
   awaitable<void> followOperators();
-  /// What the operators' log held at some moment is known.
+  /// The operators' log was confirmed: requests that waited for that go on.
   void noteOperatorsConfirmed();
   /// Calls aDone once requests can be decided by the configuration that is known.
   void awaitConfiguration(std::function<void()> aDone);
@@ -178,6 +178,7 @@
   /// Each reads a log when no agent has stated its changes for too long.
   awaitable<void> refreshOperatorsLoop();
   awaitable<void> refreshServersLoop();
+  /// Counts a direct read that has ended, and logs a slow one.
   void noteDirectRead(KnowledgeState& aState, bool aAnswered);
   /// Reads the servers' entries from the store while awaitServerList() asks for it.
   awaitable<void> confirmServersLoop();
@@ -205,7 +206,7 @@
   void answerSyncs();
   /// Writes a line when this instance becomes an agent, begins to follow the store, or ends either.
   void noteRole();
-  /// Writes a line when that changes.
+  /// Logs when what is known of a log has become older than the bound on changes, or current again.
   void noteOldKnowledge(const agent::KeyedView& aView, KnowledgeState& aState, TimePoint aNow);
 
   // Loads of servers.
