--- a/test/routes/deployment.cpp
+++ b/test/routes/deployment.cpp
@@ -267,6 +267,10 @@
                      { "usage_late_s", 8.0 },
                      { "stop_grace_s", static_cast<double>(mStopGrace.count()) / 1000.0 },
                      { "lease_ms", 3000 } } } };
+  if (mChangeBound) {
+    settings["bounds"].update({ { "config_apply_ms", mChangeBound->count() },
+                                { "server_drain_ms", mChangeBound->count() } });
+  }
   if (mRollouts == Rollouts::Stated) {
     settings["bounds"].update(
       { { "canary_share", 0.1 }, { "canary_tolerance", 50 }, { "rollback_ms", 5000 } });
--- a/test/routes/deployment.hpp
+++ b/test/routes/deployment.hpp
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -137,6 +138,8 @@
   /// Cuts the instance off from all servers.
   void cutFromServers(std::size_t aIndex, CutKind aKind);
   void restoreServerLinks(std::size_t aIndex);
+  /// The bounds on changes and on leaving servers of instances that are started from now on.
+  void setChangeBound(Millis aBound) { mChangeBound = aBound; }
   /// Ends an instance and starts it with the store's second address.
   void restartOnOtherAddress(std::size_t aIndex);
   /// Writes a configuration; version rises with each call.
@@ -193,6 +196,7 @@
   std::vector<std::string> mAdmin;
   std::string mFolder;
   int mVersion = 0;
+  std::optional<Millis> mChangeBound;
   std::size_t mMoreRoutes = 0;
   Millis mIdleTimeout{ 3000 };
   Millis mRouteTimeout{ 3000 };
