--- a/test/routes/old_knowledge_test.cpp
+++ b/test/routes/old_knowledge_test.cpp
@@ -234,3 +234,19 @@
   BOOST_TEST((waited <= kOutageWait));
   instances.deployment.store().setSilent(false);
 }
+
+// Guards against requests to a server that has said it leaves, whose older entry is written after
+// that.
+BOOST_AUTO_TEST_CASE(routes_leaving_server_stays_leaving_after_an_older_entry)
+{
+  RouteDeployment deployment(2, 1);
+  deployment.writeServer(0, "draining", R"({"sequence":5})");
+  deployment.writeServer(0, "ready", R"({"sequence":4})");
+  std::this_thread::sleep_for(kDrainBound);
+  const auto before = deployment.server(0).arrivals().size();
+  CallerConnection connection(deployment.callers());
+  for (int i = 0; i < 20; ++i) {
+    BOOST_TEST(connection.call(callOf("/plain/ok")).result_int() == 200U);
+  }
+  BOOST_TEST(deployment.server(0).arrivals().size() == before);
+}
